feat: pure decisions on dispatch, leases, claims, configuration, members and orders

Cause: where a request runs, who may act and what is in force have to be testable without a clock or a socket.

Ruled out: a time-based take-over of claims, as a paused owner can't be told from a dead one; only the owner's own word frees an unsent attempt.

--- /dev/null
+++ b/internal/decide/admit/policy.go
@@ -0,0 +1,90 @@
+package admit
+
+import (
+	"math"
+
+	"github.com/wardridge/wardridge/internal/api"
+)
+
+// Policy decides whether a generation fits beside an engine's load; share is
+// the part of the memory that its priority may fill.
+type Policy interface {
+	Fits(l *Load, g Generation, share float64) bool
+}
+
+// Slots admits a fixed number of generations per engine.
+type Slots struct {
+	N int
+}
+
+// Fits counts the batch alone.
+func (s Slots) Fits(l *Load, _ Generation, _ float64) bool {
+	return l.Total() > 0 && l.batch() < s.N
+}
+
+// Mean reserves the expected length of each answer.
+type Mean struct{}
+
+// Fits adds the expected sizes up.
+func (Mean) Fits(l *Load, g Generation, share float64) bool {
+	m := l.others + expected(&g)
+	for _, x := range l.running {
+		m += expected(&x.Generation)
+	}
+	return m <= share*float64(l.Total())
+}
+
+func expected(g *Generation) float64 {
+	return float64(g.held()) + g.Curve.Mean(g.Made, g.Max)
+}
+
+// Maximum reserves the longest answer that each request allows.
+type Maximum struct{}
+
+// Fits adds the largest sizes up.
+func (Maximum) Fits(l *Load, g Generation, share float64) bool {
+	m := l.others + float64(g.Prompt+g.Max)
+	for _, x := range l.running {
+		m += float64(x.Prompt + x.Max)
+	}
+	return m <= share*float64(l.Total())
+}
+
+// Survival bounds the chance that memory overflows at any horizon ahead, and
+// keeps the batch's step time under the aim.
+type Survival struct {
+	// Z is the number of standard deviations kept free.
+	Z float64
+	// StepMS is the aim for the time between tokens, ms; 0 for none.
+	StepMS float64
+}
+
+// NewSurvival admits an overflow with at most the chance given.
+func NewSurvival(chance, stepMS float64) Survival {
+	return Survival{Z: math.Sqrt2 * math.Erfinv(1-2*chance), StepMS: stepMS}
+}
+
+// Fits checks the forecast at every horizon.
+func (s Survival) Fits(l *Load, g Generation, share float64) bool {
+	if l.Total() == 0 {
+		return false
+	}
+	if s.StepMS > 0 && l.pace.step(l.batch()+1) > s.StepMS {
+		return false
+	}
+	f := g.forecast()
+	c := share * float64(l.Total())
+	for i := range horizons {
+		m := l.othersAt(i) + l.sum.mean[i] + f.mean[i]
+		v := math.Max(0, l.sum.variance[i]+f.variance[i])
+		if m+s.Z*math.Sqrt(v) > c {
+			return false
+		}
+	}
+	return true
+}
+
+// Possible reports whether the request could fit an empty engine at all.
+func Possible(prompt, total api.Tokens) bool {
+	return total == 0 || prompt < total
+}
--- /dev/null
+++ b/internal/decide/claim/claim.go
@@ -0,0 +1,159 @@
+package claim
+
+import (
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/fault"
+)
+
+// Kind tells what to do next for a claimed request.
+type Kind int
+
+// Kinds of moves.
+const (
+	// Create creates the claim's object with Spec if there is none.
+	Create Kind = iota
+	// Read reads the claim's object.
+	Read
+	// AskOwner asks the claim's owner to give an unsent attempt up.
+	AskOwner
+	// TakeOver replaces the claim at Version by Spec.
+	TakeOver
+	// Send sends the request, if the attempt is still allowed to.
+	Send
+	// Replay answers with the kept answer of the first attempt.
+	Replay
+	// Refuse answers with Fault.
+	Refuse
+)
+
+// Move is the next thing to do.
+type Move struct {
+	Kind    Kind
+	Spec    api.ClaimSpec
+	Version api.Version
+	Fault   *fault.Fault
+}
+
+// Written is the outcome of a conditional write.
+type Written int
+
+// Outcomes of writes.
+const (
+	// Done means that the write took effect.
+	Done Written = iota
+	// Conflict means that the object is not at the version expected.
+	Conflict
+	// Lost means that the write may have taken effect or may yet.
+	Lost
+	// Refused means that the write did not and will not take effect.
+	Refused
+)
+
+// comeback is when a caller may ask again about a claim that is held.
+const comeback = 2 * time.Second
+
+// rounds bounds how often a claim that changes under the reader is read.
+const rounds = 4
+
+// Claim is the course of one request's claim.
+type Claim struct {
+	spec  api.ClaimSpec
+	left  int
+	asked bool
+}
+
+// New starts the course of a claim with the record that this attempt wants.
+func New(s api.ClaimSpec) *Claim {
+	s.State = api.ClaimStateClaimed
+	return &Claim{spec: s, left: rounds}
+}
+
+// Begin gives the first move.
+func (c *Claim) Begin() Move {
+	return Move{Kind: Create, Spec: c.spec}
+}
+
+// Wrote takes the outcome of a create or a take-over.
+func (c *Claim) Wrote(w Written) Move {
+	switch w {
+	case Done:
+		return Move{Kind: Send}
+	case Refused:
+		return c.unavailable()
+	default:
+		return c.read()
+	}
+}
+
+func (c *Claim) read() Move {
+	if c.left == 0 {
+		return c.unavailable()
+	}
+	c.left--
+	return Move{Kind: Read}
+}
+
+// unavailable refuses a request of which nothing was sent.
+func (c *Claim) unavailable() Move {
+	f := fault.New(fault.ClaimUnavailable, "the claim could not be recorded; the request was not sent")
+	return Move{Kind: Refuse, Fault: f.After(comeback)}
+}
+
+// Unreadable notes that the object could not be read.
+func (c *Claim) Unreadable() Move {
+	return c.unavailable()
+}
+
+// Found takes the object as read; exists is false for none.
+func (c *Claim) Found(exists bool, s api.ClaimSpec, v api.Version) Move {
+	if !exists {
+		// The write may yet land; it is this attempt's and was not sent.
+		return c.unavailable()
+	}
+	if c.own(s) {
+		return Move{Kind: Send}
+	}
+	if s.BodyHash != c.spec.BodyHash || s.Workspace != c.spec.Workspace {
+		f := fault.New(fault.ReusedKey, "the idempotency key was used for another request")
+		return Move{Kind: Refuse, Fault: f}
+	}
+	switch s.State {
+	case api.ClaimStateDone:
+		return Move{Kind: Replay, Spec: s}
+	case api.ClaimStateAbandoned:
+		return Move{Kind: TakeOver, Spec: c.spec, Version: v}
+	default:
+		return c.ask(s, v)
+	}
+}
+
+func (c *Claim) own(s api.ClaimSpec) bool {
+	return s.State == api.ClaimStateClaimed && s.Owner == c.spec.Owner &&
+		s.Incarnation == c.spec.Incarnation && s.Request == c.spec.Request
+}
+
+func (c *Claim) ask(s api.ClaimSpec, v api.Version) Move {
+	if c.asked {
+		return c.held()
+	}
+	c.asked = true
+	return Move{Kind: AskOwner, Spec: s, Version: v}
+}
+
+// held refuses because an earlier attempt may have run or may yet run.
+func (c *Claim) held() Move {
+	f := fault.New(fault.ClaimHeld, "an earlier attempt with this key has no known outcome")
+	return Move{Kind: Refuse, Fault: f.After(comeback)}
+}
+
+// Answered takes the owner's answer; released is true only if the owner's
+// attempt was not sent and never will be.
+func (c *Claim) Answered(released bool, v api.Version) Move {
+	if !released {
+		return c.held()
+	}
+	c.asked = false
+	return Move{Kind: TakeOver, Spec: c.spec, Version: v}
+}
--- /dev/null
+++ b/internal/decide/claim/claim_test.go
@@ -0,0 +1,196 @@
+package claim_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/claim"
+	"github.com/wardridge/wardridge/internal/fault"
+)
+
+func spec(owner api.VMName, r api.RequestID) api.ClaimSpec {
+	return api.ClaimSpec{Workspace: "w", Owner: owner, Incarnation: 1, Request: r, State: api.ClaimStateClaimed, BodyHash: "h"}
+}
+
+func TestCourses(t *testing.T) {
+	mine := spec("a", "r1")
+	other := spec("b", "r0")
+	done := other
+	done.State = api.ClaimStateDone
+	abandoned := other
+	abandoned.State = api.ClaimStateAbandoned
+	reused := done
+	reused.BodyHash = "x"
+	tests := []struct {
+		name     string
+		course   func(c *claim.Claim) claim.Move
+		want     claim.Kind
+		wantCode fault.Code
+		wantRan  api.Ran
+	}{
+		{"created", func(c *claim.Claim) claim.Move { return c.Wrote(claim.Done) }, claim.Send, 0, ""},
+		{"platform refuses", func(c *claim.Claim) claim.Move { return c.Wrote(claim.Refused) }, claim.Refuse, fault.ClaimUnavailable, api.RanNo},
+		{"answer lost", func(c *claim.Claim) claim.Move { return c.Wrote(claim.Lost) }, claim.Read, 0, ""},
+		{"lost, then read as mine", func(c *claim.Claim) claim.Move { c.Wrote(claim.Lost); return c.Found(true, mine, 1) }, claim.Send, 0, ""},
+		{"lost, then not there", func(c *claim.Claim) claim.Move { c.Wrote(claim.Lost); return c.Found(false, api.ClaimSpec{}, 0) }, claim.Refuse, fault.ClaimUnavailable, api.RanNo},
+		{"lost, then unreadable", func(c *claim.Claim) claim.Move { c.Wrote(claim.Lost); return c.Unreadable() }, claim.Refuse, fault.ClaimUnavailable, api.RanNo},
+		{"done before", func(c *claim.Claim) claim.Move { return c.Found(true, done, 1) }, claim.Replay, 0, ""},
+		{"abandoned before", func(c *claim.Claim) claim.Move { return c.Found(true, abandoned, 1) }, claim.TakeOver, 0, ""},
+		{"another body", func(c *claim.Claim) claim.Move { return c.Found(true, reused, 1) }, claim.Refuse, fault.ReusedKey, api.RanNo},
+		{"held by another", func(c *claim.Claim) claim.Move { return c.Found(true, other, 1) }, claim.AskOwner, 0, ""},
+		{"owner released it", func(c *claim.Claim) claim.Move { c.Found(true, other, 1); return c.Answered(true, 1) }, claim.TakeOver, 0, ""},
+		{"owner keeps it", func(c *claim.Claim) claim.Move { c.Found(true, other, 1); return c.Answered(false, 1) }, claim.Refuse, fault.ClaimHeld, api.RanUnknown},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			c := claim.New(mine)
+			c.Begin()
+			m := x.course(c)
+			if m.Kind != x.want {
+				t.Fatalf("move: got %d, want %d", m.Kind, x.want)
+			}
+			if m.Kind != claim.Refuse {
+				return
+			}
+			if m.Fault.Code != x.wantCode || m.Fault.Ran != x.wantRan {
+				t.Errorf("fault: got %d ran %s, want %d ran %s", m.Fault.Code, m.Fault.Ran, x.wantCode, x.wantRan)
+			}
+		})
+	}
+}
+
+func TestReleasedAttemptIsNeverSent(t *testing.T) {
+	a := claim.NewAttempts(1)
+	a.Add("r")
+	if got := a.Release("r", 1); !got {
+		t.Fatalf("Release of an unsent attempt: got %v, want true", got)
+	}
+	if got := a.Send("r"); got {
+		t.Errorf("Send after a release: got %v, want false", got)
+	}
+}
+
+func TestSentAttemptIsNotReleased(t *testing.T) {
+	a := claim.NewAttempts(1)
+	a.Add("r")
+	a.Send("r")
+	if got := a.Release("r", 1); got {
+		t.Errorf("Release of a sent attempt: got %v, want false", got)
+	}
+	if got := a.Release("other", 2); got {
+		t.Errorf("Release for another life: got %v, want false", got)
+	}
+}
+
+// vm is one entry VM of the random runs; its next step may be held up for ever.
+type vm struct {
+	name     api.VMName
+	attempts *claim.Attempts
+}
+
+type course struct {
+	vm   *vm
+	c    *claim.Claim
+	req  api.RequestID
+	next claim.Move
+}
+
+type record struct {
+	exists  bool
+	spec    api.ClaimSpec
+	version api.Version
+}
+
+// Callers ask with one key through several entry VMs whose steps interleave,
+// with lost answers, late writes, refusals and restarts: the request is sent
+// at most once.
+func TestSentAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		vms := []*vm{{"a", claim.NewAttempts(1)}, {"b", claim.NewAttempts(1)}, {"c", claim.NewAttempts(1)}}
+		lives := map[api.VMName]api.Incarnation{"a": 1, "b": 1, "c": 1}
+		var obj record
+		var late []func()
+		var courses []*course
+		sends := 0
+		write := func(m claim.Move) bool {
+			if m.Version != obj.version {
+				return false
+			}
+			obj = record{exists: true, spec: m.Spec, version: obj.version + 1}
+			return true
+		}
+		step := func(x *course) {
+			switch m := x.next; m.Kind {
+			case claim.Create, claim.TakeOver:
+				switch rapid.SampledFrom([]string{"ok", "ok", "lost", "late", "refused"}).Draw(t, "write") {
+				case "ok":
+					if write(m) {
+						x.next = x.c.Wrote(claim.Done)
+					} else {
+						x.next = x.c.Wrote(claim.Conflict)
+					}
+				case "lost":
+					write(m)
+					x.next = x.c.Wrote(claim.Lost)
+				case "late":
+					late = append(late, func() { write(m) })
+					x.next = x.c.Wrote(claim.Lost)
+				case "refused":
+					x.next = x.c.Wrote(claim.Refused)
+				}
+			case claim.Read:
+				x.next = x.c.Found(obj.exists, obj.spec, obj.version)
+			case claim.AskOwner:
+				released := false
+				for _, v := range vms {
+					if v.name == m.Spec.Owner {
+						released = v.attempts.Release(m.Spec.Request, m.Spec.Incarnation)
+					}
+				}
+				x.next = x.c.Answered(released, m.Version)
+			case claim.Send:
+				if x.vm.attempts.Send(x.req) {
+					sends++
+				}
+				x.next = claim.Move{Kind: claim.Replay}
+			}
+		}
+		for n := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"ask", "step", "step", "step", "land", "restart"}).Draw(t, "what") {
+			case "ask":
+				v := rapid.SampledFrom(vms).Draw(t, "vm")
+				r := api.RequestID(rune('A' + n))
+				s := spec(v.name, r)
+				s.Incarnation = lives[v.name]
+				v.attempts.Add(r)
+				c := claim.New(s)
+				courses = append(courses, &course{vm: v, c: c, req: r, next: c.Begin()})
+			case "step":
+				if len(courses) > 0 {
+					step(rapid.SampledFrom(courses).Draw(t, "course"))
+				}
+			case "land":
+				if len(late) > 0 {
+					late[0]()
+					late = late[1:]
+				}
+			case "restart":
+				v := rapid.SampledFrom(vms).Draw(t, "vm")
+				lives[v.name]++
+				v.attempts = claim.NewAttempts(lives[v.name])
+				kept := courses[:0]
+				for _, x := range courses {
+					if x.vm != v {
+						kept = append(kept, x)
+					}
+				}
+				courses = kept
+			}
+			if sends > 1 {
+				t.Fatalf("sent %d times", sends)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/decide/config/config_test.go
@@ -0,0 +1,102 @@
+package config_test
+
+import (
+	"encoding/json"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/config"
+	"github.com/wardridge/wardridge/internal/fault"
+)
+
+func plain(_ api.ResourceKind, raw json.RawMessage, out any) error {
+	if string(raw) == `{"bad":1}` {
+		return fault.New(fault.InvalidResource, "bad")
+	}
+	return json.Unmarshal(raw, out)
+}
+
+func model(name string, v api.Version, spec string) api.Object {
+	return api.Object{Kind: api.ResourceKindModel, Name: name, Version: v, Spec: json.RawMessage(spec)}
+}
+
+func TestStaleListIsDropped(t *testing.T) {
+	s := config.New()
+	s.Replace(api.ObjectList{Version: 5, Items: []api.Object{model("m", 5, `{"weights":"new"}`)}})
+	if got := s.Replace(api.ObjectList{Version: 4}); got {
+		t.Errorf("Replace with an older list: got %v, want false", got)
+	}
+	v, _ := config.Build(s, nil, plain)
+	if got := v.Models["m"].Weights; got != "new" {
+		t.Errorf("weights: got %q, want new", got)
+	}
+}
+
+func TestUnreadableObjectKeepsItsLastGoodForm(t *testing.T) {
+	s := config.New()
+	s.Replace(api.ObjectList{Version: 1, Items: []api.Object{model("m", 1, `{"weights":"1"}`), model("n", 1, `{"weights":"1"}`)}})
+	v, _ := config.Build(s, nil, plain)
+	s.Apply(api.ChangeList{Version: 3, Changes: []api.Change{
+		{Version: 2, Object: model("m", 2, `{"bad":1}`)},
+		{Version: 3, Object: model("n", 3, `{"weights":"2"}`)},
+	}})
+	w, p := config.Build(s, v, plain)
+	if len(p) != 1 || p[0].Key.Name != "m" {
+		t.Fatalf("problems: got %v, want one of m", p)
+	}
+	if got := w.Models["m"].Weights; got != "1" {
+		t.Errorf("m: got %q, want 1", got)
+	}
+	if got := w.Models["n"].Weights; got != "2" {
+		t.Errorf("n: got %q, want 2", got)
+	}
+}
+
+// Watches and lists in any order, old ones and doubled ones among them, never
+// take the store back, and the newest list always wins.
+func TestVersionNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := config.New()
+		last := api.Version(0)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			v := api.Version(rapid.IntRange(0, 30).Draw(t, "version"))
+			o := model("m", v, `{}`)
+			if rapid.Bool().Draw(t, "list") {
+				s.Replace(api.ObjectList{Version: v, Items: []api.Object{o}})
+			} else {
+				s.Apply(api.ChangeList{Version: v, Changes: []api.Change{{Version: v, Object: o}}})
+			}
+			if s.Version() < last {
+				t.Fatalf("version went from %d to %d", last, s.Version())
+			}
+			last = s.Version()
+			if l := s.List().Items; len(l) == 1 && l[0].Version > last {
+				t.Fatalf("object at %d in a store at %d", l[0].Version, last)
+			}
+		}
+	})
+}
+
+func TestOnce(t *testing.T) {
+	s := config.Service{ServiceSpec: api.ServiceSpec{NotRepeatable: []api.CallRule{
+		{Method: api.CallRuleMethodPOST, Path: "/orders"},
+		{Method: api.CallRuleMethodPOST, Path: "/confirm/*"},
+	}}}
+	tests := []struct {
+		method, path string
+		want         bool
+	}{
+		{"POST", "/orders", true},
+		{"GET", "/orders", false},
+		{"POST", "/orders/7", false},
+		{"POST", "/confirm/7", true},
+		{"POST", "/confirmed", false},
+	}
+	for _, c := range tests {
+		if got := s.Once(c.method, c.path); got != c.want {
+			t.Errorf("%s %s: got %v, want %v", c.method, c.path, got, c.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/decide/lease/lease_test.go
@@ -0,0 +1,159 @@
+package lease_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/lease"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+var timing = lease.Timing{Duration: 6 * time.Second, Skew: time.Second}
+
+// store is the platform's object as conditional updates see it.
+type store struct {
+	exists  bool
+	spec    api.LeaseSpec
+	version api.Version
+}
+
+func (s *store) write(a lease.Action) bool {
+	if a.Version != s.version {
+		return false
+	}
+	s.exists = true
+	s.spec = a.Spec
+	s.version++
+	return true
+}
+
+func (s *store) read(now time.Time, l *lease.Lease) {
+	l.Observed(now, s.exists, s.spec, s.version)
+}
+
+// turn carries out one step whose answer arrives at once.
+func (s *store) turn(now time.Time, l *lease.Lease) {
+	a := l.Step(now)
+	switch a.Kind {
+	case lease.Read:
+		s.read(now, l)
+	case lease.Write:
+		if s.write(a) {
+			l.Written(s.version)
+		} else {
+			l.Unsettled()
+		}
+	}
+}
+
+func held(t *testing.T, l *lease.Lease, now time.Time, want bool) {
+	t.Helper()
+	if _, got := l.Held(now); got != want {
+		t.Errorf("held at %v: got %v, want %v", now.Sub(epoch), got, want)
+	}
+}
+
+func TestHoldCountsFromTheSend(t *testing.T) {
+	s := &store{}
+	l := lease.New(lease.Owner{VM: "a"}, timing)
+	s.turn(epoch, l)
+	a := l.Step(epoch)
+	s.write(a)
+	// The answer is four seconds late.
+	l.Written(s.version)
+	held(t, l, epoch.Add(4*time.Second), true)
+	held(t, l, epoch.Add(6*time.Second), false)
+}
+
+func TestLostAnswerIsReadBack(t *testing.T) {
+	s := &store{}
+	l := lease.New(lease.Owner{VM: "a"}, timing)
+	s.turn(epoch, l)
+	s.write(l.Step(epoch))
+	l.Unsettled()
+	held(t, l, epoch, false)
+	s.turn(epoch.Add(2*time.Second), l)
+	held(t, l, epoch.Add(3*time.Second), true)
+	held(t, l, epoch.Add(6*time.Second), false)
+}
+
+func TestOthersWaitOutTheHolder(t *testing.T) {
+	s := &store{}
+	a := lease.New(lease.Owner{VM: "a"}, timing)
+	b := lease.New(lease.Owner{VM: "b"}, timing)
+	s.turn(epoch, a)
+	s.turn(epoch, a)
+	for d := time.Duration(0); d < 20*time.Second; d += 100 * time.Millisecond {
+		now := epoch.Add(d)
+		s.turn(now, b)
+		_, x := a.Held(now)
+		_, y := b.Held(now)
+		if x && y {
+			t.Fatalf("both hold at %v", d)
+		}
+	}
+	held(t, b, epoch.Add(20*time.Second), true)
+	if got, want := s.spec.Fence, api.Fence(2); got != want {
+		t.Errorf("fence: got %d, want %d", got, want)
+	}
+}
+
+func TestReleasedLeaseIsTakenAtOnce(t *testing.T) {
+	s := &store{}
+	a := lease.New(lease.Owner{VM: "a"}, timing)
+	b := lease.New(lease.Owner{VM: "b"}, timing)
+	s.turn(epoch, a)
+	s.turn(epoch, a)
+	s.turn(epoch, b)
+	a.Want(false)
+	s.turn(epoch, a)
+	held(t, a, epoch, false)
+	now := epoch.Add(3 * time.Second)
+	s.turn(now, b)
+	s.turn(now, b)
+	held(t, b, now, true)
+}
+
+// Two candidates with lost and late answers, pauses and restarts never hold at
+// the same time.
+func TestNeverTwoHolders(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &store{}
+		var inc api.Incarnation
+		candidates := []*lease.Lease{
+			lease.New(lease.Owner{VM: "a"}, timing),
+			lease.New(lease.Owner{VM: "b"}, timing),
+		}
+		now := epoch
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms")) * time.Millisecond)
+			i := rapid.IntRange(0, 1).Draw(t, "who")
+			l := candidates[i]
+			switch rapid.SampledFrom([]string{"turn", "turn", "turn", "lost", "failed", "restart"}).Draw(t, "what") {
+			case "turn":
+				s.turn(now, l)
+			case "lost":
+				if a := l.Step(now); a.Kind == lease.Write {
+					s.write(a)
+					l.Unsettled()
+				}
+			case "failed":
+				if a := l.Step(now); a.Kind == lease.Write {
+					l.Unsettled()
+				}
+			case "restart":
+				inc++
+				candidates[i] = lease.New(lease.Owner{VM: api.VMName([]string{"a", "b"}[i]), Incarnation: inc}, timing)
+			}
+			_, a := candidates[0].Held(now)
+			_, b := candidates[1].Held(now)
+			if a && b {
+				t.Fatalf("both hold")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/decide/member/doc.go
@@ -0,0 +1,3 @@
+// Package member decides which entry VMs are there, from the platform's late
+// list and from heartbeats.
+package member
--- /dev/null
+++ b/internal/decide/member/member.go
@@ -0,0 +1,159 @@
+package member
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+)
+
+// Protocol is the version of the protocol between entry VMs.
+const Protocol = 1
+
+// Change tells what a step found out about one entry VM.
+type Change struct {
+	VM   api.VMName
+	Lost bool
+}
+
+// Peer is another entry VM.
+type Peer struct {
+	VM      api.VMName
+	Address string
+	beat    api.Heartbeat
+	heard   time.Time
+	alive   bool
+}
+
+// Members is one entry VM's view of the others.
+type Members struct {
+	self    api.VMName
+	suspect time.Duration
+	peers   map[api.VMName]*Peer
+}
+
+// New makes a view without peers; a peer that was not heard for suspect is
+// taken for lost.
+func New(self api.VMName, suspect time.Duration) *Members {
+	return &Members{self: self, suspect: suspect, peers: map[api.VMName]*Peer{}}
+}
+
+// Listed takes the platform's list. A VM that is gone from it stays while it
+// answers heartbeats, as the list lags.
+func (m *Members) Listed(now time.Time, l []api.VM) {
+	seen := map[api.VMName]bool{}
+	for _, v := range l {
+		n := api.VMName(v.Name)
+		if v.Role != api.VMRoleEntry || n == m.self {
+			continue
+		}
+		seen[n] = true
+		m.note(n, v.Address)
+	}
+	for n, p := range m.peers {
+		if !seen[n] && now.Sub(p.heard) > m.suspect {
+			delete(m.peers, n)
+		}
+	}
+}
+
+func (m *Members) note(n api.VMName, address string) {
+	p, ok := m.peers[n]
+	if !ok {
+		p = &Peer{VM: n}
+		m.peers[n] = p
+	}
+	p.Address = address
+}
+
+// Heard takes a heartbeat that a listed peer answered with; one from an
+// earlier life than the last is dropped.
+func (m *Members) Heard(now time.Time, b api.Heartbeat) (Change, bool) {
+	p, ok := m.peers[b.VM]
+	if !ok || b.Incarnation < p.beat.Incarnation {
+		return Change{}, false
+	}
+	p.beat = b
+	p.heard = now
+	if p.alive {
+		return Change{}, false
+	}
+	p.alive = true
+	return Change{VM: b.VM}, true
+}
+
+// Step finds the peers that were not heard for too long.
+func (m *Members) Step(now time.Time) []Change {
+	var l []Change
+	for _, p := range m.Peers() {
+		if p.alive && now.Sub(p.heard) > m.suspect {
+			p.alive = false
+			l = append(l, Change{VM: p.VM, Lost: true})
+		}
+	}
+	return l
+}
+
+// Peers lists the other entry VMs in order of name.
+func (m *Members) Peers() []*Peer {
+	l := make([]*Peer, 0, len(m.peers))
+	for _, p := range m.peers {
+		l = append(l, p)
+	}
+	slices.SortFunc(l, func(a, b *Peer) int { return strings.Compare(string(a.VM), string(b.VM)) })
+	return l
+}
+
+// Find gives a peer's address.
+func (m *Members) Find(n api.VMName) (string, bool) {
+	p, ok := m.peers[n]
+	if !ok {
+		return "", false
+	}
+	return p.Address, true
+}
+
+// Serving counts the entry VMs that serve, this one among them.
+func (m *Members) Serving() int {
+	n := 1
+	for _, p := range m.peers {
+		if p.alive && p.beat.State == api.PeerStateServing {
+			n++
+		}
+	}
+	return n
+}
+
+// Newest is the highest configuration version that a peer has in force.
+func (m *Members) Newest() api.Version {
+	var v api.Version
+	for _, p := range m.peers {
+		if p.alive {
+			v = max(v, p.beat.ConfigVersion)
+		}
+	}
+	return v
+}
+
+// Status lists the peers as this entry VM sees them.
+func (m *Members) Status(now time.Time) []api.MemberStatus {
+	l := []api.MemberStatus{}
+	for _, p := range m.Peers() {
+		s := api.MemberStatus{
+			VM:            p.VM,
+			State:         api.MemberStatusStateSuspect,
+			ConfigVersion: p.beat.ConfigVersion,
+			InFlight:      p.beat.InFlight,
+			AgeMS:         -1,
+		}
+		if !p.heard.IsZero() {
+			s.AgeMS = api.ToMilliseconds(now.Sub(p.heard))
+		}
+		if p.alive {
+			s.State = api.MemberStatusState(p.beat.State)
+		}
+		l = append(l, s)
+	}
+	return l
+}
--- /dev/null
+++ b/internal/decide/member/member_test.go
@@ -0,0 +1,64 @@
+package member_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/member"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func entry(n string) api.VM {
+	return api.VM{Name: n, Role: api.VMRoleEntry, State: api.VMStateLive, Address: n + ":1"}
+}
+
+func beat(n api.VMName, i api.Incarnation, v api.Version) api.Heartbeat {
+	return api.Heartbeat{Protocol: member.Protocol, VM: n, Incarnation: i, State: api.PeerStateServing, ConfigVersion: v}
+}
+
+func TestPeerIsCountedOnceHeardAndLostOnceSilent(t *testing.T) {
+	m := member.New("a", time.Second)
+	m.Listed(epoch, []api.VM{entry("a"), entry("b")})
+	if got := m.Serving(); got != 1 {
+		t.Errorf("before a heartbeat: got %d, want 1", got)
+	}
+	if _, ok := m.Heard(epoch, beat("b", 1, 3)); !ok {
+		t.Errorf("first heartbeat: got no change, want one")
+	}
+	if got := m.Serving(); got != 2 {
+		t.Errorf("after a heartbeat: got %d, want 2", got)
+	}
+	l := m.Step(epoch.Add(2 * time.Second))
+	if len(l) != 1 || !l[0].Lost {
+		t.Errorf("after silence: got %v, want b lost", l)
+	}
+	if got := m.Serving(); got != 1 {
+		t.Errorf("after silence: got %d, want 1", got)
+	}
+}
+
+func TestHeartbeatOfAnEarlierLifeIsDropped(t *testing.T) {
+	m := member.New("a", time.Second)
+	m.Listed(epoch, []api.VM{entry("b")})
+	m.Heard(epoch, beat("b", 2, 9))
+	m.Heard(epoch, beat("b", 1, 50))
+	if got, want := m.Newest(), api.Version(9); got != want {
+		t.Errorf("newest: got %d, want %d", got, want)
+	}
+}
+
+func TestListThatLagsDoesNotRemoveALivePeer(t *testing.T) {
+	m := member.New("a", time.Second)
+	m.Listed(epoch, []api.VM{entry("b")})
+	m.Heard(epoch, beat("b", 1, 1))
+	m.Listed(epoch.Add(500*time.Millisecond), nil)
+	if _, ok := m.Find("b"); !ok {
+		t.Errorf("live peer: got removed, want kept")
+	}
+	m.Listed(epoch.Add(5*time.Second), nil)
+	if _, ok := m.Find("b"); ok {
+		t.Errorf("silent peer off the list: got kept, want removed")
+	}
+}
--- /dev/null
+++ b/internal/decide/order/doc.go
@@ -0,0 +1,3 @@
+// Package order decides which fenced orders engines get, so that they have
+// loaded what operators declare.
+package order
--- /dev/null
+++ b/internal/decide/route/doc.go
@@ -0,0 +1,2 @@
+// Package route chooses an engine for a request.
+package route
