--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -931,7 +931,7 @@
 // VMList is the platform's list of VMs, which lags.
 type VMList struct {
 	// VMs in order of name.
-	Vms []VM `json:"vms"`
+	VMs []VM `json:"vms"`
 }
 
 // VMName names one entry VM.
--- a/internal/decide/config/view.go
+++ b/internal/decide/config/view.go
@@ -110,9 +110,9 @@
 		return err
 	}
 	v.Workspaces[x.Name] = x
-	if _, ok := v.Keys[x.KeySHA256]; !ok {
+	if _, ok := v.Keys[x.KeySha256]; !ok {
 		// Of two workspaces with one key the first by name has it.
-		v.Keys[x.KeySHA256] = x.Name
+		v.Keys[x.KeySha256] = x.Name
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/engine/client.go
@@ -0,0 +1,190 @@
+package engine
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/answer"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/wire"
+)
+
+// Refusal is an engine's own word that it did not do what was asked.
+type Refusal struct {
+	api.EngineRefusal
+}
+
+// Error gives the reason.
+func (r *Refusal) Error() string {
+	return "the engine refused: " + string(r.Reason)
+}
+
+// Broken is a failure to open a stream; Cause tells what is known of it.
+type Broken struct {
+	Cause answer.Cause
+	Err   error
+}
+
+// Error gives the failure.
+func (b *Broken) Error() string {
+	return "opening a stream: " + b.Err.Error()
+}
+
+// Unwrap gives the failure's own error.
+func (b *Broken) Unwrap() error {
+	return b.Err
+}
+
+// Client calls engines at their addresses.
+type Client struct {
+	http    *http.Client
+	timeout time.Duration
+}
+
+// New makes a client whose short calls end after the timeout; the clean-up
+// closes its connections.
+func New(timeout time.Duration) (*Client, func()) {
+	c, closer := wire.NewClient(timeout, true)
+	return &Client{http: c, timeout: timeout}, closer
+}
+
+// Start sends a generation and opens its stream; failures are *Broken.
+func (c *Client) Start(ctx context.Context, address string, g api.GenerateRequest) (*Stream, error) {
+	return c.open(ctx, http.MethodPost, base(address)+"/generations", g)
+}
+
+// Resume opens the stream of a generation from an index; failures are *Broken.
+func (c *Client) Resume(ctx context.Context, address string, g api.GenerationID, from int) (*Stream, error) {
+	return c.open(ctx, http.MethodGet, fmt.Sprintf("%s?from=%d", generation(address, g), from), nil)
+}
+
+func base(address string) string {
+	return "http://" + address + "/v1"
+}
+
+func generation(address string, g api.GenerationID) string {
+	return base(address) + "/generations/" + url.PathEscape(string(g))
+}
+
+func (c *Client) open(ctx context.Context, method, u string, in any) (*Stream, error) {
+	r, err := wire.NewRequest(ctx, method, u, in)
+	if err != nil {
+		return nil, &Broken{Cause: answer.NotConnected, Err: err}
+	}
+	a, err := c.http.Do(r)
+	if err != nil {
+		return nil, dialled(err)
+	}
+	if a.StatusCode == http.StatusOK {
+		return &Stream{body: a.Body}, nil
+	}
+	defer func() { _ = a.Body.Close() }()
+	return nil, refused(a)
+}
+
+func dialled(err error) *Broken {
+	f := wire.Broken(err)
+	if f.Code == fault.NotStarted {
+		return &Broken{Cause: answer.NotConnected, Err: f}
+	}
+	return &Broken{Cause: answer.Broken, Err: f}
+}
+
+// refusalLimit bounds the refusals that are read.
+const refusalLimit = 64 << 10
+
+// refused reads a refusal; one that can't be understood proves nothing.
+func refused(a *http.Response) *Broken {
+	var r Refusal
+	b, err := io.ReadAll(io.LimitReader(a.Body, refusalLimit))
+	if err == nil {
+		err = json.Unmarshal(b, &r.EngineRefusal)
+	}
+	switch {
+	case err != nil || r.Reason == "":
+		return &Broken{Cause: answer.Broken, Err: fault.New(fault.BadAnswer, "the engine answered "+a.Status)}
+	case r.Reason == api.EngineRefusalReasonUnknownGeneration:
+		return &Broken{Cause: answer.Unknown, Err: &r}
+	default:
+		return &Broken{Cause: answer.Refused, Err: &r}
+	}
+}
+
+// Cancel ends a generation; one that is not known any more is as good as
+// cancelled.
+func (c *Client) Cancel(ctx context.Context, address string, g api.GenerationID) error {
+	ctx, end := context.WithTimeout(ctx, c.timeout)
+	defer end()
+	return c.short(ctx, "cancelling", http.MethodDelete, generation(address, g), nil, nil)
+}
+
+// Load reads an engine's load report.
+func (c *Client) Load(ctx context.Context, address string) (api.LoadReport, error) {
+	ctx, end := context.WithTimeout(ctx, c.timeout)
+	defer end()
+	var r api.LoadReport
+	err := c.short(ctx, "reading the load", http.MethodGet, base(address)+"/load", nil, &r)
+	return r, err
+}
+
+// CacheEvents reads an engine's cache events from a sequence number.
+func (c *Client) CacheEvents(ctx context.Context, address string, from int) (api.CacheEventList, error) {
+	ctx, end := context.WithTimeout(ctx, c.timeout)
+	defer end()
+	var l api.CacheEventList
+	err := c.short(ctx, "reading cache events", http.MethodGet, fmt.Sprintf("%s/cache-events?from=%d", base(address), from), nil, &l)
+	return l, err
+}
+
+// Order sends a fenced order and waits until the engine has carried it out; an
+// old fence is refused with OldFence.
+func (c *Client) Order(ctx context.Context, address string, o api.Order) error {
+	return c.short(ctx, "ordering", http.MethodPost, base(address)+"/orders", o, nil)
+}
+
+// short makes a call whose answer is one message.
+func (c *Client) short(ctx context.Context, what, method, u string, in, out any) error {
+	r, err := wire.NewRequest(ctx, method, u, in)
+	if err != nil {
+		return err
+	}
+	a, err := c.http.Do(r)
+	if err != nil {
+		return oops.In("engine").Wrapf(wire.Broken(err), "%s", what)
+	}
+	defer func() { _ = a.Body.Close() }()
+	if a.StatusCode >= http.StatusBadRequest {
+		return oops.In("engine").Wrapf(shortRefusal(a), "%s", what)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.NewDecoder(a.Body).Decode(out); err != nil {
+		return oops.In("engine").Wrapf(fault.Wrap(fault.BadAnswer, err, "the answer is not the JSON expected"), "%s", what)
+	}
+	return nil
+}
+
+func shortRefusal(a *http.Response) error {
+	b := refused(a)
+	var r *Refusal
+	if x, ok := b.Err.(*Refusal); ok {
+		r = x
+	}
+	switch {
+	case r == nil:
+		return b.Err
+	case r.Reason == api.EngineRefusalReasonOldFence:
+		return fault.New(fault.OldFence, "a newer holder has sent orders")
+	default:
+		return fault.Wrap(fault.ServerRefused, r, string(r.Reason))
+	}
+}
--- /dev/null
+++ b/internal/engine/doc.go
@@ -0,0 +1,2 @@
+// Package engine is the client of model engines.
+package engine
--- /dev/null
+++ b/internal/engine/stream.go
@@ -0,0 +1,60 @@
+package engine
+
+import (
+	"encoding/json"
+	"io"
+
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/fault"
+)
+
+// Stream is an open stream of one generation.
+type Stream struct {
+	body io.ReadCloser
+}
+
+// beforeRead calls a function before each read, which may block.
+type beforeRead struct {
+	reader io.Reader
+	idle   func() error
+}
+
+// Read calls the function, then reads.
+func (b beforeRead) Read(p []byte) (int, error) {
+	if err := b.idle(); err != nil {
+		return 0, err
+	}
+	return b.reader.Read(p)
+}
+
+// Each calls take for each event until it returns false. It calls idle
+// whenever all events that arrived have been taken, before it waits for more.
+// It returns nil only if take ended it.
+func (s *Stream) Each(idle func() error, take func(api.TokenEvent) (bool, error)) error {
+	var out error = fault.New(fault.BadAnswer, "the stream ended early")
+	sse.Read(beforeRead{s.body, idle}, nil)(func(e sse.Event, err error) bool {
+		if err != nil {
+			out = fault.Wrap(fault.BadAnswer, err, "the stream broke")
+			return false
+		}
+		var t api.TokenEvent
+		if err := json.Unmarshal([]byte(e.Data), &t); err != nil {
+			out = fault.Wrap(fault.BadAnswer, err, "an event is not the JSON expected")
+			return false
+		}
+		more, err := take(t)
+		if err != nil || !more {
+			out = err
+			return false
+		}
+		return true
+	})
+	return out
+}
+
+// Close ends the stream without cancelling the generation.
+func (s *Stream) Close() {
+	_ = s.body.Close()
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,84 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/wire"
+)
+
+// Paths of the control interface between entry VMs and towards operators.
+const (
+	PathHeartbeat = "/peer/v1/heartbeat"
+	PathConfig    = "/peer/v1/config"
+	PathExplain   = "/peer/v1/explain/"
+	PathAttempt   = "/peer/v1/attempt"
+	PathStatus    = "/v1/status"
+	PathHealth    = "/healthz"
+	PathMetrics   = "/debug/vars"
+)
+
+// Client calls other entry VMs at their control addresses.
+type Client struct {
+	http    *http.Client
+	timeout time.Duration
+}
+
+// New makes a client whose calls end after the timeout; the clean-up closes
+// its connections.
+func New(timeout time.Duration) (*Client, func()) {
+	c, closer := wire.NewClient(timeout, true)
+	return &Client{http: c, timeout: timeout}, closer
+}
+
+func (c *Client) call(ctx context.Context, what, method, address, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	if err := wire.Call(ctx, c.http, method, "http://"+address+path, in, out); err != nil {
+		return oops.In("peer").Wrapf(err, "%s", what)
+	}
+	return nil
+}
+
+// Heartbeat sends an own heartbeat and gives the peer's.
+func (c *Client) Heartbeat(ctx context.Context, address string, b api.Heartbeat) (api.Heartbeat, error) {
+	var out api.Heartbeat
+	err := c.call(ctx, "sending a heartbeat", http.MethodPost, address, PathHeartbeat, b, &out)
+	return out, err
+}
+
+// Config reads the whole configuration that a peer has in force.
+func (c *Client) Config(ctx context.Context, address string) (api.ObjectList, error) {
+	var l api.ObjectList
+	err := c.call(ctx, "reading a peer's configuration", http.MethodGet, address, PathConfig, nil, &l)
+	return l, err
+}
+
+// Explain asks what was decided for a request; a peer that is asked with
+// alone does not ask its own peers.
+func (c *Client) Explain(ctx context.Context, address string, r api.RequestID, alone bool) (api.Explanation, error) {
+	var e api.Explanation
+	p := fmt.Sprintf("%s%s?alone=%v", PathExplain, url.PathEscape(string(r)), alone)
+	err := c.call(ctx, "asking for an explanation", http.MethodGet, address, p, nil, &e)
+	return e, err
+}
+
+// Release asks the owner of a claim to give an unsent attempt up.
+func (c *Client) Release(ctx context.Context, address string, q api.AttemptQuery) (bool, error) {
+	var a api.AttemptAnswer
+	err := c.call(ctx, "asking for a release", http.MethodPost, address, PathAttempt, q, &a)
+	return a.Released, err
+}
+
+// Status reads an entry VM's view of the system.
+func (c *Client) Status(ctx context.Context, address string) (api.NodeStatus, error) {
+	var s api.NodeStatus
+	err := c.call(ctx, "reading the status", http.MethodGet, address, PathStatus, nil, &s)
+	return s, err
+}
--- /dev/null
+++ b/internal/platform/client.go
@@ -0,0 +1,159 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/wire"
+)
+
+// Client calls the platform.
+type Client struct {
+	base    string
+	http    *http.Client
+	timeout time.Duration
+}
+
+// New makes a client of the platform at an address; the clean-up closes its
+// connections.
+func New(address string, timeout time.Duration) (*Client, func()) {
+	c, closer := wire.NewClient(timeout, true)
+	return &Client{base: "http://" + address + "/v1", http: c, timeout: timeout}, closer
+}
+
+func (c *Client) object(k api.ResourceKind, n string) string {
+	return c.base + "/objects/" + url.PathEscape(string(k)) + "/" + url.PathEscape(n)
+}
+
+func (c *Client) call(ctx context.Context, what, method, u string, in, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	if err := wire.Call(ctx, c.http, method, u, in, out); err != nil {
+		return oops.In("platform").Wrapf(err, "%s", what)
+	}
+	return nil
+}
+
+// Get reads one object.
+func (c *Client) Get(ctx context.Context, k api.ResourceKind, n string) (api.Object, error) {
+	var o api.Object
+	err := c.call(ctx, "reading "+string(k)+" "+n, http.MethodGet, c.object(k, n), nil, &o)
+	return o, err
+}
+
+// List reads all objects of the kinds, with the version they were read at.
+func (c *Client) List(ctx context.Context, kinds []api.ResourceKind) (api.ObjectList, error) {
+	var l api.ObjectList
+	u := c.base + "/objects?kinds=" + join(kinds)
+	err := c.call(ctx, "listing objects", http.MethodGet, u, nil, &l)
+	return l, err
+}
+
+// Put writes an object if its present version is the one in it, 0 for none.
+// A fault of OutcomeUnknown means that the write may have taken effect or may
+// yet.
+func (c *Client) Put(ctx context.Context, o api.Object) (api.Object, error) {
+	var n api.Object
+	err := c.call(ctx, "writing "+string(o.Kind)+" "+o.Name, http.MethodPut, c.object(o.Kind, o.Name), o, &n)
+	return n, lost(err)
+}
+
+// Delete removes an object if its present version is the one given.
+func (c *Client) Delete(ctx context.Context, k api.ResourceKind, n string, v api.Version) error {
+	u := fmt.Sprintf("%s?version=%d", c.object(k, n), v)
+	return lost(c.call(ctx, "deleting "+string(k)+" "+n, http.MethodDelete, u, nil, nil))
+}
+
+// lost types an answer to a write that can't be understood as a lost one.
+func lost(err error) error {
+	if fault.Has(err, fault.BadAnswer) {
+		return fault.Wrap(fault.OutcomeUnknown, err, "the answer to a write was lost")
+	}
+	return err
+}
+
+// Watch waits for changes of the kinds after a version. An answer without
+// changes still moves the version on.
+func (c *Client) Watch(ctx context.Context, from api.Version, wait time.Duration, kinds []api.ResourceKind) (api.ChangeList, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
+	defer cancel()
+	u := fmt.Sprintf("%s/watch?from=%d&wait_ms=%d&kinds=%s", c.base, from, wait.Milliseconds(), join(kinds))
+	var l api.ChangeList
+	if err := wire.Call(ctx, c.http, http.MethodGet, u, nil, &l); err != nil {
+		return l, oops.In("platform").Wrapf(err, "watching")
+	}
+	return l, nil
+}
+
+// VMs reads the list of VMs, which lags.
+func (c *Client) VMs(ctx context.Context) ([]api.VM, error) {
+	var l api.VMList
+	err := c.call(ctx, "listing VMs", http.MethodGet, c.base+"/vms", nil, &l)
+	return l.VMs, err
+}
+
+func join(kinds []api.ResourceKind) string {
+	l := make([]string, 0, len(kinds))
+	for _, k := range kinds {
+		l = append(l, string(k))
+	}
+	return strings.Join(l, ",")
+}
+
+// readBacks bounds the reads that settle one lost answer.
+const readBacks = 5
+
+// PutConfirmed writes an object like Put and settles a lost answer by reading
+// the object back; it fails with OutcomeUnconfirmed only if it can't be read.
+func (c *Client) PutConfirmed(ctx context.Context, o api.Object) (api.Object, error) {
+	n, err := c.Put(ctx, o)
+	for range readBacks {
+		if !fault.Has(err, fault.OutcomeUnknown) {
+			return n, err
+		}
+		n, err = c.settle(ctx, o)
+	}
+	if fault.Has(err, fault.OutcomeUnknown) {
+		return n, fault.Wrap(fault.OutcomeUnconfirmed, err, "the write was sent and could not be read back")
+	}
+	return n, err
+}
+
+// settle finds out what became of a write whose answer was lost. A write that
+// is not there yet is sent again: its condition lets it take effect only once.
+func (c *Client) settle(ctx context.Context, o api.Object) (api.Object, error) {
+	n, err := c.Get(ctx, o.Kind, o.Name)
+	if fault.Has(err, fault.NotFound) {
+		n, err = api.Object{}, nil
+	}
+	if err != nil {
+		return n, fault.Wrap(fault.OutcomeUnknown, err, "reading a lost write back")
+	}
+	if n.Version == o.Version {
+		return c.Put(ctx, o)
+	}
+	if n.Version > o.Version && sameJSON(n.Spec, o.Spec) {
+		return n, nil
+	}
+	return n, fault.New(fault.VersionConflict, "the object has another version")
+}
+
+func sameJSON(a, b []byte) bool {
+	var x, y any
+	if json.Unmarshal(a, &x) != nil || json.Unmarshal(b, &y) != nil {
+		return false
+	}
+	p, err := json.Marshal(x)
+	q, e := json.Marshal(y)
+	return err == nil && e == nil && bytes.Equal(p, q)
+}
--- /dev/null
+++ b/internal/settings/doc.go
@@ -0,0 +1,3 @@
+// Package settings reads an entry VM's INI file and checks it against the
+// schema.
+package settings
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,193 @@
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+
+	"gopkg.in/ini.v1"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/schema"
+)
+
+// root is the definition of the whole file.
+const root = "Settings"
+
+// Load reads and checks a file.
+func Load(path string) (api.Settings, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return api.Settings{}, fault.Wrap(fault.UnreadableFile, err, "reading the settings")
+	}
+	return Parse(path, b)
+}
+
+// Parse checks the text of a file; name is for messages. A failure names the
+// line and what is allowed there.
+func Parse(name string, b []byte) (api.Settings, error) {
+	var s api.Settings
+	f, err := ini.LoadSources(ini.LoadOptions{}, b)
+	if err != nil {
+		return s, fault.Wrap(fault.InvalidSettings, err, name)
+	}
+	d, err := document(name, string(b), f)
+	if err != nil {
+		return s, err
+	}
+	j, err := json.Marshal(d)
+	if err != nil {
+		return s, fault.Wrap(fault.Internal, err, "encoding the settings")
+	}
+	err = schema.Decode(schema.SettingsFile, root, j, &s)
+	var e *schema.Error
+	if errors.As(err, &e) {
+		return s, explain(name, string(b), e)
+	}
+	return s, err
+}
+
+// section is the keys of one section with their typed values.
+type section map[string]any
+
+func document(name, text string, f *ini.File) (map[string]section, error) {
+	d := map[string]section{}
+	types := sections()
+	for _, s := range f.Sections() {
+		if s.Name() == ini.DefaultSection {
+			if k := s.Keys(); len(k) > 0 {
+				return nil, problem(name, text, "", k[0].Name(), "a key has to stand in a section")
+			}
+			continue
+		}
+		p, ok := types[s.Name()]
+		if !ok {
+			return nil, problem(name, text, s.Name(), "", "unknown section; allowed are "+names(schema.Properties(schema.SettingsFile, root)))
+		}
+		m := section{}
+		for _, k := range s.Keys() {
+			q, ok := find(p, k.Name())
+			if !ok {
+				return nil, problem(name, text, s.Name(), k.Name(), "unknown key; allowed are "+names(p))
+			}
+			v, err := value(q, k.Value())
+			if err != nil {
+				return nil, problem(name, text, s.Name(), k.Name(), err.Error()+"; "+Allowed(q))
+			}
+			m[k.Name()] = v
+		}
+		d[s.Name()] = m
+	}
+	return d, nil
+}
+
+// sections gives the keys of each section.
+func sections() map[string][]schema.Property {
+	m := map[string][]schema.Property{}
+	for _, p := range schema.Properties(schema.SettingsFile, root) {
+		m[p.Name] = schema.Properties(schema.SettingsFile, p.Ref)
+	}
+	return m
+}
+
+func find(l []schema.Property, n string) (schema.Property, bool) {
+	for _, p := range l {
+		if p.Name == n {
+			return p, true
+		}
+	}
+	return schema.Property{}, false
+}
+
+func names(l []schema.Property) string {
+	n := make([]string, 0, len(l))
+	for _, p := range l {
+		n = append(n, p.Name)
+	}
+	return strings.Join(n, ", ")
+}
+
+// value types a key's text as the schema wants it.
+func value(p schema.Property, s string) (any, error) {
+	if p.Type != "integer" {
+		return s, nil
+	}
+	n, err := strconv.Atoi(s)
+	if err != nil {
+		return nil, fault.New(fault.InvalidSettings, strconv.Quote(s)+" is not a whole number")
+	}
+	return n, nil
+}
+
+// Allowed tells in words what a key may hold.
+func Allowed(p schema.Property) string {
+	switch {
+	case len(p.Allowed) > 0:
+		l := make([]string, 0, len(p.Allowed))
+		for _, v := range p.Allowed {
+			l = append(l, fmt.Sprint(v))
+		}
+		return "allowed are " + strings.Join(l, ", ")
+	case p.Minimum != nil && p.Maximum != nil:
+		return fmt.Sprintf("allowed are %v to %v", p.Minimum, p.Maximum)
+	case p.Minimum != nil:
+		return fmt.Sprintf("allowed is %v or more", p.Minimum)
+	case p.Type == "integer":
+		return "allowed is a whole number"
+	default:
+		return "allowed is a text"
+	}
+}
+
+func explain(name, text string, e *schema.Error) error {
+	p := e.Problems[0]
+	var s, k string
+	if len(p.Path) > 0 {
+		s = p.Path[0]
+	}
+	detail := p.Detail
+	if len(p.Path) > 1 {
+		k = p.Path[1]
+		if q, ok := find(sections()[s], k); ok {
+			detail += "; " + Allowed(q)
+		}
+	}
+	return problem(name, text, s, k, detail)
+}
+
+func problem(name, text, section, key, detail string) error {
+	at := section
+	if key != "" {
+		at = strings.TrimPrefix(section+"."+key, ".")
+	}
+	where := fmt.Sprintf("%s:%d", name, line(text, section, key))
+	if at != "" {
+		where += ": " + at
+	}
+	return fault.New(fault.InvalidSettings, where+": "+detail)
+}
+
+// line finds where a key or a section stands, for messages only; a key that
+// is missing is shown at its section.
+func line(text, section, key string) int {
+	at, in := 1, ""
+	for i, l := range strings.Split(text, "\n") {
+		l = strings.TrimSpace(l)
+		if strings.HasPrefix(l, "[") {
+			in = strings.Trim(l, "[] ")
+			if in == section {
+				at = i + 1
+			}
+			continue
+		}
+		k, _, _ := strings.Cut(l, "=")
+		if in == section && key != "" && strings.TrimSpace(k) == key {
+			return i + 1
+		}
+	}
+	return at
+}
--- /dev/null
+++ b/internal/settings/settings_test.go
@@ -0,0 +1,77 @@
+package settings_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/settings"
+)
+
+const good = `[node]
+name = entry-1
+domain = hall-a
+listen = 127.0.0.1:8001
+control = 127.0.0.1:8002
+
+[platform]
+address = 127.0.0.1:8000
+`
+
+func TestDefaultsAreFilledIn(t *testing.T) {
+	s, err := settings.Parse("a.ini", []byte(good+"[engine]\nrouting = round-robin\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got, want := s.Entry.QueueLimit, 512; got != want {
+		t.Errorf("entry.queue_limit: got %d, want %d", got, want)
+	}
+	if got, want := s.Engine.Routing, api.EngineSettingsRoutingRoundRobin; got != want {
+		t.Errorf("engine.routing: got %q, want %q", got, want)
+	}
+	if got, want := s.Engine.Admission, api.EngineSettingsAdmissionSurvival; got != want {
+		t.Errorf("engine.admission: got %q, want %q", got, want)
+	}
+}
+
+func TestMistakesNameLineAndAllowedValues(t *testing.T) {
+	tests := []struct {
+		name string
+		text string
+		want []string
+	}{
+		{"unknown section", good + "[nodes]\n", []string{"a.ini:9", "unknown section", "platform"}},
+		{"unknown key", good + "[log]\nlevels = info\n", []string{"a.ini:10", "log.levels", "unknown key", "format, level"}},
+		{"value not listed", good + "[log]\nlevel = loud\n", []string{"a.ini:10", "log.level", "debug, info, warn, error"}},
+		{"not a number", good + "[entry]\n\nqueue_limit = many\n", []string{"a.ini:11", "entry.queue_limit", "not a whole number", "1 to 100000"}},
+		{"out of range", good + "[entry]\nqueue_limit = 0\n", []string{"a.ini:10", "entry.queue_limit", "1 to 100000"}},
+		{"missing key", strings.Replace(good, "name = entry-1\n", "", 1), []string{"a.ini:1", "node", "name"}},
+		{"missing section", "[node]\n", []string{"a.ini:1"}},
+		{"wrong address", strings.Replace(good, "127.0.0.1:8000", "platform:8000", 1), []string{"a.ini:8", "platform.address"}},
+		{"key outside a section", "x = 1\n" + good, []string{"a.ini:1", "x", "section"}},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := settings.Parse("a.ini", []byte(c.text))
+			if !fault.Has(err, fault.InvalidSettings) {
+				t.Fatalf("got %v, want an invalid_settings fault", err)
+			}
+			for _, w := range c.want {
+				if !strings.Contains(err.Error(), w) {
+					t.Errorf("message: got %q, want it to contain %q", err, w)
+				}
+			}
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(good)
+	f.Add("[node\nx")
+	f.Fuzz(func(t *testing.T, s string) {
+		if _, err := settings.Parse("f.ini", []byte(s)); err != nil && err.Error() == "" {
+			t.Errorf("got an empty message")
+		}
+	})
+}
--- /dev/null
+++ b/internal/standin/batch/prefix.go
@@ -0,0 +1,45 @@
+package batch
+
+import (
+	"slices"
+
+	"github.com/wardridge/wardridge/internal/api"
+)
+
+type prefix struct {
+	name   string
+	tokens api.Tokens
+}
+
+// hit gives the prompt tokens that the prefix cache saves, and stores the
+// prefix as the one used last.
+func (m *Model) hit(s *sequence, r *Result) api.Tokens {
+	if s.Prefix == "" {
+		return 0
+	}
+	saved := api.Tokens(0)
+	i := slices.IndexFunc(m.prefixes, func(p prefix) bool { return p.name == s.Prefix })
+	if i >= 0 {
+		saved = min(m.prefixes[i].tokens, s.Prompt)
+		m.prefixes = slices.Delete(m.prefixes, i, i+1)
+	} else {
+		r.Cache = append(r.Cache, CacheChange{Prefix: s.Prefix, Stored: true})
+	}
+	m.prefixes = append(m.prefixes, prefix{s.Prefix, s.PrefixTokens})
+	m.evict(r)
+	return saved
+}
+
+// evict drops the prefixes used least recently while they are over the limit.
+func (m *Model) evict(r *Result) {
+	n := api.Tokens(0)
+	for _, p := range m.prefixes {
+		n += p.tokens
+	}
+	for n > m.options.PrefixTokens && len(m.prefixes) > 0 {
+		p := m.prefixes[0]
+		m.prefixes = m.prefixes[1:]
+		n -= p.tokens
+		r.Cache = append(r.Cache, CacheChange{Prefix: p.name, Stored: false})
+	}
+}
--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,396 @@
+package engine
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/standin/batch"
+)
+
+// MetadataTokens is the metadata key by which a load tool sets the true length
+// of an answer, which the entry VMs pass on unread.
+const MetadataTokens = "standin_tokens"
+
+// Options are an engine's settings.
+type Options struct {
+	Name  api.ServerName
+	Batch batch.Options
+	// ReportLag is how old a load report is when it is given out.
+	ReportLag time.Duration
+	// CacheLag is how old a cache event is when it is given out.
+	CacheLag time.Duration
+	// CacheLossPercent is the share of cache events that get lost.
+	CacheLossPercent int
+	// Orphan is how long a generation runs with no reader.
+	Orphan time.Duration
+	// LoadTime is the time an order to load takes.
+	LoadTime time.Duration
+	// ChecksFence refuses orders with an old fence.
+	ChecksFence bool
+	// Loaded is what is loaded at the start, as kind/name@weights.
+	Loaded []string
+	Seed   uint64
+}
+
+// Defaults are the settings of a small engine.
+func Defaults() Options {
+	return Options{
+		Name:             "engine",
+		Batch:            batch.Defaults(),
+		ReportLag:        200 * time.Millisecond,
+		CacheLag:         200 * time.Millisecond,
+		CacheLossPercent: 5,
+		Orphan:           30 * time.Second,
+		LoadTime:         200 * time.Millisecond,
+		ChecksFence:      true,
+		Seed:             1,
+	}
+}
+
+// generation is one generation and those that read it.
+type generation struct {
+	id        api.GenerationID
+	made      int
+	finish    api.FinishReason
+	preempted int
+	readers   int
+	idle      time.Time
+	wake      chan struct{}
+}
+
+type cacheEvent struct {
+	api.CacheEvent
+	at time.Time
+}
+
+// Engine is the state of one stand-in engine.
+type Engine struct {
+	options Options
+	log     *event.Log
+	random  *rand.Rand
+
+	mutex       sync.Mutex
+	model       *batch.Model
+	generations map[api.GenerationID]*generation
+	reports     []api.LoadReport
+	cache       []cacheEvent
+	cacheSeq    int
+	step        time.Duration
+	leaving     bool
+	frozen      time.Time
+	drop        int
+	role        api.EngineRole
+	loaded      []string
+	fence       api.Fence
+	started     int
+	busy        chan struct{}
+}
+
+// New makes an engine that does nothing until Run.
+func New(o Options, l *event.Log) *Engine {
+	return &Engine{
+		options:     o,
+		log:         l,
+		random:      rand.New(rand.NewPCG(o.Seed, xxhash.Sum64String(string(o.Name)))),
+		model:       batch.New(o.Batch),
+		generations: map[api.GenerationID]*generation{},
+		role:        api.EngineRoleServe,
+		loaded:      slices.Clone(o.Loaded),
+		busy:        make(chan struct{}, 1),
+	}
+}
+
+// Run steps the batch until the context ends.
+func (e *Engine) Run(ctx context.Context) error {
+	const reportEvery = 20 * time.Millisecond
+	last := time.Time{}
+	for {
+		now := time.Now()
+		if now.Sub(last) >= reportEvery {
+			e.takeReport(now)
+			e.sweep(now)
+			last = now
+		}
+		d := e.advance(now)
+		if d == 0 {
+			d = reportEvery
+			select {
+			case <-e.busy:
+				d = 0
+			case <-time.After(d):
+			case <-ctx.Done():
+				return nil
+			}
+		}
+		if err := duty.Sleep(ctx, time.Until(now.Add(d))); err != nil {
+			return nil
+		}
+	}
+}
+
+// advance makes one step and gives its time; 0 when there is nothing to do.
+func (e *Engine) advance(now time.Time) time.Duration {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if now.Before(e.frozen) {
+		return e.frozen.Sub(now)
+	}
+	if e.model.Idle() {
+		return 0
+	}
+	r := e.model.Step()
+	e.step = r.Took
+	for _, x := range r.Emitted {
+		e.emit(now, x)
+	}
+	for _, id := range r.Preempted {
+		if g, ok := e.generations[id]; ok {
+			g.preempted++
+		}
+	}
+	for _, c := range r.Cache {
+		e.noteCache(now, c)
+	}
+	return r.Took
+}
+
+func (e *Engine) emit(now time.Time, x batch.Emitted) {
+	g, ok := e.generations[x.ID]
+	if !ok {
+		return
+	}
+	g.made = int(x.Index) + 1
+	if x.Last && g.finish == "" {
+		g.finish = api.FinishReasonStop
+		g.idle = now
+	}
+	g.notify()
+}
+
+// notify wakes every reader; the engine's mutex is held.
+func (g *generation) notify() {
+	close(g.wake)
+	g.wake = make(chan struct{})
+}
+
+func (e *Engine) noteCache(now time.Time, c batch.CacheChange) {
+	e.cacheSeq++
+	if e.random.IntN(100) < e.options.CacheLossPercent {
+		return
+	}
+	const kept = 1024
+	e.cache = append(e.cache, cacheEvent{api.CacheEvent{Seq: e.cacheSeq, Prefix: c.Prefix, Stored: c.Stored}, now})
+	if len(e.cache) > kept {
+		e.cache = slices.Clone(e.cache[len(e.cache)-kept:])
+	}
+}
+
+func (e *Engine) takeReport(now time.Time) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if now.Before(e.frozen) {
+		return
+	}
+	l := e.model.Load()
+	e.reports = append(e.reports, api.LoadReport{
+		Server:      e.options.Name,
+		TimeMS:      api.UnixMilliseconds(now),
+		Running:     l.Running,
+		Waiting:     l.Waiting,
+		KVUsed:      l.Used,
+		KVTotal:     l.Total,
+		StepMS:      float64(e.step) / float64(time.Millisecond),
+		Preemptions: l.Preemptions,
+		Leaving:     e.leaving,
+		Role:        e.role,
+		Loaded:      slices.Clone(e.loaded),
+		Fence:       e.fence,
+	})
+	// Only the newest report that is old enough, and younger ones, matter.
+	cut := api.UnixMilliseconds(now.Add(-e.options.ReportLag))
+	for len(e.reports) > 1 && e.reports[1].TimeMS <= cut {
+		e.reports = e.reports[1:]
+	}
+}
+
+// sweep cancels generations without a reader and forgets old ones.
+func (e *Engine) sweep(now time.Time) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for id, g := range e.generations {
+		if g.readers > 0 || now.Sub(g.idle) < e.options.Orphan {
+			continue
+		}
+		e.model.Cancel(id)
+		delete(e.generations, id)
+	}
+}
+
+// refusal is a reason to refuse a generation; empty when there is none.
+func (e *Engine) refusal(r api.GenerateRequest) api.EngineRefusalReason {
+	switch {
+	case e.leaving:
+		return api.EngineRefusalReasonLeaving
+	case e.role != api.EngineRoleServe:
+		return api.EngineRefusalReasonNotServing
+	case !e.has(api.ResourceKindModel, string(r.Model)):
+		return api.EngineRefusalReasonNotLoaded
+	case r.Adapter != "" && !e.has(api.ResourceKindAdapter, string(r.Adapter)):
+		return api.EngineRefusalReasonNotLoaded
+	case r.PromptTokens <= 0 || r.PromptTokens >= e.options.Batch.KVTokens:
+		return api.EngineRefusalReasonBadRequest
+	case e.generations[r.Generation] != nil:
+		return api.EngineRefusalReasonBadRequest
+	default:
+		return ""
+	}
+}
+
+func (e *Engine) has(k api.ResourceKind, n string) bool {
+	want := string(k) + "/" + n
+	return slices.ContainsFunc(e.loaded, func(i string) bool { return api.ItemName(i) == want })
+}
+
+// begin starts a generation and gives its first reader.
+func (e *Engine) begin(r api.GenerateRequest) (*generation, api.EngineRefusalReason) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if why := e.refusal(r); why != "" {
+		return nil, why
+	}
+	g := &generation{id: r.Generation, readers: 1, wake: make(chan struct{})}
+	e.generations[r.Generation] = g
+	e.started++
+	n := e.length(r)
+	e.model.Add(batch.Work{
+		ID:           r.Generation,
+		Prompt:       r.PromptTokens,
+		Length:       min(n, r.MaxTokens),
+		Priority:     r.Priority,
+		Prefix:       r.Prefix,
+		PrefixTokens: r.PrefixTokens,
+	})
+	select {
+	case e.busy <- struct{}{}:
+	default:
+	}
+	return g, ""
+}
+
+// length is the answer's true length: as the load tool set it, or drawn from
+// a heavy tail by the prompt.
+func (e *Engine) length(r api.GenerateRequest) api.Tokens {
+	if n, err := strconv.Atoi(r.Metadata[MetadataTokens]); err == nil && n > 0 {
+		return api.Tokens(n)
+	}
+	const median, spread = 40, 0.8
+	d := rand.New(rand.NewPCG(xxhash.Sum64String(r.Prompt), e.options.Seed))
+	return api.Tokens(max(1, median*math.Exp(spread*d.NormFloat64())))
+}
+
+// join adds a reader to a generation that is still known.
+func (e *Engine) join(id api.GenerationID) (*generation, bool) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	g, ok := e.generations[id]
+	if ok {
+		g.readers++
+	}
+	return g, ok
+}
+
+func (e *Engine) leave(g *generation) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	g.readers--
+	g.idle = time.Now()
+}
+
+// cancel ends a generation and reports whether it was known.
+func (e *Engine) cancel(id api.GenerationID) bool {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	g, ok := e.generations[id]
+	if !ok {
+		return false
+	}
+	e.model.Cancel(id)
+	if g.finish == "" {
+		g.finish = api.FinishReasonCancelled
+		g.idle = time.Now()
+	}
+	g.notify()
+	return true
+}
+
+// apply carries out an order, which an engine that checks fences refuses when
+// its fence is older than one seen before.
+func (e *Engine) apply(o api.Order) api.EngineRefusalReason {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	if e.options.ChecksFence && o.Fence < e.fence {
+		return api.EngineRefusalReasonOldFence
+	}
+	e.fence = max(e.fence, o.Fence)
+	switch o.Action {
+	case api.OrderActionLoad:
+		if !slices.Contains(e.loaded, o.Item) {
+			e.loaded = append(e.loaded, o.Item)
+		}
+	case api.OrderActionUnload:
+		e.loaded = slices.DeleteFunc(slices.Clone(e.loaded), func(i string) bool { return i == o.Item })
+	case api.OrderActionRole:
+		e.role = api.EngineRole(o.Role)
+	default:
+		return api.EngineRefusalReasonBadRequest
+	}
+	e.log.Emit(event.StandInOrderApplied, zap.Int("fence", int(o.Fence)), zap.String("action", string(o.Action)), zap.String("item", o.Item))
+	return ""
+}
+
+// Leave makes the engine say that it is leaving.
+func (e *Engine) Leave() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.leaving = true
+}
+
+// Freeze stops the engine's steps, reports and streams for a while.
+func (e *Engine) Freeze(d time.Duration) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.frozen = time.Now().Add(d)
+}
+
+// DropStreams breaks the next n streams in the middle.
+func (e *Engine) DropStreams(n int) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.drop = n
+}
+
+// Started counts the generations started so far.
+func (e *Engine) Started() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return e.started
+}
+
+// Active counts the generations that have not finished.
+func (e *Engine) Active() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	l := e.model.Load()
+	return l.Running + l.Waiting
+}
--- /dev/null
+++ b/internal/standin/engine/server.go
@@ -0,0 +1,245 @@
+package engine
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/wire"
+)
+
+// bodyLimit bounds the requests that the engine reads.
+const bodyLimit = 16 << 20
+
+// Faults are injected through the stand-in's own /dev/faults.
+type Faults struct {
+	FreezeMS    api.Milliseconds `json:"freeze_ms"`
+	DropStreams int              `json:"drop_streams"`
+}
+
+// Handler routes the engine's protocol and the stand-in's own controls.
+func (e *Engine) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Post("/v1/generations", e.generate)
+	r.Get("/v1/generations/{id}", e.resume)
+	r.Delete("/v1/generations/{id}", e.remove)
+	r.Get("/v1/load", e.load)
+	r.Get("/v1/cache-events", e.cacheEvents)
+	r.Post("/v1/orders", e.order)
+	r.Post("/dev/leave", func(w http.ResponseWriter, _ *http.Request) {
+		e.Leave()
+		w.WriteHeader(http.StatusNoContent)
+	})
+	r.Put("/dev/faults", e.setFaults)
+	r.Get("/dev/counts", func(w http.ResponseWriter, _ *http.Request) {
+		wire.Write(w, http.StatusOK, Counts{Started: e.Started(), Active: e.Active()})
+	})
+	return r
+}
+
+// Counts is what the engine ran.
+type Counts struct {
+	Started int `json:"started"`
+	Active  int `json:"active"`
+}
+
+func refuse(w http.ResponseWriter, status int, why api.EngineRefusalReason) {
+	wire.Write(w, status, api.EngineRefusal{Reason: why, RetryAfterMS: 500})
+}
+
+func (e *Engine) generate(w http.ResponseWriter, r *http.Request) {
+	var q api.GenerateRequest
+	if err := wire.Read(w, r, bodyLimit, &q); err != nil {
+		refuse(w, http.StatusBadRequest, api.EngineRefusalReasonBadRequest)
+		return
+	}
+	g, why := e.begin(q)
+	switch why {
+	case "":
+	case api.EngineRefusalReasonBadRequest:
+		refuse(w, http.StatusBadRequest, why)
+		return
+	default:
+		refuse(w, http.StatusServiceUnavailable, why)
+		return
+	}
+	e.stream(w, r, g, 0)
+}
+
+func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.Atoi(r.URL.Query().Get("from"))
+	if err != nil || from < 0 {
+		refuse(w, http.StatusBadRequest, api.EngineRefusalReasonBadRequest)
+		return
+	}
+	g, ok := e.join(api.GenerationID(chi.URLParam(r, "id")))
+	if !ok {
+		refuse(w, http.StatusNotFound, api.EngineRefusalReasonUnknownGeneration)
+		return
+	}
+	e.stream(w, r, g, from)
+}
+
+func (e *Engine) remove(w http.ResponseWriter, r *http.Request) {
+	if !e.cancel(api.GenerationID(chi.URLParam(r, "id"))) {
+		refuse(w, http.StatusNotFound, api.EngineRefusalReasonUnknownGeneration)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// state is a copy of a generation's progress.
+type state struct {
+	made      int
+	finish    api.FinishReason
+	preempted int
+	wake      <-chan struct{}
+	frozen    time.Time
+	drop      bool
+}
+
+func (e *Engine) look(g *generation, next int) state {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	s := state{made: g.made, finish: g.finish, preempted: g.preempted, wake: g.wake, frozen: e.frozen}
+	if e.drop > 0 && g.made > next && g.made > 1 {
+		e.drop--
+		s.drop = true
+	}
+	return s
+}
+
+// stream writes the tokens of a generation from an index to its end.
+func (e *Engine) stream(w http.ResponseWriter, r *http.Request, g *generation, next int) {
+	defer e.leave(g)
+	w.Header().Set(wire.HeaderType, wire.TypeEvents)
+	c := http.NewResponseController(w)
+	var b bytes.Buffer
+	for {
+		s := e.look(g, next)
+		if d := time.Until(s.frozen); d > 0 {
+			select {
+			case <-time.After(d):
+			case <-r.Context().Done():
+				return
+			}
+			continue
+		}
+		if s.drop {
+			panic(http.ErrAbortHandler)
+		}
+		b.Reset()
+		for ; next < s.made; next++ {
+			line(&b, api.TokenEvent{Generation: g.id, Index: next, Text: Text(g.id, next)})
+		}
+		if s.finish != "" {
+			line(&b, api.TokenEvent{Generation: g.id, Index: s.made, Finish: string(s.finish), Preempted: s.preempted})
+		}
+		if _, err := w.Write(b.Bytes()); err != nil {
+			return
+		}
+		if err := c.Flush(); err != nil || s.finish != "" {
+			return
+		}
+		select {
+		case <-s.wake:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// Text is a token's text; it tells its generation and index, so that a reader
+// can check what it got.
+func Text(g api.GenerationID, i int) string {
+	const tag = 8
+	s := string(g)
+	if len(s) > tag {
+		s = s[:tag]
+	}
+	return s + ":" + strconv.Itoa(i) + " "
+}
+
+func line(b *bytes.Buffer, t api.TokenEvent) {
+	j, err := json.Marshal(t)
+	if err != nil {
+		return
+	}
+	b.WriteString("data: ")
+	b.Write(j)
+	b.WriteString("\n\n")
+}
+
+func (e *Engine) load(w http.ResponseWriter, r *http.Request) {
+	e.mutex.Lock()
+	frozen := time.Until(e.frozen)
+	var l []api.LoadReport
+	if len(e.reports) > 0 {
+		l = e.reports[:1]
+	}
+	e.mutex.Unlock()
+	if frozen > 0 {
+		<-r.Context().Done()
+		return
+	}
+	if len(l) == 0 {
+		refuse(w, http.StatusServiceUnavailable, api.EngineRefusalReasonNotServing)
+		return
+	}
+	wire.Write(w, http.StatusOK, l[0])
+}
+
+func (e *Engine) cacheEvents(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.Atoi(r.URL.Query().Get("from"))
+	if err != nil {
+		refuse(w, http.StatusBadRequest, api.EngineRefusalReasonBadRequest)
+		return
+	}
+	l := api.CacheEventList{Next: from, Events: []api.CacheEvent{}}
+	cut := time.Now().Add(-e.options.CacheLag)
+	e.mutex.Lock()
+	for _, c := range e.cache {
+		if c.Seq >= from && !c.at.After(cut) {
+			l.Events = append(l.Events, c.CacheEvent)
+			l.Next = c.Seq + 1
+		}
+	}
+	e.mutex.Unlock()
+	wire.Write(w, http.StatusOK, l)
+}
+
+func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
+	var o api.Order
+	if err := wire.Read(w, r, bodyLimit, &o); err != nil {
+		refuse(w, http.StatusBadRequest, api.EngineRefusalReasonBadRequest)
+		return
+	}
+	if o.Action == api.OrderActionLoad {
+		time.Sleep(e.options.LoadTime)
+	}
+	switch why := e.apply(o); why {
+	case "":
+		w.WriteHeader(http.StatusNoContent)
+	case api.EngineRefusalReasonOldFence:
+		refuse(w, http.StatusConflict, why)
+	default:
+		refuse(w, http.StatusBadRequest, why)
+	}
+}
+
+func (e *Engine) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := wire.Read(w, r, bodyLimit, &f); err != nil {
+		wire.Refuse(w, fault.From(err), "")
+		return
+	}
+	e.Freeze(f.FreezeMS.Duration())
+	e.DropStreams(f.DropStreams)
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,153 @@
+package service
+
+import (
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/wire"
+)
+
+// bodyLimit bounds the requests that the service reads.
+const bodyLimit = 16 << 20
+
+// Answer is what the service answers.
+type Answer struct {
+	Server  api.ServerName `json:"server"`
+	Request api.RequestID  `json:"request"`
+	Method  string         `json:"method"`
+	Path    string         `json:"path"`
+	Echo    string         `json:"echo"`
+	Count   int            `json:"count"`
+}
+
+// Faults are injected through the stand-in's own /dev/faults.
+type Faults struct {
+	// DelayMS delays every answer.
+	DelayMS api.Milliseconds `json:"delay_ms"`
+	// LoseAnswers runs so many calls and closes the connection unanswered.
+	LoseAnswers int `json:"lose_answers"`
+	// CutAnswers runs so many calls and cuts their answers short.
+	CutAnswers int `json:"cut_answers"`
+	// CrossAnswers answers so many calls with another request's id.
+	CrossAnswers int `json:"cross_answers"`
+	// Refuse answers so many calls with 503 and does not run them.
+	Refuse int `json:"refuse"`
+}
+
+// Service is the state of one stand-in.
+type Service struct {
+	name api.ServerName
+
+	mutex  sync.Mutex
+	faults Faults
+	counts map[string]int
+}
+
+// New makes a service that has run nothing.
+func New(n api.ServerName) *Service {
+	return &Service{name: n, counts: map[string]int{}}
+}
+
+// Handler routes every call to the service, and the stand-in's own controls.
+func (s *Service) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/dev/counts", func(w http.ResponseWriter, _ *http.Request) {
+		wire.Write(w, http.StatusOK, s.Counts())
+	})
+	r.Put("/dev/faults", s.setFaults)
+	r.HandleFunc("/*", s.serve)
+	return r
+}
+
+// Counts tells how often each call was run, by the caller's idempotency key or
+// else by request id.
+func (s *Service) Counts() map[string]int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	m := make(map[string]int, len(s.counts))
+	for k, n := range s.counts {
+		m[k] = n
+	}
+	return m
+}
+
+// Set injects faults from now on.
+func (s *Service) Set(f Faults) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.faults = f
+}
+
+func (s *Service) setFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	if err := wire.Read(w, r, bodyLimit, &f); err != nil {
+		wire.Refuse(w, fault.From(err), "")
+		return
+	}
+	s.Set(f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// take uses one of a kind of fault up.
+func (s *Service) take(n *int) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if *n == 0 {
+		return false
+	}
+	*n--
+	return true
+}
+
+func (s *Service) run(key string) int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.counts[key]++
+	return s.counts[key]
+}
+
+func (s *Service) delay() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.faults.DelayMS.Duration()
+}
+
+func (s *Service) serve(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(io.LimitReader(r.Body, bodyLimit))
+	if err != nil {
+		return
+	}
+	if s.take(&s.faults.Refuse) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	id := r.Header.Get(wire.HeaderRequest)
+	key := r.Header.Get(wire.HeaderIdempotency)
+	if key == "" {
+		key = id
+	}
+	n := s.run(key)
+	time.Sleep(s.delay())
+	if s.take(&s.faults.LoseAnswers) {
+		panic(http.ErrAbortHandler)
+	}
+	if s.take(&s.faults.CrossAnswers) {
+		id = "another-" + id
+	}
+	w.Header().Set(wire.HeaderRequest, id)
+	if s.take(&s.faults.CutAnswers) {
+		w.Header().Set("Content-Length", "100")
+		w.WriteHeader(http.StatusOK)
+		_, _ = w.Write([]byte("{"))
+		panic(http.ErrAbortHandler)
+	}
+	wire.Write(w, http.StatusOK, Answer{
+		Server: s.name, Request: api.RequestID(id), Method: r.Method, Path: r.URL.Path, Echo: string(b), Count: n,
+	})
+}
--- /dev/null
+++ b/internal/wire/client.go
@@ -0,0 +1,122 @@
+package wire
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/fault"
+)
+
+// answerLimit bounds the answers that are read whole.
+const answerLimit = 16 << 20
+
+// NewTransport makes a transport whose dials end in time. With reuse false
+// each request has a connection of its own, so that the transport never sends
+// a request a second time and no late answer can meet it.
+func NewTransport(dial time.Duration, reuse bool) *http.Transport {
+	const perHost = 64
+	d := &net.Dialer{Timeout: dial, KeepAlive: 15 * time.Second}
+	return &http.Transport{
+		DialContext:         d.DialContext,
+		MaxIdleConnsPerHost: perHost,
+		IdleConnTimeout:     time.Minute,
+		DisableKeepAlives:   !reuse,
+		DisableCompression:  true,
+		ReadBufferSize:      4 << 10,
+		WriteBufferSize:     4 << 10,
+	}
+}
+
+// NewClient makes a client that carries the trace on and follows no redirect;
+// the clean-up closes its idle connections.
+func NewClient(dial time.Duration, reuse bool) (*http.Client, func()) {
+	t := NewTransport(dial, reuse)
+	c := &http.Client{
+		Transport: otelhttp.NewTransport(t),
+		CheckRedirect: func(*http.Request, []*http.Request) error {
+			return http.ErrUseLastResponse
+		},
+	}
+	return c, t.CloseIdleConnections
+}
+
+// Call sends a JSON message and decodes the answer into out. Its faults tell
+// apart what was not sent (NotStarted), what was refused (the server's own
+// fault) and what may have been done (OutcomeUnknown).
+func Call(ctx context.Context, c *http.Client, method, url string, in, out any) error {
+	r, err := NewRequest(ctx, method, url, in)
+	if err != nil {
+		return err
+	}
+	return Do(c, r, out)
+}
+
+// NewRequest makes a request with a JSON body; nil in means no body.
+func NewRequest(ctx context.Context, method, url string, in any) (*http.Request, error) {
+	var body io.Reader
+	if in != nil {
+		b, err := json.Marshal(in)
+		if err != nil {
+			return nil, fault.Wrap(fault.Internal, err, "encoding a message")
+		}
+		body = bytes.NewReader(b)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, url, body)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "making a request")
+	}
+	if in != nil {
+		r.Header.Set(HeaderType, TypeJSON)
+	}
+	return r, nil
+}
+
+// Do sends a request and decodes the answer into out as Call does.
+func Do(c *http.Client, r *http.Request, out any) error {
+	a, err := c.Do(r)
+	if err != nil {
+		return Broken(err)
+	}
+	defer func() { _ = a.Body.Close() }()
+	b, err := io.ReadAll(io.LimitReader(a.Body, answerLimit))
+	if err != nil {
+		return fault.Wrap(fault.OutcomeUnknown, err, "the answer broke off")
+	}
+	if a.StatusCode >= http.StatusBadRequest {
+		return refusal(a.StatusCode, b)
+	}
+	if out == nil {
+		return nil
+	}
+	if err := json.Unmarshal(b, out); err != nil {
+		return fault.Wrap(fault.BadAnswer, err, "the answer is not the JSON expected")
+	}
+	return nil
+}
+
+// Broken types the failure of a round trip: NotStarted when no connection was
+// made, so that nothing was sent.
+func Broken(err error) *fault.Fault {
+	var o *net.OpError
+	if errors.As(err, &o) && o.Op == "dial" {
+		return fault.Wrap(fault.NotStarted, err, "no connection was made")
+	}
+	return fault.Wrap(fault.OutcomeUnknown, err, "the exchange broke off")
+}
+
+func refusal(status int, b []byte) error {
+	var e api.ErrorBody
+	if err := json.Unmarshal(b, &e); err != nil || e.Error.Code == 0 {
+		return fault.New(fault.BadAnswer, "answer "+http.StatusText(status)+" without a typed error")
+	}
+	return fault.FromBody(e)
+}
--- /dev/null
+++ b/internal/wire/server.go
@@ -0,0 +1,107 @@
+package wire
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/fault"
+)
+
+// Header names of the system.
+const (
+	HeaderRequest       = "X-Request-Id"
+	HeaderPriority      = "X-Wardridge-Priority"
+	HeaderDeadline      = "X-Wardridge-Deadline-Ms"
+	HeaderKind          = "X-Wardridge-Kind"
+	HeaderNotRepeatable = "X-Wardridge-Not-Repeatable"
+	HeaderRan           = "X-Wardridge-Ran"
+	HeaderIdempotency   = "Idempotency-Key"
+	HeaderLastEvent     = "Last-Event-ID"
+	HeaderRetryAfter    = "Retry-After"
+	HeaderType          = "Content-Type"
+)
+
+// Content types in use.
+const (
+	TypeJSON   = "application/json"
+	TypeEvents = "text/event-stream"
+)
+
+// Write answers with a JSON message.
+func Write(w http.ResponseWriter, status int, v any) {
+	b, err := json.Marshal(v)
+	if err != nil {
+		status = http.StatusInternalServerError
+		b = nil
+	}
+	w.Header().Set(HeaderType, TypeJSON)
+	w.WriteHeader(status)
+	// A caller that is gone needs no answer.
+	_, _ = w.Write(append(b, '\n'))
+}
+
+// Refuse answers with a fault.
+func Refuse(w http.ResponseWriter, f *fault.Fault, r api.RequestID) {
+	if f.RetryAfter > 0 {
+		s := int(math.Ceil(f.RetryAfter.Seconds()))
+		w.Header().Set(HeaderRetryAfter, strconv.Itoa(s))
+	}
+	w.Header().Set(HeaderRan, string(f.Ran))
+	Write(w, f.Code.Kind().Status, f.Body(r))
+}
+
+// Body reads a request's body of at most limit bytes.
+func Body(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var m *http.MaxBytesError
+	switch {
+	case errors.As(err, &m):
+		return nil, fault.Wrap(fault.BodyTooLarge, err, "the body is larger than "+strconv.FormatInt(limit, 10)+" bytes")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, fault.Wrap(fault.SlowSender, err, "the body did not arrive in time")
+	case err != nil:
+		return nil, fault.Wrap(fault.CallerGone, err, "the body broke off").WithRan(api.RanNo)
+	}
+	return b, nil
+}
+
+// Parse decodes JSON that has to be one value and nothing else.
+func Parse(b []byte, out any) error {
+	d := json.NewDecoder(bytes.NewReader(b))
+	if err := d.Decode(out); err != nil {
+		return fault.Wrap(fault.MalformedJSON, err, "the body is not the JSON expected: "+err.Error())
+	}
+	if _, err := d.Token(); !errors.Is(err, io.EOF) {
+		return fault.New(fault.MalformedJSON, "the body goes on after its JSON value")
+	}
+	return nil
+}
+
+// Read decodes a request's JSON body of at most limit bytes.
+func Read(w http.ResponseWriter, r *http.Request, limit int64, out any) error {
+	b, err := Body(w, r, limit)
+	if err != nil {
+		return err
+	}
+	return Parse(b, out)
+}
+
+// NewServer makes an HTTP server that bounds slow senders and large heads.
+func NewServer(h http.Handler, headerWait time.Duration) *http.Server {
+	const headerLimit = 32 << 10
+	const idle = 2 * time.Minute
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerWait,
+		IdleTimeout:       idle,
+		MaxHeaderBytes:    headerLimit,
+	}
+}
