--- /dev/null
+++ b/cmd/apply.go
@@ -0,0 +1,138 @@
+package cmd
+
+import (
+	"strings"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/resource"
+	"github.com/wardridge/wardridge/internal/step"
+)
+
+// applyCommand applies resources.
+type applyCommand struct {
+	File    string        `short:"f" required:"" help:"YAML file of resources; - for standard input."`
+	Wait    bool          `help:"Wait until the change is in force on every entry VM."`
+	WaitFor time.Duration `help:"Longest wait with --wait." default:"10s"`
+	Replace bool          `help:"Take the version that is there now in place of one in the file."`
+}
+
+// applying is carried through the steps of an apply.
+type applying struct {
+	*environment
+	command *applyCommand
+	objects []api.Object
+	newest  api.Version
+}
+
+// Run applies the file.
+func (c *applyCommand) Run(e *environment) error {
+	a := &applying{environment: e, command: c}
+	return step.Run(a, event.Discard(), []step.Step[*applying]{
+		loadFile{}, takeVersions{}, writeObjects{}, waitInForce{},
+	})
+}
+
+type loadFile struct{}
+
+func (loadFile) String() string { return "loading" }
+
+func (loadFile) Run(a *applying) error {
+	l, err := resource.Load(a.command.File)
+	a.objects = l
+	return err
+}
+
+type takeVersions struct{}
+
+func (takeVersions) String() string { return "taking versions" }
+
+func (takeVersions) Skip(a *applying) bool { return !a.command.Replace }
+
+func (takeVersions) Run(a *applying) error {
+	p, closer := a.platform()
+	defer closer()
+	for i, o := range a.objects {
+		n, err := p.Get(a, o.Kind, o.Name)
+		if err != nil && !fault.Has(err, fault.NotFound) {
+			return err
+		}
+		a.objects[i].Version = n.Version
+		if err == nil && api.SameJSON(n.Spec, o.Spec) {
+			// An equal one is applied as if it were new, and found unchanged.
+			a.objects[i].Version = 0
+		}
+	}
+	return nil
+}
+
+type writeObjects struct{}
+
+func (writeObjects) String() string { return "writing" }
+
+func (writeObjects) Run(a *applying) error {
+	p, closer := a.platform()
+	defer closer()
+	for _, o := range a.objects {
+		r, err := resource.Apply(a, p, o)
+		if err != nil {
+			return err
+		}
+		a.newest = max(a.newest, r.Object.Version)
+		word := "unchanged"
+		if r.Changed {
+			word = "applied"
+		}
+		if err := a.print("%s %s %s at version %d\n", o.Kind, o.Name, word, r.Object.Version); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type waitInForce struct{}
+
+func (waitInForce) String() string { return "waiting" }
+
+func (waitInForce) Skip(a *applying) bool { return !a.command.Wait }
+
+func (waitInForce) Run(a *applying) error {
+	c, closer := a.peer()
+	defer closer()
+	const pause = 100 * time.Millisecond
+	end := time.Now().Add(a.command.WaitFor)
+	var behind []string
+	for time.Now().Before(end) {
+		s, err := c.Status(a, a.line.Entry)
+		if err != nil {
+			return err
+		}
+		if behind = late(s, a.newest); len(behind) == 0 {
+			return a.print("in force on every entry VM at version %d\n", a.newest)
+		}
+		if err := duty.Sleep(a, pause); err != nil {
+			return err
+		}
+	}
+	return fault.New(fault.NotInForce, "accepted, and not yet seen in force on "+strings.Join(behind, ", "))
+}
+
+// late lists the entry VMs that do not have a version in force as far as one
+// of them knows; one that is suspected may have it or not.
+func late(s api.NodeStatus, v api.Version) []string {
+	var l []string
+	if s.ConfigVersion < v {
+		l = append(l, string(s.VM))
+	}
+	for _, m := range s.Members {
+		if m.State == api.MemberStatusStateSuspect {
+			l = append(l, string(m.VM)+" (suspect)")
+		} else if m.ConfigVersion < v {
+			l = append(l, string(m.VM))
+		}
+	}
+	return l
+}
--- /dev/null
+++ b/cmd/control.go
@@ -0,0 +1,110 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/willabides/kongplete"
+
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/peer"
+	"github.com/wardridge/wardridge/internal/platform"
+)
+
+// controlLine is the command line of wardctl.
+type controlLine struct {
+	Platform string        `help:"Address of the platform's object API." default:"127.0.0.1:7000" env:"WARDRIDGE_PLATFORM"`
+	Entry    string        `help:"Control address of any entry VM." default:"127.0.0.1:7101" env:"WARDRIDGE_ENTRY"`
+	Output   string        `help:"Form of what is written." enum:"text,json" default:"text" short:"o"`
+	Timeout  time.Duration `help:"Longest wait for one call." default:"5s"`
+
+	Apply      applyCommand                 `cmd:"" help:"Apply resources from a file."`
+	Get        getCommand                   `cmd:"" help:"Show resources and status objects."`
+	Watch      watchCommand                 `cmd:"" help:"Follow changes of resources and status objects."`
+	Status     statusCommand                `cmd:"" help:"Show the system as an entry VM sees it."`
+	Explain    explainCommand               `cmd:"" help:"Tell what was decided for a request and why."`
+	Drain      drainCommand                 `cmd:"" help:"Take a backend server out of work, or back in."`
+	Check      checkCommand                 `cmd:"" help:"Check a settings file (.ini) or a resources file."`
+	Dev        devCommand                   `cmd:"" help:"Stand-ins and the load tool."`
+	Completion kongplete.InstallCompletions `cmd:"" help:"Print the shell's completion set-up."`
+}
+
+// environment is what every command works with.
+type environment struct {
+	context.Context
+	line *controlLine
+	out  io.Writer
+	err  io.Writer
+}
+
+// Control runs one wardctl command and gives the exit status.
+func Control(args []string, out, errs io.Writer) int {
+	var l controlLine
+	status := -1
+	p, err := kong.New(&l,
+		kong.Name("wardctl"),
+		kong.Description("Declares resources, follows their outcome, and runs stand-ins."),
+		kong.Writers(out, errs),
+		kong.Exit(func(n int) { status = n }),
+	)
+	if err != nil {
+		return report(errs, err)
+	}
+	kongplete.Complete(p)
+	k, err := p.Parse(args)
+	if status >= 0 {
+		// Help was asked for and is written.
+		return status
+	}
+	if err != nil {
+		return report(errs, err)
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	if err := k.Run(&environment{Context: ctx, line: &l, out: out, err: errs}); err != nil {
+		return report(errs, err)
+	}
+	return 0
+}
+
+func report(errs io.Writer, err error) int {
+	_, _ = fmt.Fprintln(errs, "wardctl:", err)
+	return 1
+}
+
+// platform connects to the platform; the clean-up closes the connection.
+func (e *environment) platform() (*platform.Client, func()) {
+	return platform.New(e.line.Platform, e.line.Timeout)
+}
+
+// peer connects to entry VMs; the clean-up closes the connections.
+func (e *environment) peer() (*peer.Client, func()) {
+	return peer.New(e.line.Timeout)
+}
+
+// json reports whether JSON is asked for.
+func (e *environment) json() bool {
+	return e.line.Output == "json"
+}
+
+// write writes a value as JSON, on lines of its own.
+func (e *environment) write(v any) error {
+	b, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "encoding the output")
+	}
+	return e.print("%s\n", b)
+}
+
+func (e *environment) print(format string, a ...any) error {
+	if _, err := fmt.Fprintf(e.out, format, a...); err != nil {
+		return fault.Wrap(fault.UnreadableFile, err, "writing the output")
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/dev.go
@@ -0,0 +1,123 @@
+package cmd
+
+import (
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/dev"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/standin/engine"
+	"github.com/wardridge/wardridge/internal/standin/platform"
+	"github.com/wardridge/wardridge/internal/trace"
+)
+
+// devCommand groups what developers run.
+type devCommand struct {
+	Up       upCommand       `cmd:"" help:"Run a whole small system in this process."`
+	Platform platformCommand `cmd:"" help:"Run a stand-in of the platform."`
+	Engine   engineCommand   `cmd:"" help:"Run a stand-in of a model engine."`
+	Service  serviceCommand  `cmd:"" help:"Run a stand-in of a plain service."`
+	Load     loadCommand     `cmd:"" help:"Send a user's mix of work and report what callers see."`
+}
+
+// process is what every stand-in process takes.
+type process struct {
+	Listen    string `help:"IP address and port." required:""`
+	TraceFile string `help:"File that spans are written to; none without one."`
+}
+
+// run sets logs and traces up around a stand-in.
+func (p *process) run(e *environment, name string, f func(l *event.Log) error) error {
+	l, flush, err := logs()
+	if err != nil {
+		return err
+	}
+	defer flush()
+	s := api.TraceSettings{Exporter: api.TraceSettingsExporterNone, SamplePermille: 1000}
+	if p.TraceFile != "" {
+		s.Exporter, s.Target = api.TraceSettingsExporterFile, p.TraceFile
+	}
+	end, err := trace.Install(e, s, name)
+	if err != nil {
+		return err
+	}
+	defer end()
+	return f(l)
+}
+
+func logs() (*event.Log, func(), error) {
+	return event.New(api.LogSettings{Level: api.LogSettingsLevelInfo, Format: api.LogSettingsFormatJson})
+}
+
+// upCommand runs a small system.
+type upCommand struct{}
+
+// Run runs it until it is stopped.
+func (c *upCommand) Run(e *environment) error {
+	l, flush, err := logs()
+	if err != nil {
+		return err
+	}
+	defer flush()
+	return dev.Up(e, l, e.out)
+}
+
+// platformCommand runs a platform.
+type platformCommand struct {
+	process
+	Writes  int           `help:"Writes allowed a second." default:"100"`
+	Reads   int           `help:"Reads allowed a second." default:"2000"`
+	ListLag time.Duration `help:"Age of the list of VMs." default:"1s"`
+}
+
+// Run runs it until it is stopped.
+func (c *platformCommand) Run(e *environment) error {
+	return c.run(e, "platform", func(l *event.Log) error {
+		o := platform.Options{WritesPerSecond: c.Writes, ReadsPerSecond: c.Reads, ListLag: c.ListLag}
+		return dev.Platform(e, c.Listen, platform.New(platform.NewStore(), o), l)
+	})
+}
+
+// engineCommand runs an engine.
+type engineCommand struct {
+	process
+	Name       string        `help:"Name of the backend server." required:""`
+	Memory     int           `help:"Cache memory, tokens." default:"32768"`
+	Batch      int           `help:"Generations that run at once." default:"64"`
+	Step       time.Duration `help:"Time of an empty step." default:"12ms"`
+	ReportLag  time.Duration `help:"Age of the load reports." default:"200ms"`
+	Orphan     time.Duration `help:"Time a generation runs without a reader." default:"30s"`
+	LoadTime   time.Duration `help:"Time an order to load takes." default:"200ms"`
+	CheckFence bool          `help:"Refuse orders with an old fence." default:"true" negatable:""`
+	Seed       uint64        `help:"Seed of what is drawn at random." default:"1"`
+}
+
+// Run runs it until it is stopped.
+func (c *engineCommand) Run(e *environment) error {
+	o := engine.Defaults()
+	o.Name = api.ServerName(c.Name)
+	o.Batch.KVTokens = api.Tokens(c.Memory)
+	o.Batch.MaxBatch = c.Batch
+	o.Batch.StepBase = c.Step
+	o.ReportLag = c.ReportLag
+	o.Orphan = c.Orphan
+	o.LoadTime = c.LoadTime
+	o.ChecksFence = c.CheckFence
+	o.Seed = c.Seed
+	return c.run(e, c.Name, func(l *event.Log) error {
+		return dev.Engine(e, c.Listen, o, l)
+	})
+}
+
+// serviceCommand runs a plain service.
+type serviceCommand struct {
+	process
+	Name string `help:"Name of the backend server." required:""`
+}
+
+// Run runs it until it is stopped.
+func (c *serviceCommand) Run(e *environment) error {
+	return c.run(e, c.Name, func(l *event.Log) error {
+		return dev.Service(e, c.Listen, api.ServerName(c.Name), l)
+	})
+}
--- /dev/null
+++ b/cmd/drain.go
@@ -0,0 +1,69 @@
+package cmd
+
+import (
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/resource"
+)
+
+// drainCommand takes a backend server out of work.
+type drainCommand struct {
+	Server  string        `arg:"" help:"Backend server."`
+	Undo    bool          `help:"Put it back to work."`
+	Wait    bool          `help:"Wait until the entry VM that is asked runs nothing there."`
+	WaitFor time.Duration `help:"Longest wait with --wait." default:"10m"`
+}
+
+// Run changes the server's state and leaves its other fields alone.
+func (c *drainCommand) Run(e *environment) error {
+	p, closer := e.platform()
+	defer closer()
+	state := api.ServerStateDraining
+	if c.Undo {
+		state = api.ServerStateActive
+	}
+	o, err := resource.Edit(e, p, api.ResourceKindBackendServer, c.Server, "state", string(state))
+	if err != nil {
+		return err
+	}
+	if err := e.print("backend-server %s is %s at version %d\n", c.Server, state, o.Object.Version); err != nil {
+		return err
+	}
+	if !c.Wait || c.Undo {
+		return nil
+	}
+	return c.wait(e)
+}
+
+func (c *drainCommand) wait(e *environment) error {
+	p, closer := e.peer()
+	defer closer()
+	const pause = 200 * time.Millisecond
+	end := time.Now().Add(c.WaitFor)
+	for time.Now().Before(end) {
+		s, err := p.Status(e, e.line.Entry)
+		if err != nil {
+			return err
+		}
+		if idle(s, api.ServerName(c.Server)) {
+			return e.print("backend-server %s runs nothing for entry VM %s\n", c.Server, s.VM)
+		}
+		if err := duty.Sleep(e, pause); err != nil {
+			return err
+		}
+	}
+	return fault.New(fault.NotInForce, "the server still runs work")
+}
+
+// idle reports whether a server is seen draining with nothing running.
+func idle(s api.NodeStatus, n api.ServerName) bool {
+	for _, x := range s.Servers {
+		if x.Server == n {
+			return x.State != api.ServerStatusStateReady && x.Running == 0
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/cmd/serve.go
@@ -0,0 +1,64 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/node"
+	"github.com/wardridge/wardridge/internal/settings"
+	"github.com/wardridge/wardridge/internal/trace"
+)
+
+// serveLine is the command line of wardridge.
+type serveLine struct {
+	Settings string `arg:"" help:"INI file with this entry VM's settings." type:"path"`
+	Check    bool   `help:"Check the settings and exit."`
+}
+
+// Serve runs an entry VM until SIGTERM or SIGINT, and gives the exit status.
+func Serve(args []string) int {
+	var l serveLine
+	p, err := kong.New(&l, kong.Name("wardridge"), kong.Description("Serves generations of unknown length from crowded engines: the process on each entry VM."))
+	if err != nil {
+		return fail(os.Stderr, err)
+	}
+	if _, err := p.Parse(args); err != nil {
+		return fail(os.Stderr, err)
+	}
+	if err := l.run(); err != nil {
+		return fail(os.Stderr, err)
+	}
+	return 0
+}
+
+func (l *serveLine) run() error {
+	s, err := settings.Load(l.Settings)
+	if err != nil || l.Check {
+		return err
+	}
+	e, flush, err := event.New(s.Log)
+	if err != nil {
+		return err
+	}
+	defer flush()
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer cancel()
+	end, err := trace.Install(ctx, s.Trace, string(s.Node.Name))
+	if err != nil {
+		return err
+	}
+	defer end()
+	return node.Run(ctx, s, e)
+}
+
+// fail writes a failure and gives the exit status.
+func fail(out *os.File, err error) int {
+	_, _ = fmt.Fprintln(out, "wardridge:", err)
+	return 1
+}
--- /dev/null
+++ b/cmd/wardctl/main.go
@@ -0,0 +1,12 @@
+// Command wardctl is the operators' command line.
+package main
+
+import (
+	"os"
+
+	"github.com/wardridge/wardridge/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Control(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -219,6 +219,15 @@
 	Stream bool `json:"stream,omitempty,omitzero"`
 }
 
+// ClaimSettings bounds the records of requests that are not repeatable.
+type ClaimSettings struct {
+	// Largest answer kept with a claim, KB.
+	AnswerLimitKB int `json:"answer_limit_kb,omitempty,omitzero"`
+
+	// Time a claim is kept, ms.
+	KeepMS Milliseconds `json:"keep_ms,omitempty,omitzero"`
+}
+
 // ClaimSpec records the one attempt of a request that is not repeatable.
 type ClaimSpec struct {
 	// Answer body in base64 when small enough to keep.
@@ -303,6 +312,9 @@
 	// How memory is reserved.
 	Admission EngineSettingsAdmission `json:"admission,omitempty,omitzero"`
 
+	// Wait for the first token after which an attempt counts as broken, ms.
+	FirstTokenMS Milliseconds `json:"first_token_ms,omitempty,omitzero"`
+
 	// Chance of overflow that survival admits in 1/1000.
 	OverflowPermille int `json:"overflow_permille,omitempty,omitzero"`
 
@@ -700,6 +712,12 @@
 const OrderActionRole OrderAction = "role"
 const OrderActionUnload OrderAction = "unload"
 
+// OrderSettings paces orders to engines.
+type OrderSettings struct {
+	// Rate that the weight store allows, MB/s.
+	WeightsMBPerSecond int `json:"weights_mb_per_second,omitempty,omitzero"`
+}
+
 type PeerState string
 
 const PeerStateServing PeerState = "serving"
@@ -808,6 +826,9 @@
 
 // Settings is the whole INI file of an entry VM.
 type Settings struct {
+	// Claims of requests that are not repeatable.
+	Claim ClaimSettings `json:"claim,omitempty,omitzero"`
+
 	// The engines' side.
 	Engine EngineSettings `json:"engine,omitempty,omitzero"`
 
@@ -823,6 +844,9 @@
 	// The VM itself.
 	Node NodeSettings `json:"node"`
 
+	// Orders to engines.
+	Order OrderSettings `json:"order,omitempty,omitzero"`
+
 	// The platform.
 	Platform PlatformSettings `json:"platform"`
 
--- /dev/null
+++ b/internal/broker/doc.go
@@ -0,0 +1,3 @@
+// Package broker carries the dispatcher's decisions to the requests that wait
+// for them.
+package broker
--- /dev/null
+++ b/internal/control/doc.go
@@ -0,0 +1,2 @@
+// Package control is the interface for peers, operators and metrics.
+package control
--- /dev/null
+++ b/internal/control/server.go
@@ -0,0 +1,114 @@
+package control
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/claims"
+	"github.com/wardridge/wardridge/internal/decide/member"
+	"github.com/wardridge/wardridge/internal/explain"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/heartbeat"
+	"github.com/wardridge/wardridge/internal/metric"
+	"github.com/wardridge/wardridge/internal/peer"
+	"github.com/wardridge/wardridge/internal/wire"
+)
+
+// bodyLimit bounds the messages between entry VMs.
+const bodyLimit = 64 << 10
+
+// Parts are what the control interface shows.
+type Parts struct {
+	Beat    *heartbeat.Keeper
+	Peers   *peer.Client
+	Claims  *claims.Keeper
+	Explain *explain.Recorder
+	Metrics *metric.Set
+	Config  func() api.ObjectList
+	Status  func() api.NodeStatus
+}
+
+// Server serves peers and operators.
+type Server struct {
+	Parts
+}
+
+// New makes the control interface.
+func New(p Parts) *Server {
+	return &Server{Parts: p}
+}
+
+// Handler routes the control interface.
+func (s *Server) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Post(peer.PathHeartbeat, s.heartbeat)
+	r.Get(peer.PathConfig, s.config)
+	r.Post(peer.PathAttempt, s.attempt)
+	r.Get(peer.PathExplain+"{request}", s.explain)
+	r.Get(peer.PathStatus, s.status)
+	r.Get(peer.PathHealth, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.Get(peer.PathMetrics, s.Metrics.ServeHTTP)
+	return otelhttp.NewHandler(r, "peer")
+}
+
+func (s *Server) heartbeat(w http.ResponseWriter, r *http.Request) {
+	var b api.Heartbeat
+	if err := wire.Read(w, r, bodyLimit, &b); err != nil {
+		wire.Refuse(w, fault.From(err), "")
+		return
+	}
+	own, err := s.Beat.Answer(b)
+	if err != nil {
+		wire.Refuse(w, fault.From(err), "")
+		return
+	}
+	wire.Write(w, http.StatusOK, own)
+}
+
+func (s *Server) config(w http.ResponseWriter, _ *http.Request) {
+	wire.Write(w, http.StatusOK, s.Config())
+}
+
+func (s *Server) attempt(w http.ResponseWriter, r *http.Request) {
+	var q api.AttemptQuery
+	if err := wire.Read(w, r, bodyLimit, &q); err != nil {
+		wire.Refuse(w, fault.From(err), "")
+		return
+	}
+	if q.Protocol != member.Protocol {
+		wire.Refuse(w, fault.New(fault.PeerProtocol, "this entry VM speaks another protocol version"), "")
+		return
+	}
+	wire.Write(w, http.StatusOK, api.AttemptAnswer{Released: s.Claims.Release(q)})
+}
+
+// explain tells of a request, also of one that a peer handled.
+func (s *Server) explain(w http.ResponseWriter, r *http.Request) {
+	id := api.RequestID(chi.URLParam(r, "request"))
+	e, err := s.Explain.Find(id)
+	if err != nil && r.URL.Query().Get("alone") != "true" {
+		e, err = s.ask(r.Context(), id, err)
+	}
+	if err != nil {
+		wire.Refuse(w, fault.From(err), id)
+		return
+	}
+	wire.Write(w, http.StatusOK, e)
+}
+
+func (s *Server) ask(ctx context.Context, id api.RequestID, unknown error) (api.Explanation, error) {
+	for _, a := range s.Beat.Addresses() {
+		if e, err := s.Peers.Explain(ctx, a, id, true); err == nil {
+			return e, nil
+		}
+	}
+	return api.Explanation{}, unknown
+}
+
+func (s *Server) status(w http.ResponseWriter, _ *http.Request) {
+	wire.Write(w, http.StatusOK, s.Status())
+}
--- a/internal/decide/answer/answer.go
+++ b/internal/decide/answer/answer.go
@@ -33,8 +33,6 @@
 	Refused
 	// Broken means that the stream ended or stalled early.
 	Broken
-	// Unreachable means that a resume could not reach the engine.
-	Unreachable
 	// Unknown means that the engine does not know the generation any more.
 	Unknown
 )
@@ -78,8 +76,12 @@
 	generation api.GenerationID
 	next       int
 	sent       bool
-	brokenAt   time.Time
-	wait       time.Duration
+	// accepted tells that the engine took the present attempt.
+	accepted bool
+	// earlier tells that an attempt before this one may have run.
+	earlier  bool
+	brokenAt time.Time
+	wait     time.Duration
 }
 
 // New starts an answer that has no generation yet.
@@ -89,7 +91,7 @@
 
 // Resumed starts an answer that goes on with a generation from an index.
 func Resumed(p Policy, g api.GenerationID, next int) *Answer {
-	return &Answer{policy: p, generation: g, next: next, sent: true}
+	return &Answer{policy: p, generation: g, next: next, sent: true, accepted: true}
 }
 
 // Begin starts an attempt; it reports false once a token was delivered, as no
@@ -101,8 +103,10 @@
 	if a.sent && !a.policy.Repeatable {
 		return false
 	}
+	a.earlier = a.earlier || a.sent
 	a.generation = g
 	a.sent = false
+	a.accepted = false
 	a.brokenAt = time.Time{}
 	return true
 }
@@ -112,6 +116,13 @@
 	a.sent = true
 }
 
+// Opened notes that the engine streams the generation, so that it is known to
+// run and the time to give up counts anew.
+func (a *Answer) Opened() {
+	a.accepted = true
+	a.brokenAt = time.Time{}
+}
+
 // Generation is the generation that may deliver.
 func (a *Answer) Generation() api.GenerationID {
 	return a.generation
@@ -151,25 +162,27 @@
 
 // Break decides what follows a broken attempt.
 func (a *Answer) Break(now time.Time, c Cause) Next {
+	unsent := !a.accepted && (c == NotConnected || c == Refused)
+	if unsent {
+		// Nothing of this attempt was run.
+		a.sent = false
+	}
 	if !now.Before(a.policy.Deadline) {
-		return a.fail(fault.DeadlinePassed, "the deadline passed", c)
+		return a.fail(fault.DeadlinePassed, "the deadline passed")
 	}
-	switch c {
-	case NotConnected, Refused:
-		return a.unsent(now, c)
-	case Unknown:
+	switch {
+	case unsent:
+		return Next{Move: Retry}
+	case c == Unknown:
 		return a.lost()
 	default:
 		return a.broken(now)
 	}
 }
 
-func (a *Answer) unsent(now time.Time, c Cause) Next {
-	if a.next > 0 {
-		return a.broken(now)
-	}
-	a.sent = false
-	return Next{Move: Retry}
+// Unsent reports whether nothing of the present attempt was run.
+func (a *Answer) Unsent() bool {
+	return !a.sent
 }
 
 func (a *Answer) broken(now time.Time) Next {
@@ -193,22 +206,15 @@
 		return Next{Move: Retry}
 	}
 	if a.next == 0 {
-		return a.fail(fault.OutcomeUnknown, "the request was sent and its generation was lost", Unknown)
+		return a.fail(fault.OutcomeUnknown, "the request was sent and its generation was lost")
 	}
-	return a.fail(fault.GenerationLost, "the generation was lost after its first token", Unknown)
+	return a.fail(fault.GenerationLost, "the generation was lost after its first token")
 }
 
 // fail says that the request did not run only where nothing of it can have
 // been taken by an engine.
-func (a *Answer) fail(c fault.Code, detail string, k Cause) Next {
-	f := fault.New(c, detail)
-	switch {
-	case a.next > 0:
-		f = f.WithRan(api.RanYes)
-	case a.sent && k != NotConnected && k != Refused:
-		f = f.WithRan(api.RanUnknown)
-	}
-	return Next{Move: Fail, Fault: f}
+func (a *Answer) fail(c fault.Code, detail string) Next {
+	return Next{Move: Fail, Fault: fault.New(c, detail).WithRan(a.Ran())}
 }
 
 // Ran tells what is known about the request at present.
@@ -216,7 +222,7 @@
 	switch {
 	case a.next > 0:
 		return api.RanYes
-	case a.sent:
+	case a.sent || a.earlier:
 		return api.RanUnknown
 	default:
 		return api.RanNo
--- a/internal/decide/answer/answer_test.go
+++ b/internal/decide/answer/answer_test.go
@@ -21,6 +21,9 @@
 	a := answer.New(policy(repeatable))
 	a.Begin("g1")
 	a.Sent()
+	if tokens > 0 {
+		a.Opened()
+	}
 	for i := range tokens {
 		a.Event(api.TokenEvent{Generation: "g1", Index: i})
 	}
@@ -45,7 +48,7 @@
 		{"engine forgot before a token, repeatable", true, 0, answer.Unknown, answer.Retry, 0, ""},
 		{"engine forgot before a token, not repeatable", false, 0, answer.Unknown, answer.Fail, fault.OutcomeUnknown, api.RanUnknown},
 		{"reset in mid-stream", true, 3, answer.Broken, answer.Resume, 0, ""},
-		{"unreachable in mid-stream", true, 3, answer.Unreachable, answer.Resume, 0, ""},
+		{"refused connection in mid-stream", true, 3, answer.NotConnected, answer.Resume, 0, ""},
 		{"refused in mid-stream", true, 3, answer.Refused, answer.Resume, 0, ""},
 		{"engine forgot in mid-stream", true, 3, answer.Unknown, answer.Fail, fault.GenerationLost, api.RanYes},
 	}
@@ -74,11 +77,42 @@
 	}
 }
 
+func TestEarlierAttemptIsNotForgotten(t *testing.T) {
+	a := started(true, 0)
+	a.Break(epoch, answer.Broken)
+	a.Begin("g2")
+	a.Break(epoch, answer.NotConnected)
+	if got := a.Ran(); got != api.RanUnknown {
+		t.Errorf("ran after a broken and an unsent attempt: got %s, want unknown", got)
+	}
+	b := started(true, 0)
+	b.Break(epoch, answer.Refused)
+	if got := b.Ran(); got != api.RanNo {
+		t.Errorf("ran after a refused attempt: got %s, want no", got)
+	}
+}
+
+// An engine that took a request and can't be reached for the resume has run
+// it: the request must not be sent again.
+func TestFailedResumeIsNotTakenForUnsent(t *testing.T) {
+	for _, c := range []answer.Cause{answer.NotConnected, answer.Refused} {
+		a := started(false, 0)
+		a.Opened()
+		a.Break(epoch, answer.Broken)
+		if n := a.Break(epoch, c); n.Move != answer.Resume {
+			t.Errorf("cause %d after the engine took the request: got move %d, want resume", c, n.Move)
+		}
+		if got := a.Ran(); got != api.RanUnknown {
+			t.Errorf("ran: got %s, want unknown", got)
+		}
+	}
+}
+
 func TestResumeIsBoundedByTime(t *testing.T) {
 	a := started(true, 2)
 	now := epoch
 	for range 100 {
-		n := a.Break(now, answer.Unreachable)
+		n := a.Break(now, answer.Broken)
 		if n.Move == answer.Fail {
 			if n.Fault.Code != fault.GenerationLost {
 				t.Errorf("fault: got %d, want %d", n.Fault.Code, fault.GenerationLost)
--- /dev/null
+++ b/internal/decide/backend/doc.go
@@ -0,0 +1,2 @@
+// Package backend chooses the backend server of a plain service.
+package backend
--- a/internal/decide/config/view.go
+++ b/internal/decide/config/view.go
@@ -186,3 +186,15 @@
 	})
 	return l
 }
+
+// Engines lists the declared engines in order of name.
+func (v *View) Engines() []Server {
+	var l []Server
+	for _, s := range v.Servers {
+		if s.Type == api.ServerTypeEngine {
+			l = append(l, s)
+		}
+	}
+	slices.SortFunc(l, func(a, b Server) int { return strings.Compare(string(a.Name), string(b.Name)) })
+	return l
+}
--- /dev/null
+++ b/internal/dev/doc.go
@@ -0,0 +1,2 @@
+// Package dev runs stand-ins and a whole small system for developers.
+package dev
--- /dev/null
+++ b/internal/dev/standins.go
@@ -0,0 +1,56 @@
+package dev
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/standin/engine"
+	"github.com/wardridge/wardridge/internal/standin/platform"
+	"github.com/wardridge/wardridge/internal/standin/service"
+	"github.com/wardridge/wardridge/internal/wire"
+
+	"github.com/wardridge/wardridge/internal/api"
+)
+
+// stopLimit bounds the time a stand-in lets its calls run at the end.
+const stopLimit = 30 * time.Second
+
+func started(l *event.Log, what, name, address string) {
+	l.Emit(event.StandInStarted, zap.String("stand_in", what), zap.String("name", name), zap.String("address", address))
+}
+
+func traced(name string, h http.Handler) http.Handler {
+	return otelhttp.NewHandler(h, name)
+}
+
+// Platform serves a stand-in of the platform.
+func Platform(ctx context.Context, address string, s *platform.Server, l *event.Log) error {
+	started(l, "platform", "platform", address)
+	// Its watches wait long, so they are not waited for at the end.
+	const limit = 100 * time.Millisecond
+	return wire.Serve(ctx, address, traced("platform", s.Handler()), limit)
+}
+
+// Engine serves a stand-in of a model engine; at the end it says that it is
+// leaving and lets its streams run out.
+func Engine(ctx context.Context, address string, o engine.Options, l *event.Log) error {
+	e := engine.New(o, l)
+	g, end := duty.New(context.WithoutCancel(ctx))
+	defer end()
+	g.Go(e.Run)
+	defer context.AfterFunc(ctx, e.Leave)()
+	started(l, "engine", string(o.Name), address)
+	return wire.Serve(ctx, address, traced("engine", e.Handler()), stopLimit)
+}
+
+// Service serves a stand-in of a plain service.
+func Service(ctx context.Context, address string, n api.ServerName, l *event.Log) error {
+	started(l, "service", string(n), address)
+	return wire.Serve(ctx, address, traced("service", service.New(n).Handler()), stopLimit)
+}
--- /dev/null
+++ b/internal/dev/up.go
@@ -0,0 +1,130 @@
+package dev
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/node"
+	client "github.com/wardridge/wardridge/internal/platform"
+	"github.com/wardridge/wardridge/internal/resource"
+	"github.com/wardridge/wardridge/internal/sample"
+	"github.com/wardridge/wardridge/internal/settings"
+	"github.com/wardridge/wardridge/internal/standin/engine"
+	"github.com/wardridge/wardridge/internal/standin/platform"
+)
+
+// Addresses of the small system; the sample resources name the same ones.
+const (
+	platformAddress = "127.0.0.1:7000"
+	serviceAddress  = "127.0.0.1:7021"
+	serviceName     = "orders-1"
+)
+
+// small is a process of the small system.
+type small struct {
+	name, listen, control string
+}
+
+var entries = []small{
+	{"entry-1", "127.0.0.1:7001", "127.0.0.1:7101"},
+	{"entry-2", "127.0.0.1:7002", "127.0.0.1:7102"},
+}
+
+var engines = []small{
+	{"engine-1", "127.0.0.1:7011", ""},
+	{"engine-2", "127.0.0.1:7012", ""},
+}
+
+// Calls are the rates that the platform's stand-in allows by default.
+var Calls = platform.Options{WritesPerSecond: 100, ReadsPerSecond: 2000, ListLag: time.Second}
+
+// Up runs a whole small system in this process until the context ends, and
+// writes to out how to use it.
+func Up(ctx context.Context, l *event.Log, out io.Writer) error {
+	// The stand-ins end after the entry VMs, so that a stop cuts nothing off.
+	outer, end := duty.New(context.WithoutCancel(ctx))
+	defer end()
+	p := platform.New(platform.NewStore(), Calls)
+	outer.Go(func(ctx context.Context) error { return Platform(ctx, platformAddress, p, l) })
+	for _, e := range engines {
+		o := engine.Defaults()
+		o.Name = api.ServerName(e.name)
+		outer.Go(func(ctx context.Context) error { return Engine(ctx, e.listen, o, l) })
+	}
+	outer.Go(func(ctx context.Context) error { return Service(ctx, serviceAddress, serviceName, l) })
+	for _, e := range entries {
+		p.SetVM(api.VM{Name: e.name, Role: api.VMRoleEntry, State: api.VMStateLive, Address: e.control, Domain: domain})
+	}
+	if err := declare(ctx); err != nil {
+		return err
+	}
+	g, stop := duty.New(context.WithoutCancel(ctx))
+	defer stop()
+	x, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for _, e := range entries {
+		s, err := settings.Parse(e.name, ini(e))
+		if err != nil {
+			return err
+		}
+		g.Go(func(context.Context) error { return node.Run(x, s, l) })
+	}
+	welcome(out)
+	return g.Wait()
+}
+
+// domain is the failure domain of the small system.
+const domain = "hall-a"
+
+func ini(e small) []byte {
+	return fmt.Appendf(nil, "[node]\nname = %s\ndomain = %s\nlisten = %s\ncontrol = %s\n[platform]\naddress = %s\n", e.name, domain, e.listen, e.control, platformAddress)
+}
+
+// declare applies the sample resources once the platform answers.
+func declare(ctx context.Context) error {
+	l, err := resource.Parse("sample", sample.Resources)
+	if err != nil {
+		return err
+	}
+	c, closer := client.New(platformAddress, time.Second)
+	defer closer()
+	for _, o := range l {
+		if err := patient(ctx, c, o); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// patient applies a resource, also while the platform is still starting.
+func patient(ctx context.Context, c *client.Client, o api.Object) error {
+	const tries, pause = 50, 20 * time.Millisecond
+	var err error
+	for range tries {
+		if _, err = resource.Apply(ctx, c, o); err == nil {
+			return nil
+		}
+		if err := duty.Sleep(ctx, pause); err != nil {
+			return err
+		}
+	}
+	return err
+}
+
+func welcome(out io.Writer) {
+	// A reader that is gone needs no welcome.
+	_, _ = fmt.Fprintf(out, `A small system is starting: two entry VMs, two engines, one plain service.
+Ask through either entry VM:
+
+  curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' \
+    -d '{"model":"desk","stream":true,"messages":[{"role":"user","content":"Can I have a skip on Friday?"}]}'
+
+Look on with: wardctl status, wardctl get backend-server, wardctl dev load
+Stop with Ctrl-C.
+`, entries[0].listen, sample.KeyDispatch)
+}
--- /dev/null
+++ b/internal/entry/doc.go
@@ -0,0 +1,3 @@
+// Package entry is the callers' side: chat completions, resumed streams and
+// plain services.
+package entry
--- /dev/null
+++ b/internal/entry/sink.go
@@ -0,0 +1,256 @@
+package entry
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/metric"
+	"github.com/wardridge/wardridge/internal/wire"
+)
+
+// Names of objects in the chat completions API.
+const (
+	objectChunk      = "chat.completion.chunk"
+	objectCompletion = "chat.completion"
+	doneMark         = "[DONE]"
+	eventError       = "error"
+	roleAssistant    = "assistant"
+)
+
+// sink takes the tokens of one answer.
+type sink interface {
+	// Token takes the next token.
+	Token(e api.TokenEvent) error
+	// Flush sends what was taken; it is called before each wait.
+	Flush() error
+	// End takes the end of the generation.
+	End(e api.TokenEvent)
+	// Finish ends a whole answer.
+	Finish() *fault.Fault
+	// Started reports whether the caller was sent anything.
+	Started() bool
+	// Fail ends an answer that was begun with a fault.
+	Fail(f *fault.Fault)
+	// Whole is the answer in one message, for a claim's record.
+	Whole() []byte
+}
+
+// wholeSink gathers an answer that is not streamed.
+type wholeSink struct {
+	writer http.ResponseWriter
+	chat   *chat
+	text   strings.Builder
+	count  api.Tokens
+	finish string
+	begun  bool
+}
+
+func newWholeSink(w http.ResponseWriter, c *chat) *wholeSink {
+	return &wholeSink{writer: w, chat: c}
+}
+
+func (k *wholeSink) Token(e api.TokenEvent) error {
+	k.text.WriteString(e.Text)
+	k.count++
+	return nil
+}
+
+func (k *wholeSink) Flush() error         { return nil }
+func (k *wholeSink) End(e api.TokenEvent) { k.finish = e.Finish }
+func (k *wholeSink) Started() bool        { return k.begun }
+func (k *wholeSink) Fail(*fault.Fault)    {}
+
+func (k *wholeSink) Finish() *fault.Fault {
+	k.begun = true
+	h := k.writer.Header()
+	h.Set(wire.HeaderRequest, string(k.chat.id))
+	h.Set(wire.HeaderType, wire.TypeJSON)
+	k.writer.WriteHeader(http.StatusOK)
+	if _, err := k.writer.Write(k.Whole()); err != nil {
+		return fault.Wrap(fault.CallerGone, err, "the caller closed its connection").WithRan(api.RanYes)
+	}
+	return nil
+}
+
+func (k *wholeSink) Whole() []byte {
+	return completion(k.chat, k.text.String(), k.count, k.finish)
+}
+
+func completion(c *chat, text string, n api.Tokens, finish string) []byte {
+	p := c.generate.PromptTokens
+	b, err := json.Marshal(api.ChatCompletion{
+		ID: c.id, Object: objectCompletion, Model: c.ask.Model,
+		Choices: []api.ChatChoice{{
+			Message:      api.ChatMessage{Role: roleAssistant, Content: text},
+			FinishReason: finish,
+		}},
+		Usage: api.Usage{PromptTokens: p, CompletionTokens: n, TotalTokens: p + n},
+	})
+	if err != nil {
+		return nil
+	}
+	return b
+}
+
+// streamSink passes tokens on as they come.
+type streamSink struct {
+	server  *Server
+	writer  http.ResponseWriter
+	control *http.ResponseController
+	chat    *chat
+	place   string
+	text    *strings.Builder
+	count   api.Tokens
+	flushed api.Tokens
+	finish  string
+	begun   bool
+	bounded time.Time
+}
+
+func newStreamSink(s *Server, w http.ResponseWriter, c *chat) *streamSink {
+	k := &streamSink{server: s, writer: w, control: http.NewResponseController(w), chat: c}
+	if c.permit != nil {
+		// Only a claimed answer is kept.
+		k.text = &strings.Builder{}
+	}
+	return k
+}
+
+func (k *streamSink) begin(g api.GenerationID) {
+	h := k.writer.Header()
+	h.Set(wire.HeaderRequest, string(k.chat.id))
+	h.Set(wire.HeaderType, wire.TypeEvents)
+	h.Set("Cache-Control", "no-store")
+	k.begun = true
+	k.place = k.chat.place(g)
+}
+
+func (k *streamSink) Token(e api.TokenEvent) error {
+	if !k.begun {
+		k.begin(e.Generation)
+	}
+	k.count++
+	if k.text != nil {
+		k.text.WriteString(e.Text)
+	}
+	return k.event(e.Index, e.Text, nil)
+}
+
+func (k *streamSink) event(index int, text string, finish *string) error {
+	b, err := json.Marshal(api.ChatChunk{
+		ID: k.chat.id, Object: objectChunk, Model: k.chat.ask.Model,
+		Choices: []api.ChatChunkChoice{{Delta: api.ChatDelta{Content: text}, FinishReason: finish}},
+	})
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "encoding a chunk")
+	}
+	m := sse.Message{ID: sse.ID(k.place + strconv.Itoa(index))}
+	m.AppendData(string(b))
+	return k.write(&m)
+}
+
+func (k *streamSink) write(m *sse.Message) error {
+	if err := k.bound(); err != nil {
+		return err
+	}
+	if _, err := m.WriteTo(k.writer); err != nil {
+		return k.blocked(err)
+	}
+	return nil
+}
+
+// boundEvery is how often the bound on a blocked write is set anew.
+const boundEvery = 500 * time.Millisecond
+
+// bound limits the time that writes to a slow reader may block.
+func (k *streamSink) bound() error {
+	now := time.Now()
+	if now.Sub(k.bounded) < boundEvery {
+		return nil
+	}
+	k.bounded = now
+	// A writer without deadlines is a test's.
+	_ = k.control.SetWriteDeadline(now.Add(k.server.settings.SlowReaderMS.Duration()))
+	return nil
+}
+
+func (k *streamSink) blocked(err error) error {
+	if k.chat.late(k.bounded, k.server.settings.SlowReaderMS.Duration()) {
+		k.server.Metrics.Add(metric.ClientsDisconnected, 1)
+		return fault.Wrap(fault.SlowReader, err, "the caller did not read its answer in time")
+	}
+	return fault.Wrap(fault.CallerGone, err, "the caller closed its connection")
+}
+
+// late reports whether a write that was bounded at a time ran into the bound.
+func (c *chat) late(bounded time.Time, bound time.Duration) bool {
+	return time.Since(bounded) >= bound
+}
+
+func (k *streamSink) Flush() error {
+	if k.flushed == k.count {
+		return nil
+	}
+	k.server.Metrics.Add(metric.TokensRelayed, int64(k.count-k.flushed))
+	k.flushed = k.count
+	if err := k.bound(); err != nil {
+		return err
+	}
+	if err := k.control.Flush(); err != nil {
+		return k.blocked(err)
+	}
+	return nil
+}
+
+func (k *streamSink) End(e api.TokenEvent) {
+	if !k.begun {
+		k.begin(e.Generation)
+	}
+	k.finish = e.Finish
+}
+
+func (k *streamSink) Finish() *fault.Fault {
+	if err := k.event(int(k.count), "", &k.finish); err != nil {
+		return fault.From(err).WithRan(api.RanYes)
+	}
+	m := sse.Message{}
+	m.AppendData(doneMark)
+	if err := k.write(&m); err != nil {
+		return fault.From(err).WithRan(api.RanYes)
+	}
+	if err := k.Flush(); err != nil {
+		return fault.From(err).WithRan(api.RanYes)
+	}
+	// The last events may hold no token, so they are flushed in any case.
+	_ = k.control.Flush()
+	return nil
+}
+
+func (k *streamSink) Started() bool { return k.begun }
+
+// Fail ends the stream at once with a typed event.
+func (k *streamSink) Fail(f *fault.Fault) {
+	b, err := json.Marshal(f.Body(k.chat.id))
+	if err != nil {
+		return
+	}
+	m := sse.Message{Type: sse.Type(eventError)}
+	m.AppendData(string(b))
+	// A caller that is gone needs no answer.
+	_ = k.write(&m)
+	_ = k.control.Flush()
+}
+
+func (k *streamSink) Whole() []byte {
+	if k.text == nil {
+		return nil
+	}
+	return completion(k.chat, k.text.String(), k.count, k.finish)
+}
--- /dev/null
+++ b/internal/explain/recorder.go
@@ -0,0 +1,61 @@
+package explain
+
+import (
+	"sync"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/fault"
+)
+
+// perRequest bounds the decisions kept of one request.
+const perRequest = 64
+
+// Recorder keeps the decisions of the last requests.
+type Recorder struct {
+	vm    api.VMName
+	mutex sync.Mutex
+	ring  []api.RequestID
+	next  int
+	byID  map[api.RequestID]*api.Explanation
+}
+
+// New makes a recorder for so many requests.
+func New(vm api.VMName, n int) *Recorder {
+	return &Recorder{vm: vm, ring: make([]api.RequestID, n), byID: make(map[api.RequestID]*api.Explanation)}
+}
+
+// Open begins the record of a request, in place of the oldest.
+func (r *Recorder) Open(id api.RequestID, w api.WorkspaceName) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	delete(r.byID, r.ring[r.next])
+	r.ring[r.next] = id
+	r.next = (r.next + 1) % len(r.ring)
+	r.byID[id] = &api.Explanation{Request: id, VM: r.vm, Workspace: w, Decisions: []api.Decision{}}
+}
+
+// Note adds a decision to a request's record.
+func (r *Recorder) Note(id api.RequestID, step, detail string) {
+	now := api.UnixMilliseconds(time.Now())
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	e, ok := r.byID[id]
+	if !ok || len(e.Decisions) >= perRequest {
+		return
+	}
+	e.Decisions = append(e.Decisions, api.Decision{TimeMS: now, Step: step, Detail: detail})
+}
+
+// Find gives a copy of a request's record.
+func (r *Recorder) Find(id api.RequestID) (api.Explanation, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	e, ok := r.byID[id]
+	if !ok {
+		return api.Explanation{}, fault.New(fault.UnknownRequest, "no record of request "+string(id)+" is kept here")
+	}
+	c := *e
+	c.Decisions = append([]api.Decision{}, e.Decisions...)
+	return c, nil
+}
--- /dev/null
+++ b/internal/explain/recorder_test.go
@@ -0,0 +1,36 @@
+package explain_test
+
+import (
+	"testing"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/explain"
+	"github.com/wardridge/wardridge/internal/fault"
+)
+
+func TestRecorderKeepsTheLastRequests(t *testing.T) {
+	r := explain.New("a", 2)
+	for _, id := range []string{"1", "2", "3"} {
+		r.Open(api.RequestID(id), "w")
+		r.Note(api.RequestID(id), "start", "room at once")
+	}
+	if _, err := r.Find("1"); !fault.Has(err, fault.UnknownRequest) {
+		t.Errorf("oldest: got %v, want unknown_request", err)
+	}
+	e, err := r.Find("3")
+	if err != nil || len(e.Decisions) != 1 {
+		t.Errorf("newest: got %+v, %v, want one decision", e, err)
+	}
+}
+
+func TestRecordOfOneRequestIsBounded(t *testing.T) {
+	r := explain.New("a", 1)
+	r.Open("1", "w")
+	for range 1000 {
+		r.Note("1", "resume", "again")
+	}
+	e, _ := r.Find("1")
+	if got, want := len(e.Decisions), 64; got != want {
+		t.Errorf("decisions: got %d, want %d", got, want)
+	}
+}
--- /dev/null
+++ b/internal/heartbeat/doc.go
@@ -0,0 +1,2 @@
+// Package heartbeat keeps up with the other entry VMs.
+package heartbeat
--- /dev/null
+++ b/internal/leader/leader.go
@@ -0,0 +1,151 @@
+package leader
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/clock"
+	"github.com/wardridge/wardridge/internal/decide/lease"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/metric"
+)
+
+// Store is where lease objects are kept.
+type Store interface {
+	Get(ctx context.Context, k api.ResourceKind, n string) (api.Object, error)
+	Put(ctx context.Context, o api.Object) (api.Object, error)
+}
+
+// Leader is this entry VM's hold on one duty.
+type Leader struct {
+	duty    string
+	store   Store
+	now     clock.Now
+	log     *event.Log
+	metrics *metric.Set
+
+	mutex sync.Mutex
+	lease *lease.Lease
+	held  bool
+}
+
+// New makes a leader of a duty that holds nothing yet; now has to be a clock
+// that goes on while the VM is suspended.
+func New(duty string, s Store, o lease.Owner, t lease.Timing, now clock.Now, l *event.Log, m *metric.Set) *Leader {
+	return &Leader{duty: duty, store: s, now: now, log: l, metrics: m, lease: lease.New(o, t)}
+}
+
+// Duty names what the lease is for.
+func (l *Leader) Duty() string {
+	return l.duty
+}
+
+// Held gives the fence while this entry VM may act; it has to be asked at the
+// last moment before each act.
+func (l *Leader) Held() (api.Fence, bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.lease.Held(l.now())
+}
+
+// Left is the time for which the hold is sure; 0 when there is none.
+func (l *Leader) Left() time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return max(0, l.lease.Until().Sub(l.now()))
+}
+
+// Want tells whether this entry VM is to hold the duty.
+func (l *Leader) Want(w bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.lease.Want(w)
+}
+
+// every is the time between looks at the lease.
+const every = 200 * time.Millisecond
+
+// Run is the duty that keeps the lease.
+func (l *Leader) Run(ctx context.Context) error {
+	return duty.Loop(ctx, func() time.Duration { return every }, l.Step)
+}
+
+// Step makes the call that is due, if any.
+func (l *Leader) Step(ctx context.Context) {
+	l.mutex.Lock()
+	a := l.lease.Step(l.now())
+	l.mutex.Unlock()
+	switch a.Kind {
+	case lease.Read:
+		l.read(ctx)
+	case lease.Write:
+		l.write(ctx, a)
+	}
+	l.report()
+}
+
+func (l *Leader) read(ctx context.Context) {
+	l.metrics.Add(metric.PlatformReads, 1)
+	o, err := l.store.Get(ctx, api.ResourceKindLease, l.duty)
+	var s api.LeaseSpec
+	if err == nil {
+		err = json.Unmarshal(o.Spec, &s)
+	}
+	exists := err == nil
+	if err != nil && !fault.Has(err, fault.NotFound) {
+		l.metrics.Add(metric.PlatformFailures, 1)
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.lease.Observed(l.now(), exists, s, o.Version)
+}
+
+func (l *Leader) write(ctx context.Context, a lease.Action) {
+	b, err := json.Marshal(a.Spec)
+	if err != nil {
+		return
+	}
+	l.metrics.Add(metric.PlatformWrites, 1)
+	o, err := l.store.Put(ctx, api.Object{Kind: api.ResourceKindLease, Name: l.duty, Version: a.Version, Spec: b})
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if err != nil {
+		l.metrics.Add(metric.PlatformFailures, 1)
+		l.lease.Unsettled()
+		return
+	}
+	l.lease.Written(o.Version)
+}
+
+// report logs when the hold begins and ends.
+func (l *Leader) report() {
+	f, held := l.Held()
+	l.mutex.Lock()
+	before := l.held
+	l.held = held
+	l.mutex.Unlock()
+	switch {
+	case held && !before:
+		l.log.Emit(event.LeaseTaken, zap.String("duty", l.duty), zap.Int("fence", int(f)))
+	case before && !held:
+		l.log.Emit(event.LeaseLost, zap.String("duty", l.duty))
+	}
+}
+
+// Release gives the lease back at a planned stop.
+func (l *Leader) Release(ctx context.Context) {
+	l.Want(false)
+	if _, held := l.Held(); !held {
+		return
+	}
+	l.Step(ctx)
+	l.log.Emit(event.LeaseReleased, zap.String("duty", l.duty))
+}
--- /dev/null
+++ b/internal/load/call.go
@@ -0,0 +1,225 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/tmaxmax/go-sse"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/entry"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/standin/engine"
+	"github.com/wardridge/wardridge/internal/standin/service"
+	"github.com/wardridge/wardridge/internal/wire"
+)
+
+// bytesPerToken is the length of a made prompt in bytes per token.
+const bytesPerToken = 4
+
+// result is what one request saw.
+type result struct {
+	class  *Class
+	first  time.Duration
+	gaps   []time.Duration
+	tokens int
+	fault  *fault.Fault
+	// wrong tells that an answer broke a promise: a token missing, doubled,
+	// out of order or of another generation, or a call run more than once.
+	wrong string
+}
+
+// caller sends the requests of a plan.
+type caller struct {
+	http    *http.Client
+	entries []string
+	model   string
+}
+
+// do sends one request, through the next entry VM when one can't be reached,
+// as the balancer in front of them would.
+func (c *caller) do(ctx context.Context, a Arrival) result {
+	key := uuid.NewString()
+	var out result
+	for i := range c.entries {
+		e := c.entries[(a.Serial+i)%len(c.entries)]
+		if a.Class.Chat {
+			out = c.chat(ctx, e, a)
+		} else {
+			out = c.call(ctx, e, a, key)
+		}
+		if out.fault == nil || out.fault.Code != fault.NotStarted && out.fault.Code != fault.Stopping && out.fault.Code != fault.Starting {
+			break
+		}
+	}
+	out.class = a.Class
+	return out
+}
+
+func (c *caller) request(ctx context.Context, method, url string, a Arrival, body any) (*http.Request, error) {
+	r, err := wire.NewRequest(ctx, method, url, body)
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+a.Class.Key)
+	r.Header.Set(wire.HeaderKind, a.Class.Name)
+	if a.Class.Priority != "" {
+		r.Header.Set(wire.HeaderPriority, string(a.Class.Priority))
+	}
+	return r, nil
+}
+
+func (c *caller) chat(ctx context.Context, address string, a Arrival) result {
+	ask := api.ChatRequest{
+		Model:  api.ModelName(c.model),
+		Stream: true,
+		Messages: []api.ChatMessage{
+			{Role: "system", Content: a.Class.System},
+			{Role: "user", Content: filler(a)},
+		},
+		Metadata: map[string]string{engine.MetadataTokens: strconv.Itoa(int(a.Output))},
+	}
+	r, err := c.request(ctx, http.MethodPost, "http://"+address+entry.PathChat, a, ask)
+	if err != nil {
+		return result{fault: fault.From(err)}
+	}
+	began := time.Now()
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return result{fault: wire.Broken(err)}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return result{fault: refusal(resp)}
+	}
+	return read(resp.Body, began, int(a.Output))
+}
+
+// filler is a prompt of the planned length that no other request has.
+func filler(a Arrival) string {
+	s := strconv.Itoa(a.Serial) + " "
+	n := int(a.Prompt)*bytesPerToken - len(s)
+	return s + strings.Repeat("word ", max(0, n/len("word ")))
+}
+
+func refusal(r *http.Response) *fault.Fault {
+	var e api.ErrorBody
+	b, err := io.ReadAll(r.Body)
+	if err == nil {
+		err = json.Unmarshal(b, &e)
+	}
+	if err != nil || e.Error.Code == 0 {
+		return fault.New(fault.Internal, "answer "+r.Status+" without a typed error")
+	}
+	return fault.FromBody(e)
+}
+
+// read takes a stream and checks every token.
+func read(body io.Reader, began time.Time, want int) result {
+	out := result{}
+	last := began
+	generation := ""
+	ended := false
+	sse.Read(body, nil)(func(e sse.Event, err error) bool {
+		if err != nil {
+			out.fault = fault.Wrap(fault.BadAnswer, err, "the stream broke")
+			return false
+		}
+		if e.Type == "error" {
+			var b api.ErrorBody
+			if err := json.Unmarshal([]byte(e.Data), &b); err != nil {
+				out.wrong = "an error event is not JSON"
+			}
+			out.fault = fault.FromBody(b)
+			return false
+		}
+		if e.Data == "[DONE]" {
+			ended = true
+			return false
+		}
+		text, err := content(e.Data)
+		if err != nil || text == "" {
+			return err == nil
+		}
+		now := time.Now()
+		if out.tokens == 0 {
+			out.first = now.Sub(began)
+		} else {
+			out.gaps = append(out.gaps, now.Sub(last))
+		}
+		last = now
+		out.check(text, &generation)
+		return true
+	})
+	switch {
+	case out.fault != nil || out.wrong != "":
+	case !ended:
+		out.fault = fault.New(fault.BadAnswer, "the stream ended without its mark")
+	case out.tokens != want:
+		out.wrong = fmt.Sprintf("got %d tokens, want %d", out.tokens, want)
+	}
+	return out
+}
+
+func content(data string) (string, error) {
+	var k api.ChatChunk
+	if err := json.Unmarshal([]byte(data), &k); err != nil {
+		return "", err
+	}
+	if len(k.Choices) == 0 {
+		return "", nil
+	}
+	return k.Choices[0].Delta.Content, nil
+}
+
+// check reads a stand-in's token, which tells its generation and index.
+func (r *result) check(text string, generation *string) {
+	g, n, _ := strings.Cut(strings.TrimSpace(text), ":")
+	if r.tokens == 0 {
+		*generation = g
+	}
+	i, err := strconv.Atoi(n)
+	if r.wrong == "" && (err != nil || i != r.tokens || g != *generation) {
+		r.wrong = fmt.Sprintf("token %q at place %d of generation %s", text, r.tokens, *generation)
+	}
+	r.tokens++
+}
+
+// call calls a plain service; one that is not repeatable is asked for again
+// with the same key while its outcome is not known and asking may help.
+func (c *caller) call(ctx context.Context, address string, a Arrival, key string) result {
+	began := time.Now()
+	r, err := c.request(ctx, a.Class.Method, "http://"+address+entry.PathServices+a.Class.Path, a, nil)
+	if err != nil {
+		return result{fault: fault.From(err)}
+	}
+	if a.Class.Once {
+		r.Header.Set(wire.HeaderIdempotency, key)
+	}
+	resp, err := c.http.Do(r)
+	if err != nil {
+		return result{fault: wire.Broken(err)}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return result{fault: refusal(resp)}
+	}
+	var s service.Answer
+	out := result{first: time.Since(began)}
+	switch err := json.NewDecoder(resp.Body).Decode(&s); {
+	case err != nil:
+		out.fault = fault.Wrap(fault.BadAnswer, err, "the answer is not whole")
+	case string(s.Request) != resp.Header.Get(wire.HeaderRequest):
+		out.wrong = "the answer is of request " + string(s.Request)
+	case a.Class.Once && s.Count != 1:
+		out.wrong = fmt.Sprintf("the call ran %d times", s.Count)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/load/report.go
@@ -0,0 +1,183 @@
+package load
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/wardridge/wardridge/internal/api"
+)
+
+// StallBound is the gap between tokens beyond which it counts as a stall.
+const StallBound = 200 * time.Millisecond
+
+// Bounds of the histograms, in microseconds.
+const (
+	histogramMost   = 3_600_000_000
+	histogramDigits = 3
+)
+
+// Quantiles of a distribution, in ms.
+type Quantiles struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+	P999  float64 `json:"p999_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// ErrorCount is how often one type of error came.
+type ErrorCount struct {
+	Type  string  `json:"type"`
+	Ran   api.Ran `json:"ran"`
+	Count int     `json:"count"`
+}
+
+// ClassReport is what the callers of one class saw.
+type ClassReport struct {
+	Class    string    `json:"class"`
+	Requests int       `json:"requests"`
+	Whole    int       `json:"whole"`
+	First    Quantiles `json:"first_token"`
+	Gaps     Quantiles `json:"token_gaps"`
+	Stalls   Quantiles `json:"stall_per_stream"`
+	StallSum float64   `json:"stall_total_ms"`
+}
+
+// Report is what the callers of a run saw.
+type Report struct {
+	Mix      string        `json:"mix"`
+	Seed     uint64        `json:"seed"`
+	Seconds  float64       `json:"seconds"`
+	Requests int           `json:"requests"`
+	Whole    int           `json:"whole"`
+	Tokens   int           `json:"tokens"`
+	All      ClassReport   `json:"all"`
+	Classes  []ClassReport `json:"classes"`
+	Errors   []ErrorCount  `json:"errors"`
+	// Wrong lists answers that broke a promise.
+	Wrong []string `json:"wrong"`
+	// Preemptions is what the engines told the entry VMs during the run.
+	Preemptions int64 `json:"preemptions"`
+}
+
+type class struct {
+	requests, whole     int
+	first, gaps, stalls *hdrhistogram.Histogram
+	stall               time.Duration
+}
+
+func newClass() *class {
+	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, histogramMost, histogramDigits) }
+	return &class{first: h(), gaps: h(), stalls: h()}
+}
+
+type summary struct {
+	all     *class
+	classes map[string]*class
+	errors  map[ErrorCount]int
+	wrong   []string
+	tokens  int
+}
+
+func newSummary() *summary {
+	return &summary{all: newClass(), classes: map[string]*class{}, errors: map[ErrorCount]int{}}
+}
+
+func (s *summary) add(r result) {
+	c, ok := s.classes[r.class.Name]
+	if !ok {
+		c = newClass()
+		s.classes[r.class.Name] = c
+	}
+	c.add(r)
+	s.all.add(r)
+	s.tokens += r.tokens
+	if r.fault != nil {
+		s.errors[ErrorCount{Type: r.fault.Code.Kind().Type, Ran: r.fault.Ran}]++
+	}
+	if r.wrong != "" {
+		s.wrong = append(s.wrong, r.class.Name+": "+r.wrong)
+	}
+}
+
+func (c *class) add(r result) {
+	c.requests++
+	if r.fault == nil && r.wrong == "" {
+		c.whole++
+	}
+	if r.first > 0 {
+		record(c.first, r.first)
+	}
+	if !r.class.Chat || r.tokens == 0 {
+		return
+	}
+	stall := time.Duration(0)
+	for _, g := range r.gaps {
+		record(c.gaps, g)
+		stall += max(0, g-StallBound)
+	}
+	record(c.stalls, stall)
+	c.stall += stall
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	// A value beyond the histogram counts as its largest.
+	_ = h.RecordValue(min(d.Microseconds(), histogramMost))
+}
+
+func quantiles(h *hdrhistogram.Histogram) Quantiles {
+	const milli = 1000.0
+	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / milli }
+	return Quantiles{Count: h.TotalCount(), P50: at(50), P95: at(95), P99: at(99), P999: at(99.9), Max: float64(h.Max()) / milli}
+}
+
+func (c *class) report(name string) ClassReport {
+	return ClassReport{
+		Class: name, Requests: c.requests, Whole: c.whole,
+		First: quantiles(c.first), Gaps: quantiles(c.gaps), Stalls: quantiles(c.stalls),
+		StallSum: float64(c.stall.Milliseconds()),
+	}
+}
+
+func (s *summary) report(o Options, d time.Duration) Report {
+	r := Report{
+		Mix: o.Mix.Name, Seed: o.Seed, Seconds: d.Seconds(), Requests: s.all.requests, Whole: s.all.whole,
+		Tokens: s.tokens, All: s.all.report("all"), Errors: []ErrorCount{}, Wrong: append([]string{}, s.wrong...),
+	}
+	for n, c := range s.classes {
+		r.Classes = append(r.Classes, c.report(n))
+	}
+	sort.Slice(r.Classes, func(i, j int) bool { return r.Classes[i].Class < r.Classes[j].Class })
+	for e, n := range s.errors {
+		e.Count = n
+		r.Errors = append(r.Errors, e)
+	}
+	sort.Slice(r.Errors, func(i, j int) bool {
+		return r.Errors[i].Type+string(r.Errors[i].Ran) < r.Errors[j].Type+string(r.Errors[j].Ran)
+	})
+	return r
+}
+
+// Text writes the report for a person.
+func (r Report) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "mix %s, seed %d: %d requests in %.1f s, %d whole, %d tokens, %d preemptions\n", r.Mix, r.Seed, r.Requests, r.Seconds, r.Whole, r.Tokens, r.Preemptions)
+	fmt.Fprintf(&b, "%-20s %8s %8s | %29s | %37s | %s\n", "class", "requests", "whole", "first token p50/p95/p99 ms", "token gap p50/p95/p99/p99.9 ms", "stall p50/p99/total ms")
+	for _, c := range append(r.Classes, r.All) {
+		fmt.Fprintf(&b, "%-20s %8d %8d | %9.1f %9.1f %9.1f | %9.1f %8.1f %8.1f %9.1f | %.1f %.1f %.0f\n",
+			c.Class, c.Requests, c.Whole, c.First.P50, c.First.P95, c.First.P99,
+			c.Gaps.P50, c.Gaps.P95, c.Gaps.P99, c.Gaps.P999, c.Stalls.P50, c.Stalls.P99, c.StallSum)
+	}
+	for _, e := range r.Errors {
+		fmt.Fprintf(&b, "error %s (ran: %s): %d\n", e.Type, e.Ran, e.Count)
+	}
+	for _, w := range r.Wrong {
+		fmt.Fprintf(&b, "WRONG %s\n", w)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,56 @@
+package load
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/wire"
+)
+
+// Options are what a run does.
+type Options struct {
+	Entries   []string
+	Mix       Mix
+	Model     string
+	Requests  int
+	PerSecond float64
+	Seed      uint64
+	// Wait bounds the whole run after the last arrival.
+	Wait time.Duration
+}
+
+// Run sends a plan and reports what the callers saw.
+func Run(ctx context.Context, o Options) (Report, error) {
+	const dial = 2 * time.Second
+	const perHost = 512
+	t := wire.NewTransport(dial, true)
+	t.MaxIdleConnsPerHost = perHost
+	defer t.CloseIdleConnections()
+	c := &caller{http: &http.Client{Transport: t}, entries: o.Entries, model: o.Model}
+	var mutex sync.Mutex
+	s := newSummary()
+	began := time.Now()
+	x, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g, end := duty.New(x)
+	defer end()
+	for _, a := range Plan(o.Mix, o.Requests, o.PerSecond, o.Seed) {
+		if err := duty.Sleep(ctx, time.Until(began.Add(a.At))); err != nil {
+			return Report{}, err
+		}
+		g.Go(func(ctx context.Context) error {
+			r := c.do(ctx, a)
+			mutex.Lock()
+			defer mutex.Unlock()
+			s.add(r)
+			return nil
+		})
+	}
+	defer time.AfterFunc(o.Wait, cancel).Stop()
+	// Failures are part of the report.
+	_ = g.Wait()
+	return s.report(o, time.Since(began)), nil
+}
--- /dev/null
+++ b/internal/metric/doc.go
@@ -0,0 +1,2 @@
+// Package metric counts what an entry VM does, as expvar variables.
+package metric
--- /dev/null
+++ b/internal/metric/metric.go
@@ -0,0 +1,135 @@
+package metric
+
+import (
+	"expvar"
+	"net/http"
+)
+
+// Name names one variable.
+type Name string
+
+// Names of the variables.
+const (
+	RequestsTotal       Name = "requests_total"
+	RequestsDone        Name = "requests_done_total"
+	RequestsRefused     Name = "requests_refused_total"
+	RequestsFailed      Name = "requests_failed_total"
+	RequestsInFlight    Name = "requests_in_flight"
+	RequestsWaiting     Name = "requests_waiting"
+	TokensRelayed       Name = "tokens_relayed_total"
+	FirstTokenMS        Name = "first_token_ms_total"
+	FirstTokens         Name = "first_tokens_total"
+	StallMS             Name = "stall_ms_total"
+	Preemptions         Name = "preemptions_seen_total"
+	Resumes             Name = "stream_resumes_total"
+	Retries             Name = "retries_total"
+	CallersGone         Name = "callers_gone_total"
+	ClaimsMade          Name = "claims_made_total"
+	ClaimsRefused       Name = "claims_refused_total"
+	ClaimsReplayed      Name = "claims_replayed_total"
+	ClaimsKept          Name = "claim_attempts_kept"
+	OrdersSent          Name = "orders_sent_total"
+	OrdersRefused       Name = "orders_refused_total"
+	ConfigVersion       Name = "config_version"
+	ConfigChanges       Name = "config_changes_total"
+	ConfigFromPeers     Name = "config_from_peers_total"
+	PlatformReads       Name = "platform_reads_total"
+	PlatformWrites      Name = "platform_writes_total"
+	PlatformWatches     Name = "platform_watches_total"
+	PlatformFailures    Name = "platform_failures_total"
+	ReportsTaken        Name = "load_reports_total"
+	ReportsFailed       Name = "load_report_failures_total"
+	HeartbeatsSent      Name = "heartbeats_sent_total"
+	HeartbeatsFailed    Name = "heartbeat_failures_total"
+	MembersServing      Name = "members_serving"
+	EventsDropped       Name = "ring_drops_total"
+	ClockJumps          Name = "clock_jumps_total"
+	ClientsDisconnected Name = "slow_readers_total"
+)
+
+// Kind describes one variable in the catalogue.
+type Kind struct {
+	Name Name
+	Unit string
+	Help string
+}
+
+// Catalogue lists all variables.
+var Catalogue = []Kind{
+	{RequestsTotal, "requests", "Requests that arrived."},
+	{RequestsDone, "requests", "Requests answered whole."},
+	{RequestsRefused, "requests", "Requests refused as not run."},
+	{RequestsFailed, "requests", "Requests that failed and ran or may have run."},
+	{RequestsInFlight, "requests", "Requests in flight now."},
+	{RequestsWaiting, "requests", "Requests that wait for an engine now."},
+	{TokensRelayed, "tokens", "Tokens delivered to callers."},
+	{FirstTokenMS, "ms", "Sum of the times to the first token."},
+	{FirstTokens, "requests", "Requests that got a first token."},
+	{StallMS, "ms", "Sum of the gaps between tokens beyond 200 ms."},
+	{Preemptions, "preemptions", "Preemptions that engines told of finished generations."},
+	{Resumes, "resumes", "Streams resumed on their engine."},
+	{Retries, "attempts", "Attempts started again elsewhere."},
+	{CallersGone, "requests", "Requests whose callers closed their connections."},
+	{ClaimsMade, "claims", "Claims recorded before a send."},
+	{ClaimsRefused, "claims", "Requests refused because of a claim."},
+	{ClaimsReplayed, "claims", "Requests answered with a kept answer."},
+	{ClaimsKept, "attempts", "Claimed attempts in memory now."},
+	{OrdersSent, "orders", "Orders that engines carried out."},
+	{OrdersRefused, "orders", "Orders that failed or were refused."},
+	{ConfigVersion, "version", "Version of the configuration in force."},
+	{ConfigChanges, "changes", "Changes that came into force."},
+	{ConfigFromPeers, "lists", "Configurations taken from a peer."},
+	{PlatformReads, "calls", "Reads sent to the platform."},
+	{PlatformWrites, "calls", "Writes sent to the platform."},
+	{PlatformWatches, "calls", "Watches sent to the platform."},
+	{PlatformFailures, "calls", "Platform calls that failed."},
+	{ReportsTaken, "reports", "Load reports read."},
+	{ReportsFailed, "reports", "Load reports that could not be read."},
+	{HeartbeatsSent, "heartbeats", "Heartbeats sent to peers."},
+	{HeartbeatsFailed, "heartbeats", "Heartbeats without an answer."},
+	{MembersServing, "entry VMs", "Entry VMs that serve, this one among them."},
+	{EventsDropped, "items", "Items dropped because a ring between duties was full."},
+	{ClockJumps, "jumps", "Times this process did not run for long."},
+	{ClientsDisconnected, "requests", "Requests ended because the caller read too slowly."},
+}
+
+// Set is the variables of one entry VM.
+type Set struct {
+	vars expvar.Map
+}
+
+// New makes a set with every variable at 0.
+func New() *Set {
+	s := &Set{}
+	for _, k := range Catalogue {
+		s.vars.Add(string(k.Name), 0)
+	}
+	return s
+}
+
+// Add counts a variable up.
+func (s *Set) Add(n Name, d int64) {
+	s.vars.Add(string(n), d)
+}
+
+// Put sets a variable.
+func (s *Set) Put(n Name, v int64) {
+	if i, ok := s.vars.Get(string(n)).(*expvar.Int); ok {
+		i.Set(v)
+	}
+}
+
+// Get reads a variable.
+func (s *Set) Get(n Name) int64 {
+	if i, ok := s.vars.Get(string(n)).(*expvar.Int); ok {
+		return i.Value()
+	}
+	return 0
+}
+
+// ServeHTTP writes all variables as JSON.
+func (s *Set) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	// A reader that is gone needs no answer.
+	_, _ = w.Write([]byte(s.vars.String()))
+}
--- /dev/null
+++ b/internal/node/context.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/broker"
+	"github.com/wardridge/wardridge/internal/claims"
+	"github.com/wardridge/wardridge/internal/control"
+	"github.com/wardridge/wardridge/internal/decide/lease"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/engine"
+	"github.com/wardridge/wardridge/internal/entry"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/explain"
+	"github.com/wardridge/wardridge/internal/follow"
+	"github.com/wardridge/wardridge/internal/heartbeat"
+	"github.com/wardridge/wardridge/internal/leader"
+	"github.com/wardridge/wardridge/internal/lifecycle"
+	"github.com/wardridge/wardridge/internal/metric"
+	"github.com/wardridge/wardridge/internal/orders"
+	"github.com/wardridge/wardridge/internal/peer"
+	"github.com/wardridge/wardridge/internal/platform"
+	"github.com/wardridge/wardridge/internal/poll"
+	"github.com/wardridge/wardridge/internal/upkeep"
+)
+
+// Context is carried through the steps of a start and a stop.
+type Context struct {
+	context.Context
+
+	Settings api.Settings
+	Log      *event.Log
+	Metrics  *metric.Set
+	Life     *lifecycle.Life
+	Owner    lease.Owner
+	Explain  *explain.Recorder
+
+	Platform *platform.Client
+	Engines  *engine.Client
+	Peers    *peer.Client
+	Reused   *http.Client
+	Single   *http.Client
+
+	Group   *duty.Group
+	Broker  *broker.Broker
+	Follow  *follow.Follower
+	Poll    *poll.Poller
+	Beat    *heartbeat.Keeper
+	Claims  *claims.Keeper
+	Leaders []*leader.Leader
+	Orders  *orders.Sender
+	Upkeep  *upkeep.Keeper
+	Entry   *entry.Server
+	Control *control.Server
+
+	CallerServer  *http.Server
+	ControlServer *http.Server
+
+	cleanups []func()
+}
+
+// New makes the context of a start.
+func New(ctx context.Context, s api.Settings, l *event.Log) *Context {
+	return &Context{
+		Context:  ctx,
+		Settings: s,
+		Log:      l,
+		Metrics:  metric.New(),
+		Owner: lease.Owner{
+			VM:          s.Node.Name,
+			Incarnation: api.Incarnation(time.Now().UnixNano()),
+		},
+	}
+}
+
+// cleanup notes what is to be done at the end, last first.
+func (c *Context) cleanup(f func()) {
+	c.cleanups = append(c.cleanups, f)
+}
+
+// Close does all clean-ups.
+func (c *Context) Close() {
+	for i := len(c.cleanups) - 1; i >= 0; i-- {
+		c.cleanups[i]()
+	}
+	c.cleanups = nil
+}
--- /dev/null
+++ b/internal/node/start.go
@@ -0,0 +1,280 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/broker"
+	"github.com/wardridge/wardridge/internal/claims"
+	"github.com/wardridge/wardridge/internal/clock"
+	"github.com/wardridge/wardridge/internal/control"
+	"github.com/wardridge/wardridge/internal/decide/admit"
+	"github.com/wardridge/wardridge/internal/decide/config"
+	"github.com/wardridge/wardridge/internal/decide/dispatch"
+	"github.com/wardridge/wardridge/internal/decide/lease"
+	"github.com/wardridge/wardridge/internal/decide/route"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/engine"
+	"github.com/wardridge/wardridge/internal/entry"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/explain"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/follow"
+	"github.com/wardridge/wardridge/internal/heartbeat"
+	"github.com/wardridge/wardridge/internal/leader"
+	"github.com/wardridge/wardridge/internal/lifecycle"
+	"github.com/wardridge/wardridge/internal/orders"
+	"github.com/wardridge/wardridge/internal/peer"
+	"github.com/wardridge/wardridge/internal/platform"
+	"github.com/wardridge/wardridge/internal/poll"
+	"github.com/wardridge/wardridge/internal/step"
+	"github.com/wardridge/wardridge/internal/upkeep"
+	"github.com/wardridge/wardridge/internal/wire"
+)
+
+// starting lists the steps of a start in order.
+var starting = []step.Step[*Context]{
+	state{}, clients{}, decisions{}, duties{}, servers{}, opening{},
+}
+
+// state makes what the process remembers.
+type state struct{}
+
+func (state) String() string { return "state" }
+
+func (state) Run(c *Context) error {
+	c.Life = lifecycle.New(clock.Boot)
+	c.Explain = explain.New(c.Settings.Node.Name, c.Settings.Entry.ExplainRecords)
+	return nil
+}
+
+// clients makes the connections to other processes.
+type clients struct{}
+
+func (clients) String() string { return "clients" }
+
+// dialTime bounds the time to connect to a backend server or a peer.
+const dialTime = time.Second
+
+// peerTime bounds one call to a peer.
+const peerTime = 1500 * time.Millisecond
+
+func (clients) Run(c *Context) error {
+	var closer func()
+	c.Platform, closer = platform.New(c.Settings.Platform.Address, c.Settings.Platform.TimeoutMS.Duration())
+	c.cleanup(closer)
+	c.Engines, closer = engine.New(dialTime)
+	c.cleanup(closer)
+	c.Peers, closer = peer.New(peerTime)
+	c.cleanup(closer)
+	c.Reused, closer = wire.NewClient(dialTime, true)
+	c.cleanup(closer)
+	c.Single, closer = wire.NewClient(dialTime, false)
+	c.cleanup(closer)
+	return nil
+}
+
+// decisions makes the parts that decide.
+type decisions struct{}
+
+func (decisions) String() string { return "decisions" }
+
+func (decisions) Run(c *Context) error {
+	s := c.Settings
+	c.Broker = broker.New(dispatch.New(dispatch.Options{
+		Admission:     admission(s.Engine),
+		Routing:       routing(s.Engine),
+		QueueLimit:    s.Entry.QueueLimit,
+		QueueWait:     s.Entry.QueueWaitMS.Duration(),
+		Suspect:       s.Engine.SuspectMS.Duration(),
+		RetryPermille: s.Engine.RetryPermille,
+		Seed:          uint64(c.Owner.Incarnation),
+	}))
+	const kilo = 1024
+	c.Claims = claims.New(c.Owner, c.Platform, release{c}, s.Claim.AnswerLimitKB*kilo, c.Log, c.Metrics)
+	return nil
+}
+
+// stepAim is the time between tokens that admission keeps to, ms: the target
+// of 70 ms with room for the path to the caller.
+const stepAim = 63
+
+func admission(s api.EngineSettings) admit.Policy {
+	const permille = 1000
+	switch s.Admission {
+	case api.EngineSettingsAdmissionSlots:
+		return admit.Slots{N: s.Slots}
+	case api.EngineSettingsAdmissionMean:
+		return admit.Mean{}
+	case api.EngineSettingsAdmissionMaximum:
+		return admit.Maximum{}
+	default:
+		return admit.NewSurvival(float64(s.OverflowPermille)/permille, stepAim)
+	}
+}
+
+// homeBound is how much fuller than another engine the home of a prefix may be.
+const homeBound = 0.15
+
+func routing(s api.EngineSettings) route.Policy {
+	switch s.Routing {
+	case api.EngineSettingsRoutingRoundRobin:
+		return &route.RoundRobin{}
+	case api.EngineSettingsRoutingLeastLoaded:
+		return route.LeastLoaded{}
+	case api.EngineSettingsRoutingTwoChoices:
+		return route.TwoChoices{}
+	default:
+		return route.Prefix{Over: homeBound}
+	}
+}
+
+// release asks peers to give claims up.
+type release struct {
+	node *Context
+}
+
+// Release asks the entry VM that made a claim.
+func (r release) Release(ctx context.Context, n api.VMName, q api.AttemptQuery) (bool, error) {
+	a, ok := r.node.Beat.Find(n)
+	if !ok {
+		return false, fault.New(fault.PeerUnreachable, "the owner of the claim is not listed")
+	}
+	return r.node.Peers.Release(ctx, a, q)
+}
+
+// duties makes and starts the duties.
+type duties struct{}
+
+func (duties) String() string { return "duties" }
+
+func (duties) Run(c *Context) error {
+	var closer func()
+	// Duties outlive the signal to stop: they end with the clean-up.
+	c.Group, closer = duty.New(context.WithoutCancel(c.Context))
+	c.cleanup(closer)
+	c.Poll = poll.New(c.Group, c.Engines, c.Log, c.Metrics, c.Settings.Engine.ReportPollMS.Duration())
+	c.Entry = entry.New(entry.Parts{
+		Settings: c.Settings, Log: c.Log, Metrics: c.Metrics, Life: c.Life,
+		View: func() *config.View { return c.Follow.View() }, Broker: c.Broker,
+		Engines: c.Engines, Claims: c.Claims, Explain: c.Explain, Group: c.Group,
+		Reused: c.Reused, Single: c.Single,
+	})
+	c.Follow = follow.New(c.Platform, c.Life, c.Log, c.Metrics, c.Settings.Platform.WatchWaitMS.Duration(), c.declare, c.Poll.Declare, c.Entry.Declare)
+	c.Beat = heartbeat.New(c.heartbeat, c.catchUp, c.Peers, c.Log, c.Metrics)
+	c.lead()
+	c.startDuties()
+	return nil
+}
+
+// lead makes the leases and what is done under them.
+func (c *Context) lead() {
+	t := lease.Timing{Duration: c.Settings.Lease.DurationMS.Duration(), Skew: c.Settings.Lease.SkewMS.Duration()}
+	o := leader.New(orders.Duty, c.Platform, c.Owner, t, clock.Boot, c.Log, c.Metrics)
+	u := leader.New(upkeep.Duty, c.Platform, c.Owner, t, clock.Boot, c.Log, c.Metrics)
+	c.Leaders = []*leader.Leader{o, u}
+	c.Orders = orders.New(o, c.Engines, c.Follow.View, c.Poll.Last, c.Settings.Order.WeightsMBPerSecond, c.Log, c.Metrics)
+	c.Upkeep = upkeep.New(u, c.Platform, c.Follow.View, c.Broker.Status, c.Poll.Last, c.Settings.Claim.KeepMS.Duration(), c.Log, c.Metrics)
+}
+
+// Times between the rounds of small duties.
+const (
+	tickEvery = 50 * time.Millisecond
+	beatEvery = 250 * time.Millisecond
+)
+
+func (c *Context) startDuties() {
+	g := c.Group
+	g.Go(c.Follow.Watch)
+	g.Go(c.Follow.Apply)
+	g.Go(c.Beat.Run)
+	g.Go(func(ctx context.Context) error { return c.Poll.Deliver(ctx, c.Broker.Report) })
+	g.Every(c.Settings.Platform.VMPollMS.Duration(), c.readVMs)
+	g.Every(tickEvery, c.tick)
+	g.Every(beatEvery, c.beat)
+	g.Go(c.Orders.Plan)
+	for range orders.Workers {
+		g.Go(c.Orders.Work)
+	}
+	g.Go(c.Upkeep.Run)
+	for _, l := range c.Leaders {
+		g.Go(l.Run)
+	}
+}
+
+// declare tells the dispatcher of the engines in a view.
+func (c *Context) declare(v *config.View) {
+	var l []dispatch.Server
+	for _, s := range v.Engines() {
+		l = append(l, dispatch.Server{Name: s.Name, Domain: s.Domain, Draining: s.State == api.ServerStateDraining})
+	}
+	c.Broker.Declare(l)
+}
+
+// servers listens for callers and peers.
+type servers struct{}
+
+func (servers) String() string { return "servers" }
+
+func (servers) Run(c *Context) error {
+	c.Control = control.New(control.Parts{
+		Beat: c.Beat, Peers: c.Peers, Claims: c.Claims, Explain: c.Explain, Metrics: c.Metrics,
+		Config: c.Follow.List, Status: c.Status,
+	})
+	w := c.Settings.Entry.HeaderWaitMS.Duration()
+	var err error
+	if c.ControlServer, err = c.listen(c.Settings.Node.Control, c.Control.Handler(), w); err != nil {
+		return err
+	}
+	c.CallerServer, err = c.listen(c.Settings.Node.Listen, c.Entry.Handler(), w)
+	return err
+}
+
+func (c *Context) listen(address string, h http.Handler, wait time.Duration) (*http.Server, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fault.Wrap(fault.ListenFailed, err, "listening on "+address)
+	}
+	s := wire.NewServer(h, wait)
+	c.Group.Go(func(context.Context) error {
+		// The end of the server is part of the stop.
+		_ = s.Serve(l)
+		return nil
+	})
+	c.cleanup(func() { _ = s.Close() })
+	return s, nil
+}
+
+// opening waits for a confirmed configuration and then serves callers.
+type opening struct{}
+
+func (opening) String() string { return "opening" }
+
+// peersWait bounds the wait for a configuration that a peer says is newer.
+const peersWait = 5 * time.Second
+
+func (opening) Run(c *Context) error {
+	select {
+	case <-c.Follow.Ready():
+	case <-c.Done():
+		return c.Err()
+	}
+	c.readVMs(c)
+	c.Beat.Round(c)
+	// A stale replica of the platform must not take the fleet back: what any
+	// peer has in force is waited for.
+	end := time.Now().Add(peersWait)
+	for c.Beat.Newest() > c.Follow.View().Version && time.Now().Before(end) {
+		if err := duty.Sleep(c, tickEvery); err != nil {
+			return err
+		}
+	}
+	c.Life.Serve()
+	c.Log.Emit(event.Started, zap.String("listen", c.Settings.Node.Listen), zap.String("control", c.Settings.Node.Control))
+	return nil
+}
--- /dev/null
+++ b/internal/node/stop.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"context"
+
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/step"
+)
+
+// stopping lists the steps of a planned stop in order.
+var stopping = []step.Step[*Context]{
+	turning{}, draining{}, releasing{}, closing{},
+}
+
+// turning turns the health check, so that the balancer sends callers
+// elsewhere, while requests on their way are still served.
+type turning struct{}
+
+func (turning) String() string { return "turning the health check" }
+
+func (turning) Run(c *Context) error {
+	c.Log.Emit(event.StopBegun)
+	c.Life.Turn()
+	return duty.Sleep(c, c.Settings.Node.StopWaitMS.Duration())
+}
+
+// draining takes no new request and waits for those in flight.
+type draining struct{}
+
+func (draining) String() string { return "draining" }
+
+func (draining) Run(c *Context) error {
+	c.Life.Stop()
+	x, cancel := context.WithTimeout(c, c.Settings.Node.StopLimitMS.Duration())
+	defer cancel()
+	if err := c.Life.Idle(x); err != nil {
+		c.stopped(event.StopLimit)
+		return nil
+	}
+	c.stopped(event.StopDone)
+	return nil
+}
+
+// releasing gives the leases back, so that others need not wait them out.
+type releasing struct{}
+
+func (releasing) String() string { return "releasing leases" }
+
+func (releasing) Run(c *Context) error {
+	for _, l := range c.Leaders {
+		l.Release(c)
+	}
+	return nil
+}
+
+// closing closes the listeners once their last answers are written.
+type closing struct{}
+
+func (closing) String() string { return "closing listeners" }
+
+func (closing) Run(c *Context) error {
+	x, cancel := context.WithTimeout(c, dialTime)
+	defer cancel()
+	// Kept connections without a request are closed with the process.
+	_ = c.CallerServer.Shutdown(x)
+	return nil
+}
--- /dev/null
+++ b/internal/orders/orders.go
@@ -0,0 +1,132 @@
+package orders
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/config"
+	"github.com/wardridge/wardridge/internal/decide/order"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/engine"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/leader"
+	"github.com/wardridge/wardridge/internal/metric"
+	"github.com/wardridge/wardridge/internal/ring"
+)
+
+// Duty names the lease.
+const Duty = "orders"
+
+// Workers is the number of orders that are carried out at once.
+const Workers = 4
+
+// Every is the time between plans.
+const Every = 500 * time.Millisecond
+
+// callTime bounds one order; a new holder waits longer than this before it
+// orders engines that do not check fences.
+const callTime = order.Wait * 4 / 5
+
+// Sender plans and sends orders.
+type Sender struct {
+	leader  *leader.Leader
+	client  *engine.Client
+	view    func() *config.View
+	seen    func() map[api.ServerName]api.LoadReport
+	log     *event.Log
+	metrics *metric.Set
+	planner *order.Planner
+	steps   *ring.Ring[order.Step]
+}
+
+// New makes a sender under a weight store that gives so many MB a second.
+func New(l *leader.Leader, c *engine.Client, view func() *config.View, seen func() map[api.ServerName]api.LoadReport, rate int, e *event.Log, m *metric.Set) *Sender {
+	return &Sender{
+		leader: l, client: c, view: view, seen: seen, log: e, metrics: m,
+		planner: order.New(rate), steps: ring.New[order.Step](Workers),
+	}
+}
+
+// Plan is the duty that decides which orders are due.
+func (s *Sender) Plan(ctx context.Context) error {
+	return duty.Loop(ctx, func() time.Duration { return Every }, s.plan)
+}
+
+func (s *Sender) plan(ctx context.Context) {
+	f, ok := s.leader.Held()
+	if !ok {
+		return
+	}
+	seen := map[api.ServerName]order.Seen{}
+	for n, r := range s.seen() {
+		seen[n] = order.Seen{Role: r.Role, Loaded: r.Loaded, Fence: r.Fence}
+	}
+	for _, x := range s.planner.Plan(time.Now(), f, targets(s.view()), seen) {
+		if err := s.steps.Put(ctx, x); err != nil {
+			return
+		}
+	}
+}
+
+// targets lists what every declared engine has to be like, in order of name.
+func targets(v *config.View) []order.Target {
+	var l []order.Target
+	for _, x := range v.Engines() {
+		t := order.Target{
+			Server:      x.Name,
+			Role:        x.Role,
+			Items:       v.Items(x),
+			Sizes:       map[string]int{},
+			ChecksFence: x.ChecksFence,
+		}
+		for n, m := range v.Models {
+			t.Sizes[api.Item(api.ResourceKindModel, string(n), m.Weights)] = m.SizeMB
+		}
+		for n, a := range v.Adapters {
+			t.Sizes[api.Item(api.ResourceKindAdapter, string(n), a.Weights)] = a.SizeMB
+		}
+		l = append(l, t)
+	}
+	return l
+}
+
+// Work is the duty that carries orders out; several may run.
+func (s *Sender) Work(ctx context.Context) error {
+	for {
+		x, err := s.steps.Take(ctx)
+		if err != nil {
+			return nil
+		}
+		s.send(ctx, x)
+	}
+}
+
+func (s *Sender) send(ctx context.Context, x order.Step) {
+	v, ok := s.view().Servers[x.Server]
+	if !ok {
+		return
+	}
+	// The fence is asked for again at the last moment: the order may have
+	// waited in the ring while the lease lapsed.
+	if f, ok := s.leader.Held(); !ok || f != x.Order.Fence {
+		return
+	}
+	c, cancel := context.WithTimeout(ctx, callTime)
+	defer cancel()
+	err := s.client.Order(c, v.Address, x.Order)
+	fields := []zap.Field{
+		zap.String("server", string(x.Server)), zap.String("action", string(x.Order.Action)),
+		zap.String("item", x.Order.Item), zap.Int("fence", int(x.Order.Fence)),
+	}
+	if err != nil {
+		s.metrics.Add(metric.OrdersRefused, 1)
+		s.log.Emit(event.OrderRefused, append(fields, zap.Error(err), zap.Bool("old_fence", fault.Has(err, fault.OldFence)))...)
+		return
+	}
+	s.metrics.Add(metric.OrdersSent, 1)
+	s.log.Emit(event.OrderSent, fields...)
+}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -82,3 +82,10 @@
 	err := c.call(ctx, "reading the status", http.MethodGet, address, PathStatus, nil, &s)
 	return s, err
 }
+
+// Metrics reads an entry VM's variables.
+func (c *Client) Metrics(ctx context.Context, address string) (map[string]int64, error) {
+	m := map[string]int64{}
+	err := c.call(ctx, "reading metrics", http.MethodGet, address, PathMetrics, nil, &m)
+	return m, err
+}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -1,9 +1,7 @@
 package platform
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -142,18 +140,8 @@
 	if n.Version == o.Version {
 		return c.Put(ctx, o)
 	}
-	if n.Version > o.Version && sameJSON(n.Spec, o.Spec) {
+	if n.Version > o.Version && api.SameJSON(n.Spec, o.Spec) {
 		return n, nil
 	}
 	return n, fault.New(fault.VersionConflict, "the object has another version")
 }
-
-func sameJSON(a, b []byte) bool {
-	var x, y any
-	if json.Unmarshal(a, &x) != nil || json.Unmarshal(b, &y) != nil {
-		return false
-	}
-	p, err := json.Marshal(x)
-	q, e := json.Marshal(y)
-	return err == nil && e == nil && bytes.Equal(p, q)
-}
--- /dev/null
+++ b/internal/poll/doc.go
@@ -0,0 +1,2 @@
+// Package poll reads the engines' load reports.
+package poll
--- /dev/null
+++ b/internal/resource/apply.go
@@ -0,0 +1,89 @@
+package resource
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/samber/oops"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/fault"
+)
+
+// Store is where resources are applied.
+type Store interface {
+	Get(ctx context.Context, k api.ResourceKind, n string) (api.Object, error)
+	PutConfirmed(ctx context.Context, o api.Object) (api.Object, error)
+}
+
+// Outcome tells what became of one resource.
+type Outcome struct {
+	Object  api.Object
+	Changed bool
+}
+
+// Apply writes a resource if nobody changed it since the version it names; a
+// resource without a version is created, and must not be there with another
+// spec. It fails with VersionConflict, which shows what is there.
+func Apply(ctx context.Context, s Store, o api.Object) (Outcome, error) {
+	n, err := s.PutConfirmed(ctx, o)
+	if err == nil {
+		return Outcome{Object: n, Changed: true}, nil
+	}
+	if !fault.Has(err, fault.VersionConflict) {
+		return Outcome{}, oops.In("apply").Wrapf(err, "applying %s %s", o.Kind, o.Name)
+	}
+	there, e := s.Get(ctx, o.Kind, o.Name)
+	if fault.Has(e, fault.NotFound) {
+		return Outcome{}, fault.Wrap(fault.VersionConflict, err, fmt.Sprintf("%s %s was removed since version %d", o.Kind, o.Name, o.Version))
+	}
+	if e != nil {
+		return Outcome{}, oops.In("apply").Wrapf(e, "reading %s %s", o.Kind, o.Name)
+	}
+	if api.SameJSON(there.Spec, o.Spec) {
+		return Outcome{Object: there}, nil
+	}
+	return Outcome{}, conflict(o, there)
+}
+
+func conflict(o, there api.Object) error {
+	d := fmt.Sprintf("%s %s is at version %d, not at %d; nothing was changed. It is:\n%s", o.Kind, o.Name, there.Version, o.Version, Text(there))
+	return fault.New(fault.VersionConflict, d)
+}
+
+// editTries bounds the times an edit is tried against other operators.
+const editTries = 8
+
+// Edit changes one field of a resource and leaves what others change beside
+// it as it is.
+func Edit(ctx context.Context, s Store, k api.ResourceKind, n, field string, value any) (Outcome, error) {
+	var err error
+	for range editTries {
+		var o api.Object
+		if o, err = s.Get(ctx, k, n); err != nil {
+			return Outcome{}, oops.In("edit").Wrapf(err, "reading %s %s", k, n)
+		}
+		var m map[string]any
+		if err := json.Unmarshal(o.Spec, &m); err != nil {
+			return Outcome{}, fault.Wrap(fault.InvalidResource, err, string(k)+" "+n)
+		}
+		if m[field] == value {
+			return Outcome{Object: o}, nil
+		}
+		m[field] = value
+		if o.Spec, err = json.Marshal(m); err != nil {
+			return Outcome{}, fault.Wrap(fault.Internal, err, "encoding a spec")
+		}
+		if err = Check(o); err != nil {
+			return Outcome{}, err
+		}
+		if o, err = s.PutConfirmed(ctx, o); err == nil {
+			return Outcome{Object: o, Changed: true}, nil
+		}
+		if !fault.Has(err, fault.VersionConflict) {
+			break
+		}
+	}
+	return Outcome{}, oops.In("edit").Wrapf(err, "changing %s of %s %s", field, k, n)
+}
--- /dev/null
+++ b/internal/resource/doc.go
@@ -0,0 +1,2 @@
+// Package resource reads resources from operators' files and applies them.
+package resource
--- /dev/null
+++ b/internal/resource/refs.go
@@ -0,0 +1,52 @@
+package resource
+
+import (
+	"fmt"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/config"
+)
+
+// Dangling lists references to resources that the objects do not hold.
+func Dangling(l []api.Object) []string {
+	s := config.New()
+	s.Replace(api.ObjectList{Version: 1, Items: l})
+	v, _ := config.Build(s, nil, Decode)
+	var out []string
+	miss := func(k api.ResourceKind, n string, to api.ResourceKind, name string) {
+		out = append(out, fmt.Sprintf("%s %s names %s %s, which is not declared", k, n, to, name))
+	}
+	for _, o := range l {
+		switch o.Kind {
+		case api.ResourceKindAdapter:
+			if m := v.Adapters[api.AdapterName(o.Name)].Model; !has(v.Models, m) {
+				miss(o.Kind, o.Name, api.ResourceKindModel, string(m))
+			}
+		case api.ResourceKindWorkspace:
+			w := v.Workspaces[api.WorkspaceName(o.Name)]
+			each(w.Models, v.Models, func(n string) { miss(o.Kind, o.Name, api.ResourceKindModel, n) })
+			each(w.Adapters, v.Adapters, func(n string) { miss(o.Kind, o.Name, api.ResourceKindAdapter, n) })
+			each(w.Services, v.Services, func(n string) { miss(o.Kind, o.Name, api.ResourceKindService, n) })
+		case api.ResourceKindBackendServer:
+			b := v.Servers[api.ServerName(o.Name)]
+			each(b.Models, v.Models, func(n string) { miss(o.Kind, o.Name, api.ResourceKindModel, n) })
+			each(b.Adapters, v.Adapters, func(n string) { miss(o.Kind, o.Name, api.ResourceKindAdapter, n) })
+		case api.ResourceKindService:
+			each(v.Services[api.ServiceName(o.Name)].Servers, v.Servers, func(n string) { miss(o.Kind, o.Name, api.ResourceKindBackendServer, n) })
+		}
+	}
+	return out
+}
+
+func has[K comparable, V any](m map[K]V, k K) bool {
+	_, ok := m[k]
+	return ok
+}
+
+func each[K ~string, V any](names []K, m map[K]V, miss func(string)) {
+	for _, n := range names {
+		if !has(m, n) {
+			miss(string(n))
+		}
+	}
+}
--- /dev/null
+++ b/internal/sample/doc.go
@@ -0,0 +1,2 @@
+// Package sample holds the resources of a small system to start with.
+package sample
--- /dev/null
+++ b/internal/trace/doc.go
@@ -0,0 +1,2 @@
+// Package trace sets up spans and where they go.
+package trace
--- /dev/null
+++ b/internal/trace/trace.go
@@ -0,0 +1,71 @@
+package trace
+
+import (
+	"context"
+	"os"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/sdk/resource"
+	sdk "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/fault"
+)
+
+// scope names the tracer of this system.
+const scope = "github.com/wardridge/wardridge"
+
+// Install sets the process's tracing up; the clean-up sends what is left.
+func Install(ctx context.Context, s api.TraceSettings, process string) (func(), error) {
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+	e, closer, err := exporter(ctx, s)
+	if err != nil {
+		return nil, err
+	}
+	if e == nil {
+		return func() {}, nil
+	}
+	const permille = 1000
+	p := sdk.NewTracerProvider(
+		sdk.WithBatcher(e),
+		sdk.WithSampler(sdk.ParentBased(sdk.TraceIDRatioBased(float64(s.SamplePermille)/permille))),
+		sdk.WithResource(resource.NewSchemaless(attribute.String("service.name", process))),
+	)
+	otel.SetTracerProvider(p)
+	return func() {
+		const wait = 2 * time.Second
+		c, cancel := context.WithTimeout(context.WithoutCancel(ctx), wait)
+		defer cancel()
+		// Spans that can't be sent any more are given up.
+		_ = p.Shutdown(c)
+		closer()
+	}, nil
+}
+
+func exporter(ctx context.Context, s api.TraceSettings) (sdk.SpanExporter, func(), error) {
+	switch s.Exporter {
+	case api.TraceSettingsExporterFile:
+		f, err := os.OpenFile(s.Target, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return nil, nil, fault.Wrap(fault.UnreadableFile, err, "opening the trace file")
+		}
+		e, err := stdouttrace.New(stdouttrace.WithWriter(f))
+		return e, func() { _ = f.Close() }, err
+	case api.TraceSettingsExporterOtlp:
+		e, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpoint(s.Target), otlptracehttp.WithInsecure())
+		return e, func() {}, err
+	default:
+		return nil, func() {}, nil
+	}
+}
+
+// Start begins a span of a step within this process.
+func Start(ctx context.Context, name string) (context.Context, trace.Span) {
+	return otel.Tracer(scope).Start(ctx, name)
+}
--- /dev/null
+++ b/internal/upkeep/claims.go
@@ -0,0 +1,59 @@
+package upkeep
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/metric"
+)
+
+// sweepEvery is the time between looks for old claims.
+const sweepEvery = time.Minute
+
+// perSweep bounds the claims removed in one look.
+const perSweep = 200
+
+// sweep removes claims older than the keeping time, by the wall clock of the
+// VM that made them: a caller has to ask again within that time.
+func (k *Keeper) sweep(ctx context.Context) {
+	now := time.Now()
+	if now.Sub(k.swept) < sweepEvery {
+		return
+	}
+	k.swept = now
+	k.metrics.Add(metric.PlatformReads, 1)
+	l, err := k.store.List(ctx, []api.ResourceKind{api.ResourceKindClaim})
+	if err != nil {
+		return
+	}
+	n := 0
+	for _, o := range l.Items {
+		if n < perSweep && k.old(now, o) && k.remove(ctx, o) {
+			n++
+		}
+	}
+	if n > 0 {
+		k.log.Emit(event.ClaimRemoved, zap.Int("claims", n))
+	}
+}
+
+func (k *Keeper) old(now time.Time, o api.Object) bool {
+	var s api.ClaimSpec
+	if err := json.Unmarshal(o.Spec, &s); err != nil {
+		return false
+	}
+	return now.Sub(time.UnixMilli(int64(s.CreatedMS))) > k.keep
+}
+
+func (k *Keeper) remove(ctx context.Context, o api.Object) bool {
+	if _, ok := k.leader.Held(); !ok {
+		return false
+	}
+	k.metrics.Add(metric.PlatformWrites, 1)
+	return k.store.Delete(ctx, o.Kind, o.Name, o.Version) == nil
+}
--- /dev/null
+++ b/internal/upkeep/status.go
@@ -0,0 +1,171 @@
+package upkeep
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/config"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/leader"
+	"github.com/wardridge/wardridge/internal/metric"
+)
+
+// Duty names the lease.
+const Duty = "upkeep"
+
+// Every is the time between looks at what has to be written.
+const Every = time.Second
+
+// perRound bounds the status writes of one round, so that a large change
+// leaves the platform's writes to others.
+const perRound = 5
+
+// Store is where status and claims are kept.
+type Store interface {
+	Get(ctx context.Context, k api.ResourceKind, n string) (api.Object, error)
+	List(ctx context.Context, kinds []api.ResourceKind) (api.ObjectList, error)
+	PutConfirmed(ctx context.Context, o api.Object) (api.Object, error)
+	Delete(ctx context.Context, k api.ResourceKind, n string, v api.Version) error
+}
+
+// Keeper does the upkeep.
+type Keeper struct {
+	leader  *leader.Leader
+	store   Store
+	view    func() *config.View
+	servers func() []api.ServerStatus
+	reports func() map[api.ServerName]api.LoadReport
+	keep    time.Duration
+	log     *event.Log
+	metrics *metric.Set
+
+	// written is the last status of each object and its version; it is
+	// forgotten when the lease is lost.
+	written map[string]api.Object
+	fence   api.Fence
+	swept   time.Time
+}
+
+// New makes a keeper that removes claims older than keep.
+func New(l *leader.Leader, s Store, view func() *config.View, servers func() []api.ServerStatus, reports func() map[api.ServerName]api.LoadReport, keep time.Duration, e *event.Log, m *metric.Set) *Keeper {
+	return &Keeper{leader: l, store: s, view: view, servers: servers, reports: reports, keep: keep, log: e, metrics: m}
+}
+
+// Run is the duty.
+func (k *Keeper) Run(ctx context.Context) error {
+	return duty.Loop(ctx, func() time.Duration { return Every }, k.round)
+}
+
+func (k *Keeper) round(ctx context.Context) {
+	f, ok := k.leader.Held()
+	if !ok {
+		return
+	}
+	if f != k.fence {
+		k.written = map[string]api.Object{}
+		k.fence = f
+		k.swept = time.Time{}
+	}
+	k.writeStatus(ctx)
+	k.sweep(ctx)
+}
+
+func (k *Keeper) writeStatus(ctx context.Context) {
+	left := perRound
+	for _, s := range k.wanted() {
+		if left == 0 {
+			return
+		}
+		if k.write(ctx, s) {
+			left--
+		}
+	}
+}
+
+// wanted lists the status of every declared engine.
+func (k *Keeper) wanted() []api.StatusSpec {
+	v := k.view()
+	r := k.reports()
+	var l []api.StatusSpec
+	for _, s := range k.servers() {
+		d, ok := v.Servers[s.Server]
+		if !ok {
+			continue
+		}
+		x := api.StatusSpec{
+			OfKind:          api.ResourceKindBackendServer,
+			OfName:          string(s.Server),
+			ObservedVersion: d.Version,
+			Loaded:          append([]string{}, r[s.Server].Loaded...),
+		}
+		x.State, x.Detail = state(s, v.Items(d), x.Loaded)
+		l = append(l, x)
+	}
+	return l
+}
+
+func state(s api.ServerStatus, want, have []string) (api.StatusSpecState, string) {
+	switch s.State {
+	case api.ServerStatusStateUnreachable:
+		return api.StatusSpecStateUnreachable, "no load report for too long"
+	case api.ServerStatusStateDraining:
+		return api.StatusSpecStateDraining, "draining as declared"
+	case api.ServerStatusStateLeaving:
+		return api.StatusSpecStateDraining, "leaving by its own notice or the list of VMs"
+	}
+	for _, i := range want {
+		if !slices.Contains(have, i) {
+			return api.StatusSpecStateLoading, i + " is not loaded"
+		}
+	}
+	return api.StatusSpecStateReady, ""
+}
+
+// write writes a status that changed and reports whether it called the
+// platform.
+func (k *Keeper) write(ctx context.Context, s api.StatusSpec) bool {
+	b, err := json.Marshal(s)
+	if err != nil {
+		return false
+	}
+	n := string(s.OfKind) + "." + s.OfName
+	last, ok := k.written[n]
+	if ok && string(last.Spec) == string(b) {
+		return false
+	}
+	if !ok && !k.known(ctx, n, &last) {
+		return true
+	}
+	if string(last.Spec) == string(b) {
+		k.written[n] = last
+		return true
+	}
+	k.metrics.Add(metric.PlatformWrites, 1)
+	o, err := k.store.PutConfirmed(ctx, api.Object{Kind: api.ResourceKindStatus, Name: n, Version: last.Version, Spec: b})
+	if err != nil {
+		// What is there now is read before the next try.
+		delete(k.written, n)
+		return true
+	}
+	k.written[n] = api.Object{Version: o.Version, Spec: b}
+	k.log.Emit(event.StatusWritten, zap.String("status", n), zap.String("state", string(s.State)))
+	return true
+}
+
+// known reads the present status, which may not exist.
+func (k *Keeper) known(ctx context.Context, n string, out *api.Object) bool {
+	k.metrics.Add(metric.PlatformReads, 1)
+	o, err := k.store.Get(ctx, api.ResourceKindStatus, n)
+	if fault.Has(err, fault.NotFound) {
+		return true
+	}
+	*out = o
+	return err == nil
+}
