--- a/cmd/apply.go
+++ b/cmd/apply.go
@@ -113,8 +113,8 @@
 		if behind = late(s, a.newest); len(behind) == 0 {
 			return a.print("in force on every entry VM at version %d\n", a.newest)
 		}
-		if err := duty.Sleep(a, pause); err != nil {
-			return err
+		if !duty.Sleep(a, pause) {
+			return a.Err()
 		}
 	}
 	return fault.New(fault.NotInForce, "accepted, and not yet seen in force on "+strings.Join(behind, ", "))
--- a/cmd/drain.go
+++ b/cmd/drain.go
@@ -51,8 +51,8 @@
 		if idle(s, api.ServerName(c.Server)) {
 			return e.print("backend-server %s runs nothing for entry VM %s\n", c.Server, s.VM)
 		}
-		if err := duty.Sleep(e, pause); err != nil {
-			return err
+		if !duty.Sleep(e, pause) {
+			return e.Err()
 		}
 	}
 	return fault.New(fault.NotInForce, "the server still runs work")
--- a/cmd/watch.go
+++ b/cmd/watch.go
@@ -51,7 +51,7 @@
 		case err != nil:
 			// The platform may be down for long; nothing is missed, as the
 			// watch goes on from the same version.
-			if err := duty.Sleep(e, pause); err != nil {
+			if !duty.Sleep(e, pause) {
 				return nil
 			}
 			continue
--- a/internal/decide/answer/answer.go
+++ b/internal/decide/answer/answer.go
@@ -54,7 +54,7 @@
 type Next struct {
 	Move  Move
 	Wait  time.Duration
-	Fault *fault.Fault
+	Fault *fault.Error
 }
 
 // Policy bounds what an answer may try.
--- a/internal/decide/claim/claim.go
+++ b/internal/decide/claim/claim.go
@@ -33,7 +33,7 @@
 	Kind    Kind
 	Spec    api.ClaimSpec
 	Version api.Version
-	Fault   *fault.Fault
+	Fault   *fault.Error
 }
 
 // Written is the outcome of a conditional write.
--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -36,7 +36,7 @@
 type Action struct {
 	Request api.RequestID
 	Server  api.ServerName
-	Refusal *fault.Fault
+	Refusal *fault.Error
 	Reason  string
 }
 
@@ -217,7 +217,7 @@
 }
 
 // impossible finds a reason to refuse a request without waiting.
-func (d *Dispatcher) impossible(now time.Time, p pool, w Work) *fault.Fault {
+func (d *Dispatcher) impossible(now time.Time, p pool, w Work) *fault.Error {
 	taking, largest := 0, api.Tokens(0)
 	for _, s := range d.pool(p) {
 		if s.State(now, d.options.Suspect) == api.ServerStatusStateReady {
--- a/internal/decide/dispatch/refuse.go
+++ b/internal/decide/dispatch/refuse.go
@@ -15,7 +15,7 @@
 
 // refuse answers a request at once, with a time to come back that is spread so
 // that refused callers don't return together.
-func (d *Dispatcher) refuse(r api.RequestID, f *fault.Fault) Action {
+func (d *Dispatcher) refuse(r api.RequestID, f *fault.Error) Action {
 	if f.Code == fault.TooLarge {
 		return Action{Request: r, Refusal: f}
 	}
--- a/internal/dev/up.go
+++ b/internal/dev/up.go
@@ -109,8 +109,8 @@
 		if _, err = resource.Apply(ctx, c, o); err == nil {
 			return nil
 		}
-		if err := duty.Sleep(ctx, pause); err != nil {
-			return err
+		if !duty.Sleep(ctx, pause) {
+			return ctx.Err()
 		}
 	}
 	return err
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -41,21 +41,21 @@
 func Loop(ctx context.Context, pause func() time.Duration, f func(ctx context.Context)) error {
 	for {
 		f(ctx)
-		if err := Sleep(ctx, pause()); err != nil {
+		if !Sleep(ctx, pause()) {
 			return nil
 		}
 	}
 }
 
-// Sleep waits; it returns the context's error when that ends first.
-func Sleep(ctx context.Context, d time.Duration) error {
+// Sleep waits; it reports false when the context ends first.
+func Sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
-		return nil
+		return true
 	case <-ctx.Done():
-		return ctx.Err()
+		return false
 	}
 }
 
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -17,29 +17,29 @@
 	"github.com/wardridge/wardridge/internal/wire"
 )
 
-// Refusal is an engine's own word that it did not do what was asked.
-type Refusal struct {
+// RefusalError is an engine's own word that it did not do what was asked.
+type RefusalError struct {
 	api.EngineRefusal
 }
 
 // Error gives the reason.
-func (r *Refusal) Error() string {
+func (r *RefusalError) Error() string {
 	return "the engine refused: " + string(r.Reason)
 }
 
-// Broken is a failure to open a stream; Cause tells what is known of it.
-type Broken struct {
+// StreamError is a failure to open a stream; Cause tells what is known of it.
+type StreamError struct {
 	Cause answer.Cause
 	Err   error
 }
 
 // Error gives the failure.
-func (b *Broken) Error() string {
+func (b *StreamError) Error() string {
 	return "opening a stream: " + b.Err.Error()
 }
 
 // Unwrap gives the failure's own error.
-func (b *Broken) Unwrap() error {
+func (b *StreamError) Unwrap() error {
 	return b.Err
 }
 
@@ -56,12 +56,12 @@
 	return &Client{http: c, timeout: timeout}, closer
 }
 
-// Start sends a generation and opens its stream; failures are *Broken.
+// Start sends a generation and opens its stream; failures are *StreamError.
 func (c *Client) Start(ctx context.Context, address string, g api.GenerateRequest) (*Stream, error) {
 	return c.open(ctx, http.MethodPost, base(address)+"/generations", g)
 }
 
-// Resume opens the stream of a generation from an index; failures are *Broken.
+// Resume opens the stream of a generation from an index; failures are *StreamError.
 func (c *Client) Resume(ctx context.Context, address string, g api.GenerationID, from int) (*Stream, error) {
 	return c.open(ctx, http.MethodGet, fmt.Sprintf("%s?from=%d", generation(address, g), from), nil)
 }
@@ -77,7 +77,7 @@
 func (c *Client) open(ctx context.Context, method, u string, in any) (*Stream, error) {
 	r, err := wire.NewRequest(ctx, method, u, in)
 	if err != nil {
-		return nil, &Broken{Cause: answer.NotConnected, Err: err}
+		return nil, &StreamError{Cause: answer.NotConnected, Err: err}
 	}
 	a, err := c.http.Do(r)
 	if err != nil {
@@ -90,31 +90,31 @@
 	return nil, refused(a)
 }
 
-func dialled(err error) *Broken {
+func dialled(err error) *StreamError {
 	f := wire.Broken(err)
 	if f.Code == fault.NotStarted {
-		return &Broken{Cause: answer.NotConnected, Err: f}
+		return &StreamError{Cause: answer.NotConnected, Err: f}
 	}
-	return &Broken{Cause: answer.Broken, Err: f}
+	return &StreamError{Cause: answer.Broken, Err: f}
 }
 
 // refusalLimit bounds the refusals that are read.
 const refusalLimit = 64 << 10
 
 // refused reads a refusal; one that can't be understood proves nothing.
-func refused(a *http.Response) *Broken {
-	var r Refusal
+func refused(a *http.Response) *StreamError {
+	var r RefusalError
 	b, err := io.ReadAll(io.LimitReader(a.Body, refusalLimit))
 	if err == nil {
 		err = json.Unmarshal(b, &r.EngineRefusal)
 	}
 	switch {
 	case err != nil || r.Reason == "":
-		return &Broken{Cause: answer.Broken, Err: fault.New(fault.BadAnswer, "the engine answered "+a.Status)}
+		return &StreamError{Cause: answer.Broken, Err: fault.New(fault.BadAnswer, "the engine answered "+a.Status)}
 	case r.Reason == api.EngineRefusalReasonUnknownGeneration:
-		return &Broken{Cause: answer.Unknown, Err: &r}
+		return &StreamError{Cause: answer.Unknown, Err: &r}
 	default:
-		return &Broken{Cause: answer.Refused, Err: &r}
+		return &StreamError{Cause: answer.Refused, Err: &r}
 	}
 }
 
@@ -175,8 +175,8 @@
 
 func shortRefusal(a *http.Response) error {
 	b := refused(a)
-	var r *Refusal
-	if x, ok := b.Err.(*Refusal); ok {
+	var r *RefusalError
+	if x, ok := b.Err.(*RefusalError); ok {
 		r = x
 	}
 	switch {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -87,7 +87,7 @@
 		t.server.Log.Emit(event.GenerationResumed, zap.String("request", string(t.chat.id)), zap.Int("from", t.answer.Next()))
 		t.server.note(t.chat.request, "resume", "the stream from "+string(t.engine)+" broke; it goes on from the next token")
 		// The end of the wait is judged by the next break.
-		_ = duty.Sleep(ctx, n.Wait)
+		duty.Sleep(ctx, n.Wait)
 		o = t.resume
 	}
 }
@@ -137,9 +137,9 @@
 
 // opened judges a stream that could not be opened.
 func (t *attempt) opened(ctx context.Context, err error) (answer.Next, bool) {
-	var b *engine.Broken
+	var b *engine.StreamError
 	if !errors.As(err, &b) {
-		b = &engine.Broken{Cause: answer.Broken, Err: err}
+		b = &engine.StreamError{Cause: answer.Broken, Err: err}
 	}
 	if ctx.Err() != nil && b.Cause != answer.Refused {
 		return t.ended(ctx), true
@@ -153,8 +153,8 @@
 }
 
 // refused tells the dispatcher of an engine that takes no work.
-func (t *attempt) refused(b *engine.Broken) {
-	var r *engine.Refusal
+func (t *attempt) refused(b *engine.StreamError) {
+	var r *engine.RefusalError
 	switch {
 	case errors.As(b.Err, &r) && b.Cause == answer.Refused:
 		t.server.Broker.Refused(t.engine, r.Reason == api.EngineRefusalReasonLeaving)
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -7,11 +7,13 @@
 	"strings"
 
 	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/claims"
 	"github.com/wardridge/wardridge/internal/decide/answer"
 	"github.com/wardridge/wardridge/internal/decide/dispatch"
+	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/fault"
 	"github.com/wardridge/wardridge/internal/metric"
 	"github.com/wardridge/wardridge/internal/trace"
@@ -172,8 +174,7 @@
 	}
 	s.settle(ctx, c, k, f)
 	if f == nil {
-		s.Metrics.Add(metric.RequestsDone, 1)
-		s.note(c.request, "done", "answered whole")
+		s.done(c.request)
 		return
 	}
 	if k.Started() {
@@ -186,7 +187,7 @@
 }
 
 // settle records the outcome of a claimed completion.
-func (s *Server) settle(ctx context.Context, c *chat, k sink, f *fault.Fault) {
+func (s *Server) settle(ctx context.Context, c *chat, k sink, f *fault.Error) {
 	if c.permit == nil {
 		return
 	}
@@ -213,7 +214,7 @@
 }
 
 // run finds an engine, generates, and tries again or resumes as decided.
-func (s *Server) run(ctx context.Context, c *chat, k sink) *fault.Fault {
+func (s *Server) run(ctx context.Context, c *chat, k sink) *fault.Error {
 	a := answer.New(s.policy(c))
 	acquire := s.Broker.Acquire
 	for {
@@ -230,6 +231,7 @@
 		switch n.Move {
 		case answer.Retry:
 			s.Metrics.Add(metric.Retries, 1)
+			s.Log.Emit(event.GenerationRetried, zap.String("request", string(c.id)), zap.String("server", string(g.Server)))
 			s.note(c.request, "retry", "the attempt on "+string(g.Server)+" broke before its first token")
 			c.work.Avoid = g.Server
 			acquire = s.Broker.Again
@@ -243,7 +245,7 @@
 
 // unplaced types a request that got no engine; an earlier attempt of it may
 // have run all the same.
-func (s *Server) unplaced(ctx context.Context, a *answer.Answer, err error) *fault.Fault {
+func (s *Server) unplaced(ctx context.Context, a *answer.Answer, err error) *fault.Error {
 	f := fault.From(err)
 	if f.Code == fault.CallerGone && ctx.Err() == context.DeadlineExceeded {
 		f = fault.New(fault.DeadlinePassed, "the deadline passed while the request waited")
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -15,7 +15,6 @@
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/answer"
 	"github.com/wardridge/wardridge/internal/fault"
-	"github.com/wardridge/wardridge/internal/metric"
 	"github.com/wardridge/wardridge/internal/wire"
 )
 
@@ -119,7 +118,7 @@
 	}
 	switch {
 	case f == nil:
-		s.Metrics.Add(metric.RequestsDone, 1)
+		s.done(c.request)
 	case k.Started():
 		s.count(f, c.id)
 		k.Fail(f)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -210,9 +210,19 @@
 	wire.Refuse(w, f, id)
 }
 
-func (s *Server) count(f *fault.Fault, id api.RequestID) {
+// done counts a request that was answered whole.
+func (s *Server) done(q *request) {
+	s.Metrics.Add(metric.RequestsDone, 1)
+	s.note(q, "done", "answered whole")
+	s.Log.Emit(event.RequestDone, zap.String("request", string(q.id)), zap.String("workspace", string(q.workspace.Name)), zap.Duration("took", time.Since(q.began)))
+}
+
+func (s *Server) count(f *fault.Error, id api.RequestID) {
 	e, m := event.RequestRefused, metric.RequestsRefused
-	if f.Ran != api.RanNo {
+	switch {
+	case f.Code == fault.CallerGone:
+		e, m = event.CallerLeft, metric.CallersGone
+	case f.Ran != api.RanNo:
 		e, m = event.RequestFailed, metric.RequestsFailed
 	}
 	s.Metrics.Add(m, 1)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -117,8 +117,7 @@
 		s.refuse(w, c.request, err)
 		return
 	}
-	s.Metrics.Add(metric.RequestsDone, 1)
-	s.note(c.request, "done", "answered whole")
+	s.done(c.request)
 	s.replay(w, c.request, a)
 }
 
@@ -169,7 +168,7 @@
 }
 
 // ran sets what is known of the call's own attempts.
-func (c *call) ran(f *fault.Fault) *fault.Fault {
+func (c *call) ran(f *fault.Error) *fault.Error {
 	if c.maybe {
 		return f.WithRan(api.RanUnknown)
 	}
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -33,11 +33,11 @@
 	// End takes the end of the generation.
 	End(e api.TokenEvent)
 	// Finish ends a whole answer.
-	Finish() *fault.Fault
+	Finish() *fault.Error
 	// Started reports whether the caller was sent anything.
 	Started() bool
 	// Fail ends an answer that was begun with a fault.
-	Fail(f *fault.Fault)
+	Fail(f *fault.Error)
 	// Whole is the answer in one message, for a claim's record.
 	Whole() []byte
 }
@@ -65,9 +65,9 @@
 func (k *wholeSink) Flush() error         { return nil }
 func (k *wholeSink) End(e api.TokenEvent) { k.finish = e.Finish }
 func (k *wholeSink) Started() bool        { return k.begun }
-func (k *wholeSink) Fail(*fault.Fault)    {}
+func (k *wholeSink) Fail(*fault.Error)    {}
 
-func (k *wholeSink) Finish() *fault.Fault {
+func (k *wholeSink) Finish() *fault.Error {
 	k.begun = true
 	h := k.writer.Header()
 	h.Set(wire.HeaderRequest, string(k.chat.id))
@@ -216,7 +216,7 @@
 	k.finish = e.Finish
 }
 
-func (k *streamSink) Finish() *fault.Fault {
+func (k *streamSink) Finish() *fault.Error {
 	if err := k.event(int(k.count), "", &k.finish); err != nil {
 		return fault.From(err).WithRan(api.RanYes)
 	}
@@ -236,7 +236,7 @@
 func (k *streamSink) Started() bool { return k.begun }
 
 // Fail ends the stream at once with a typed event.
-func (k *streamSink) Fail(f *fault.Fault) {
+func (k *streamSink) Fail(f *fault.Error) {
 	b, err := json.Marshal(f.Body(k.chat.id))
 	if err != nil {
 		return
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -137,8 +137,8 @@
 	return k
 }
 
-// Fault is a typed failure.
-type Fault struct {
+// Error is a typed failure.
+type Error struct {
 	Code       Code
 	Ran        api.Ran
 	RetryAfter time.Duration
@@ -147,33 +147,33 @@
 }
 
 // New makes a fault with the catalogue's word on whether the request ran.
-func New(c Code, detail string) *Fault {
-	return &Fault{Code: c, Ran: c.Kind().Ran, Detail: detail}
+func New(c Code, detail string) *Error {
+	return &Error{Code: c, Ran: c.Kind().Ran, Detail: detail}
 }
 
 // Wrap makes a fault that was caused by another error.
-func Wrap(c Code, err error, detail string) *Fault {
+func Wrap(c Code, err error, detail string) *Error {
 	f := New(c, detail)
 	f.Cause = err
 	return f
 }
 
 // After returns a copy that tells when to come back.
-func (f *Fault) After(d time.Duration) *Fault {
+func (f *Error) After(d time.Duration) *Error {
 	g := *f
 	g.RetryAfter = d
 	return &g
 }
 
 // WithRan returns a copy with another word on whether the request ran.
-func (f *Fault) WithRan(r api.Ran) *Fault {
+func (f *Error) WithRan(r api.Ran) *Error {
 	g := *f
 	g.Ran = r
 	return &g
 }
 
 // Error gives the type, the detail and the cause.
-func (f *Fault) Error() string {
+func (f *Error) Error() string {
 	s := f.Code.Kind().Type + ": " + f.Detail
 	if f.Cause != nil {
 		s += ": " + f.Cause.Error()
@@ -182,19 +182,19 @@
 }
 
 // Unwrap gives the cause.
-func (f *Fault) Unwrap() error {
+func (f *Error) Unwrap() error {
 	return f.Cause
 }
 
 // Is reports whether the target is a fault of the same code.
-func (f *Fault) Is(target error) bool {
-	t, ok := target.(*Fault)
+func (f *Error) Is(target error) bool {
+	t, ok := target.(*Error)
 	return ok && t.Code == f.Code
 }
 
 // From finds the fault in an error's chain or types it as internal.
-func From(err error) *Fault {
-	var f *Fault
+func From(err error) *Error {
+	var f *Error
 	if errors.As(err, &f) {
 		return f
 	}
@@ -203,12 +203,12 @@
 
 // Has reports whether an error's chain holds a fault of the code.
 func Has(err error, c Code) bool {
-	var f *Fault
+	var f *Error
 	return errors.As(err, &f) && f.Code == c
 }
 
 // Body converts the fault to its message for callers.
-func (f *Fault) Body(r api.RequestID) api.ErrorBody {
+func (f *Error) Body(r api.RequestID) api.ErrorBody {
 	return api.ErrorBody{Error: api.ErrorDetail{
 		Type:         f.Code.Kind().Type,
 		Code:         int(f.Code),
@@ -220,7 +220,7 @@
 }
 
 // message leaves the cause out, which may name inner addresses.
-func (f *Fault) message() string {
+func (f *Error) message() string {
 	if f.Detail == "" {
 		return f.Code.Kind().Help
 	}
@@ -228,7 +228,7 @@
 }
 
 // FromBody types a failure that another process reported.
-func FromBody(b api.ErrorBody) *Fault {
+func FromBody(b api.ErrorBody) *Error {
 	c := Code(b.Error.Code)
 	f := New(c, b.Error.Message)
 	f.Ran = b.Error.Ran
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -104,12 +104,12 @@
 		if err != nil {
 			failures++
 			f.failed(ctx, err)
-			_ = duty.Sleep(ctx, backoff(failures))
+			duty.Sleep(ctx, backoff(failures))
 			continue
 		}
 		failures = 0
 		f.answered()
-		if err := f.updates.Put(ctx, u); err != nil {
+		if !f.updates.Put(ctx, u) {
 			return nil
 		}
 	}
@@ -199,7 +199,7 @@
 		return
 	}
 	// A full ring is emptied by the duty that applies.
-	_ = f.updates.Put(ctx, update{list: &l, sent: sent})
+	f.updates.Put(ctx, update{list: &l, sent: sent})
 }
 
 // Offer queues a peer's configuration, which was asked for at a time of the
@@ -213,8 +213,8 @@
 // Apply is the duty that brings updates into force.
 func (f *Follower) Apply(ctx context.Context) error {
 	for {
-		u, err := f.updates.Take(ctx)
-		if err != nil {
+		u, ok := f.updates.Take(ctx)
+		if !ok {
 			return nil
 		}
 		f.apply(u)
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -79,7 +79,7 @@
 
 // Enter lets a request in, or gives the fault to refuse it with; the clean-up
 // ends the request.
-func (l *Life) Enter() (func(), *fault.Fault) {
+func (l *Life) Enter() (func(), *fault.Error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	switch {
--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -30,7 +30,7 @@
 	first  time.Duration
 	gaps   []time.Duration
 	tokens int
-	fault  *fault.Fault
+	fault  *fault.Error
 	// wrong tells that an answer broke a promise: a token missing, doubled,
 	// out of order or of another generation, or a call run more than once.
 	wrong string
@@ -109,7 +109,7 @@
 	return s + strings.Repeat("word ", max(0, n/len("word ")))
 }
 
-func refusal(r *http.Response) *fault.Fault {
+func refusal(r *http.Response) *fault.Error {
 	var e api.ErrorBody
 	b, err := io.ReadAll(r.Body)
 	if err == nil {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -38,8 +38,8 @@
 	g, end := duty.New(x)
 	defer end()
 	for _, a := range Plan(o.Mix, o.Requests, o.PerSecond, o.Seed) {
-		if err := duty.Sleep(ctx, time.Until(began.Add(a.At))); err != nil {
-			return Report{}, err
+		if !duty.Sleep(ctx, time.Until(began.Add(a.At))) {
+			return Report{}, ctx.Err()
 		}
 		g.Go(func(ctx context.Context) error {
 			r := c.do(ctx, a)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -50,7 +50,7 @@
 // the own watch does not bring it.
 func (c *Context) catchUp(ctx context.Context, address string) {
 	before := c.Follow.View().Version
-	if err := duty.Sleep(ctx, grace); err != nil || c.Follow.View().Version > before {
+	if !duty.Sleep(ctx, grace) || c.Follow.View().Version > before {
 		return
 	}
 	sent := c.Life.Now()
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -236,7 +236,7 @@
 }
 
 func (c *Context) listen(address string, h http.Handler, wait time.Duration) (*http.Server, error) {
-	l, err := net.Listen("tcp", address)
+	l, err := (&net.ListenConfig{}).Listen(c, "tcp", address)
 	if err != nil {
 		return nil, fault.Wrap(fault.ListenFailed, err, "listening on "+address)
 	}
@@ -270,8 +270,8 @@
 	// peer has in force is waited for.
 	end := time.Now().Add(peersWait)
 	for c.Beat.Newest() > c.Follow.View().Version && time.Now().Before(end) {
-		if err := duty.Sleep(c, tickEvery); err != nil {
-			return err
+		if !duty.Sleep(c, tickEvery) {
+			return c.Err()
 		}
 	}
 	c.Life.Serve()
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -22,7 +22,8 @@
 func (turning) Run(c *Context) error {
 	c.Log.Emit(event.StopBegun)
 	c.Life.Turn()
-	return duty.Sleep(c, c.Settings.Node.StopWaitMS.Duration())
+	duty.Sleep(c, c.Settings.Node.StopWaitMS.Duration())
+	return nil
 }
 
 // draining takes no new request and waits for those in flight.
--- a/internal/orders/orders.go
+++ b/internal/orders/orders.go
@@ -66,7 +66,7 @@
 		seen[n] = order.Seen{Role: r.Role, Loaded: r.Loaded, Fence: r.Fence}
 	}
 	for _, x := range s.planner.Plan(time.Now(), f, targets(s.view()), seen) {
-		if err := s.steps.Put(ctx, x); err != nil {
+		if !s.steps.Put(ctx, x) {
 			return
 		}
 	}
@@ -97,8 +97,8 @@
 // Work is the duty that carries orders out; several may run.
 func (s *Sender) Work(ctx context.Context) error {
 	for {
-		x, err := s.steps.Take(ctx)
-		if err != nil {
+		x, ok := s.steps.Take(ctx)
+		if !ok {
 			return nil
 		}
 		s.send(ctx, x)
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -142,8 +142,8 @@
 // Deliver is the duty that passes reports on.
 func (p *Poller) Deliver(ctx context.Context, take func(api.LoadReport)) error {
 	for {
-		r, err := p.reports.Take(ctx)
-		if err != nil {
+		r, ok := p.reports.Take(ctx)
+		if !ok {
 			return nil
 		}
 		take(r)
--- a/internal/resource/resource_test.go
+++ b/internal/resource/resource_test.go
@@ -36,7 +36,7 @@
 	tests := []struct{ name, text, want string }{
 		{"unknown field", good + "---\nkind: model\nname: x\nspec: {weights: a, colour: red}\n", "colour"},
 		{"line of the resource", good + "---\nkind: model\nname: x\nspec: {}\n", "f.yaml:10"},
-		{"unknown kind", "kind: modle\nname: x\nspec: {}\n", "one of 'model'"},
+		{"unknown kind", "kind: modl\nname: x\nspec: {}\n", "one of 'model'"},
 		{"kind that the system keeps", "kind: lease\nname: x\nspec: {}\n", "lease is not a kind"},
 		{"bad name", "kind: model\nname: X Y\nspec: {weights: a}\n", "name"},
 		{"wrong type", "kind: model\nname: x\nspec: {weights: 1}\n", "weights"},
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -22,24 +22,24 @@
 	}
 }
 
-// Put waits for room; it returns the context's error when that ends first.
-func (r *Ring[T]) Put(ctx context.Context, v T) error {
+// Put waits for room; it reports false when the context ends first.
+func (r *Ring[T]) Put(ctx context.Context, v T) bool {
 	select {
 	case r.items <- v:
-		return nil
+		return true
 	case <-ctx.Done():
-		return ctx.Err()
+		return false
 	}
 }
 
-// Take waits for an item; it returns the context's error when that ends first.
-func (r *Ring[T]) Take(ctx context.Context) (T, error) {
+// Take waits for an item; it reports false when the context ends first.
+func (r *Ring[T]) Take(ctx context.Context) (T, bool) {
 	select {
 	case v := <-r.items:
-		return v, nil
+		return v, true
 	case <-ctx.Done():
 		var z T
-		return z, ctx.Err()
+		return z, false
 	}
 }
 
--- a/internal/ring/ring_test.go
+++ b/internal/ring/ring_test.go
@@ -15,9 +15,9 @@
 		}
 	}
 	for want := range 2 {
-		got, err := r.Take(context.Background())
-		if err != nil || got != want {
-			t.Errorf("Take: got %d, %v, want %d", got, err, want)
+		got, ok := r.Take(context.Background())
+		if !ok || got != want {
+			t.Errorf("Take: got %d, %v, want %d", got, ok, want)
 		}
 	}
 }
@@ -26,11 +26,11 @@
 	r := ring.New[int](1)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	if _, err := r.Take(ctx); err != context.Canceled {
-		t.Errorf("Take: got %v, want %v", err, context.Canceled)
+	if _, got := r.Take(ctx); got {
+		t.Errorf("Take: got %v, want false", got)
 	}
 	r.Offer(1)
-	if err := r.Put(ctx, 2); err != context.Canceled {
-		t.Errorf("Put: got %v, want %v", err, context.Canceled)
+	if got := r.Put(ctx, 2); got {
+		t.Errorf("Put: got %v, want false", got)
 	}
 }
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -133,7 +133,7 @@
 				return nil
 			}
 		}
-		if err := duty.Sleep(ctx, time.Until(now.Add(d))); err != nil {
+		if !duty.Sleep(ctx, time.Until(now.Add(d))) {
 			return nil
 		}
 	}
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"github.com/go-chi/chi/v5"
+	"go.uber.org/zap"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/fault"
 	"github.com/wardridge/wardridge/internal/wire"
 )
@@ -239,6 +241,7 @@
 		wire.Refuse(w, fault.From(err), "")
 		return
 	}
+	e.log.Emit(event.StandInFault, zap.Int("freeze_ms", int(f.FreezeMS)), zap.Int("drop_streams", f.DropStreams))
 	e.Freeze(f.FreezeMS.Duration())
 	e.DropStreams(f.DropStreams)
 	w.WriteHeader(http.StatusNoContent)
--- /dev/null
+++ b/internal/style/doc.go
@@ -0,0 +1,2 @@
+// Package style checks rules of the house style that no linter knows.
+package style
--- /dev/null
+++ b/internal/style/style_test.go
@@ -0,0 +1,178 @@
+package style_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// sources parses every Go file of the repository that was written by hand.
+func sources(t *testing.T) (*token.FileSet, map[string]*ast.File) {
+	t.Helper()
+	s := token.NewFileSet()
+	m := map[string]*ast.File{}
+	err := filepath.WalkDir("../..", func(p string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() && strings.HasPrefix(d.Name(), ".") && d.Name() != ".." && len(d.Name()) > 2 {
+			return err
+		}
+		if !strings.HasSuffix(p, ".go") || strings.HasSuffix(p, "_gen.go") {
+			return nil
+		}
+		f, err := parser.ParseFile(s, p, nil, parser.ParseComments)
+		m[p] = f
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s, m
+}
+
+func TestNoBareGo(t *testing.T) {
+	s, m := sources(t)
+	for _, f := range m {
+		ast.Inspect(f, func(n ast.Node) bool {
+			if g, ok := n.(*ast.GoStmt); ok {
+				t.Errorf("%s: got a bare go, want a group", s.Position(g.Pos()))
+			}
+			return true
+		})
+	}
+}
+
+func TestEveryPackageHasADocFile(t *testing.T) {
+	_, m := sources(t)
+	for p, f := range m {
+		if f.Name.Name == "main" || strings.HasSuffix(p, "_test.go") {
+			continue
+		}
+		if _, err := os.Stat(filepath.Join(filepath.Dir(p), "doc.go")); err != nil {
+			t.Errorf("%s: got no doc.go, want one", filepath.Dir(p))
+		}
+	}
+}
+
+// forbidden are imports that decisions must not have: they take time and
+// events as values.
+var forbidden = []string{"net", "net/http", "os", "sync", "context", "crypto/rand", "math/rand"}
+
+func TestDecisionsAreFreeOfIO(t *testing.T) {
+	s, m := sources(t)
+	n := 0
+	for p, f := range m {
+		if !strings.Contains(p, "internal/decide/") || strings.HasSuffix(p, "_test.go") {
+			continue
+		}
+		n++
+		for _, i := range f.Imports {
+			for _, x := range forbidden {
+				if strings.Trim(i.Path.Value, `"`) == x {
+					t.Errorf("%s: got import %s", s.Position(i.Pos()), x)
+				}
+			}
+		}
+		ast.Inspect(f, func(n ast.Node) bool {
+			if e, ok := n.(*ast.SelectorExpr); ok && clock(e) {
+				t.Errorf("%s: got a clock, want the time as a value", s.Position(e.Pos()))
+			}
+			return true
+		})
+	}
+	if n == 0 {
+		t.Error("got no file of decisions")
+	}
+}
+
+// clock reports whether an expression reads a clock or waits.
+func clock(e *ast.SelectorExpr) bool {
+	x, ok := e.X.(*ast.Ident)
+	if !ok || x.Name != "time" {
+		return false
+	}
+	switch e.Sel.Name {
+	case "Now", "Since", "Until", "Sleep", "After", "NewTimer", "NewTicker", "Tick", "AfterFunc":
+		return true
+	}
+	return false
+}
+
+// TestCataloguesAreWhole checks that each numbered constant stands in its
+// catalogue and is used somewhere.
+func TestCataloguesAreWhole(t *testing.T) {
+	_, m := sources(t)
+	for _, c := range []struct{ file, typ string }{
+		{"../../internal/event/event.go", "ID"},
+		{"../../internal/fault/fault.go", "Code"},
+		{"../../internal/metric/metric.go", "Name"},
+	} {
+		f, ok := m[c.file]
+		if !ok {
+			t.Fatalf("%s: got no such file", c.file)
+		}
+		pkg := f.Name.Name
+		for _, n := range constants(f, c.typ) {
+			if !listed(f, n) {
+				t.Errorf("%s.%s: got no entry in the catalogue", pkg, n)
+			}
+			if !used(m, pkg, n) {
+				t.Errorf("%s.%s: got no use", pkg, n)
+			}
+		}
+	}
+}
+
+// constants lists the constants of a type.
+func constants(f *ast.File, typ string) []string {
+	var l []string
+	for _, d := range f.Decls {
+		g, ok := d.(*ast.GenDecl)
+		if !ok || g.Tok != token.CONST {
+			continue
+		}
+		for _, s := range g.Specs {
+			v := s.(*ast.ValueSpec)
+			if i, ok := v.Type.(*ast.Ident); ok && i.Name == typ {
+				l = append(l, v.Names[0].Name)
+			}
+		}
+	}
+	return l
+}
+
+// listed reports whether a constant begins an entry of a composite literal.
+func listed(f *ast.File, n string) bool {
+	found := false
+	ast.Inspect(f, func(x ast.Node) bool {
+		if c, ok := x.(*ast.CompositeLit); ok && len(c.Elts) > 1 {
+			if i, ok := c.Elts[0].(*ast.Ident); ok && i.Name == n {
+				found = true
+			}
+		}
+		return !found
+	})
+	return found
+}
+
+// used reports whether another package names a constant outside tests.
+func used(m map[string]*ast.File, pkg, n string) bool {
+	found := false
+	for p, f := range m {
+		if strings.HasSuffix(p, "_test.go") {
+			continue
+		}
+		ast.Inspect(f, func(x ast.Node) bool {
+			if e, ok := x.(*ast.SelectorExpr); ok && e.Sel.Name == n {
+				if i, ok := e.X.(*ast.Ident); ok && i.Name == pkg {
+					found = true
+				}
+			}
+			return !found
+		})
+	}
+	return found
+}
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -105,7 +105,7 @@
 
 // Broken types the failure of a round trip: NotStarted when no connection was
 // made, so that nothing was sent.
-func Broken(err error) *fault.Fault {
+func Broken(err error) *fault.Error {
 	var o *net.OpError
 	if errors.As(err, &o) && o.Op == "dial" {
 		return fault.Wrap(fault.NotStarted, err, "no connection was made")
--- a/internal/wire/serve.go
+++ b/internal/wire/serve.go
@@ -13,7 +13,7 @@
 // Serve serves on an address until the context ends, and then lets calls in
 // flight run to their end for at most the limit.
 func Serve(ctx context.Context, address string, h http.Handler, limit time.Duration) error {
-	l, err := net.Listen("tcp", address)
+	l, err := (&net.ListenConfig{}).Listen(ctx, "tcp", address)
 	if err != nil {
 		return fault.Wrap(fault.ListenFailed, err, "listening on "+address)
 	}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -49,7 +49,7 @@
 }
 
 // Refuse answers with a fault.
-func Refuse(w http.ResponseWriter, f *fault.Fault, r api.RequestID) {
+func Refuse(w http.ResponseWriter, f *fault.Error, r api.RequestID) {
 	if f.RetryAfter > 0 {
 		s := int(math.Ceil(f.RetryAfter.Seconds()))
 		w.Header().Set(HeaderRetryAfter, strconv.Itoa(s))
