--- a/cmd/dev.go
+++ b/cmd/dev.go
@@ -85,6 +85,7 @@
 	Memory     int           `help:"Cache memory, tokens." default:"32768"`
 	Batch      int           `help:"Generations that run at once." default:"64"`
 	Step       time.Duration `help:"Time of an empty step." default:"12ms"`
+	StepMore   time.Duration `help:"Step time added by each generation." default:"400us"`
 	ReportLag  time.Duration `help:"Age of the load reports." default:"200ms"`
 	Orphan     time.Duration `help:"Time a generation runs without a reader." default:"30s"`
 	LoadTime   time.Duration `help:"Time an order to load takes." default:"200ms"`
@@ -99,6 +100,7 @@
 	o.Batch.KVTokens = api.Tokens(c.Memory)
 	o.Batch.MaxBatch = c.Batch
 	o.Batch.StepBase = c.Step
+	o.Batch.StepPerGeneration = c.StepMore
 	o.ReportLag = c.ReportLag
 	o.Orphan = c.Orphan
 	o.LoadTime = c.LoadTime
--- /dev/null
+++ b/e2e/relay_bench_test.go
@@ -0,0 +1,148 @@
+package e2e
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/entry"
+	"github.com/wardridge/wardridge/internal/sample"
+)
+
+// cpu is the processor time of a process so far.
+func cpu(t testing.TB, p *process) time.Duration {
+	t.Helper()
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := strings.Fields(string(b[bytes.LastIndexByte(b, ')')+2:]))
+	const tick = 10 * time.Millisecond
+	const user, system = 11, 12
+	u, _ := strconv.Atoi(f[user])
+	s, _ := strconv.Atoi(f[system])
+	return time.Duration(u+s) * tick
+}
+
+// resident is the memory of a process in KB.
+func resident(t testing.TB, p *process) int {
+	t.Helper()
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for l := range strings.SplitSeq(string(b), "\n") {
+		if v, ok := strings.CutPrefix(l, "VmRSS:"); ok {
+			n, _ := strconv.Atoi(strings.Fields(v)[0])
+			return n
+		}
+	}
+	return 0
+}
+
+// seen is what one reader saw.
+type seen struct {
+	first time.Duration
+	gaps  []time.Duration
+}
+
+// read opens a stream and takes the times of its tokens.
+func read(t testing.TB, url, body string) seen {
+	r, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		t.Error(err)
+		return seen{}
+	}
+	r.Header.Set("Authorization", "Bearer "+sample.KeyDispatch)
+	began := time.Now()
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Error(err)
+		return seen{}
+	}
+	defer func() { _ = a.Body.Close() }()
+	var s seen
+	var last time.Time
+	x := bufio.NewScanner(a.Body)
+	for x.Scan() {
+		if !strings.HasPrefix(x.Text(), "data: ") {
+			continue
+		}
+		now := time.Now()
+		if last.IsZero() {
+			s.first = now.Sub(began)
+		} else {
+			s.gaps = append(s.gaps, now.Sub(last))
+		}
+		last = now
+	}
+	return s
+}
+
+// many opens n streams at once.
+func many(t testing.TB, n int, url string, body func(i int) string) (first, gap time.Duration) {
+	var mutex sync.Mutex
+	var firsts, gaps []time.Duration
+	var w sync.WaitGroup
+	for i := range n {
+		w.Go(func() {
+			s := read(t, url, body(i))
+			mutex.Lock()
+			defer mutex.Unlock()
+			firsts = append(firsts, s.first)
+			gaps = append(gaps, s.gaps...)
+		})
+	}
+	w.Wait()
+	return median(firsts), median(gaps)
+}
+
+func median(l []time.Duration) time.Duration {
+	if len(l) == 0 {
+		return 0
+	}
+	slices.Sort(l)
+	return l[len(l)/2]
+}
+
+// BenchmarkRelay compares streams through an entry VM with streams straight
+// from the engine's stand-in, in one run with real processes.
+func BenchmarkRelay(b *testing.B) {
+	s := newSystem(b, options{
+		entries: 1, engines: 1,
+		settings: patientSettings + "admission = slots\nslots = 10000\n",
+		engine:   []string{"--step", "5ms", "--step-more", "0s", "--batch", "2000", "--memory", "10000000"},
+	})
+	const tokens = 1000
+	straight := "http://" + s.engines[0].listen + "/v1/generations"
+	through := "http://" + s.entries[0].listen + entry.PathChat
+	for _, n := range []int{1, 64, 256} {
+		b.Run(fmt.Sprintf("streams=%d", n), func(b *testing.B) {
+			for k := range b.N {
+				f0, g0 := many(b, n, straight, func(i int) string {
+					return fmt.Sprintf(`{"generation":"%d-%d-%d","model":"desk","prompt":"x","prompt_tokens":5,"max_tokens":%d,"priority":"standard","metadata":{"standin_tokens":"%d"}}`, n, k, i, tokens, tokens)
+				})
+				c := cpu(b, s.entries[0])
+				m := resident(b, s.entries[0])
+				f1, g1 := many(b, n, through, func(int) string {
+					return fmt.Sprintf(`{"model":"desk","stream":true,"messages":[{"role":"user","content":"x"}],"metadata":{"standin_tokens":"%d"}}`, tokens)
+				})
+				used := cpu(b, s.entries[0]) - c
+				b.ReportMetric(float64((f1 - f0).Microseconds()), "added-first-us")
+				b.ReportMetric(float64((g1 - g0).Microseconds()), "added-gap-us")
+				b.ReportMetric(float64(f1)/float64(f0), "first-ratio")
+				b.ReportMetric(float64(g1)/float64(g0), "gap-ratio")
+				b.ReportMetric(float64(n*tokens)/used.Seconds(), "tokens/core-s")
+				b.ReportMetric(float64(resident(b, s.entries[0])-m)/float64(n), "KB/stream")
+			}
+		})
+	}
+}
--- a/e2e/system_test.go
+++ b/e2e/system_test.go
@@ -62,7 +62,7 @@
 
 // system is a set of processes.
 type system struct {
-	t        *testing.T
+	t        testing.TB
 	dir      string
 	platform *process
 	service  *process
@@ -72,7 +72,7 @@
 }
 
 // address finds a free port.
-func address(t *testing.T) string {
+func address(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -137,7 +137,7 @@
 }
 
 // stop asks for a planned stop and gives the exit status.
-func (p *process) stop(t *testing.T) int {
+func (p *process) stop(t testing.TB) int {
 	t.Helper()
 	p.signal(syscall.SIGTERM)
 	select {
@@ -149,7 +149,7 @@
 }
 
 // until waits for a condition.
-func until(t *testing.T, what string, ok func() bool) {
+func until(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	end := time.Now().Add(patience)
 	for time.Now().Before(end) {
@@ -214,7 +214,7 @@
 
 // newSystem starts a platform, engines, one service and entry VMs, declares
 // them, and waits until all serve.
-func newSystem(t *testing.T, o options) *system {
+func newSystem(t testing.TB, o options) *system {
 	t.Helper()
 	s := &system{t: t, dir: t.TempDir(), extra: o.settings}
 	a := address(t)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/pprof"
 
 	"github.com/go-chi/chi/v5"
 	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
@@ -52,6 +53,10 @@
 	r.Get(peer.PathStatus, s.status)
 	r.Get(peer.PathHealth, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	r.Get(peer.PathMetrics, s.Metrics.ServeHTTP)
+	r.Get("/debug/pprof/profile", pprof.Profile)
+	r.Get("/debug/pprof/{name}", func(w http.ResponseWriter, r *http.Request) {
+		pprof.Handler(chi.URLParam(r, "name")).ServeHTTP(w, r)
+	})
 	return otelhttp.NewHandler(r, "peer")
 }
 
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -84,7 +84,7 @@
 		return nil, dialled(err)
 	}
 	if a.StatusCode == http.StatusOK {
-		return &Stream{body: a.Body}, nil
+		return NewStream(a.Body), nil
 	}
 	defer func() { _ = a.Body.Close() }()
 	return nil, refused(a)
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -58,3 +58,8 @@
 func (s *Stream) Close() {
 	_ = s.body.Close()
 }
+
+// NewStream makes a stream of an open body.
+func NewStream(b io.ReadCloser) *Stream {
+	return &Stream{body: b}
+}
