test: contract tables for callers, engines, services, platform and peers

Cause: the fault cases of each interface were not written down or run. Each interface has one table that our client and entry VM run against the stand-in.

Found and mended: - a slow reader was taken for one that left: the server hides a failed write behind the end of the request's context, and the stream's own wrapping hid the failure of a flush. Writes are timed, and Stream.Each gives the failure of a flush as it is (TestSlowReaderIsBounded). - the kernel held up to 4 MB for a slow reader; the send buffer is bounded. - each watch that only moved the version on rebuilt and logged the view.

--- /dev/null
+++ b/contract/caller_test.go
@@ -0,0 +1,137 @@
+package contract
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/sample"
+	"github.com/wardridge/wardridge/internal/wire"
+)
+
+func body(s string) ask {
+	return ask{key: sample.KeyDispatch, body: s}
+}
+
+const fine = `{"model":"desk","messages":[{"role":"user","content":"x"}]}`
+
+func TestCallerContract(t *testing.T) {
+	b := newBed(t)
+	b.engine("engine-1", nil, nil)
+	b.service("orders-1")
+	v := b.entry("entry-1", "[entry]\nbody_limit_kb = 128\n")
+	with := func(h ...string) ask { return ask{key: sample.KeyDispatch, body: fine, headers: h} }
+	tests := []struct {
+		name string
+		ask  ask
+		want fault.Code
+	}{
+		{"whole answer", body(fine), 0},
+		{"no key", ask{body: fine}, fault.UnknownWorkspace},
+		{"unknown key", ask{key: "nobody", body: fine}, fault.UnknownWorkspace},
+		{"malformed JSON", body(`{"model":`), fault.MalformedJSON},
+		{"not an object", body(`7`), fault.MalformedJSON},
+		{"two values", body(fine + fine), fault.MalformedJSON},
+		{"wrong type", body(`{"model":7,"messages":[]}`), fault.MalformedJSON},
+		{"empty body", body(``), fault.MalformedJSON},
+		{"no message", body(`{"model":"desk","messages":[]}`), fault.InvalidRequest},
+		{"negative length", body(`{"model":"desk","max_tokens":-1,"messages":[{"role":"user","content":"x"}]}`), fault.InvalidRequest},
+		{"unknown model", body(strings.Replace(fine, "desk", "none", 1)), fault.UnknownModel},
+		{"unknown adapter", body(strings.Replace(fine, "desk", "desk:none", 1)), fault.UnknownModel},
+		{"adapter of the workspace", body(strings.Replace(fine, "desk", "desk:permits", 1)), 0},
+		{"another workspace's adapter", ask{key: sample.KeyField, body: strings.Replace(fine, "desk", "desk:permits", 1)}, fault.NotAllowed},
+		{"oversized body", body(strings.Repeat("x", 129<<10)), fault.BodyTooLarge},
+		{"prompt over the context", body(strings.Replace(fine, `"x"`, `"`+strings.Repeat("x", 70<<10)+`"`, 1)), fault.TooLarge},
+		{"unknown priority", with(wire.HeaderPriority, "urgent"), fault.InvalidHeader},
+		{"lower priority", with(wire.HeaderPriority, "background"), 0},
+		{"deadline not a number", with(wire.HeaderDeadline, "soon"), fault.InvalidHeader},
+		{"deadline of 0", with(wire.HeaderDeadline, "0"), fault.InvalidHeader},
+		{"deadline too far", with(wire.HeaderDeadline, "99999999999"), fault.InvalidHeader},
+		{"mark not a bool", with(wire.HeaderNotRepeatable, "yes"), fault.InvalidHeader},
+		{"key too long", with(wire.HeaderIdempotency, strings.Repeat("k", 300)), fault.InvalidHeader},
+		{"kind too long", with(wire.HeaderKind, strings.Repeat("k", 100)), fault.InvalidHeader},
+		{"unknown path", ask{path: "/v1/none", key: sample.KeyDispatch}, fault.UnknownPath},
+		{"wrong method", ask{method: http.MethodPut, key: sample.KeyDispatch}, fault.UnknownPath},
+		{"unknown service", ask{path: "/services/none/x", key: sample.KeyDispatch}, fault.UnknownService},
+		{"service without a key", ask{path: "/services/orders/x"}, fault.UnknownWorkspace},
+		{"service", ask{path: "/services/orders/x", key: sample.KeyDispatch}, 0},
+		{"resume without an event id", ask{method: http.MethodGet, path: "/v1/chat/completions/r"}, fault.UnknownWorkspace},
+		{"resume with a made-up event id", ask{method: http.MethodGet, path: "/v1/chat/completions/r", key: sample.KeyDispatch, headers: []string{wire.HeaderLastEvent, "YQ.YQ.YQ.YQ.1"}}, fault.UnknownStream},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			r := v.send(c.ask)
+			if r.err != nil {
+				t.Fatal(r.err)
+			}
+			checkRefusal(t, r, c.want)
+		})
+	}
+}
+
+// checkRefusal checks the answer's status, type, number and word on whether
+// the request ran against the catalogue.
+func checkRefusal(t *testing.T, r reply, want fault.Code) {
+	t.Helper()
+	f := r.fault()
+	if fault.Code(f.Code) != want {
+		t.Fatalf("code: got %d (%s), want %d", f.Code, r.body, want)
+	}
+	if want == 0 {
+		if r.status != http.StatusOK {
+			t.Errorf("status: got %d, want 200", r.status)
+		}
+		return
+	}
+	k := want.Kind()
+	if r.status != k.Status || f.Type != k.Type {
+		t.Errorf("got %d %s, want %d %s", r.status, f.Type, k.Status, k.Type)
+	}
+	if f.Ran != k.Ran || r.header.Get(wire.HeaderRan) != string(k.Ran) {
+		t.Errorf("ran: got %s and header %q, want %s", f.Ran, r.header.Get(wire.HeaderRan), k.Ran)
+	}
+}
+
+func TestLimitsTellWhenToComeBack(t *testing.T) {
+	b := newBed(t)
+	b.engine("engine-1", nil, nil)
+	o, err := b.store.Get(api.ResourceKindWorkspace, "dispatch")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.Spec = []byte(strings.Replace(string(o.Spec), "{", `{"requests_per_second":1,`, 1))
+	b.put(o)
+	v := b.entry("entry-1", "")
+	v.send(chat(1, false))
+	r := v.send(chat(1, false))
+	checkRefusal(t, r, fault.LimitReached)
+	if got := r.header.Get(wire.HeaderRetryAfter); got != "1" {
+		t.Errorf("Retry-After: got %q, want 1", got)
+	}
+}
+
+func TestSlowAndHugeSendersAreCutOff(t *testing.T) {
+	b := newBed(t)
+	b.engine("engine-1", nil, nil)
+	v := b.entry("entry-1", "[entry]\nheader_wait_ms = 100\n")
+	conn := dial(t, v.listen)
+	send(t, conn, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+sample.KeyDispatch+"\r\nContent-Length: 100\r\n\r\n{")
+	if got := reading(t, conn); !strings.Contains(got, "408") || !strings.Contains(got, "slow_sender") {
+		t.Errorf("slow body: got %q, want 408 slow_sender", got)
+	}
+	conn = dial(t, v.listen)
+	send(t, conn, "POST / HTTP/1.1\r\nHost: x\r\nX-Long: "+strings.Repeat("x", 64<<10)+"\r\n\r\n")
+	if got := reading(t, conn); !strings.Contains(got, "431") {
+		t.Errorf("huge head: got %q, want 431", got)
+	}
+	conn = dial(t, v.listen)
+	send(t, conn, "POST / HT")
+	if got := reading(t, conn); strings.Contains(got, "200") {
+		t.Errorf("slow head: got %q, want the connection closed", got)
+	}
+	if r := v.send(chat(3, false)); r.status != http.StatusOK {
+		t.Errorf("a caller after them: got %d, want 200", r.status)
+	}
+}
--- /dev/null
+++ b/contract/conn_test.go
@@ -0,0 +1,39 @@
+package contract
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+func send(t *testing.T, c net.Conn, s string) {
+	t.Helper()
+	if _, err := io.WriteString(c, s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// reading reads what comes until the connection closes or is silent for long.
+func reading(t *testing.T, c net.Conn) string {
+	t.Helper()
+	if err := c.SetReadDeadline(time.Now().Add(patience)); err != nil {
+		t.Fatal(err)
+	}
+	b := make([]byte, 4096)
+	n, err := io.ReadAtLeast(c, b, len(b))
+	if n == 0 && err != io.EOF && err != io.ErrUnexpectedEOF {
+		return err.Error()
+	}
+	return string(b[:n])
+}
--- /dev/null
+++ b/contract/engine_test.go
@@ -0,0 +1,212 @@
+package contract
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/answer"
+	"github.com/wardridge/wardridge/internal/engine"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/metric"
+	standin "github.com/wardridge/wardridge/internal/standin/engine"
+	"github.com/wardridge/wardridge/internal/wire"
+)
+
+// TestStreamsOfEngines breaks streams in each way and checks what the caller
+// gets: every token once, in order, of one generation, or a typed end.
+func TestStreamsOfEngines(t *testing.T) {
+	const once = wire.HeaderNotRepeatable
+	tests := []struct {
+		name    string
+		scripts []string
+		once    bool
+		tokens  int
+		want    fault.Code
+		ran     api.Ran
+		starts  int
+	}{
+		{"whole", []string{"t0 t1 t2 f3"}, false, 3, 0, "", 1},
+		{"no token at all", []string{"f0"}, false, 0, 0, "", 1},
+		{"doubled tokens", []string{"t0 t0 t1 t0 t1 t2 t2 f3"}, false, 3, 0, "", 1},
+		{"tokens of another generation", []string{"x0 t0 x1 x2 t1 x0 f2"}, false, 2, 0, "", 1},
+		{"another generation's end", []string{"t0 x1 t1 f2"}, false, 2, 0, "", 1},
+		{"missing token", []string{"t0 t2 f3", "t1 t2 f3"}, false, 3, 0, "", 1},
+		{"end before all tokens came", []string{"t0 f3", "t1 t2 f3"}, false, 3, 0, "", 1},
+		{"cut in mid-stream", []string{"t0 t1 cut", "t2 f3"}, false, 3, 0, "", 1},
+		{"cut twice", []string{"t0 cut", "t1 cut", "t2 f3"}, false, 3, 0, "", 1},
+		{"cut at the last token", []string{"t0 t1 t2 cut", "f3"}, false, 3, 0, "", 1},
+		{"resume doubles tokens", []string{"t0 t1 cut", "t0 t1 t2 f3"}, false, 3, 0, "", 1},
+		{"stall in mid-stream", []string{"t0 stall", "t1 f2"}, false, 2, 0, "", 1},
+		{"junk in mid-stream", []string{"t0 junk", "t1 f2"}, false, 2, 0, "", 1},
+		{"stream ends without its end", []string{"t0", "t1 f2"}, false, 2, 0, "", 1},
+		{"engine forgot in mid-stream", []string{"t0 cut", "unknown-generation"}, false, 1, fault.GenerationLost, api.RanYes, 1},
+		{"engine gone in mid-stream", []string{"t0 cut"}, false, 1, fault.GenerationLost, api.RanYes, 1},
+		{"reset before a token", []string{"reset", "t0 f1"}, false, 1, 0, "", 2},
+		{"stall before a token", []string{"stall", "t0 f1"}, false, 1, 0, "", 2},
+		{"refused, then taken", []string{"full", "t0 f1"}, false, 1, 0, "", 2},
+		{"once: whole", []string{"t0 f1"}, true, 1, 0, "", 1},
+		{"once: refused, then taken", []string{"full", "t0 f1"}, true, 1, 0, "", 2},
+		{"once: reset before a token", []string{"reset", "t0 f1"}, true, 1, 0, "", 1},
+		{"once: reset, then unknown", []string{"reset", "unknown-generation"}, true, 0, fault.OutcomeUnknown, api.RanUnknown, 1},
+		{"once: taken, cut, resume refused", []string{"cut", "full", "t0 f1"}, true, 1, 0, "", 1},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			b := newBed(t)
+			// Both engines follow one list of scripts, as a retry goes to the other.
+			s := b.scripted("engine-1", c.scripts...)
+			b.twin(s, "engine-2")
+			v := b.entry("entry-1", shortWaits)
+			a := chat(1, true)
+			if c.once {
+				a.headers = []string{once, "true"}
+			}
+			r := v.send(a)
+			if r.err != nil {
+				t.Fatal(r.err)
+			}
+			got, whole := texts(r.body)
+			inOrder(t, got, 0, c.tokens)
+			if whole != (c.want == 0) {
+				t.Errorf("whole: got %v, want %v: %s", whole, c.want == 0, r.body)
+			}
+			if f := r.fault(); fault.Code(f.Code) != c.want || f.Ran != c.ran {
+				t.Errorf("fault: got %d ran %q, want %d ran %q", f.Code, f.Ran, c.want, c.ran)
+			}
+			if starts, _, _ := s.counts(); starts != c.starts {
+				t.Errorf("generations started: got %d, want %d", starts, c.starts)
+			}
+		})
+	}
+}
+
+// twin declares a second engine that shares a script.
+func (b *bed) twin(s *scripted, name string) {
+	b.t.Helper()
+	h := s.handler()
+	b.backend(name, serve(b.t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/load" {
+			(&scripted{name: name}).handler().ServeHTTP(w, r)
+			return
+		}
+		h.ServeHTTP(w, r)
+	})), api.BackendServerSpec{ChecksFence: true, Models: []api.ModelName{"desk"}, Adapters: []api.AdapterName{"permits"}})
+	b.engines[name] = nil
+}
+
+func TestCallerThatLeavesIsCancelled(t *testing.T) {
+	b := newBed(t)
+	e := b.engine("engine-1", nil, nil)
+	v := b.entry("entry-1", "")
+	ctx, cancel := context.WithCancel(context.Background())
+	r, err := chat(100000, true).request(ctx, v.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := a.Body.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	_ = a.Body.Close()
+	b.until("the engine to be told", func() bool { return e.Active() == 0 })
+}
+
+func TestSlowReaderIsBounded(t *testing.T) {
+	b := newBed(t)
+	e := b.engine("engine-1", nil, func(o *standin.Options) {
+		o.Batch.StepBase = 50 * time.Microsecond
+		o.Batch.StepPerGeneration = 0
+		o.Batch.KVTokens = 1 << 24
+	})
+	v := b.entry("entry-1", "[entry]\nslow_reader_ms = 200\n")
+	c := dial(t, v.listen)
+	if err := c.(*net.TCPConn).SetReadBuffer(4096); err != nil {
+		t.Fatal(err)
+	}
+	q := chat(16000, true)
+	send(t, c, "POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+q.key+"\r\nContent-Length: "+strconv.Itoa(len(q.body))+"\r\n\r\n"+q.body)
+	// The caller reads nothing more; its generation must end all the same.
+	b.until("the generation to start", func() bool { return e.Started() == 1 })
+	b.until("the engine to be told", func() bool { return e.Active() == 0 })
+	b.until("the slow reader to be counted", func() bool { return b.metric(v, metric.SlowReaders) == 1 })
+}
+
+func TestEngineClientTellsRefusalsApart(t *testing.T) {
+	tests := []struct {
+		name   string
+		script string
+		want   answer.Cause
+	}{
+		{"refused", "leaving", answer.Refused},
+		{"unknown", "unknown-generation", answer.Unknown},
+		{"reset", "reset", answer.Broken},
+		{"an answer that is none", "{}", answer.Broken},
+	}
+	c, closer := engine.New(time.Second)
+	defer closer()
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			s := &scripted{name: "e", scripts: []string{x.script}}
+			h := s.handler()
+			if x.script == "{}" {
+				h = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) })
+			}
+			_, err := c.Start(context.Background(), serve(t, h), api.GenerateRequest{Generation: "g"})
+			var b *engine.StreamError
+			if !errors.As(err, &b) || b.Cause != x.want {
+				t.Errorf("got %v, want cause %d", err, x.want)
+			}
+		})
+	}
+	_, err := c.Start(context.Background(), dead(t), api.GenerateRequest{Generation: "g"})
+	var b *engine.StreamError
+	if !errors.As(err, &b) || b.Cause != answer.NotConnected {
+		t.Errorf("refused connection: got %v, want cause %d", err, answer.NotConnected)
+	}
+}
+
+func TestOrdersCarryFences(t *testing.T) {
+	b := newBed(t)
+	checks := b.engine("checks", nil, nil)
+	b.engine("trusts", nil, func(o *standin.Options) { o.ChecksFence = false })
+	c, closer := engine.New(time.Second)
+	defer closer()
+	load := func(name string, f api.Fence, item string) error {
+		o, err := b.store.Get(api.ResourceKindBackendServer, name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var s api.BackendServerSpec
+		if err := json.Unmarshal(o.Spec, &s); err != nil {
+			t.Fatal(err)
+		}
+		return c.Order(context.Background(), s.Address, api.Order{Fence: f, Action: api.OrderActionUnload, Item: item})
+	}
+	if err := load("checks", 2, "model/a@1"); err != nil {
+		t.Fatal(err)
+	}
+	if err := load("checks", 1, "model/desk@2026-10"); !fault.Has(err, fault.OldFence) {
+		t.Errorf("older fence at an engine that checks: got %v, want old_fence", err)
+	}
+	if err := load("trusts", 2, "model/a@1"); err != nil {
+		t.Fatal(err)
+	}
+	if err := load("trusts", 1, "model/a@1"); err != nil {
+		t.Errorf("older fence at an engine that does not check: got %v, want it carried out", err)
+	}
+	if checks.Started() != 0 {
+		t.Errorf("generations: got %d, want 0", checks.Started())
+	}
+}
--- /dev/null
+++ b/contract/harness_test.go
@@ -0,0 +1,381 @@
+package contract
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/entry"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/metric"
+	"github.com/wardridge/wardridge/internal/node"
+	"github.com/wardridge/wardridge/internal/peer"
+	client "github.com/wardridge/wardridge/internal/platform"
+	"github.com/wardridge/wardridge/internal/resource"
+	"github.com/wardridge/wardridge/internal/sample"
+	"github.com/wardridge/wardridge/internal/settings"
+	"github.com/wardridge/wardridge/internal/standin/engine"
+	"github.com/wardridge/wardridge/internal/standin/platform"
+	"github.com/wardridge/wardridge/internal/standin/service"
+	"github.com/wardridge/wardridge/internal/wire"
+)
+
+// patience bounds waits; no test asserts a time below it.
+const patience = 20 * time.Second
+
+// vm is one entry VM of a bed.
+type vm struct {
+	name    string
+	listen  string
+	control string
+	cancel  context.CancelFunc
+	done    chan error
+}
+
+// bed is a small system in this process.
+type bed struct {
+	t        testing.TB
+	group    *duty.Group
+	store    *platform.Store
+	platform *platform.Server
+	address  string
+	client   *client.Client
+	engines  map[string]*engine.Engine
+	services map[string]*service.Service
+	vms      []*vm
+}
+
+func host(s *httptest.Server) string {
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func serve(t testing.TB, h http.Handler) string {
+	t.Helper()
+	s := httptest.NewServer(h)
+	t.Cleanup(func() {
+		s.CloseClientConnections()
+		s.Close()
+	})
+	return host(s)
+}
+
+func free(t testing.TB) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// newBed starts a platform that holds the models, workspaces and the service
+// of the sample, without any backend server or entry VM.
+func newBed(t testing.TB) *bed {
+	t.Helper()
+	b := &bed{t: t, store: platform.NewStore(), engines: map[string]*engine.Engine{}, services: map[string]*service.Service{}}
+	b.platform = platform.New(b.store, platform.Options{WritesPerSecond: 10000, ReadsPerSecond: 10000})
+	b.address = serve(t, b.platform.Handler())
+	var closer func()
+	b.client, closer = client.New(b.address, time.Second)
+	t.Cleanup(closer)
+	b.group, closer = duty.New(context.Background())
+	t.Cleanup(closer)
+	l, err := resource.Parse("sample", sample.Resources)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, o := range l {
+		if o.Kind != api.ResourceKindBackendServer {
+			b.put(o)
+		}
+	}
+	return b
+}
+
+func (b *bed) put(o api.Object) api.Object {
+	b.t.Helper()
+	n, err := b.store.Put(o)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return n
+}
+
+// backend declares a backend server.
+func (b *bed) backend(name, address string, s api.BackendServerSpec) {
+	b.t.Helper()
+	s.Address, s.Domain = address, "hall-a"
+	if s.Type == "" {
+		s.Type = api.ServerTypeEngine
+	}
+	if s.State == "" {
+		s.State = api.ServerStateActive
+	}
+	if s.Role == "" {
+		s.Role = api.EngineRoleServe
+	}
+	if s.Models == nil {
+		s.Models, s.Adapters = []api.ModelName{}, []api.AdapterName{}
+	}
+	j, err := json.Marshal(s)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.put(api.Object{Kind: api.ResourceKindBackendServer, Name: name, Spec: j})
+}
+
+// engine starts and declares an engine's stand-in with the sample's model
+// loaded; wrap may stand between it and its callers.
+func (b *bed) engine(name string, wrap func(http.Handler) http.Handler, change func(*engine.Options)) *engine.Engine {
+	b.t.Helper()
+	o := engine.Defaults()
+	o.Name = api.ServerName(name)
+	o.Loaded = []string{"model/desk@2026-10", "adapter/permits@7"}
+	o.Batch.StepBase = 2 * time.Millisecond
+	o.ReportLag = 0
+	if change != nil {
+		change(&o)
+	}
+	e := engine.New(o, event.Discard())
+	b.group.Go(e.Run)
+	h := e.Handler()
+	if wrap != nil {
+		h = wrap(h)
+	}
+	b.backend(name, serve(b.t, h), api.BackendServerSpec{ChecksFence: true, Models: []api.ModelName{"desk"}, Adapters: []api.AdapterName{"permits"}})
+	b.engines[name] = e
+	return e
+}
+
+// service starts and declares the sample's plain service.
+func (b *bed) service(name string) *service.Service {
+	b.t.Helper()
+	s := service.New(api.ServerName(name))
+	b.backend(name, serve(b.t, s.Handler()), api.BackendServerSpec{Type: api.ServerTypeService})
+	b.services[name] = s
+	return s
+}
+
+// settingsText is an entry VM's settings with short waits.
+const settingsText = `[node]
+name = %s
+domain = hall-a
+listen = %s
+control = %s
+stop_wait_ms = 0
+[platform]
+address = %s
+vm_poll_ms = 100
+timeout_ms = 500
+watch_wait_ms = 1000
+[engine]
+report_poll_ms = 20
+`
+
+// entry starts an entry VM and waits until it serves.
+func (b *bed) entry(name, more string) *vm {
+	b.t.Helper()
+	v := b.launch(name, more)
+	b.until(name+" to serve", func() bool {
+		s, err := b.status(v)
+		return err == nil && s.State == api.PeerStateServing && ready(s) == len(b.engines)
+	})
+	return v
+}
+
+func ready(s api.NodeStatus) int {
+	n := 0
+	for _, x := range s.Servers {
+		if x.State == api.ServerStatusStateReady {
+			n++
+		}
+	}
+	return n
+}
+
+// launch starts an entry VM.
+func (b *bed) launch(name, more string) *vm {
+	b.t.Helper()
+	v := &vm{name: name, listen: free(b.t), control: free(b.t), done: make(chan error, 1)}
+	s, err := settings.Parse(name, fmt.Appendf(nil, settingsText+more, name, v.listen, v.control, b.address))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	b.platform.SetVM(api.VM{Name: name, Role: api.VMRoleEntry, State: api.VMStateLive, Address: v.control, Domain: "hall-a"})
+	ctx, cancel := context.WithCancel(context.Background())
+	v.cancel = cancel
+	b.group.Go(func(context.Context) error {
+		v.done <- node.Run(ctx, s, event.Discard())
+		close(v.done)
+		return nil
+	})
+	b.t.Cleanup(func() { v.stop(b.t) })
+	b.vms = append(b.vms, v)
+	return v
+}
+
+// stop stops an entry VM as planned.
+func (v *vm) stop(t testing.TB) {
+	t.Helper()
+	v.cancel()
+	select {
+	case err := <-v.done:
+		if err != nil {
+			t.Errorf("%s: got %v at its stop, want none", v.name, err)
+		}
+	case <-time.After(patience):
+		t.Errorf("%s: got no stop in %v", v.name, patience)
+	}
+}
+
+func (b *bed) until(what string, ok func() bool) {
+	b.t.Helper()
+	end := time.Now().Add(patience)
+	for time.Now().Before(end) {
+		if ok() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	b.t.Fatalf("waited too long for %s", what)
+}
+
+func (b *bed) status(v *vm) (api.NodeStatus, error) {
+	c, closer := peer.New(time.Second)
+	defer closer()
+	return c.Status(context.Background(), v.control)
+}
+
+func (b *bed) metric(v *vm, n metric.Name) int64 {
+	c, closer := peer.New(time.Second)
+	defer closer()
+	m, err := c.Metrics(context.Background(), v.control)
+	if err != nil {
+		return -1
+	}
+	return m[string(n)]
+}
+
+// reply is an answer as a caller sees it.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// fault is the typed error in the answer, also at the end of a stream.
+func (r reply) fault() api.ErrorDetail {
+	var e api.ErrorBody
+	t := r.body
+	if i := strings.LastIndex(t, "event: error"); i >= 0 {
+		_, t, _ = strings.Cut(t[i:], "data: ")
+	}
+	// A body that is no error has none.
+	_ = json.NewDecoder(strings.NewReader(t)).Decode(&e)
+	return e.Error
+}
+
+// ask is a call of an entry VM.
+type ask struct {
+	method, path, key, body string
+	headers                 []string
+}
+
+func (a ask) request(ctx context.Context, listen string) (*http.Request, error) {
+	if a.method == "" {
+		a.method = http.MethodPost
+	}
+	if a.path == "" {
+		a.path = entry.PathChat
+	}
+	r, err := http.NewRequestWithContext(ctx, a.method, "http://"+listen+a.path, bytes.NewReader([]byte(a.body)))
+	if err != nil {
+		return nil, err
+	}
+	if a.key != "" {
+		r.Header.Set("Authorization", "Bearer "+a.key)
+	}
+	for i := 0; i+1 < len(a.headers); i += 2 {
+		r.Header.Set(a.headers[i], a.headers[i+1])
+	}
+	return r, nil
+}
+
+// send sends a call and reads its whole answer.
+func (v *vm) send(a ask) reply {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	r, err := a.request(ctx, v.listen)
+	if err != nil {
+		return reply{err: err}
+	}
+	// A connection of its own keeps the client from repeating a call.
+	t := wire.NewTransport(time.Second, false)
+	x, err := t.RoundTrip(r)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = x.Body.Close() }()
+	b, err := io.ReadAll(x.Body)
+	return reply{status: x.StatusCode, header: x.Header, body: string(b), err: err}
+}
+
+// chat is a completion of so many tokens.
+func chat(tokens int, stream bool, headers ...string) ask {
+	return ask{
+		key:     sample.KeyDispatch,
+		body:    fmt.Sprintf(`{"model":"desk","stream":%v,"messages":[{"role":"user","content":"x"}],"metadata":{"standin_tokens":"%d"}}`, stream, tokens),
+		headers: headers,
+	}
+}
+
+// order is a call of the plain service that is not repeatable.
+func order(key string, headers ...string) ask {
+	return ask{path: "/services/orders/confirm", key: sample.KeyField, body: "compressor 7", headers: append(headers, wire.HeaderIdempotency, key)}
+}
+
+// texts gives the tokens of a streamed answer and whether it ended whole.
+func texts(body string) (tokens []string, whole bool) {
+	for l := range strings.SplitSeq(body, "\n") {
+		d, ok := strings.CutPrefix(l, "data: ")
+		if !ok {
+			continue
+		}
+		if d == "[DONE]" {
+			return tokens, true
+		}
+		var c api.ChatChunk
+		if json.Unmarshal([]byte(d), &c) == nil && len(c.Choices) == 1 && c.Choices[0].Delta.Content != "" {
+			tokens = append(tokens, strings.TrimSpace(c.Choices[0].Delta.Content))
+		}
+	}
+	return tokens, false
+}
+
+// inOrder checks that tokens are those of one generation from an index on.
+func inOrder(t testing.TB, tokens []string, from, want int) {
+	t.Helper()
+	if len(tokens) != want {
+		t.Errorf("tokens: got %d, want %d", len(tokens), want)
+	}
+	for i, x := range tokens {
+		g, n, _ := strings.Cut(x, ":")
+		first, _, _ := strings.Cut(tokens[0], ":")
+		if n != fmt.Sprint(from+i) || g != first {
+			t.Errorf("token at place %d: got %q, want %s:%d", i, x, first, from+i)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/contract/platform_test.go
@@ -0,0 +1,171 @@
+package contract
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/fault"
+	client "github.com/wardridge/wardridge/internal/platform"
+	"github.com/wardridge/wardridge/internal/resource"
+	"github.com/wardridge/wardridge/internal/standin/platform"
+)
+
+func object(name, weights string, v api.Version) api.Object {
+	return api.Object{Kind: api.ResourceKindModel, Name: name, Version: v, Spec: []byte(`{"weights":"` + weights + `"}`)}
+}
+
+func TestPlatformContract(t *testing.T) {
+	ctx := context.Background()
+	tests := []struct {
+		name   string
+		faults platform.Faults
+		call   func(c *client.Client, v api.Version) error
+		want   fault.Code
+		// there is the weights that the object has afterwards.
+		there string
+	}{
+		{"create what is there", platform.Faults{}, func(c *client.Client, _ api.Version) error {
+			_, err := c.Put(ctx, object("m", "b", 0))
+			return err
+		}, fault.VersionConflict, "a"},
+		{"update", platform.Faults{}, func(c *client.Client, v api.Version) error {
+			_, err := c.Put(ctx, object("m", "b", v))
+			return err
+		}, 0, "b"},
+		{"update of an older version", platform.Faults{}, func(c *client.Client, v api.Version) error {
+			_, err := c.Put(ctx, object("m", "b", v-1))
+			return err
+		}, fault.VersionConflict, "a"},
+		{"answer lost", platform.Faults{LoseWrites: 1}, func(c *client.Client, v api.Version) error {
+			_, err := c.Put(ctx, object("m", "b", v))
+			return err
+		}, fault.OutcomeUnknown, "b"},
+		{"answer lost, read back", platform.Faults{LoseWrites: 1}, func(c *client.Client, v api.Version) error {
+			_, err := c.PutConfirmed(ctx, object("m", "b", v))
+			return err
+		}, 0, "b"},
+		{"lost answer to a conflict, read back", platform.Faults{LoseWrites: 1}, func(c *client.Client, v api.Version) error {
+			_, err := c.PutConfirmed(ctx, object("m", "b", v-1))
+			return err
+		}, fault.VersionConflict, "a"},
+		{"outage", platform.Faults{Outage: true}, func(c *client.Client, v api.Version) error {
+			_, err := c.PutConfirmed(ctx, object("m", "b", v))
+			return err
+		}, fault.PlatformDown, "a"},
+		{"answer slower than the wait", platform.Faults{SlowMS: 400}, func(c *client.Client, v api.Version) error {
+			_, err := c.Put(ctx, object("m", "b", v))
+			return err
+		}, fault.OutcomeUnknown, ""},
+		{"read of nothing", platform.Faults{}, func(c *client.Client, _ api.Version) error {
+			_, err := c.Get(ctx, api.ResourceKindModel, "none")
+			return err
+		}, fault.NotFound, "a"},
+		{"watch from too long ago", platform.Faults{}, func(c *client.Client, _ api.Version) error {
+			for i := range 1100 {
+				o, err := c.Put(ctx, object("other", "x", api.Version(i)*0))
+				if err != nil {
+					return err
+				}
+				if err := c.Delete(ctx, o.Kind, o.Name, o.Version); err != nil {
+					return err
+				}
+			}
+			_, err := c.Watch(ctx, 1, 0, nil)
+			return err
+		}, fault.WatchTooOld, "a"},
+		{"delete of an older version", platform.Faults{}, func(c *client.Client, v api.Version) error {
+			return c.Delete(ctx, api.ResourceKindModel, "m", v-1)
+		}, fault.VersionConflict, "a"},
+	}
+	for _, x := range tests {
+		t.Run(x.name, func(t *testing.T) {
+			s := platform.NewStore()
+			p := platform.New(s, platform.Options{WritesPerSecond: 100000, ReadsPerSecond: 100000})
+			c, closer := client.New(serve(t, p.Handler()), 200*time.Millisecond)
+			defer closer()
+			if _, err := s.Put(object("first", "x", 0)); err != nil {
+				t.Fatal(err)
+			}
+			o, err := s.Put(object("m", "a", 0))
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.Set(x.faults)
+			err = x.call(c, o.Version)
+			if x.want == 0 && err != nil || x.want != 0 && !fault.Has(err, x.want) {
+				t.Errorf("got %v, want code %d", err, x.want)
+			}
+			n, err := s.Get(api.ResourceKindModel, "m")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if x.there != "" && !strings.Contains(string(n.Spec), `"`+x.there+`"`) {
+				t.Errorf("object: got %s, want weights %s", n.Spec, x.there)
+			}
+		})
+	}
+}
+
+func TestPlatformThrottles(t *testing.T) {
+	p := platform.New(platform.NewStore(), platform.Options{WritesPerSecond: 1, ReadsPerSecond: 100})
+	c, closer := client.New(serve(t, p.Handler()), time.Second)
+	defer closer()
+	ctx := context.Background()
+	if _, err := c.Put(ctx, object("a", "x", 0)); err != nil {
+		t.Fatal(err)
+	}
+	_, err := c.Put(ctx, object("b", "x", 0))
+	if !fault.Has(err, fault.PlatformThrottled) {
+		t.Errorf("got %v, want platform_throttled", err)
+	}
+}
+
+func TestOperatorsRace(t *testing.T) {
+	b := newBed(t)
+	ctx := context.Background()
+	there, err := b.store.Get(api.ResourceKindModel, "desk")
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, second := object("desk", "first", there.Version), object("desk", "second", there.Version)
+	if _, err := resource.Apply(ctx, b.client, first); err != nil {
+		t.Fatal(err)
+	}
+	_, err = resource.Apply(ctx, b.client, second)
+	if !fault.Has(err, fault.VersionConflict) || !strings.Contains(err.Error(), "first") {
+		t.Errorf("second operator: got %v, want a conflict that shows the first's change", err)
+	}
+	// Applying again what was applied changes nothing.
+	first.Version = 0
+	if o, err := resource.Apply(ctx, b.client, first); err != nil || o.Changed {
+		t.Errorf("same again: got %+v, %v, want unchanged", o, err)
+	}
+}
+
+// Edits of one field by many operators at once all count.
+func TestEditsDoNotOverwriteEachOther(t *testing.T) {
+	b := newBed(t)
+	b.backend("e", dead(t), api.BackendServerSpec{})
+	done := make(chan error, 2)
+	edit := func(field string, value any) {
+		b.group.Go(func(ctx context.Context) error {
+			_, err := resource.Edit(ctx, b.client, api.ResourceKindBackendServer, "e", field, value)
+			done <- err
+			return nil
+		})
+	}
+	edit("state", "draining")
+	edit("role", "standby")
+	for range 2 {
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	}
+	o, err := b.store.Get(api.ResourceKindBackendServer, "e")
+	if err != nil || !strings.Contains(string(o.Spec), "draining") || !strings.Contains(string(o.Spec), "standby") {
+		t.Errorf("got %s, %v, want both edits", o.Spec, err)
+	}
+}
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -15,26 +15,33 @@
 	body io.ReadCloser
 }
 
-// beforeRead calls a function before each read, which may block.
+// beforeRead calls a function before each read, which may block, and keeps
+// its failure.
 type beforeRead struct {
 	reader io.Reader
 	idle   func() error
+	failed error
 }
 
 // Read calls the function, then reads.
-func (b beforeRead) Read(p []byte) (int, error) {
-	if err := b.idle(); err != nil {
-		return 0, err
+func (b *beforeRead) Read(p []byte) (int, error) {
+	if b.failed = b.idle(); b.failed != nil {
+		return 0, b.failed
 	}
 	return b.reader.Read(p)
 }
 
 // Each calls take for each event until it returns false. It calls idle
 // whenever all events that arrived have been taken, before it waits for more.
-// It returns nil only if take ended it.
+// It returns nil only if take ended it, and the failure of idle or take as it is.
 func (s *Stream) Each(idle func() error, take func(api.TokenEvent) (bool, error)) error {
 	var out error = fault.New(fault.BadAnswer, "the stream ended early")
-	sse.Read(beforeRead{s.body, idle}, nil)(func(e sse.Event, err error) bool {
+	r := &beforeRead{reader: s.body, idle: idle}
+	sse.Read(r, nil)(func(e sse.Event, err error) bool {
+		if r.failed != nil {
+			out = r.failed
+			return false
+		}
 		if err != nil {
 			out = fault.Wrap(fault.BadAnswer, err, "the stream broke")
 			return false
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -110,18 +110,17 @@
 	switch {
 	case err == nil:
 		return answer.Next{Move: finished}, true
+	case fault.Has(err, fault.SlowReader):
+		t.server.Metrics.Add(metric.SlowReaders, 1)
+		return answer.Next{Move: answer.Fail, Fault: fault.From(err).WithRan(t.answer.Ran())}, true
 	case ctx.Err() != nil:
 		return t.ended(ctx), true
-	case isFault(err, fault.SlowReader), isFault(err, fault.CallerGone):
+	case fault.Has(err, fault.CallerGone):
 		return answer.Next{Move: answer.Fail, Fault: fault.From(err).WithRan(t.answer.Ran())}, true
 	}
 	return t.broke(answer.Broken)
 }
 
-func isFault(err error, c fault.Code) bool {
-	return fault.Has(err, c)
-}
-
 // patience is the silence after which a stream counts as broken.
 func (t *attempt) patience() time.Duration {
 	if t.answer.Next() == 0 {
--- a/internal/entry/sink.go
+++ b/internal/entry/sink.go
@@ -112,6 +112,7 @@
 	finish  string
 	begun   bool
 	bounded time.Time
+	slow    bool
 }
 
 func newStreamSink(s *Server, w http.ResponseWriter, c *chat) *streamSink {
@@ -157,42 +158,38 @@
 }
 
 func (k *streamSink) write(m *sse.Message) error {
-	if err := k.bound(); err != nil {
+	return k.timed(func() error {
+		_, err := m.WriteTo(k.writer)
 		return err
-	}
-	if _, err := m.WriteTo(k.writer); err != nil {
-		return k.blocked(err)
-	}
-	return nil
+	})
 }
 
-// boundEvery is how often the bound on a blocked write is set anew.
-const boundEvery = 500 * time.Millisecond
-
-// bound limits the time that writes to a slow reader may block.
-func (k *streamSink) bound() error {
-	now := time.Now()
-	if now.Sub(k.bounded) < boundEvery {
-		return nil
+// timed does one write under the bound on slow readers. The writer may lose a
+// failure and end the request's context instead, so a write that took long is
+// remembered.
+func (k *streamSink) timed(f func() error) error {
+	limit := k.server.settings.SlowReaderMS.Duration()
+	began := time.Now()
+	if began.Sub(k.bounded) >= limit/boundParts {
+		k.bounded = began
+		// A writer without deadlines is a test's.
+		_ = k.control.SetWriteDeadline(began.Add(limit))
 	}
-	k.bounded = now
-	// A writer without deadlines is a test's.
-	_ = k.control.SetWriteDeadline(now.Add(k.server.settings.SlowReaderMS.Duration()))
-	return nil
-}
-
-func (k *streamSink) blocked(err error) error {
-	if k.chat.late(k.bounded, k.server.settings.SlowReaderMS.Duration()) {
-		k.server.Metrics.Add(metric.ClientsDisconnected, 1)
-		return fault.Wrap(fault.SlowReader, err, "the caller did not read its answer in time")
+	err := f()
+	if time.Since(began) >= limit/2 {
+		k.slow = true
 	}
-	return fault.Wrap(fault.CallerGone, err, "the caller closed its connection")
+	if err != nil && !k.slow {
+		return fault.Wrap(fault.CallerGone, err, "the caller closed its connection")
+	}
+	if k.slow {
+		return fault.New(fault.SlowReader, "the caller did not read its answer in time")
+	}
+	return nil
 }
 
-// late reports whether a write that was bounded at a time ran into the bound.
-func (c *chat) late(bounded time.Time, bound time.Duration) bool {
-	return time.Since(bounded) >= bound
-}
+// boundParts is how often within the bound its deadline is set anew.
+const boundParts = 4
 
 func (k *streamSink) Flush() error {
 	if k.flushed == k.count {
@@ -200,13 +197,7 @@
 	}
 	k.server.Metrics.Add(metric.TokensRelayed, int64(k.count-k.flushed))
 	k.flushed = k.count
-	if err := k.bound(); err != nil {
-		return err
-	}
-	if err := k.control.Flush(); err != nil {
-		return k.blocked(err)
-	}
-	return nil
+	return k.timed(k.control.Flush)
 }
 
 func (k *streamSink) End(e api.TokenEvent) {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -255,8 +255,12 @@
 func (f *Follower) merge(u update) (changed, stale bool) {
 	before := f.store.Version()
 	if u.changes != nil {
-		f.metrics.Add(metric.ConfigChanges, int64(f.store.Apply(*u.changes)))
-		return f.store.Version() != before, false
+		n := f.store.Apply(*u.changes)
+		f.metrics.Add(metric.ConfigChanges, int64(n))
+		if n == 0 {
+			f.advance()
+		}
+		return n > 0, false
 	}
 	if !f.store.Replace(*u.list) {
 		f.log.Emit(event.ConfigStale, zap.Int("offered", int(u.list.Version)), zap.Int("version", int(before)))
@@ -268,6 +272,14 @@
 	return f.store.Version() != before || f.view.Load().Models == nil, false
 }
 
+// advance moves the view's version on past changes of other kinds.
+func (f *Follower) advance() {
+	v := *f.view.Load()
+	v.Version = f.store.Version()
+	f.view.Store(&v)
+	f.metrics.Put(metric.ConfigVersion, int64(v.Version))
+}
+
 func (f *Follower) enforce(v *config.View, bad []config.Problem) {
 	for _, p := range bad {
 		f.log.Emit(event.ConfigRefused, zap.String("kind", string(p.Key.Kind)), zap.String("name", p.Key.Name), zap.String("detail", p.Detail))
--- a/internal/leader/leader.go
+++ b/internal/leader/leader.go
@@ -146,6 +146,9 @@
 	if _, held := l.Held(); !held {
 		return
 	}
+	l.mutex.Lock()
+	l.held = false
+	l.mutex.Unlock()
 	l.Step(ctx)
 	l.log.Emit(event.LeaseReleased, zap.String("duty", l.duty))
 }
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/broker"
@@ -235,8 +238,20 @@
 	return err
 }
 
+// sendBuffer bounds what the kernel holds for a caller that reads slowly.
+const sendBuffer = 128 << 10
+
+// bounded sets the bound on a listening socket, whose connections inherit it.
+func bounded(_, _ string, r syscall.RawConn) error {
+	var err error
+	e := r.Control(func(f uintptr) {
+		err = unix.SetsockoptInt(int(f), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
+	})
+	return errors.Join(e, err)
+}
+
 func (c *Context) listen(address string, h http.Handler, wait time.Duration) (*http.Server, error) {
-	l, err := (&net.ListenConfig{}).Listen(c, "tcp", address)
+	l, err := (&net.ListenConfig{Control: bounded}).Listen(c, "tcp", address)
 	if err != nil {
 		return nil, fault.Wrap(fault.ListenFailed, err, "listening on "+address)
 	}
