--- a/cmd/dev.go
+++ b/cmd/dev.go
@@ -90,6 +90,7 @@
 	Orphan     time.Duration `help:"Time a generation runs without a reader." default:"30s"`
 	LoadTime   time.Duration `help:"Time an order to load takes." default:"200ms"`
 	CheckFence bool          `help:"Refuse orders with an old fence." default:"true" negatable:""`
+	Loaded     []string      `help:"What is loaded at the start, as kind/name@weights."`
 	Seed       uint64        `help:"Seed of what is drawn at random." default:"1"`
 }
 
@@ -105,6 +106,7 @@
 	o.Orphan = c.Orphan
 	o.LoadTime = c.LoadTime
 	o.ChecksFence = c.CheckFence
+	o.Loaded = c.Loaded
 	o.Seed = c.Seed
 	return c.run(e, c.Name, func(l *event.Log) error {
 		return dev.Engine(e, c.Listen, o, l)
--- a/e2e/system_test.go
+++ b/e2e/system_test.go
@@ -234,7 +234,7 @@
 }
 
 func (s *system) startEngine(name, a string, extra ...string) *process {
-	args := append([]string{"dev", "engine", "--listen", a, "--name", name, "--step", "3ms"}, extra...)
+	args := append([]string{"dev", "engine", "--listen", a, "--name", name, "--step", "3ms", "--loaded", "model/desk@2026-10", "--loaded", "adapter/permits@7"}, extra...)
 	return s.start(name, a, "wardctl", args...)
 }
 
--- a/internal/broker/broker.go
+++ b/internal/broker/broker.go
@@ -143,6 +143,13 @@
 	b.decide.Refused(time.Now(), n, leaving)
 }
 
+// Lost notes that an engine could not be connected to.
+func (b *Broker) Lost(n api.ServerName) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.decide.Lost(n)
+}
+
 // Tick ends waits that are over and starts what fits.
 func (b *Broker) Tick() {
 	b.do(func(d *dispatch.Dispatcher) []dispatch.Action {
--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -183,6 +183,14 @@
 	s.leaving = s.leaving || leaving
 }
 
+// Lost notes that an engine could not be connected to: it gets no work until
+// it reports again.
+func (d *Dispatcher) Lost(n api.ServerName) {
+	if s, ok := d.servers[n]; ok {
+		s.lost = true
+	}
+}
+
 // Submit decides on a new request.
 func (d *Dispatcher) Submit(now time.Time, w Work) []Action {
 	d.budget.Fresh()
--- a/internal/decide/dispatch/dispatch_test.go
+++ b/internal/decide/dispatch/dispatch_test.go
@@ -154,6 +154,7 @@
 			d.Declare(epoch, []dispatch.Server{{Name: "e0", Draining: true}})
 		}, epoch},
 		{"no longer declared", func(d *dispatch.Dispatcher) { d.Declare(epoch, nil) }, epoch},
+		{"refused connection", func(d *dispatch.Dispatcher) { d.Lost("e0") }, epoch},
 		{"silence", func(*dispatch.Dispatcher) {}, epoch.Add(suspect + time.Millisecond)},
 	}
 	for _, c := range tests {
--- a/internal/decide/dispatch/server.go
+++ b/internal/decide/dispatch/server.go
@@ -25,6 +25,7 @@
 	items    map[string]bool
 	leaving  bool
 	listed   bool
+	lost     bool
 	refused  time.Time
 	declared bool
 }
@@ -49,7 +50,7 @@
 		return api.ServerStatusStateDraining
 	case s.leaving || s.listed:
 		return api.ServerStatusStateLeaving
-	case s.load.ReportedAt().IsZero() || now.Sub(s.load.ReportedAt()) > suspect:
+	case s.lost || s.load.ReportedAt().IsZero() || now.Sub(s.load.ReportedAt()) > suspect:
 		return api.ServerStatusStateUnreachable
 	default:
 		return api.ServerStatusStateReady
@@ -68,6 +69,7 @@
 	changed := s.report.Role != r.Role || !slices.Equal(s.report.Loaded, r.Loaded)
 	s.report = r
 	s.leaving = r.Leaving
+	s.lost = false
 	if changed {
 		s.items = make(map[string]bool, len(r.Loaded))
 		for _, i := range r.Loaded {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -158,7 +158,7 @@
 	case errors.As(b.Err, &r) && b.Cause == answer.Refused:
 		t.server.Broker.Refused(t.engine, r.Reason == api.EngineRefusalReasonLeaving)
 	case b.Cause == answer.NotConnected:
-		t.server.Broker.Refused(t.engine, false)
+		t.server.Broker.Lost(t.engine)
 	}
 }
 
--- /dev/null
+++ b/internal/load/balancer.go
@@ -0,0 +1,70 @@
+package load
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/entry"
+)
+
+// healthEvery is the time between looks at an entry VM's health.
+const healthEvery = 100 * time.Millisecond
+
+// balancer stands in for the platform's balancer: it sends new requests to
+// entry VMs whose health check says yes.
+type balancer struct {
+	http    *http.Client
+	mutex   sync.Mutex
+	entries []string
+	down    map[string]bool
+}
+
+func newBalancer(entries []string) *balancer {
+	const wait = time.Second
+	t := &http.Transport{DisableKeepAlives: true}
+	return &balancer{http: &http.Client{Transport: t, Timeout: wait}, entries: entries, down: map[string]bool{}}
+}
+
+// run looks at every entry VM until the context ends.
+func (b *balancer) run(ctx context.Context) error {
+	return duty.Loop(ctx, func() time.Duration { return healthEvery }, func(ctx context.Context) {
+		for _, e := range b.entries {
+			ok := b.healthy(ctx, e)
+			b.mutex.Lock()
+			b.down[e] = !ok
+			b.mutex.Unlock()
+		}
+	})
+}
+
+func (b *balancer) healthy(ctx context.Context, address string) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+entry.PathHealth, nil)
+	if err != nil {
+		return false
+	}
+	a, err := b.http.Do(r)
+	if err != nil {
+		return false
+	}
+	_ = a.Body.Close()
+	return a.StatusCode == http.StatusOK
+}
+
+// order gives the entry VMs to try for a request, healthy ones first.
+func (b *balancer) order(serial int) []string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	var up, down []string
+	for i := range b.entries {
+		e := b.entries[(serial+i)%len(b.entries)]
+		if b.down[e] {
+			down = append(down, e)
+		} else {
+			up = append(up, e)
+		}
+	}
+	return append(up, down...)
+}
--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -38,9 +38,9 @@
 
 // caller sends the requests of a plan.
 type caller struct {
-	http    *http.Client
-	entries []string
-	model   string
+	http     *http.Client
+	balancer *balancer
+	model    string
 }
 
 // do sends one request, through the next entry VM when one can't be reached,
@@ -48,14 +48,13 @@
 func (c *caller) do(ctx context.Context, a Arrival) result {
 	key := uuid.NewString()
 	var out result
-	for i := range c.entries {
-		e := c.entries[(a.Serial+i)%len(c.entries)]
+	for _, e := range c.balancer.order(a.Serial) {
 		if a.Class.Chat {
 			out = c.chat(ctx, e, a)
 		} else {
 			out = c.call(ctx, e, a, key)
 		}
-		if out.fault == nil || out.fault.Code != fault.NotStarted && out.fault.Code != fault.Stopping && out.fault.Code != fault.Starting {
+		if !elsewhere(out.fault) {
 			break
 		}
 	}
@@ -63,6 +62,15 @@
 	return out
 }
 
+// elsewhere reports whether the balancer tries another entry VM: this one was
+// not reached, or said that it takes no requests.
+func elsewhere(f *fault.Error) bool {
+	if f == nil {
+		return false
+	}
+	return f.Code == fault.NotStarted || f.Code == fault.Stopping || f.Code == fault.Starting
+}
+
 func (c *caller) request(ctx context.Context, method, url string, a Arrival, body any) (*http.Request, error) {
 	r, err := wire.NewRequest(ctx, method, url, body)
 	if err != nil {
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -29,7 +29,11 @@
 	t := wire.NewTransport(dial, true)
 	t.MaxIdleConnsPerHost = perHost
 	defer t.CloseIdleConnections()
-	c := &caller{http: &http.Client{Transport: t}, entries: o.Entries, model: o.Model}
+	b := newBalancer(o.Entries)
+	looks, stop := duty.New(ctx)
+	defer stop()
+	looks.Go(b.run)
+	c := &caller{http: &http.Client{Transport: t}, balancer: b, model: o.Model}
 	var mutex sync.Mutex
 	s := newSummary()
 	began := time.Now()
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -161,7 +161,7 @@
 	// Duties outlive the signal to stop: they end with the clean-up.
 	c.Group, closer = duty.New(context.WithoutCancel(c.Context))
 	c.cleanup(closer)
-	c.Poll = poll.New(c.Group, c.Engines, c.Log, c.Metrics, c.Settings.Engine.ReportPollMS.Duration())
+	c.Poll = poll.New(c.Group, c.Engines, c.Log, c.Metrics, c.Settings.Engine.ReportPollMS.Duration(), c.Broker.Lost)
 	c.Entry = entry.New(entry.Parts{
 		Settings: c.Settings, Log: c.Log, Metrics: c.Metrics, Life: c.Life,
 		View: func() *config.View { return c.Follow.View() }, Broker: c.Broker,
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -13,6 +13,7 @@
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/engine"
 	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/fault"
 	"github.com/wardridge/wardridge/internal/metric"
 	"github.com/wardridge/wardridge/internal/ring"
 )
@@ -33,6 +34,7 @@
 	log     *event.Log
 	metrics *metric.Set
 	every   time.Duration
+	lost    func(api.ServerName)
 	reports *ring.Ring[api.LoadReport]
 
 	mutex   sync.Mutex
@@ -40,10 +42,11 @@
 	last    map[api.ServerName]api.LoadReport
 }
 
-// New makes a poller whose duties run in a group.
-func New(g *duty.Group, c *engine.Client, l *event.Log, m *metric.Set, every time.Duration) *Poller {
+// New makes a poller whose duties run in a group; lost is told of an engine
+// that can't be connected to.
+func New(g *duty.Group, c *engine.Client, l *event.Log, m *metric.Set, every time.Duration, lost func(api.ServerName)) *Poller {
 	return &Poller{
-		group: g, client: c, log: l, metrics: m, every: every,
+		group: g, client: c, log: l, metrics: m, every: every, lost: lost,
 		reports: ring.New[api.LoadReport](ringSize),
 		targets: map[api.ServerName]target{},
 		last:    map[api.ServerName]api.LoadReport{},
@@ -101,7 +104,7 @@
 func (p *Poller) poll(ctx context.Context, x *engineState) {
 	r, err := p.client.Load(ctx, x.address)
 	if err != nil {
-		p.lost(ctx, x, err)
+		p.failed(ctx, x, err)
 		return
 	}
 	// A report of another server at this address says nothing of this one.
@@ -118,11 +121,14 @@
 	}
 }
 
-func (p *Poller) lost(ctx context.Context, x *engineState, err error) {
+func (p *Poller) failed(ctx context.Context, x *engineState, err error) {
 	if ctx.Err() != nil {
 		return
 	}
 	p.metrics.Add(metric.ReportsFailed, 1)
+	if fault.Has(err, fault.NotStarted) {
+		p.lost(x.name)
+	}
 	if !x.failed {
 		p.log.Emit(event.ServerUnreachable, zap.String("server", string(x.name)), zap.Error(err))
 	}
