perf: read only changed objects into a view, poll idle engines less

Cause: a change at 1,600 workspaces and 2,400 servers read every object again (80.2 ms); an idle entry VM of today's size spent 3.3% of a core, most of it on 60 load reports a second (profile).

Ruled out: the lease and heartbeat duties, which hardly show in the profile.

--- /dev/null
+++ b/contract/trace_test.go
@@ -0,0 +1,62 @@
+package contract
+
+import (
+	"net/http"
+	"testing"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+	sdk "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/sdk/trace/tracetest"
+
+	"github.com/wardridge/wardridge/internal/standin/service"
+	"github.com/wardridge/wardridge/internal/trace"
+)
+
+// TestSpansPerHop follows one caller's trace through the entry VM to the
+// engine, and the question to a peer.
+func TestSpansPerHop(t *testing.T) {
+	r := tracetest.NewSpanRecorder()
+	p := sdk.NewTracerProvider(sdk.WithSpanProcessor(r))
+	otel.SetTracerProvider(p)
+	otel.SetTextMapPropagator(propagation.TraceContext{})
+	t.Cleanup(func() { otel.SetTracerProvider(sdk.NewTracerProvider(sdk.WithSampler(sdk.NeverSample()))) })
+	b := newBed(t)
+	b.engine("engine-1", func(h http.Handler) http.Handler { return trace.Handler("generate", h) }, nil)
+	b.service("orders-1")
+	v := b.entry("entry-1", "")
+	const id = "4bf92f3577b34da6a3ce929d0e0e4736"
+	const parent = "00-" + id + "-00f067aa0ba902b7-01"
+	v.send(chat(3, true, "traceparent", parent))
+	v.send(order("k", "traceparent", parent))
+	b.services["orders-1"].Set(service.Faults{LoseAnswers: 1})
+	v.send(order("lost"))
+	// The claim of the lost call is the other entry VM's, which is asked.
+	b.entry("entry-2", "").send(order("lost", "traceparent", parent))
+	want := []string{"caller", "dispatch", "engine", "generate", "claim", "service", "peer"}
+	t.Cleanup(func() {
+		for _, x := range r.Ended() {
+			if t.Failed() && x.SpanContext().TraceID().String() == id {
+				t.Logf("span %q", x.Name())
+			}
+		}
+	})
+	b.until("every span", func() bool { return len(missing(r, id, want)) == 0 })
+}
+
+// missing lists the spans that a trace has not ended yet.
+func missing(r *tracetest.SpanRecorder, id string, want []string) []string {
+	seen := map[string]bool{}
+	for _, s := range r.Ended() {
+		if s.SpanContext().TraceID().String() == id {
+			seen[s.Name()] = true
+		}
+	}
+	var l []string
+	for _, n := range want {
+		if !seen[n] {
+			l = append(l, n)
+		}
+	}
+	return l
+}
--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -318,7 +318,8 @@
 	// Chance of overflow that survival admits in 1/1000.
 	OverflowPermille int `json:"overflow_permille,omitempty,omitzero"`
 
-	// Time between reads of an engine's load, ms.
+	// Time between reads of the load of an engine that works, ms; twice that while it
+	// is idle.
 	ReportPollMS Milliseconds `json:"report_poll_ms,omitempty,omitzero"`
 
 	// Time a broken stream is tried to be resumed, ms.
--- /dev/null
+++ b/internal/capacity/slopes_test.go
@@ -0,0 +1,259 @@
+package capacity_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/admit"
+	"github.com/wardridge/wardridge/internal/decide/config"
+	"github.com/wardridge/wardridge/internal/decide/dispatch"
+	"github.com/wardridge/wardridge/internal/decide/lease"
+	"github.com/wardridge/wardridge/internal/decide/length"
+	"github.com/wardridge/wardridge/internal/decide/member"
+	"github.com/wardridge/wardridge/internal/decide/order"
+	"github.com/wardridge/wardridge/internal/decide/route"
+	"github.com/wardridge/wardridge/internal/resource"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func server(i int) api.ServerName {
+	return api.ServerName(fmt.Sprintf("engine-%04d", i))
+}
+
+func report(i int, at time.Time) api.LoadReport {
+	return api.LoadReport{
+		Server: server(i), TimeMS: api.UnixMilliseconds(at), Running: 20, KVUsed: 20000, KVTotal: 32768,
+		StepMS: 25, Role: api.EngineRoleServe, Loaded: []string{"model/desk@2026-10"},
+	}
+}
+
+func fleet(servers int) *dispatch.Dispatcher {
+	d := dispatch.New(dispatch.Options{
+		Admission: admit.NewSurvival(0.05, 63), Routing: route.Prefix{Over: 0.15},
+		QueueLimit: 512, QueueWait: time.Second, Suspect: time.Hour, RetryPermille: 100, Seed: 1,
+	})
+	var l []dispatch.Server
+	for i := range servers {
+		l = append(l, dispatch.Server{Name: server(i)})
+	}
+	d.Declare(epoch, l)
+	for i := range servers {
+		d.Report(epoch, report(i, epoch))
+	}
+	return d
+}
+
+func work(i int) dispatch.Work {
+	return dispatch.Work{
+		Request: api.RequestID(fmt.Sprint(i)), Workspace: api.WorkspaceName(fmt.Sprint(i % 1600)),
+		Kind: "chat", Model: "desk", Priority: api.PriorityInteractive, Prompt: 300, Max: 4000,
+		Prefix: fmt.Sprint(i % 1600), Deadline: epoch.Add(time.Hour),
+	}
+}
+
+var serverSizes = []int{27, 240, 2500}
+
+// BenchmarkSubmit is the decision on one request and its end.
+func BenchmarkSubmit(b *testing.B) {
+	for _, n := range serverSizes {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			d := fleet(n)
+			b.ResetTimer()
+			for i := range b.N {
+				w := work(i)
+				d.Submit(epoch, w)
+				d.Finish(epoch, w.Request, 100, true)
+			}
+		})
+	}
+}
+
+// BenchmarkReport is the work on one load report of an engine that runs 20
+// generations of this entry VM.
+func BenchmarkReport(b *testing.B) {
+	for _, n := range serverSizes {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			d := fleet(n)
+			for i := range 20 * n {
+				d.Submit(epoch, work(i))
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				at := epoch.Add(time.Duration(i) * time.Millisecond)
+				d.Report(at, report(i%n, at))
+			}
+		})
+	}
+}
+
+func objects(workspaces, servers int) api.ObjectList {
+	l := api.ObjectList{Version: 1}
+	add := func(k api.ResourceKind, n, spec string) {
+		l.Items = append(l.Items, api.Object{Kind: k, Name: n, Version: 1, Spec: json.RawMessage(spec)})
+	}
+	for i := range 6 {
+		add(api.ResourceKindModel, fmt.Sprintf("model-%d", i), `{"weights":"1"}`)
+	}
+	for i := range workspaces {
+		add(api.ResourceKindWorkspace, fmt.Sprintf("workspace-%04d", i), fmt.Sprintf(`{"key_sha256":"%064x","models":["model-0"],"weight":2,"priority":"interactive"}`, i))
+	}
+	for i := range servers {
+		add(api.ResourceKindBackendServer, string(server(i)), `{"type":"engine","address":"127.0.0.1:7011","domain":"hall-a","models":["model-0"]}`)
+	}
+	return l
+}
+
+// BenchmarkConfigChange is the work on one change of the configuration.
+func BenchmarkConfigChange(b *testing.B) {
+	for _, n := range []int{10, 200, 1600} {
+		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
+			s := config.New()
+			l := objects(n, n*3/2)
+			s.Replace(l)
+			v, _ := config.Build(s, nil, resource.Decode)
+			text, err := json.Marshal(l)
+			if err != nil {
+				b.Fatal(err)
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				o := l.Items[6]
+				o.Version = api.Version(i + 2)
+				s.Apply(api.ChangeList{Version: o.Version, Changes: []api.Change{{Version: o.Version, Object: o}}})
+				v, _ = config.Build(s, v, resource.Decode)
+			}
+			b.ReportMetric(float64(len(text))/1024, "KB-list")
+		})
+	}
+}
+
+// BenchmarkMembers is one round of heartbeats' answers.
+func BenchmarkMembers(b *testing.B) {
+	for _, n := range []int{9, 100, 520} {
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			m := member.New("self", 6*time.Second)
+			var l []api.VM
+			for i := range n {
+				l = append(l, api.VM{Name: fmt.Sprint(i), Role: api.VMRoleEntry, Address: "x"})
+			}
+			m.Listed(epoch, l)
+			b.ResetTimer()
+			for k := range b.N {
+				at := epoch.Add(time.Duration(k) * time.Second)
+				for i := range n {
+					m.Heard(at, api.Heartbeat{VM: api.VMName(fmt.Sprint(i)), State: api.PeerStateServing})
+				}
+				m.Step(at)
+				m.Candidate("orders")
+			}
+		})
+	}
+}
+
+// BenchmarkOrders is one plan of orders with nothing to do.
+func BenchmarkOrders(b *testing.B) {
+	for _, n := range serverSizes {
+		b.Run(fmt.Sprintf("servers=%d", n), func(b *testing.B) {
+			p := order.New(1000)
+			seen := map[api.ServerName]order.Seen{}
+			var l []order.Target
+			for i := range n {
+				l = append(l, order.Target{Server: server(i), Role: api.EngineRoleServe, Items: []string{"model/desk@1"}, ChecksFence: true})
+				seen[server(i)] = order.Seen{Role: api.EngineRoleServe, Loaded: []string{"model/desk@1"}}
+			}
+			b.ResetTimer()
+			for range b.N {
+				p.Plan(epoch, 1, l, seen)
+			}
+		})
+	}
+}
+
+// BenchmarkLease is one look at a held lease.
+func BenchmarkLease(b *testing.B) {
+	l := lease.New(lease.Owner{VM: "a"}, lease.Timing{Duration: 6 * time.Second, Skew: time.Second})
+	l.Observed(epoch, false, api.LeaseSpec{}, 0)
+	l.Step(epoch)
+	l.Written(1)
+	for range b.N {
+		l.Step(epoch)
+		l.Held(epoch)
+	}
+}
+
+// heap is the memory in use after a collection.
+func heap() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// BenchmarkMemory gives the state held per thing, from the difference of two
+// sizes.
+func BenchmarkMemory(b *testing.B) {
+	measure := func(name string, low, high int, make func(n int) any) {
+		b.Run(name, func(b *testing.B) {
+			for range b.N {
+				h0 := heap()
+				x := make(low)
+				h1 := heap()
+				y := make(high)
+				h2 := heap()
+				b.ReportMetric(((h2-h1)-(h1-h0))/float64(high-low), "B/each")
+				runtime.KeepAlive(x)
+				runtime.KeepAlive(y)
+			}
+		})
+	}
+	measure("server", 250, 2500, func(n int) any { return fleet(n) })
+	measure("workspace-with-4-kinds", 160, 1600, func(n int) any {
+		p := length.New()
+		for i := range n {
+			for k := range 4 {
+				key := length.Key{Workspace: api.WorkspaceName(fmt.Sprint(i)), Kind: api.RequestKind(fmt.Sprint(k))}
+				p.Observe(key, 100, true)
+				p.Curve(key)
+			}
+		}
+		return p
+	})
+	measure("declared-object", 250, 2500, func(n int) any {
+		s := config.New()
+		s.Replace(objects(n/2, n/2))
+		v, _ := config.Build(s, nil, resource.Decode)
+		return [2]any{s, v}
+	})
+	measure("request-in-flight", 1000, 10000, func(n int) any {
+		d := fleet(240)
+		for i := range n {
+			w := work(i)
+			w.Prefix = ""
+			d.Submit(epoch, w)
+		}
+		return d
+	})
+}
+
+// BenchmarkMessages gives the sizes of control messages in JSON.
+func BenchmarkMessages(b *testing.B) {
+	size := func(v any) float64 {
+		j, err := json.Marshal(v)
+		if err != nil {
+			b.Fatal(err)
+		}
+		return float64(len(j))
+	}
+	for range b.N {
+		b.ReportMetric(size(api.Heartbeat{Protocol: 1, VM: "entry-123", Incarnation: 1764678000000000000, Domain: "hall-a", State: api.PeerStateServing, ConfigVersion: 123456, InFlight: 100}), "B-heartbeat")
+		b.ReportMetric(size(report(1, epoch)), "B-report")
+		b.ReportMetric(size(api.LeaseSpec{Holder: "entry-123", Incarnation: 1764678000000000000, Fence: 12, DurationMS: 6000, Beat: 1000}), "B-lease")
+		b.ReportMetric(size(api.ClaimSpec{Workspace: "workspace-0001", Owner: "entry-123", Request: "0a0a0a0a-0a0a-0a0a-0a0a-0a0a0a0a0a0a", BodyHash: fmt.Sprintf("%064x", 1), State: api.ClaimStateClaimed, CreatedMS: 1764678000000}), "B-claim")
+	}
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -6,7 +6,6 @@
 	"net/http/pprof"
 
 	"github.com/go-chi/chi/v5"
-	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/claims"
@@ -16,6 +15,7 @@
 	"github.com/wardridge/wardridge/internal/heartbeat"
 	"github.com/wardridge/wardridge/internal/metric"
 	"github.com/wardridge/wardridge/internal/peer"
+	"github.com/wardridge/wardridge/internal/trace"
 	"github.com/wardridge/wardridge/internal/wire"
 )
 
@@ -57,7 +57,7 @@
 	r.Get("/debug/pprof/{name}", func(w http.ResponseWriter, r *http.Request) {
 		pprof.Handler(chi.URLParam(r, "name")).ServeHTTP(w, r)
 	})
-	return otelhttp.NewHandler(r, "peer")
+	return trace.Handler("peer", r)
 }
 
 func (s *Server) heartbeat(w http.ResponseWriter, r *http.Request) {
--- a/internal/decide/config/view.go
+++ b/internal/decide/config/view.go
@@ -37,14 +37,21 @@
 	Servers    map[api.ServerName]Server
 	Services   map[api.ServiceName]Service
 
-	good map[Key]json.RawMessage
+	taken map[Key]taken
+}
+
+// taken is the typed form of one object, and the version it was read from.
+type taken struct {
+	version api.Version
+	value   any
 }
 
 // Decoder checks a spec against its schema and fills its defaults in.
 type Decoder func(k api.ResourceKind, raw json.RawMessage, out any) error
 
-// Build makes the view of a store. A spec that can't be read is taken as it
-// was in the view before, and is listed as a problem.
+// Build makes the view of a store. An object that has not changed since the
+// view before is not read again; a spec that can't be read is taken as it was
+// in that view, and is listed as a problem.
 func Build(s *Store, before *View, decode Decoder) (*View, []Problem) {
 	v := &View{
 		Version:    s.version,
@@ -54,7 +61,7 @@
 		Keys:       map[string]api.WorkspaceName{},
 		Servers:    map[api.ServerName]Server{},
 		Services:   map[api.ServiceName]Service{},
-		good:       map[Key]json.RawMessage{},
+		taken:      make(map[Key]taken, len(s.objects)),
 	}
 	var l []Problem
 	for _, o := range sorted(s.objects) {
@@ -67,63 +74,70 @@
 
 func (v *View) take(o api.Object, before *View, decode Decoder) *Problem {
 	k := Key{o.Kind, o.Name}
-	err := v.add(o, o.Spec, decode)
+	var last taken
+	if before != nil {
+		last = before.taken[k]
+	}
+	if last.value != nil && last.version == o.Version {
+		v.add(k, last)
+		return nil
+	}
+	x, err := read(o, decode)
 	if err == nil {
-		v.good[k] = o.Spec
+		v.add(k, taken{version: o.Version, value: x})
 		return nil
 	}
-	if before != nil && before.good[k] != nil {
-		// It was read before, so it can be read again.
-		_ = v.add(o, before.good[k], decode)
-		v.good[k] = before.good[k]
+	if last.value != nil {
+		v.add(k, last)
 	}
 	return &Problem{Key: k, Detail: err.Error()}
 }
 
-func (v *View) add(o api.Object, raw json.RawMessage, decode Decoder) error {
+// read types an object's spec.
+func read(o api.Object, decode Decoder) (any, error) {
 	switch o.Kind {
 	case api.ResourceKindModel:
-		return put(v.Models, api.ModelName(o.Name), raw, o.Kind, decode)
+		var x api.ModelSpec
+		err := decode(o.Kind, o.Spec, &x)
+		return x, err
 	case api.ResourceKindAdapter:
-		return put(v.Adapters, api.AdapterName(o.Name), raw, o.Kind, decode)
+		var x api.AdapterSpec
+		err := decode(o.Kind, o.Spec, &x)
+		return x, err
 	case api.ResourceKindWorkspace:
-		return v.addWorkspace(o, raw, decode)
+		x := Workspace{Name: api.WorkspaceName(o.Name)}
+		err := decode(o.Kind, o.Spec, &x.WorkspaceSpec)
+		return x, err
 	case api.ResourceKindBackendServer:
 		x := Server{Name: api.ServerName(o.Name), Version: o.Version}
-		if err := decode(o.Kind, raw, &x.BackendServerSpec); err != nil {
-			return err
-		}
-		v.Servers[x.Name] = x
-	case api.ResourceKindService:
+		err := decode(o.Kind, o.Spec, &x.BackendServerSpec)
+		return x, err
+	default:
 		x := Service{Name: api.ServiceName(o.Name)}
-		if err := decode(o.Kind, raw, &x.ServiceSpec); err != nil {
-			return err
-		}
-		v.Services[x.Name] = x
-	}
-	return nil
-}
-
-func (v *View) addWorkspace(o api.Object, raw json.RawMessage, decode Decoder) error {
-	x := Workspace{Name: api.WorkspaceName(o.Name)}
-	if err := decode(o.Kind, raw, &x.WorkspaceSpec); err != nil {
-		return err
+		err := decode(o.Kind, o.Spec, &x.ServiceSpec)
+		return x, err
 	}
-	v.Workspaces[x.Name] = x
-	if _, ok := v.Keys[x.KeySha256]; !ok {
-		// Of two workspaces with one key the first by name has it.
-		v.Keys[x.KeySha256] = x.Name
-	}
-	return nil
 }
 
-func put[K comparable, S any](m map[K]S, name K, raw json.RawMessage, k api.ResourceKind, decode Decoder) error {
-	var s S
-	if err := decode(k, raw, &s); err != nil {
-		return err
+// add puts a typed object into its place.
+func (v *View) add(k Key, t taken) {
+	v.taken[k] = t
+	switch x := t.value.(type) {
+	case api.ModelSpec:
+		v.Models[api.ModelName(k.Name)] = x
+	case api.AdapterSpec:
+		v.Adapters[api.AdapterName(k.Name)] = x
+	case Workspace:
+		v.Workspaces[x.Name] = x
+		if _, ok := v.Keys[x.KeySha256]; !ok {
+			// Of two workspaces with one key the first by name has it.
+			v.Keys[x.KeySha256] = x.Name
+		}
+	case Server:
+		v.Servers[x.Name] = x
+	case Service:
+		v.Services[x.Name] = x
 	}
-	m[name] = s
-	return nil
 }
 
 // MayUse reports whether a workspace may use a model with an adapter.
--- a/internal/dev/standins.go
+++ b/internal/dev/standins.go
@@ -2,20 +2,18 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
-	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
 	"go.uber.org/zap"
 
+	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/standin/engine"
 	"github.com/wardridge/wardridge/internal/standin/platform"
 	"github.com/wardridge/wardridge/internal/standin/service"
+	"github.com/wardridge/wardridge/internal/trace"
 	"github.com/wardridge/wardridge/internal/wire"
-
-	"github.com/wardridge/wardridge/internal/api"
 )
 
 // stopLimit bounds the time a stand-in lets its calls run at the end.
@@ -25,16 +23,12 @@
 	l.Emit(event.StandInStarted, zap.String("stand_in", what), zap.String("name", name), zap.String("address", address))
 }
 
-func traced(name string, h http.Handler) http.Handler {
-	return otelhttp.NewHandler(h, name)
-}
-
 // Platform serves a stand-in of the platform.
 func Platform(ctx context.Context, address string, s *platform.Server, l *event.Log) error {
 	started(l, "platform", "platform", address)
 	// Its watches wait long, so they are not waited for at the end.
 	const limit = 100 * time.Millisecond
-	return wire.Serve(ctx, address, traced("platform", s.Handler()), limit)
+	return wire.Serve(ctx, address, trace.Handler("platform", s.Handler()), limit)
 }
 
 // Engine serves a stand-in of a model engine; at the end it says that it is
@@ -46,11 +40,11 @@
 	g.Go(e.Run)
 	defer context.AfterFunc(ctx, e.Leave)()
 	started(l, "engine", string(o.Name), address)
-	return wire.Serve(ctx, address, traced("engine", e.Handler()), stopLimit)
+	return wire.Serve(ctx, address, trace.Handler("engine", e.Handler()), stopLimit)
 }
 
 // Service serves a stand-in of a plain service.
 func Service(ctx context.Context, address string, n api.ServerName, l *event.Log) error {
 	started(l, "service", string(n), address)
-	return wire.Serve(ctx, address, traced("service", service.New(n).Handler()), stopLimit)
+	return wire.Serve(ctx, address, trace.Handler("service", service.New(n).Handler()), stopLimit)
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -25,6 +25,7 @@
 	"github.com/wardridge/wardridge/internal/fault"
 	"github.com/wardridge/wardridge/internal/lifecycle"
 	"github.com/wardridge/wardridge/internal/metric"
+	"github.com/wardridge/wardridge/internal/trace"
 	"github.com/wardridge/wardridge/internal/wire"
 )
 
@@ -93,7 +94,7 @@
 	r.MethodNotAllowed(func(w http.ResponseWriter, _ *http.Request) {
 		wire.Refuse(w, fault.New(fault.UnknownPath, "no such method on this path"), "")
 	})
-	return otelhttp.NewHandler(r, "caller", otelhttp.WithFilter(func(r *http.Request) bool { return r.URL.Path != PathHealth }))
+	return trace.Handler("caller", r, otelhttp.WithFilter(func(r *http.Request) bool { return r.URL.Path != PathHealth }))
 }
 
 // health answers the balancer.
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -80,12 +80,20 @@
 		defer cancel()
 		defer context.AfterFunc(ctx, cancel)()
 		x := &engineState{name: n, address: address}
-		return duty.Loop(c, func() time.Duration { return spread(p.every) }, func(ctx context.Context) {
+		return duty.Loop(c, func() time.Duration { return spread(p.pause(x)) }, func(ctx context.Context) {
 			p.poll(ctx, x)
 		})
 	})
 }
 
+// pause is longer for an idle engine, whose report says nothing new.
+func (p *Poller) pause(x *engineState) time.Duration {
+	if x.idle {
+		return 2 * p.every
+	}
+	return p.every
+}
+
 // spread keeps entry VMs from polling in step.
 func spread(d time.Duration) time.Duration {
 	const part = 10
@@ -99,6 +107,7 @@
 	failed  bool
 	known   bool
 	leaving bool
+	idle    bool
 }
 
 func (p *Poller) poll(ctx context.Context, x *engineState) {
@@ -143,6 +152,7 @@
 		p.log.Emit(event.ServerReady, zap.String("server", string(x.name)))
 	}
 	x.failed, x.known, x.leaving = false, true, r.Leaving
+	x.idle = r.Running+r.Waiting == 0
 }
 
 // Deliver is the duty that passes reports on.
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"net/http"
 	"os"
 	"time"
 
+	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
 	"go.opentelemetry.io/otel"
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
@@ -69,3 +71,10 @@
 func Start(ctx context.Context, name string) (context.Context, trace.Span) {
 	return otel.Tracer(scope).Start(ctx, name)
 }
+
+// Handler wraps a server's handler in a span of the name given, which goes on
+// with the caller's trace.
+func Handler(name string, h http.Handler, o ...otelhttp.Option) http.Handler {
+	named := otelhttp.WithSpanNameFormatter(func(string, *http.Request) string { return name })
+	return otelhttp.NewHandler(h, name, append(o, named)...)
+}
