feat: measure policies in virtual time on the stand-in's own batch model

Cause: no policy had been measured. wardctl dev measure drives the dispatchers of 4 entry VMs against 4 engines with both mixes, five loads, five seeds, quiet and with a death, a freeze and late reports.

--- a/cmd/dev.go
+++ b/cmd/dev.go
@@ -18,6 +18,7 @@
 	Engine   engineCommand   `cmd:"" help:"Run a stand-in of a model engine."`
 	Service  serviceCommand  `cmd:"" help:"Run a stand-in of a plain service."`
 	Load     loadCommand     `cmd:"" help:"Send a user's mix of work and report what callers see."`
+	Measure  measureCommand  `cmd:"" help:"Measure the decisions in virtual time."`
 }
 
 // process is what every stand-in process takes.
--- /dev/null
+++ b/cmd/measure.go
@@ -0,0 +1,76 @@
+package cmd
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/load"
+	"github.com/wardridge/wardridge/internal/measure"
+)
+
+// measureCommand measures the decisions in virtual time.
+type measureCommand struct {
+	Mixes   []string  `help:"Whose work." default:"skip-hire,airworks"`
+	Factors []float64 `help:"Loads, as shares of capacity." default:"0.7,0.9,1.0,1.1,1.5"`
+	Seeds   int       `help:"Runs of each policy, with seeds from 1." default:"5"`
+	Only    string    `help:"Keep policies whose name contains this."`
+	Workers int       `help:"Runs at once." default:"4"`
+	Out     string    `help:"Folder that tables and plots are written to; none without one."`
+}
+
+// Run measures, writes the tables, and draws the plots.
+func (c *measureCommand) Run(e *environment) error {
+	o := measure.Options{Size: measure.Today(), Factors: c.Factors, Seeds: c.Seeds, Only: c.Only, Workers: c.Workers}
+	for _, n := range c.Mixes {
+		m, ok := load.Find(n)
+		if !ok {
+			return fault.New(fault.InvalidRequest, "no mix "+n)
+		}
+		o.Mixes = append(o.Mixes, m)
+	}
+	l, err := measure.Run(e, o)
+	if err != nil {
+		return err
+	}
+	if e.json() {
+		return e.write(l)
+	}
+	var b strings.Builder
+	for _, t := range l {
+		b.WriteString(t.Markdown())
+	}
+	if c.Out == "" {
+		return e.print("%s", b.String())
+	}
+	return c.save(l, b.String())
+}
+
+func (c *measureCommand) save(l []measure.Table, text string) error {
+	head := "# Tables of policies\n\nWritten by `wardctl dev measure --out docs/measure`; see [MEASUREMENTS.md](../MEASUREMENTS.md).\n\n"
+	if err := os.MkdirAll(c.Out, 0o750); err != nil {
+		return fault.Wrap(fault.UnreadableFile, err, "making the folder")
+	}
+	if err := os.WriteFile(filepath.Join(c.Out, "TABLES.md"), []byte(head+text), 0o600); err != nil {
+		return fault.Wrap(fault.UnreadableFile, err, "writing the tables")
+	}
+	for _, m := range c.Mixes {
+		for _, f := range measure.Plotted {
+			if err := c.draw(l, m, f); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (c *measureCommand) draw(l []measure.Table, mix string, f measure.Figure) error {
+	w, err := os.Create(filepath.Join(c.Out, fmt.Sprintf("%s-%s.svg", mix, f.File)))
+	if err != nil {
+		return fault.Wrap(fault.UnreadableFile, err, "writing a plot")
+	}
+	defer func() { _ = w.Close() }()
+	return measure.Plot(w, l, mix, true, f)
+}
--- /dev/null
+++ b/internal/measure/measure_test.go
@@ -0,0 +1,34 @@
+package measure
+
+import (
+	"testing"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/load"
+)
+
+func small() Size {
+	s := Today()
+	s.Warm, s.Span = 5*time.Second, 50*time.Second
+	return s
+}
+
+func TestRunsRepeatBySeed(t *testing.T) {
+	m, _ := load.Find("skip-hire")
+	p := Policies(small(), m)[7]
+	a := run(small(), p, m, 0.9, true, 3).Figures()
+	b := run(small(), p, m, 0.9, true, 3).Figures()
+	if a != b {
+		t.Errorf("same seed: got %+v and %+v, want the same", a, b)
+	}
+}
+
+func TestEveryRequestHasOneOutcome(t *testing.T) {
+	m, _ := load.Find("both")
+	for _, p := range Policies(small(), m) {
+		r := run(small(), p, m, 1.5, true, 1)
+		if got := r.Refused + r.Whole + r.Lost; got > r.Asked || r.Whole == 0 {
+			t.Errorf("%s: got %d outcomes of %d requests, %d whole", p.Name, got, r.Asked, r.Whole)
+		}
+	}
+}
--- /dev/null
+++ b/internal/measure/plot.go
@@ -0,0 +1,76 @@
+package measure
+
+import (
+	"io"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/wardridge/wardridge/internal/fault"
+)
+
+// Figure names one figure to plot.
+type Figure struct {
+	File  string
+	Title string
+	get   func(f *Figures) *float64
+}
+
+// Plotted are the figures that are plotted over the load.
+var Plotted = []Figure{
+	{"stall", "total stall time, s", func(f *Figures) *float64 { return &f.StallTotal }},
+	{"preemptions", "preemptions per 1,000 requests", func(f *Figures) *float64 { return &f.Preemptions }},
+	{"goodput", "good tokens a second", func(f *Figures) *float64 { return &f.Good }},
+}
+
+// Plot writes one figure of a mix's tables, quiet or with faults, as SVG.
+func Plot(w io.Writer, l []Table, mix string, faults bool, f Figure) error {
+	p := plot.New()
+	p.Title.Text = mix
+	p.X.Label.Text = "load, share of capacity"
+	p.Y.Label.Text = f.Title
+	p.Legend.Top = true
+	p.Legend.Left = true
+	var args []any
+	for i := range rows(l, mix, faults) {
+		name, points := line(l, mix, faults, i, f)
+		args = append(args, name, points)
+	}
+	if err := plotutil.AddLinePoints(p, args...); err != nil {
+		return fault.Wrap(fault.Internal, err, "drawing a plot")
+	}
+	const width, height = 7 * vg.Inch, 4 * vg.Inch
+	c, err := p.WriterTo(width, height, "svg")
+	if err != nil {
+		return fault.Wrap(fault.Internal, err, "drawing a plot")
+	}
+	if _, err := c.WriteTo(w); err != nil {
+		return fault.Wrap(fault.UnreadableFile, err, "writing a plot")
+	}
+	return nil
+}
+
+func rows(l []Table, mix string, faults bool) []Row {
+	for _, t := range l {
+		if t.Mix == mix && t.Faults == faults {
+			return t.Rows
+		}
+	}
+	return nil
+}
+
+// line gives one policy's points over the load.
+func line(l []Table, mix string, faults bool, row int, f Figure) (string, plotter.XYs) {
+	var x plotter.XYs
+	name := ""
+	for _, t := range l {
+		if t.Mix == mix && t.Faults == faults {
+			r := t.Rows[row]
+			name = r.Policy
+			x = append(x, plotter.XY{X: t.Factor, Y: *f.get(&r.Mean)})
+		}
+	}
+	return name, x
+}
--- /dev/null
+++ b/internal/measure/policy.go
@@ -0,0 +1,111 @@
+package measure
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/decide/admit"
+	"github.com/wardridge/wardridge/internal/decide/dispatch"
+	"github.com/wardridge/wardridge/internal/decide/route"
+	"github.com/wardridge/wardridge/internal/load"
+)
+
+// Policy is one way of routing and admission.
+type Policy struct {
+	Name    string
+	Admit   func() admit.Policy
+	Route   func() route.Policy
+	Queue   int
+	Suspect time.Duration
+}
+
+// Settings that the product takes by default.
+const (
+	overflow   = 0.05
+	stepAim    = 63
+	homeBound  = 0.15
+	queueLimit = 512
+	suspect    = 2 * time.Second
+)
+
+func (p Policy) options(seed uint64) dispatch.Options {
+	return dispatch.Options{
+		Admission: p.Admit(), Routing: p.Route(), QueueLimit: queueLimit, QueueWait: queueWait,
+		Suspect: suspect, RetryPermille: 100, Seed: seed,
+	}
+}
+
+// Policies are the baselines and the choice, for a mix: slots are set to what
+// the mix needs on average, as a careful operator would, and to the batch.
+func Policies(s Size, m load.Mix) []Policy {
+	tuned := int(math.Round(batchOf(s, m)))
+	slots := func(n int) func() admit.Policy {
+		return func() admit.Policy { return admit.Slots{N: n} }
+	}
+	two := func() route.Policy { return route.TwoChoices{} }
+	return []Policy{
+		{Name: "round robin, slots", Admit: slots(tuned), Route: func() route.Policy { return &route.RoundRobin{} }},
+		{Name: "least loaded, slots (baseline)", Admit: slots(tuned), Route: func() route.Policy { return route.LeastLoaded{} }},
+		{Name: "least loaded, slots = batch", Admit: slots(s.Batch.MaxBatch), Route: func() route.Policy { return route.LeastLoaded{} }},
+		{Name: "two choices, slots", Admit: slots(tuned), Route: two},
+		{Name: "two choices, mean", Admit: func() admit.Policy { return admit.Mean{} }, Route: two},
+		{Name: "two choices, maximum", Admit: func() admit.Policy { return admit.Maximum{} }, Route: two},
+		{Name: "two choices, survival", Admit: survival, Route: two},
+		{Name: "prefix, survival (default)", Admit: survival, Route: func() route.Policy { return route.Prefix{Over: homeBound} }},
+	}
+}
+
+func survival() admit.Policy {
+	return admit.NewSurvival(overflow, stepAim)
+}
+
+// moments are what capacity is worked out from.
+type moments struct {
+	chat   float64
+	output float64
+	held   float64
+	prompt float64
+}
+
+// sample draws a mix's lengths.
+func sample(m load.Mix) moments {
+	const draws = 20000
+	r := rand.New(rand.NewPCG(7, 7))
+	var x moments
+	weight := 0.0
+	for _, c := range m.Classes {
+		if !c.Chat {
+			continue
+		}
+		x.chat += c.Share
+		for range int(draws * c.Share) {
+			p, l := float64(c.Prompt.Draw(r)), float64(c.Output.Draw(r))
+			x.output += l
+			x.prompt += p
+			x.held += l * (p + l/2)
+			weight += l
+		}
+	}
+	n := draws * x.chat
+	x.held /= weight
+	x.output /= n
+	x.prompt /= n
+	return x
+}
+
+// batchOf is the batch that fills an engine's memory on average.
+func batchOf(s Size, m load.Mix) float64 {
+	return math.Min(float64(s.Batch.KVTokens)/sample(m).held, float64(s.Batch.MaxBatch))
+}
+
+// Capacity is the requests a second of a mix at which the engines' memory is
+// full on average: each makes batch tokens in a step, whose time counts the
+// prompts that come with them.
+func Capacity(s Size, m load.Mix) float64 {
+	x := sample(m)
+	b := batchOf(s, m)
+	perStep := b / x.output
+	step := s.Batch.StepBase + time.Duration(b*float64(s.Batch.StepPerGeneration)) + time.Duration(perStep*x.prompt*float64(s.Batch.StepPerPrefill))
+	return float64(s.Engines) * perStep / step.Seconds() / x.chat
+}
--- /dev/null
+++ b/internal/measure/result.go
@@ -0,0 +1,155 @@
+package measure
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/load"
+)
+
+// Result is what callers saw in the measured span of one run.
+type Result struct {
+	Asked, Refused, Whole, Lost, Sent int
+	Preempted                         int
+	// GoodTokens are the tokens of whole answers, a second.
+	GoodTokens float64
+	// StallTotal is the sum of stalls over all streams.
+	StallTotal time.Duration
+	gaps       *hdrhistogram.Histogram
+	stalls     *hdrhistogram.Histogram
+	firsts     *hdrhistogram.Histogram
+	// onLine are the first tokens of callers on the line.
+	onLine  *hdrhistogram.Histogram
+	good    int
+	pending map[api.RequestID]*request
+}
+
+// Bounds of the histograms, in microseconds.
+const (
+	most   = 3_600_000_000
+	digits = 3
+)
+
+func newResult() *Result {
+	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, most, digits) }
+	return &Result{gaps: h(), stalls: h(), firsts: h(), onLine: h(), pending: map[api.RequestID]*request{}}
+}
+
+// measured reports whether a request belongs to the measured span.
+func (b *bench) measured(q *request) bool {
+	return !q.came.Before(b.counted)
+}
+
+func (r *Result) asked(b *bench, q *request) {
+	if b.measured(q) {
+		r.Asked++
+	}
+}
+
+func (r *Result) refused(b *bench, q *request) {
+	if b.measured(q) {
+		r.Refused++
+	}
+}
+
+func (r *Result) sent(b *bench, q *request) {
+	if b.measured(q) {
+		r.Sent++
+	}
+}
+
+func (r *Result) lost(b *bench, q *request) {
+	if b.measured(q) {
+		r.Lost++
+	}
+}
+
+func (r *Result) preempted(b *bench, n int) {
+	if !b.now.Before(b.counted) {
+		r.Preempted += n
+	}
+}
+
+func (r *Result) token(b *bench, q *request) {
+	d := b.now.Sub(q.last)
+	if !b.measured(q) {
+		return
+	}
+	if q.made == 1 {
+		record(r.firsts, b.now.Sub(q.came))
+		if q.work.Priority == api.PriorityInteractive {
+			record(r.onLine, b.now.Sub(q.came))
+		}
+		return
+	}
+	record(r.gaps, d)
+	q.stall += max(0, d-load.StallBound)
+}
+
+func (r *Result) whole(b *bench, q *request) {
+	if b.now.After(b.counted) {
+		r.good += int(q.made)
+	}
+	if !b.measured(q) {
+		return
+	}
+	r.Whole++
+	r.StallTotal += q.stall
+	record(r.stalls, q.stall)
+}
+
+func (r *Result) close(span time.Duration) {
+	r.GoodTokens = float64(r.good) / span.Seconds()
+	r.pending = nil
+}
+
+func record(h *hdrhistogram.Histogram, d time.Duration) {
+	// A value beyond the histogram counts as its largest.
+	_ = h.RecordValue(min(d.Microseconds(), most))
+}
+
+func ms(h *hdrhistogram.Histogram, q float64) float64 {
+	const milli = 1000
+	return float64(h.ValueAtQuantile(q)) / milli
+}
+
+// Figures are the figures of one run.
+type Figures struct {
+	StallP50, StallP99, StallTotal float64
+	Preemptions                    float64
+	GapP95, GapP99, GapP999        float64
+	FirstP95, OnLineP95            float64
+	Good                           float64
+	Refused, Lost                  float64
+	SentPerAsked                   float64
+}
+
+// Figures gives the run's figures: stalls, gaps and first token in ms, the
+// total stall in seconds, preemptions per 1,000 requests, good tokens a
+// second, and refused and lost requests in percent.
+func (r *Result) Figures() Figures {
+	n := float64(max(r.Asked, 1))
+	taken := float64(max(r.Asked-r.Refused, 1))
+	return Figures{
+		StallP50: ms(r.stalls, 50), StallP99: ms(r.stalls, 99), StallTotal: r.StallTotal.Seconds(),
+		Preemptions: 1000 * float64(r.Preempted) / n,
+		GapP95:      ms(r.gaps, 95), GapP99: ms(r.gaps, 99), GapP999: ms(r.gaps, 99.9),
+		FirstP95: ms(r.firsts, 95), OnLineP95: ms(r.onLine, 95), Good: r.GoodTokens,
+		Refused: 100 * float64(r.Refused) / n, Lost: 100 * float64(r.Lost) / n,
+		SentPerAsked: float64(r.Sent) / taken,
+	}
+}
+
+// ordered lists requests in order of their ids, so that runs repeat.
+func ordered(m map[api.GenerationID]*request) []*request {
+	l := make([]*request, 0, len(m))
+	for _, q := range m {
+		l = append(l, q)
+	}
+	slices.SortFunc(l, func(a, b *request) int { return strings.Compare(string(a.id), string(b.id)) })
+	return l
+}
