--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -226,9 +226,11 @@
 
 // impossible finds a reason to refuse a request without waiting.
 func (d *Dispatcher) impossible(now time.Time, p pool, w Work) *fault.Error {
+	l := d.pool(p)
+	suspect := d.suspect(now, l)
 	taking, largest := 0, api.Tokens(0)
-	for _, s := range d.pool(p) {
-		if s.State(now, d.options.Suspect) == api.ServerStatusStateReady {
+	for _, s := range l {
+		if s.State(now, suspect) == api.ServerStatusStateReady {
 			taking++
 			largest = max(largest, s.load.Total())
 		}
@@ -250,22 +252,33 @@
 	if len(l) == 0 {
 		return nil
 	}
-	c := candidates{servers: l, now: now, suspect: d.options.Suspect, avoid: w.Avoid}
+	c := candidates{servers: l, now: now, suspect: d.suspect(now, l), avoid: w.Avoid}
 	g := d.generation(now, w)
 	for range tries {
 		i := d.options.Routing.Pick(d.random, w.Prefix, c)
-		if d.fits(now, l[i], w, g) {
+		if d.fits(c, l[i], g, w) {
 			return l[i]
 		}
 	}
-	return d.first(now, l, w, g)
+	return d.first(c, w, g)
+}
+
+// suspect is the silence after which an engine gets no work: longer when every
+// engine of the pool is silent.
+func (d *Dispatcher) suspect(now time.Time, l []*server) time.Duration {
+	for _, s := range l {
+		if s.State(now, d.options.Suspect) == api.ServerStatusStateReady {
+			return d.options.Suspect
+		}
+	}
+	return silence * d.options.Suspect
 }
 
 // first looks at every engine from a random one on.
-func (d *Dispatcher) first(now time.Time, l []*server, w Work, g admit.Generation) *server {
-	o := d.random.IntN(len(l))
-	for i := range l {
-		if s := l[(o+i)%len(l)]; d.fits(now, s, w, g) {
+func (d *Dispatcher) first(c candidates, w Work, g admit.Generation) *server {
+	o := d.random.IntN(len(c.servers))
+	for i := range c.servers {
+		if s := c.servers[(o+i)%len(c.servers)]; d.fits(c, s, g, w) {
 			return s
 		}
 	}
@@ -274,10 +287,10 @@
 
 // shares is the part of an engine's memory that each priority may fill, so
 // that a caller on the line finds room beside long background work.
-var shares = [...]float64{1, 0.95, 0.85}
+var shares = [...]float64{0.98, 0.94, 0.85}
 
-func (d *Dispatcher) fits(now time.Time, s *server, w Work, g admit.Generation) bool {
-	if !s.takes(now, d.options.Suspect) || s.Name == w.Avoid {
+func (d *Dispatcher) fits(c candidates, s *server, g admit.Generation, w Work) bool {
+	if !s.takes(c.now, c.suspect) || s.Name == c.avoid {
 		return false
 	}
 	if !admit.Possible(w.Prompt, s.load.Total()) {
@@ -297,6 +310,10 @@
 	return Action{Request: w.Request, Server: s.Name, Reason: reason}
 }
 
+// waits is the part of the longest wait that each priority has: a caller on
+// the line is better told at once than kept waiting for a first token.
+var waits = [...]float64{0.2, 0.5, 1}
+
 func (d *Dispatcher) enqueue(now time.Time, p pool, w Work) []Action {
 	if wait := d.wait(); now.Add(wait).After(w.Deadline) {
 		f := fault.New(fault.DeadlinePassed, "no engine is expected to have room before the deadline")
@@ -307,7 +324,7 @@
 		q = queue.New[Work](d.options.QueueLimit)
 		d.queues[p] = q
 	}
-	until := now.Add(d.options.QueueWait)
+	until := now.Add(time.Duration(waits[w.Priority.Rank()] * float64(d.options.QueueWait)))
 	if w.Deadline.Before(until) {
 		until = w.Deadline
 	}
@@ -326,17 +343,18 @@
 
 // offer starts waiting requests that fit on one engine.
 func (d *Dispatcher) offer(now time.Time, s *server) []Action {
-	if !s.takes(now, d.options.Suspect) {
-		return nil
-	}
 	var out []Action
 	for _, p := range d.waitingPools() {
 		q := d.queues[p]
-		if !s.has(p) {
+		suspect := d.suspect(now, d.pool(p))
+		if !s.has(p) || !s.takes(now, suspect) {
 			continue
 		}
 		for q.Len() > 0 {
-			w, ok := q.Pop(now, func(w Work) bool { return d.fits(now, s, w, d.generation(now, w)) })
+			w, ok := q.Pop(now, func(w Work) bool {
+				c := candidates{now: now, suspect: suspect, avoid: w.Avoid}
+				return d.fits(c, s, d.generation(now, w), w)
+			})
 			if !ok {
 				break
 			}
--- a/internal/decide/dispatch/server.go
+++ b/internal/decide/dispatch/server.go
@@ -43,6 +43,11 @@
 		s.report.Role == api.EngineRoleServe && now.Sub(s.refused) >= refusal
 }
 
+// silence is how many times the suspect time an engine may be silent and still
+// be used when every engine is silent: then it is the reports that are late.
+// It bounds the time in which a leaving engine that nobody hears of gets work.
+const silence = 3
+
 // State is the engine's state as far as this entry VM knows.
 func (s *server) State(now time.Time, suspect time.Duration) api.ServerStatusState {
 	switch {
--- a/internal/decide/queue/queue.go
+++ b/internal/decide/queue/queue.go
@@ -10,9 +10,9 @@
 // classes is the number of priorities.
 const classes = 3
 
-// Promote is the wait after which a request moves up one priority, so that
-// none starves.
-const Promote = 8 * time.Second
+// Yield is how often a priority's turn goes to the lowest first: one request
+// in so many, so that none starves behind callers on the line.
+const Yield = 8
 
 // Item is one request that waits.
 type Item[T any] struct {
@@ -36,6 +36,7 @@
 	finish  [classes]map[api.WorkspaceName]float64
 	virtual [classes]float64
 	seq     uint64
+	turn    int
 }
 
 // New makes a queue for at most limit requests.
@@ -119,28 +120,54 @@
 const patience = 2 * time.Second
 
 // Pop takes the first request that fits. A request that has waited long is not
-// passed by others of its priority or a lower one.
+// passed by others of its priority or a lower one; a higher one passes it.
 func (q *Queue[T]) Pop(now time.Time, fits func(T) bool) (T, bool) {
-	q.promote(now)
-	for c := range q.items {
-		for n, i := range q.items[c] {
-			if n >= lookahead {
-				break
-			}
-			if fits(i.Value) {
-				q.take(c, n)
-				return i.Value, true
-			}
-			if now.Sub(i.Since) >= patience {
-				var z T
-				return z, false
+	if q.turn%Yield == Yield-1 {
+		for c := classes - 1; c > 0; c-- {
+			if v, ok, _ := q.pop(now, c, fits); ok {
+				return v, true
 			}
 		}
 	}
+	for c := range classes {
+		v, ok, wait := q.pop(now, c, fits)
+		if ok || wait {
+			return v, ok
+		}
+	}
 	var z T
 	return z, false
 }
 
+// pop takes the first request of a priority that fits.
+func (q *Queue[T]) pop(now time.Time, c int, fits func(T) bool) (v T, ok, wait bool) {
+	n, wait := q.first(now, c, fits)
+	if n < 0 {
+		return v, false, wait
+	}
+	v = q.items[c][n].Value
+	q.take(c, n)
+	q.turn++
+	return v, true, false
+}
+
+// first finds the first request of a priority that fits, and reports whether
+// one that does not has waited so long that nothing may pass it.
+func (q *Queue[T]) first(now time.Time, c int, fits func(T) bool) (int, bool) {
+	for n, i := range q.items[c] {
+		if n >= lookahead {
+			break
+		}
+		if fits(i.Value) {
+			return n, false
+		}
+		if now.Sub(i.Since) >= patience {
+			return -1, true
+		}
+	}
+	return -1, false
+}
+
 func (q *Queue[T]) take(c, n int) {
 	i := q.items[c][n]
 	q.virtual[c] = max(q.virtual[c], i.start)
@@ -152,27 +179,6 @@
 	}
 }
 
-// promote moves long waiters up one priority, to the head of its line: their
-// workspaces were charged when they came.
-func (q *Queue[T]) promote(now time.Time) {
-	for c := 1; c < classes; c++ {
-		kept := q.items[c][:0]
-		var up []*Item[T]
-		for _, i := range q.items[c] {
-			if now.Sub(i.Since) >= time.Duration(c)*Promote {
-				up = append(up, i)
-			} else {
-				kept = append(kept, i)
-			}
-		}
-		q.items[c] = kept
-		for _, i := range up {
-			i.start = q.virtual[c-1]
-			q.insert(c-1, i)
-		}
-	}
-}
-
 // Expire takes out every request whose time to wait is over.
 func (q *Queue[T]) Expire(now time.Time) []T {
 	return q.Remove(func(i Item[T]) bool { return !now.Before(i.Until) })
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -122,7 +122,7 @@
 }
 
 // homeBound is how much fuller than another engine the home of a prefix may be.
-const homeBound = 0.15
+const homeBound = 0.02
 
 func routing(s api.EngineSettings) route.Policy {
 	switch s.Routing {
@@ -130,10 +130,10 @@
 		return &route.RoundRobin{}
 	case api.EngineSettingsRoutingLeastLoaded:
 		return route.LeastLoaded{}
-	case api.EngineSettingsRoutingTwoChoices:
-		return route.TwoChoices{}
-	default:
+	case api.EngineSettingsRoutingPrefix:
 		return route.Prefix{Over: homeBound}
+	default:
+		return route.TwoChoices{}
 	}
 }
 
