test: exhaustive exploration of the real decisions, refusals, leaving servers, configuration

Cause: the core protocol was tested by examples and random runs only. spec explores every run of the real lease, claim and answer code in small worlds with lost, late and doubled messages, crashes and pauses.

Found by the exploration and mended: a request that is not repeatable, whose start broke with the engine holding it, was sent again when the resume could not connect, as only an opened stream counted as taken.

--- /dev/null
+++ b/contract/config_test.go
@@ -0,0 +1,133 @@
+package contract
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/sample"
+	"github.com/wardridge/wardridge/internal/standin/platform"
+)
+
+// weights changes the model's weights and gives the version.
+func (b *bed) weights(w string) api.Version {
+	b.t.Helper()
+	o, err := b.store.Get(api.ResourceKindModel, "desk")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	o.Spec = []byte(`{"weights":"` + w + `","context_tokens":16384}`)
+	return b.put(o).Version
+}
+
+// revoke takes a workspace's key away and gives the version.
+func (b *bed) revoke(workspace string) api.Version {
+	b.t.Helper()
+	o, err := b.store.Get(api.ResourceKindWorkspace, workspace)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(o.Spec), `"key_sha256":"`)
+	old, _, _ := strings.Cut(rest, `"`)
+	o.Spec = []byte(strings.Replace(string(o.Spec), old, strings.Repeat("0", len(old)), 1))
+	return b.put(o).Version
+}
+
+func (b *bed) inForce(v *vm, n api.Version) {
+	b.t.Helper()
+	b.until(v.name+" to have the change in force", func() bool {
+		s, err := b.status(v)
+		return err == nil && s.ConfigVersion >= n
+	})
+}
+
+// A restarted entry VM meets a stale replica of the platform: its peers keep
+// it from serving by the old configuration.
+func TestRestartByAStaleReplicaDoesNotRevert(t *testing.T) {
+	b := newBed(t)
+	b.engine("engine-1", nil, nil)
+	v := b.entry("entry-1", "")
+	b.platform.Set(platform.Faults{StaleReads: true})
+	n := b.revoke("dispatch")
+	b.inForce(v, n)
+	w := b.entry("entry-2", "")
+	checkRefusal(t, w.send(chat(1, false)), fault.UnknownWorkspace)
+	b.inForce(w, n)
+}
+
+// Versions never go back on any entry VM while the platform fails and
+// operators change things.
+func TestVersionsOnlyGrow(t *testing.T) {
+	b := newBed(t)
+	b.engine("engine-1", nil, nil)
+	v, w := b.entry("entry-1", ""), b.entry("entry-2", "")
+	var end atomic.Bool
+	b.group.Go(func(context.Context) error {
+		last := map[string]api.Version{}
+		for !end.Load() {
+			for _, x := range []*vm{v, w} {
+				s, err := b.status(x)
+				if err == nil && s.ConfigVersion < last[x.name] {
+					t.Errorf("%s: version went from %d to %d", x.name, last[x.name], s.ConfigVersion)
+				}
+				if err == nil {
+					last[x.name] = s.ConfigVersion
+				}
+			}
+		}
+		return nil
+	})
+	var n api.Version
+	for i, f := range []platform.Faults{{}, {Outage: true}, {}, {StaleReads: true}, {}, {SlowMS: 300}, {}, {Outage: true}, {}} {
+		b.platform.Set(f)
+		n = b.weights(strings.Repeat("x", i+1))
+		time.Sleep(50 * time.Millisecond)
+	}
+	b.inForce(v, n)
+	b.inForce(w, n)
+	end.Store(true)
+}
+
+// An entry VM that the platform does not answer takes the change from a peer.
+func TestChangeComesFromAPeerWhenTheWatchIsCut(t *testing.T) {
+	b := newBed(t)
+	b.engine("engine-1", nil, nil)
+	v := b.entry("entry-1", "")
+	// entry-2 reaches the platform through a link that is cut later.
+	var cut atomic.Bool
+	direct := b.address
+	b.address = serve(t, link(direct, &cut))
+	w := b.entry("entry-2", "")
+	b.address = direct
+	cut.Store(true)
+	n := b.revoke("dispatch")
+	b.inForce(v, n)
+	b.inForce(w, n)
+	checkRefusal(t, w.send(chat(1, false)), fault.UnknownWorkspace)
+	if r := w.send(ask{key: sample.KeyField, body: fine}); r.status != http.StatusOK {
+		t.Errorf("another workspace: got %d, want 200", r.status)
+	}
+}
+
+// link passes calls on to an address until it is cut.
+func link(address string, cut *atomic.Bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if cut.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		q := r.Clone(r.Context())
+		q.URL.Scheme, q.URL.Host, q.RequestURI = "http", address, ""
+		a, err := http.DefaultClient.Do(q)
+		if err != nil || cut.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		defer func() { _ = a.Body.Close() }()
+		w.WriteHeader(a.StatusCode)
+		_, _ = copyAll(w, a)
+	})
+}
--- a/contract/conn_test.go
+++ b/contract/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"net/http"
 	"testing"
 	"time"
 )
@@ -37,3 +38,8 @@
 	}
 	return string(b[:n])
 }
+
+// copyAll passes an answer's body on.
+func copyAll(w http.ResponseWriter, a *http.Response) (int64, error) {
+	return io.Copy(w, a.Body)
+}
--- a/contract/engine_test.go
+++ b/contract/engine_test.go
@@ -55,6 +55,7 @@
 		{"once: refused, then taken", []string{"full", "t0 f1"}, true, 1, 0, "", 2},
 		{"once: reset before a token", []string{"reset", "t0 f1"}, true, 1, 0, "", 1},
 		{"once: reset, then unknown", []string{"reset", "unknown-generation"}, true, 0, fault.OutcomeUnknown, api.RanUnknown, 1},
+		{"once: reset, resume refused", []string{"reset", "full", "t0 f1"}, true, 1, 0, "", 1},
 		{"once: taken, cut, resume refused", []string{"cut", "full", "t0 f1"}, true, 1, 0, "", 1},
 	}
 	for _, c := range tests {
--- /dev/null
+++ b/contract/refusal_test.go
@@ -0,0 +1,185 @@
+package contract
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/sample"
+	"github.com/wardridge/wardridge/internal/standin/engine"
+	"github.com/wardridge/wardridge/internal/standin/platform"
+	"github.com/wardridge/wardridge/internal/wire"
+)
+
+// crowd is an engine for one generation at a time, which takes long.
+func crowd(b *bed) *engine.Engine {
+	return b.engine("engine-1", nil, func(o *engine.Options) { o.Batch.StepBase = 5 * time.Millisecond })
+}
+
+// hold keeps an engine busy until the test ends.
+func hold(t *testing.T, v *vm) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	r, err := chat(16000, true).request(ctx, v.listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		cancel()
+		_ = a.Body.Close()
+	})
+	if _, err := a.Body.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestRefusalsThatSayNotRun enumerates the paths on which a caller is told
+// that its request was not run, and counts what engines started.
+func TestRefusalsThatSayNotRun(t *testing.T) {
+	const one = "admission = slots\nslots = 1\n[entry]\nqueue_limit = 1\nqueue_wait_ms = 300\n"
+	tests := []struct {
+		name  string
+		more  string
+		setup func(t *testing.T, b *bed, v *vm)
+		ask   ask
+		want  fault.Code
+	}{
+		{"queue timeout", one, func(t *testing.T, _ *bed, v *vm) { hold(t, v) }, chat(1, false), fault.QueueTimeout},
+		{"deadline while waiting", one, func(t *testing.T, _ *bed, v *vm) { hold(t, v) }, chat(1, false, wire.HeaderDeadline, "40"), fault.DeadlinePassed},
+		{"queue full", one, func(t *testing.T, b *bed, v *vm) {
+			hold(t, v)
+			b.group.Go(func(context.Context) error { v.send(chat(1, false)); return nil })
+			b.until("the queue to fill", func() bool { return b.metric(v, "requests_waiting") == 1 })
+		}, chat(1, false, wire.HeaderPriority, "background"), fault.QueueFull},
+		{"engine leaving", "", func(_ *testing.T, b *bed, v *vm) {
+			b.engines["engine-1"].Leave()
+			b.until("the notice", func() bool { s, err := b.status(v); return err == nil && ready(s) == 0 })
+		}, chat(1, false), fault.NoServer},
+		{"engine gone", "", func(t *testing.T, b *bed, v *vm) {
+			b.move("engine-1", dead(t))
+			b.until("the loss", func() bool { s, err := b.status(v); return err == nil && ready(s) == 0 })
+		}, chat(1, false), fault.NoServer},
+		{"planned stop", "", func(_ *testing.T, b *bed, v *vm) {
+			v.cancel()
+			b.until("the stop", func() bool { return v.send(chat(1, false)).status != http.StatusOK })
+		}, chat(1, false), 0},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			b := newBed(t)
+			e := crowd(b)
+			v := b.entry("entry-1", c.more)
+			c.setup(t, b, v)
+			before := e.Started()
+			r := v.send(c.ask)
+			if c.want == 0 {
+				// The listener may be closed already, which proves the same.
+				if r.err == nil && fault.Code(r.fault().Code) != fault.Stopping {
+					t.Errorf("got %d %s, want a refusal by stopping", r.status, r.body)
+				}
+			} else {
+				checkRefusal(t, r, c.want)
+				if r.header.Get(wire.HeaderRetryAfter) == "" {
+					t.Errorf("got no Retry-After, want one")
+				}
+			}
+			if got := e.Started(); got != before {
+				t.Errorf("generations started: got %d, want %d", got, before)
+			}
+		})
+	}
+}
+
+// move changes a backend server's address.
+func (b *bed) move(name, address string) {
+	b.t.Helper()
+	o, err := b.store.Get(api.ResourceKindBackendServer, name)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(o.Spec), `"address":"`)
+	old, _, _ := strings.Cut(rest, `"`)
+	o.Spec = []byte(strings.Replace(string(o.Spec), old, address, 1))
+	b.put(o)
+}
+
+// TestLeavingServerGetsNoNewWork gives each signal, also to an entry VM that
+// is cut off from the platform.
+func TestLeavingServerGetsNoNewWork(t *testing.T) {
+	tests := []struct {
+		name   string
+		cut    bool
+		signal func(b *bed)
+	}{
+		{"its own notice", false, func(b *bed) { b.engines["engine-1"].Leave() }},
+		{"its own notice, platform down", true, func(b *bed) { b.engines["engine-1"].Leave() }},
+		{"the list of VMs", false, func(b *bed) {
+			b.platform.SetVM(api.VM{Name: "engine-1", Role: api.VMRoleBackend, State: api.VMStateLeaving})
+		}},
+		{"drained by an operator", false, func(b *bed) {
+			o, err := b.store.Get(api.ResourceKindBackendServer, "engine-1")
+			if err != nil {
+				b.t.Fatal(err)
+			}
+			o.Spec = []byte(strings.Replace(string(o.Spec), `"active"`, `"draining"`, 1))
+			b.put(o)
+		}},
+		{"frozen, platform down", true, func(b *bed) { b.engines["engine-1"].Freeze(time.Hour) }},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			b := newBed(t)
+			e := b.engine("engine-1", nil, nil)
+			b.engine("engine-2", nil, nil)
+			v := b.entry("entry-1", "suspect_ms = 300\n")
+			b.platform.Set(platform.Faults{Outage: c.cut})
+			c.signal(b)
+			b.until("the signal", func() bool { s, err := b.status(v); return err == nil && ready(s) == 1 })
+			before := e.Started()
+			for range 20 {
+				if r := v.send(chat(1, false)); r.status != http.StatusOK {
+					t.Errorf("got %d %s, want 200", r.status, r.body)
+				}
+			}
+			if got := e.Started(); got != before {
+				t.Errorf("generations started at the leaving server: got %d, want 0", got-before)
+			}
+		})
+	}
+}
+
+// TestStrangersGetNothing asks with one workspace's key for another's things.
+func TestStrangersGetNothing(t *testing.T) {
+	b := newBed(t)
+	b.engine("engine-1", nil, nil)
+	v := b.entry("entry-1", "")
+	r := v.send(chat(5, true))
+	id := lastID(r.body)
+	back := ask{method: http.MethodGet, path: "/v1/chat/completions/" + r.header.Get(wire.HeaderRequest), headers: []string{wire.HeaderLastEvent, id}}
+	back.key = sample.KeyField
+	checkRefusal(t, v.send(back), fault.UnknownStream)
+	back.key = "nobody"
+	checkRefusal(t, v.send(back), fault.UnknownWorkspace)
+	back.key = sample.KeyDispatch
+	if got := v.send(back); got.status != http.StatusOK {
+		t.Errorf("its own caller: got %d %s, want 200", got.status, got.body)
+	}
+	back.path = "/v1/chat/completions/another"
+	checkRefusal(t, v.send(back), fault.UnknownStream)
+}
+
+func lastID(body string) string {
+	_, rest, _ := strings.Cut(body, "id: ")
+	id, _, _ := strings.Cut(rest, "\n")
+	return id
+}
--- a/contract/service_test.go
+++ b/contract/service_test.go
@@ -175,3 +175,23 @@
 		})
 	}
 }
+
+// The HTTP transport repeats a request that carries an idempotency key when a
+// kept connection breaks; a call that is not repeatable must not be.
+func TestTransportDoesNotRepeatACall(t *testing.T) {
+	b := newBed(t)
+	s := b.service("orders-1")
+	v := b.entry("entry-1", "")
+	for i := range 10 {
+		warm, key := fmt.Sprintf("warm-%d", i), fmt.Sprintf("k-%d", i)
+		v.send(order(warm))
+		s.Set(service.Faults{LoseAnswers: 1})
+		r := v.send(order(key))
+		if f := r.fault(); f.Ran != api.RanUnknown {
+			t.Errorf("lost answer: got ran %q, want unknown", f.Ran)
+		}
+		if got := s.Counts()[key]; got != 1 {
+			t.Errorf("%s: got %d runs, want 1", key, got)
+		}
+	}
+}
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -325,3 +325,33 @@
 	}
 	whole(t, s.load(50, 30, 10))
 }
+
+// A key is revoked while an entry VM is suspended; the request that waits for
+// it when it wakes must not be served by the old configuration.
+func TestSuspendedEntryVMDoesNotServeByAnOldView(t *testing.T) {
+	s := newSystem(t, options{entries: 2, engines: 1, settings: quickSettings})
+	e := s.entries[0]
+	e.signal(syscall.SIGSTOP)
+	out := s.mustCtl("get", "workspace", "dispatch")
+	_, rest, _ := strings.Cut(out, "key_sha256: ")
+	old, _, _ := strings.Cut(rest, "\n")
+	s.apply(strings.Replace(out, old, strings.Repeat("f", 64), 1))
+	time.Sleep(3 * time.Second)
+	got := make(chan int, 8)
+	var w sync.WaitGroup
+	for range cap(got) {
+		w.Go(func() { got <- post(t, e.listen, sample.KeyDispatch, ask).StatusCode })
+	}
+	time.Sleep(100 * time.Millisecond)
+	e.signal(syscall.SIGCONT)
+	w.Wait()
+	for range cap(got) {
+		if n := <-got; n == http.StatusOK {
+			t.Errorf("request with the revoked key: got 200, want it refused")
+		}
+	}
+	until(t, "the entry VM to serve again", func() bool {
+		n, _ := s.book(e, "after")
+		return n == http.StatusOK
+	})
+}
--- a/internal/decide/answer/answer.go
+++ b/internal/decide/answer/answer.go
@@ -76,7 +76,7 @@
 	generation api.GenerationID
 	next       int
 	sent       bool
-	// accepted tells that the engine took the present attempt.
+	// accepted tells that the engine took the present attempt, or may have.
 	accepted bool
 	// earlier tells that an attempt before this one may have run.
 	earlier  bool
@@ -186,6 +186,8 @@
 }
 
 func (a *Answer) broken(now time.Time) Next {
+	// Whatever a resume meets, the engine may have this attempt.
+	a.accepted = true
 	if a.next == 0 && a.policy.Repeatable {
 		return Next{Move: Retry}
 	}
--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -55,8 +55,9 @@
 	read time.Time
 	// until is the end of the own hold, counted from the send of a renewal.
 	until time.Time
-	// pending is the write whose outcome is not known, sent at sent.
-	pending *api.LeaseSpec
+	// pending is the write whose outcome is not known, sent at sent; one
+	// without a duration is none.
+	pending api.LeaseSpec
 	sent    time.Time
 }
 
@@ -137,7 +138,7 @@
 		// The hold ends before the write leaves.
 		l.until = time.Time{}
 	}
-	l.pending = &s
+	l.pending = s
 	l.sent = now
 	return Action{Kind: Write, Spec: s, Version: l.version}
 }
@@ -165,18 +166,18 @@
 // settle credits the last write if the object shows that it took effect.
 func (l *Lease) settle(s api.LeaseSpec) {
 	p := l.pending
-	l.pending = nil
-	if p != nil && *p == s && l.mine() {
+	l.pending = api.LeaseSpec{}
+	if p == s && l.mine() {
 		l.until = l.sent.Add(l.timing.Duration)
 	}
 }
 
 // Written takes the version of a write that was answered as done.
 func (l *Lease) Written(v api.Version) {
-	if l.pending == nil {
+	s := l.pending
+	if s.DurationMS == 0 {
 		return
 	}
-	s := *l.pending
 	l.known = true
 	l.exists = true
 	l.spec = s
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
@@ -248,7 +249,7 @@
 func (s *Server) unplaced(ctx context.Context, a *answer.Answer, err error) *fault.Error {
 	f := fault.From(err)
 	if f.Code == fault.CallerGone && ctx.Err() == context.DeadlineExceeded {
-		f = fault.New(fault.DeadlinePassed, "the deadline passed while the request waited")
+		f = fault.New(fault.DeadlinePassed, "the deadline passed while the request waited").After(time.Second)
 	}
 	return f.WithRan(a.Ran())
 }
--- /dev/null
+++ b/spec/answer_test.go
@@ -0,0 +1,191 @@
+package spec
+
+import (
+	"testing"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/answer"
+)
+
+// The answer's world: two generations of two tokens each on engines that may
+// break or forget, with every event lost, late, doubled or out of order.
+const (
+	generations = 2
+	tokens      = 2
+)
+
+type answerState struct {
+	answer answer.Answer
+	// begun counts the generations that were started.
+	begun int
+	// sent tells which generations may have run.
+	sent [generations]bool
+	// open is whether a stream of the present generation is read.
+	open bool
+	// delivered are the tokens that the caller saw, as generation and index.
+	delivered [2*tokens + 1][2]int
+	count     int
+	finished  bool
+	failed    bool
+	ran       api.Ran
+	now       int
+}
+
+func generationID(g int) api.GenerationID { return api.GenerationID(named("g%d", g)) }
+
+func answerWorld(repeatable bool, mutation string) world[answerState] {
+	p := answer.Policy{Repeatable: repeatable, ResumeFor: 2 * time.Second, Deadline: at(100)}
+	return world[answerState]{
+		name:   named("one generation: 2 generations of 2 tokens, repeatable %v", repeatable),
+		start:  answerState{answer: *answer.New(p), begun: 0},
+		next:   func(s answerState) []step[answerState] { return answerNext(s, mutation) },
+		broken: func(s answerState) string { return answerBroken(s, repeatable) },
+	}
+}
+
+func answerBroken(s answerState, repeatable bool) string {
+	for i := range s.count {
+		if s.delivered[i][1] != i || s.delivered[i][0] != s.delivered[0][0] {
+			return "the caller saw a token doubled, missing, out of order or of another generation"
+		}
+	}
+	ran := 0
+	for _, x := range s.sent {
+		if x {
+			ran++
+		}
+	}
+	switch {
+	case s.finished && s.count != tokens:
+		return "the answer ended before all its tokens came"
+	case !repeatable && ran > 1:
+		return "a request that is not repeatable ran twice"
+	case s.failed && s.ran == api.RanNo && ran > 0:
+		return "the caller was told that a request that may have run did not"
+	}
+	return ""
+}
+
+func answerNext(s answerState, mutation string) []step[answerState] {
+	if s.finished || s.failed {
+		return nil
+	}
+	var l []step[answerState]
+	add := func(name string, n answerState) { l = append(l, step[answerState]{name, n}) }
+	if s.begun == 0 {
+		n := s
+		n.answer.Begin(generationID(0))
+		n.answer.Sent()
+		n.begun = 1
+		add("g0 is sent", n)
+		return l
+	}
+	if !s.open {
+		l = append(l, opening(s, mutation)...)
+		return l
+	}
+	for g := range s.begun {
+		for i := range tokens + 1 {
+			if n, ok := receive(s, g, i, mutation); ok {
+				add(named("token %d of g%d arrives", i, g), n)
+			}
+		}
+	}
+	n := s
+	n.broke(answer.Broken, mutation)
+	add("the stream breaks", n)
+	return l
+}
+
+// opening is what can come of a start or a resume.
+func opening(s answerState, mutation string) []step[answerState] {
+	var l []step[answerState]
+	add := func(name string, n answerState) { l = append(l, step[answerState]{name, n}) }
+	n := s
+	n.sent[s.begun-1] = true
+	n.open = true
+	n.answer.Opened()
+	add("the engine streams", n)
+	n = s
+	n.sent[s.begun-1] = true
+	n.broke(answer.Broken, mutation)
+	add("the connection breaks, the engine has it", n)
+	for _, c := range []answer.Cause{answer.NotConnected, answer.Refused} {
+		n = s
+		n.broke(c, mutation)
+		add(named("cause %d", c), n)
+	}
+	n = s
+	n.broke(answer.Unknown, mutation)
+	add("the engine has forgotten it", n)
+	return l
+}
+
+func receive(s answerState, g, i int, mutation string) (answerState, bool) {
+	if !s.sent[g] {
+		return s, false
+	}
+	e := api.TokenEvent{Generation: generationID(g), Index: i}
+	if i == tokens {
+		e.Finish = string(api.FinishReasonStop)
+	}
+	n := s
+	v := n.answer.Event(e)
+	if mutation == "late tokens are taken" && v == answer.Drop && e.Finish == "" {
+		v = answer.Deliver
+	}
+	switch v {
+	case answer.Deliver:
+		if n.count == len(n.delivered) {
+			return s, false
+		}
+		n.delivered[n.count] = [2]int{g, i}
+		n.count++
+	case answer.Finish:
+		n.finished = true
+	case answer.Gap:
+		n.broke(answer.Broken, mutation)
+	}
+	return n, true
+}
+
+// broke asks what follows a break and does it.
+func (s *answerState) broke(c answer.Cause, mutation string) {
+	s.open = false
+	s.now = min(s.now+1, 5)
+	n := s.answer.Break(at(s.now), c)
+	if mutation == "a failed resume counts as unsent" && (c == answer.NotConnected || c == answer.Refused) && s.answer.Next() == 0 {
+		n.Move = answer.Retry
+	}
+	switch n.Move {
+	case answer.Retry:
+		s.again(mutation)
+	case answer.Fail:
+		s.failed, s.ran = true, n.Fault.Ran
+	}
+}
+
+func (s *answerState) again(mutation string) {
+	if s.begun == generations {
+		s.failed, s.ran = true, s.answer.Ran()
+		return
+	}
+	ok := s.answer.Begin(generationID(s.begun))
+	if !ok && mutation == "" {
+		s.failed, s.ran = true, s.answer.Ran()
+		return
+	}
+	if !ok {
+		// The mutated code starts a generation all the same.
+		s.answer = *answer.New(answer.Policy{ResumeFor: 2 * time.Second, Deadline: at(100)})
+		s.answer.Begin(generationID(s.begun))
+	}
+	s.answer.Sent()
+	s.begun++
+}
+
+func TestOneGeneration(t *testing.T) {
+	holds(t, func(m string) world[answerState] { return answerWorld(true, m) }, "late tokens are taken")
+	holds(t, func(m string) world[answerState] { return answerWorld(false, m) }, "a failed resume counts as unsent")
+}
--- /dev/null
+++ b/spec/claim_test.go
@@ -0,0 +1,255 @@
+package spec
+
+import (
+	"testing"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/claim"
+)
+
+// The claim's world: a caller asks with one key by up to three attempts on two
+// entry VMs, one of which may crash.
+const (
+	vms      = 2
+	attempts = 3
+)
+
+// home is the entry VM of each attempt.
+var home = [attempts]int{0, 1, 0}
+
+// claimSize bounds a world, so that every run of it can be visited.
+type claimSize struct {
+	name     string
+	attempts int
+	// late lets writes be carried out after their callers gave up.
+	late bool
+}
+
+// progress is how far an attempt's own record on its VM has come.
+type progress int
+
+const (
+	unknown progress = iota
+	waiting
+	sent
+	released
+)
+
+type attemptState struct {
+	course   claim.Claim
+	next     claim.Move
+	begun    bool
+	over     bool
+	progress progress
+	// life is its VM's life when it began.
+	life api.Incarnation
+	// late is a write that its VM gave up waiting for.
+	late    claim.Move
+	hasLate bool
+}
+
+type claimState struct {
+	exists  bool
+	spec    api.ClaimSpec
+	version api.Version
+	attempt [attempts]attemptState
+	life    [vms]api.Incarnation
+	sends   int
+	// lied tells that a caller was told "not run" by an attempt that sent.
+	lied bool
+}
+
+func vmName(i int) api.VMName { return api.VMName(named("vm-%d", i)) }
+
+func requestID(i int) api.RequestID { return api.RequestID(named("r%d", i)) }
+
+func claimWorld(z claimSize, mutation string) world[claimState] {
+	var s claimState
+	for i := range vms {
+		s.life[i] = 1
+	}
+	return world[claimState]{
+		name:  z.name,
+		start: s,
+		next:  func(s claimState) []step[claimState] { return claimNext(s, z, mutation) },
+		broken: func(s claimState) string {
+			switch {
+			case s.sends > 1:
+				return "the request was sent twice"
+			case s.lied:
+				return "a caller was told that a request that was sent did not run"
+			}
+			return ""
+		},
+	}
+}
+
+func claimNext(s claimState, z claimSize, mutation string) []step[claimState] {
+	var l []step[claimState]
+	add := func(name string, n claimState) { l = append(l, step[claimState]{name, n}) }
+	for i := range z.attempts {
+		a := s.attempt[i]
+		switch {
+		case !a.begun:
+			n := s
+			n.begin(i)
+			add(named("the caller asks by attempt %d", i), n)
+		case !a.over:
+			l = append(l, s.move(i, z, mutation)...)
+		}
+		if a.hasLate {
+			n := s
+			n.attempt[i].hasLate, n.attempt[i].late = false, claim.Move{}
+			n.write(a.late)
+			add(named("attempt %d's late write is carried out", i), n)
+		}
+	}
+	if s.life[0] == 1 {
+		n := s
+		n.life[0] = 2
+		for i := range attempts {
+			if home[i] == 0 {
+				n.attempt[i].over = n.attempt[i].begun
+				n.attempt[i].progress = unknown
+			}
+		}
+		add("vm-0 crashes and starts again", n)
+	}
+	return l
+}
+
+func (s *claimState) begin(i int) {
+	v := home[i]
+	c := claim.New(api.ClaimSpec{Workspace: "w", Owner: vmName(v), Incarnation: s.life[v], Request: requestID(i), BodyHash: "h"})
+	s.attempt[i] = attemptState{course: *c, next: c.Begin(), begun: true, progress: waiting, life: s.life[v]}
+}
+
+func (s *claimState) write(m claim.Move) bool {
+	if m.Version != s.version {
+		return false
+	}
+	s.exists, s.spec, s.version = true, m.Spec, s.version+1
+	return true
+}
+
+// register rebuilds a VM's own record of its attempts, so that its answer is
+// the real code's.
+func (s *claimState) register(v int) *claim.Attempts {
+	r := claim.NewAttempts(s.life[v])
+	for i := range attempts {
+		if home[i] != v || s.attempt[i].life != s.life[v] {
+			continue
+		}
+		switch s.attempt[i].progress {
+		case waiting:
+			r.Add(requestID(i))
+		case sent:
+			r.Add(requestID(i))
+			r.Send(requestID(i))
+		}
+	}
+	return r
+}
+
+// release asks the owner of a claim, which may be out of reach.
+func (s *claimState) release(spec api.ClaimSpec, mutation string) bool {
+	for i := range attempts {
+		if requestID(i) != spec.Request {
+			continue
+		}
+		ok := s.register(home[i]).Release(spec.Request, spec.Incarnation)
+		if mutation == "a silent owner counts as given up" && spec.Incarnation != s.life[home[i]] {
+			ok = true
+		}
+		if ok && s.attempt[i].life == s.life[home[i]] {
+			s.attempt[i].progress = released
+		}
+		return ok
+	}
+	return false
+}
+
+// move carries an attempt's next move out, in every way it can go.
+func (s claimState) move(i int, z claimSize, mutation string) []step[claimState] {
+	var l []step[claimState]
+	m := s.attempt[i].next
+	add := func(what string, change func(n *claimState, c *claim.Claim) claim.Move) {
+		n := s
+		c := n.attempt[i].course
+		x := change(&n, &c)
+		n.attempt[i].course, n.attempt[i].next = c, x
+		if x.Kind == claim.Refuse || x.Kind == claim.Replay {
+			n.end(i, x)
+		}
+		l = append(l, step[claimState]{named("attempt %d %s", i, what), n})
+	}
+	switch m.Kind {
+	case claim.Create, claim.TakeOver:
+		add("writes its claim", func(n *claimState, c *claim.Claim) claim.Move {
+			if n.write(m) {
+				return c.Wrote(claim.Done)
+			}
+			return c.Wrote(claim.Conflict)
+		})
+		add("writes its claim, the answer is lost", func(n *claimState, c *claim.Claim) claim.Move {
+			n.write(m)
+			if mutation == "no read-back" {
+				return c.Wrote(claim.Done)
+			}
+			return c.Wrote(claim.Lost)
+		})
+		if z.late {
+			add("gives up waiting for its write", func(n *claimState, c *claim.Claim) claim.Move {
+				n.attempt[i].late, n.attempt[i].hasLate = m, true
+				return c.Wrote(claim.Lost)
+			})
+		}
+		add("has its write refused", func(_ *claimState, c *claim.Claim) claim.Move { return c.Wrote(claim.Refused) })
+	case claim.Read:
+		add("reads the claim", func(n *claimState, c *claim.Claim) claim.Move { return c.Found(n.exists, n.spec, n.version) })
+		add("can't read the claim", func(_ *claimState, c *claim.Claim) claim.Move { return c.Unreadable() })
+	case claim.AskOwner:
+		add("asks the owner", func(n *claimState, c *claim.Claim) claim.Move {
+			return c.Answered(n.release(m.Spec, mutation), m.Version)
+		})
+		add("asks the owner, the answer is lost", func(n *claimState, c *claim.Claim) claim.Move {
+			n.release(m.Spec, mutation)
+			return c.Answered(false, m.Version)
+		})
+	case claim.Send:
+		add("sends", func(n *claimState, _ *claim.Claim) claim.Move {
+			ok := n.register(home[i]).Send(requestID(i))
+			if !ok && mutation != "no check before the send" {
+				return claim.Move{Kind: claim.Refuse}
+			}
+			n.sends++
+			n.attempt[i].progress = sent
+			n.attempt[i].over = true
+			return claim.Move{Kind: claim.Send}
+		})
+	}
+	return l
+}
+
+// end ends an attempt whose caller is answered; an unsent one is forgotten by
+// its VM.
+func (s *claimState) end(i int, m claim.Move) {
+	a := &s.attempt[i]
+	s.lied = s.lied || a.progress == sent && m.Fault != nil && m.Fault.Ran == api.RanNo
+	a.over = true
+	if a.progress == waiting {
+		a.progress = released
+	}
+	// The answer's text plays no part any more.
+	a.next = claim.Move{Kind: m.Kind}
+}
+
+func TestClaim(t *testing.T) {
+	for _, z := range []claimSize{
+		{"claim: 2 attempts on 2 entry VMs, a crash, lost and late writes", 2, true},
+		{"claim: 3 attempts on 2 entry VMs, a crash, lost writes", 3, false},
+	} {
+		holds(t, func(m string) world[claimState] { return claimWorld(z, m) },
+			"a silent owner counts as given up", "no read-back", "no check before the send")
+	}
+}
--- /dev/null
+++ b/spec/lease_test.go
@@ -0,0 +1,239 @@
+package spec
+
+import (
+	"testing"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/lease"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// The lease's world: two candidates, one object, whole seconds, a duration of
+// 2 s and a skew of 1 s.
+const candidates = 2
+
+var leaseTiming = lease.Timing{Duration: 2 * time.Second, Skew: time.Second}
+
+// leaseSize bounds a world, so that every run of it can be visited.
+type leaseSize struct {
+	name    string
+	seconds int
+	// late lets writes be carried out after their callers gave up.
+	late bool
+	// orders lets holders send orders to an engine.
+	orders bool
+	// crashes is how often vm-0 may crash.
+	crashes api.Incarnation
+}
+
+// call is a write of a candidate that the platform has not carried out yet, or
+// whose answer is on its way.
+type call struct {
+	open    bool
+	applied bool
+	ok      bool
+	version api.Version
+	spec    api.LeaseSpec
+	expect  api.Version
+	// late is a write whose caller has given up waiting.
+	late bool
+}
+
+// order is an order on its way to an engine.
+type order struct {
+	open  bool
+	fence api.Fence
+}
+
+type leaseState struct {
+	now      int
+	exists   bool
+	spec     api.LeaseSpec
+	version  api.Version
+	lease    [candidates]lease.Lease
+	call     [candidates]call
+	life     [candidates]api.Incarnation
+	order    [candidates]order
+	applied  api.Fence
+	oldOrder bool
+	// both tells that both candidates held at once.
+	both bool
+}
+
+func at(n int) time.Time { return epoch.Add(time.Duration(n) * time.Second) }
+
+func owner(i int, life api.Incarnation) lease.Owner {
+	return lease.Owner{VM: api.VMName(named("vm-%d", i)), Incarnation: life}
+}
+
+func leaseWorld(z leaseSize, mutation string) world[leaseState] {
+	var s leaseState
+	for i := range candidates {
+		s.life[i] = 1
+		s.lease[i] = *lease.New(owner(i, 1), leaseTiming)
+	}
+	return world[leaseState]{
+		name:  z.name,
+		start: s,
+		next:  func(s leaseState) []step[leaseState] { return leaseNext(s, z, mutation) },
+		broken: func(s leaseState) string {
+			switch {
+			case s.both:
+				return "two candidates hold the lease at once"
+			case s.oldOrder:
+				return "an order of an older holder was carried out after one of a newer"
+			}
+			return ""
+		},
+	}
+}
+
+func leaseNext(s leaseState, z leaseSize, mutation string) []step[leaseState] {
+	var l []step[leaseState]
+	add := func(name string, n leaseState) {
+		held := 0
+		for i := range candidates {
+			if _, ok := n.lease[i].Held(at(n.now)); ok {
+				held++
+			}
+		}
+		n.both = held > 1
+		l = append(l, step[leaseState]{name, n})
+	}
+	if s.now < z.seconds {
+		n := s
+		n.now++
+		add(named("the clock reaches %d s", n.now), n)
+	}
+	for i := range candidates {
+		for _, x := range candidateNext(s, i, z, mutation) {
+			add(x.name, x.next)
+		}
+	}
+	return l
+}
+
+// candidateNext is what can happen around one candidate; a pause is its not
+// being chosen while the clock goes on.
+func candidateNext(s leaseState, i int, z leaseSize, mutation string) []step[leaseState] {
+	var l []step[leaseState]
+	add := func(what string, n leaseState) {
+		l = append(l, step[leaseState]{named("%d s: vm-%d %s", s.now, i, what), n})
+	}
+	if !s.call[i].open {
+		n := s
+		switch a := n.lease[i].Step(at(s.now)); a.Kind {
+		case lease.Read:
+			n.lease[i].Observed(at(s.now), s.exists, s.spec, s.version)
+			if mutation == "no wait after a cold start" {
+				m := *lease.New(owner(i, s.life[i]), leaseTiming)
+				m.Observed(at(-100), s.exists, s.spec, s.version)
+				n.lease[i] = m
+			}
+			add("reads the lease", n)
+		case lease.Write:
+			n.call[i] = call{open: true, spec: a.Spec, expect: a.Version}
+			add("sends a write", n)
+		}
+	}
+	if c := s.call[i]; c.open && !c.applied {
+		n := s
+		n.call[i].applied = true
+		if c.expect == s.version {
+			n.exists, n.spec, n.version = true, c.spec, s.version+1
+			n.call[i].ok, n.call[i].version = true, n.version
+		}
+		if c.late {
+			n.call[i] = call{}
+		}
+		add("has its write carried out", n)
+	}
+	if c := s.call[i]; c.open && c.applied {
+		n := s
+		n.call[i] = call{}
+		if mutation == "deadline counted from receipt" && c.ok {
+			// The hold begins anew when the answer comes.
+			m := n.lease[i]
+			m.Unsettled()
+			m.Observed(at(s.now), s.exists, s.spec, c.expect)
+			m.Step(at(s.now))
+			n.lease[i] = m
+		}
+		if c.ok {
+			n.lease[i].Written(c.version)
+		} else {
+			n.lease[i].Unsettled()
+		}
+		add("gets the answer", n)
+		n = s
+		n.call[i] = call{}
+		n.lease[i].Unsettled()
+		if mutation == "no read-back" {
+			n.lease[i] = s.lease[i]
+			n.lease[i].Written(c.expect + 1)
+		}
+		add("loses the answer", n)
+	}
+	if c := s.call[i]; c.open && !c.applied && !c.late && z.late {
+		n := s
+		n.call[i].late = true
+		n.lease[i].Unsettled()
+		add("gives up waiting, the write is late", n)
+	}
+	if i == 0 && s.life[i] <= z.crashes {
+		n := s
+		n.life[i]++
+		n.lease[i] = *lease.New(owner(i, n.life[i]), leaseTiming)
+		if n.call[i].open {
+			n.call[i].late = true
+			if n.call[i].applied {
+				n.call[i] = call{}
+			}
+		}
+		add("crashes and starts again", n)
+	}
+	if !z.orders {
+		return l
+	}
+	return append(l, orderNext(s, i, mutation)...)
+}
+
+// orderNext sends an order while the lease is held; it may stay on its way for
+// ever and arrive twice. The engine checks fences.
+func orderNext(s leaseState, i int, mutation string) []step[leaseState] {
+	var l []step[leaseState]
+	if f, ok := s.lease[i].Held(at(s.now)); ok && !s.order[i].open {
+		n := s
+		n.order[i] = order{open: true, fence: f}
+		l = append(l, step[leaseState]{named("%d s: vm-%d sends an order", s.now, i), n})
+	}
+	if o := s.order[i]; o.open {
+		for _, again := range []bool{false, true} {
+			n := s
+			n.order[i].open = again
+			if o.fence < s.applied && mutation != "engine checks no fence" {
+				if again {
+					continue
+				}
+			} else {
+				n.oldOrder = o.fence < s.applied
+				n.applied = max(s.applied, o.fence)
+			}
+			l = append(l, step[leaseState]{named("%d s: an order with fence %d arrives", s.now, o.fence), n})
+		}
+	}
+	return l
+}
+
+func TestLease(t *testing.T) {
+	z := leaseSize{name: "lease: 2 candidates, 5 s, a crash, late writes", seconds: 5, late: true, crashes: 1}
+	holds(t, func(m string) world[leaseState] { return leaseWorld(z, m) },
+		"deadline counted from receipt", "no read-back", "no wait after a cold start")
+}
+
+func TestFence(t *testing.T) {
+	z := leaseSize{name: "fence: 2 candidates, 5 s, orders late and doubled", seconds: 5, orders: true}
+	holds(t, func(m string) world[leaseState] { return leaseWorld(z, m) }, "engine checks no fence")
+}
