--- a/contract/engine_test.go
+++ b/contract/engine_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -82,9 +83,13 @@
 			if f := r.fault(); fault.Code(f.Code) != c.want || f.Ran != c.ran {
 				t.Errorf("fault: got %d ran %q, want %d ran %q", f.Code, f.Ran, c.want, c.ran)
 			}
-			if starts, _, _ := s.counts(); starts != c.starts {
+			starts, resumes, _ := s.counts()
+			if starts != c.starts {
 				t.Errorf("generations started: got %d, want %d", starts, c.starts)
 			}
+			if strings.HasSuffix(c.scripts[len(c.scripts)-1], "unknown-generation") && resumes != 1 {
+				t.Errorf("resumes of a generation that is forgotten: got %d, want 1", resumes)
+			}
 		})
 	}
 }
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -32,7 +32,10 @@
 	SlowMS api.Milliseconds `json:"slow_ms"`
 	// LoseWrites carries out so many writes and loses their answers.
 	LoseWrites int `json:"lose_writes"`
-	// StaleReads answers lists and reads from a copy taken at the time set.
+	// Copy takes the copy that stale reads answer from.
+	Copy bool `json:"copy"`
+	// StaleReads answers lists from the copy, taken now if there is none, and
+	// watches as if nothing had changed.
 	StaleReads bool `json:"stale_reads"`
 }
 
@@ -97,9 +100,12 @@
 	l := s.store.List(nil)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if f.StaleReads && !s.faults.StaleReads {
+	if f.Copy || f.StaleReads && s.stale.Items == nil {
 		s.stale = l
 	}
+	if !f.Copy && !f.StaleReads {
+		s.stale = api.ObjectList{}
+	}
 	s.faults = f
 }
 
@@ -252,6 +258,11 @@
 	end := time.NewTimer(min(api.Milliseconds(wait).Duration(), watchMost))
 	defer end.Stop()
 	for {
+		if s.current().StaleReads {
+			<-end.C
+			wire.Write(w, http.StatusOK, api.ChangeList{Version: api.Version(from), Changes: []api.Change{}})
+			return
+		}
 		l, wake, err := s.store.Changes(api.Version(from), k)
 		if err != nil {
 			wire.Refuse(w, fault.From(err), "")
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -145,6 +145,7 @@
 		w.Header().Set("Content-Length", "100")
 		w.WriteHeader(http.StatusOK)
 		_, _ = w.Write([]byte("{"))
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	wire.Write(w, http.StatusOK, Answer{
