--- /dev/null
+++ b/contract/pairs_test.go
@@ -0,0 +1,122 @@
+package contract
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/standin/platform"
+	"github.com/wardridge/wardridge/internal/standin/service"
+)
+
+// harm is one fault that strikes a bed; it returns when it is over.
+type harm struct {
+	name   string
+	strike func(b *bed)
+}
+
+// moment is how long a fault lasts.
+const moment = 250 * time.Millisecond
+
+var harms = []harm{
+	{"platform down", func(b *bed) {
+		b.platform.Set(platform.Faults{Outage: true})
+		time.Sleep(moment)
+		b.platform.Set(platform.Faults{})
+	}},
+	{"platform loses answers", func(b *bed) {
+		b.platform.Set(platform.Faults{LoseWrites: 5})
+		time.Sleep(moment)
+	}},
+	{"engine frozen", func(b *bed) {
+		b.engines["engine-1"].Freeze(moment)
+		time.Sleep(moment)
+	}},
+	{"engine drops streams", func(b *bed) { b.engines["engine-2"].DropStreams(6) }},
+	{"engine leaves", func(b *bed) { b.engines["engine-2"].Leave() }},
+	{"service loses answers", func(b *bed) { b.services["orders-1"].Set(service.Faults{LoseAnswers: 3}) }},
+	{"entry VM stops", func(b *bed) { b.vms[1].cancel() }},
+	{"configuration changes", func(b *bed) { b.weights("2026-10") }},
+}
+
+// TestFaultsTwoAtATime strikes with every two faults, and with each one twice,
+// while callers stream and place orders.
+func TestFaultsTwoAtATime(t *testing.T) {
+	for i, x := range harms {
+		for _, y := range harms[i:] {
+			t.Run(x.name+" and "+y.name, func(t *testing.T) {
+				t.Parallel()
+				strikeTwice(t, x, y)
+			})
+		}
+	}
+}
+
+func strikeTwice(t *testing.T, x, y harm) {
+	b := newBed(t)
+	b.engine("engine-1", nil, nil)
+	b.engine("engine-2", nil, nil)
+	s := b.service("orders-1")
+	b.servers("orders-1")
+	more := "stall_ms = 150\nresume_ms = 15000\nfirst_token_ms = 1000\n"
+	b.entry("entry-1", more)
+	b.entry("entry-2", more)
+	g, end := duty.New(context.Background())
+	defer end()
+	var mutex sync.Mutex
+	orders := map[string]api.ErrorDetail{}
+	const callers, each = 4, 6
+	for c := range callers {
+		g.Go(func(context.Context) error {
+			for i := range each {
+				v := b.vms[(c+i)%2]
+				key := fmt.Sprintf("%d-%d", c, i)
+				stream(t, v.send(chat(25, true)))
+				r := v.send(order(key))
+				if r.err == nil && r.status != http.StatusOK {
+					mutex.Lock()
+					orders[key] = r.fault()
+					mutex.Unlock()
+				}
+			}
+			return nil
+		})
+	}
+	g.Go(func(context.Context) error { time.Sleep(moment / 5); x.strike(b); return nil })
+	g.Go(func(context.Context) error { time.Sleep(moment / 3); y.strike(b); return nil })
+	_ = g.Wait()
+	for key, n := range s.Counts() {
+		if n > 1 {
+			t.Errorf("%s: got %d runs, want at most 1", key, n)
+		}
+		if f, ok := orders[key]; ok && f.Ran == api.RanNo {
+			t.Errorf("%s: told that it did not run (%s), got %d runs", key, f.Type, n)
+		}
+	}
+}
+
+// stream checks that an answer is whole, or ends with a typed fault after
+// tokens in order.
+func stream(t *testing.T, r reply) {
+	t.Helper()
+	if r.err != nil {
+		// A stopped entry VM takes no connection.
+		return
+	}
+	got, whole := texts(r.body)
+	want := 25
+	if !whole {
+		want = len(got)
+		if f := r.fault(); f.Code == 0 || f.Type == "internal" {
+			t.Errorf("got status %d and %q, want a whole answer or a typed fault", r.status, r.body)
+		}
+	}
+	if len(got) > 0 {
+		inOrder(t, got, 0, want)
+	}
+}
--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -355,3 +356,62 @@
 		return n == http.StatusOK
 	})
 }
+
+// holder finds the entry VM that holds the lease on orders.
+func (s *system) holder(except *process) *process {
+	s.t.Helper()
+	var p *process
+	until(s.t, "a holder of the orders", func() bool {
+		for _, e := range s.entries {
+			v, err := status(e)
+			if e != except && err == nil && slices.Contains(v.Leases, "orders") {
+				p = e
+				return true
+			}
+		}
+		return false
+	})
+	return p
+}
+
+// The holder of the orders is suspended for longer than its lease, twice; the
+// next holder's orders stand, and the one that wakes believing sends no more.
+func TestSuspendedHolderOfOrdersIsFencedOff(t *testing.T) {
+	s := newSystem(t, options{entries: 2, engines: 2, settings: quickSettings + "[lease]\nduration_ms = 1500\nskew_ms = 300\n"})
+	weights := []string{"2026-11", "2026-12"}
+	for _, w := range weights {
+		old := s.holder(nil)
+		old.signal(syscall.SIGSTOP)
+		s.apply(fmt.Sprintf("kind: model\nname: desk\nspec: {weights: %q, context_tokens: 16384}\n", w), "--replace")
+		next := s.holder(old)
+		until(t, "the new weights on both engines", func() bool { return s.loaded(w) == len(s.engines) })
+		old.signal(syscall.SIGCONT)
+		until(t, "the old holder to know", func() bool {
+			v, err := status(old)
+			return err == nil && !slices.Contains(v.Leases, "orders") && v.State == api.PeerStateServing
+		})
+		if v, err := status(next); err != nil || !slices.Contains(v.Leases, "orders") {
+			t.Errorf("the next holder: got leases %v, %v, want orders", v.Leases, err)
+		}
+		time.Sleep(time.Second)
+		if got := s.loaded(w); got != len(s.engines) {
+			t.Errorf("engines with weights %s after the old holder woke: got %d, want %d", w, got, len(s.engines))
+		}
+	}
+}
+
+// loaded counts the engines that have only these weights of the model.
+func (s *system) loaded(w string) int {
+	n := 0
+	for _, e := range s.engines {
+		var r api.LoadReport
+		if get("http://"+e.listen+"/v1/load", &r) != nil {
+			continue
+		}
+		models := slices.DeleteFunc(slices.Clone(r.Loaded), func(i string) bool { return !strings.HasPrefix(i, "model/desk@") })
+		if len(models) == 1 && models[0] == "model/desk@"+w {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -172,9 +173,9 @@
 	return &g
 }
 
-// Error gives the type, the detail and the cause.
+// Error gives the type with its number, the detail and the cause.
 func (f *Error) Error() string {
-	s := f.Code.Kind().Type + ": " + f.Detail
+	s := fmt.Sprintf("%s (%d): %s", f.Code.Kind().Type, f.Code, f.Detail)
 	if f.Cause != nil {
 		s += ": " + f.Cause.Error()
 	}
