try: move requests without a token off engines that are silent or full

Cause: a request sent to an engine that then freezes waits for its first token until the freeze ends.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
@@ -29,13 +30,16 @@
 	Deadline  time.Time
 	// Avoid is the engine of a failed attempt.
 	Avoid api.ServerName
+	// Movable tells that it may be moved before its first token.
+	Movable bool
 }
 
-// Action is one decision to carry out: start the request at Server, or, with a
-// Refusal, answer it at once.
+// Action is one decision to carry out: start the request at Server, in place
+// of From when that is set, or, with a Refusal, answer it at once.
 type Action struct {
 	Request api.RequestID
 	Server  api.ServerName
+	From    api.ServerName
 	Refusal *fault.Error
 	Reason  string
 }
@@ -74,7 +78,9 @@
 	pools   map[pool][]*server
 	queues  map[pool]*queue.Queue[Work]
 	active  map[api.RequestID]*assigned
-	rate    rate
+	// tokenless are the movable requests that have no token yet.
+	tokenless map[api.RequestID]struct{}
+	rate      rate
 }
 
 // New makes a dispatcher that knows no server yet.
@@ -88,6 +94,8 @@
 		pools:   map[pool][]*server{},
 		queues:  map[pool]*queue.Queue[Work]{},
 		active:  map[api.RequestID]*assigned{},
+
+		tokenless: map[api.RequestID]struct{}{},
 	}
 }
 
@@ -126,10 +134,7 @@
 		d.order = append(d.order, s)
 	}
 	slices.SortFunc(d.order, func(a, b *server) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
+		return strings.Compare(string(a.Name), string(b.Name))
 	})
 	clear(d.pools)
 }
@@ -207,197 +212,9 @@
 	return d.place(now, w)
 }
 
-func (d *Dispatcher) place(now time.Time, w Work) []Action {
-	p := pool{w.Model, w.Adapter}
-	if !now.Before(w.Deadline) {
-		f := fault.New(fault.DeadlinePassed, "the deadline passed before an engine was chosen")
-		return []Action{d.refuse(w.Request, f)}
-	}
-	if q := d.queues[p]; q == nil || q.Len() == 0 {
-		if s := d.choose(now, p, w); s != nil {
-			return []Action{d.start(now, s, w, "room at once")}
-		}
-	}
-	if f := d.impossible(now, p, w); f != nil {
-		return []Action{d.refuse(w.Request, f)}
-	}
-	return d.enqueue(now, p, w)
-}
-
-// impossible finds a reason to refuse a request without waiting.
-func (d *Dispatcher) impossible(now time.Time, p pool, w Work) *fault.Error {
-	l := d.pool(p)
-	suspect := d.suspect(now, l)
-	taking, largest := 0, api.Tokens(0)
-	for _, s := range l {
-		if s.State(now, suspect) == api.ServerStatusStateReady {
-			taking++
-			largest = max(largest, s.load.Total())
-		}
-	}
-	if taking == 0 {
-		return fault.New(fault.NoServer, "no engine has the model loaded and takes work")
-	}
-	if !admit.Possible(w.Prompt, largest) {
-		return fault.New(fault.TooLarge, "the prompt is larger than any engine's memory")
-	}
-	return nil
-}
-
-// tries is how many picks may find no room before all engines are looked at.
-const tries = 3
-
-func (d *Dispatcher) choose(now time.Time, p pool, w Work) *server {
-	l := d.pool(p)
-	if len(l) == 0 {
-		return nil
-	}
-	c := candidates{servers: l, now: now, suspect: d.suspect(now, l), avoid: w.Avoid}
-	g := d.generation(now, w)
-	for range tries {
-		i := d.options.Routing.Pick(d.random, w.Prefix, c)
-		if d.fits(c, l[i], g, w) {
-			return l[i]
-		}
-	}
-	return d.first(c, w, g)
-}
-
-// suspect is the silence after which an engine gets no work: longer when every
-// engine of the pool is silent.
-func (d *Dispatcher) suspect(now time.Time, l []*server) time.Duration {
-	for _, s := range l {
-		if s.State(now, d.options.Suspect) == api.ServerStatusStateReady {
-			return d.options.Suspect
-		}
-	}
-	return silence * d.options.Suspect
-}
-
-// first looks at every engine from a random one on.
-func (d *Dispatcher) first(c candidates, w Work, g admit.Generation) *server {
-	o := d.random.IntN(len(c.servers))
-	for i := range c.servers {
-		if s := c.servers[(o+i)%len(c.servers)]; d.fits(c, s, g, w) {
-			return s
-		}
-	}
-	return nil
-}
-
-// shares is the part of an engine's memory that each priority may fill, so
-// that a caller on the line finds room beside long background work.
-var shares = [...]float64{0.98, 0.94, 0.85}
-
-func (d *Dispatcher) fits(c candidates, s *server, g admit.Generation, w Work) bool {
-	if !s.takes(c.now, c.suspect) || s.Name == c.avoid {
-		return false
-	}
-	if !admit.Possible(w.Prompt, s.load.Total()) {
-		return false
-	}
-	return d.options.Admission.Fits(s.load, g, shares[w.Priority.Rank()])
-}
-
-func (d *Dispatcher) generation(now time.Time, w Work) admit.Generation {
-	k := length.Key{Workspace: w.Workspace, Kind: w.Kind}
-	return admit.Generation{Prompt: w.Prompt, Max: w.Max, Curve: d.lengths.Curve(k), Since: now}
-}
-
-func (d *Dispatcher) start(now time.Time, s *server, w Work, reason string) Action {
-	s.load.Add(w.Request, d.generation(now, w))
-	d.active[w.Request] = &assigned{work: w, server: s, since: now}
-	return Action{Request: w.Request, Server: s.Name, Reason: reason}
-}
-
-// waits is the part of the longest wait that each priority has: a caller on
-// the line is better told at once than kept waiting for a first token.
-var waits = [...]float64{0.2, 0.5, 1}
-
-func (d *Dispatcher) enqueue(now time.Time, p pool, w Work) []Action {
-	if wait := d.wait(); now.Add(wait).After(w.Deadline) {
-		f := fault.New(fault.DeadlinePassed, "no engine is expected to have room before the deadline")
-		return []Action{d.refuse(w.Request, f)}
-	}
-	q, ok := d.queues[p]
-	if !ok {
-		q = queue.New[Work](d.options.QueueLimit)
-		d.queues[p] = q
-	}
-	until := now.Add(time.Duration(waits[w.Priority.Rank()] * float64(d.options.QueueWait)))
-	if w.Deadline.Before(until) {
-		until = w.Deadline
-	}
-	g := d.generation(now, w)
-	out, full := q.Push(queue.Item[Work]{
-		Workspace: w.Workspace, Weight: w.Weight, Priority: w.Priority,
-		Cost:  float64(w.Prompt) + g.Curve.Mean(0, w.Max),
-		Since: now, Until: until, Value: w,
-	})
-	if !full {
-		return nil
-	}
-	f := fault.New(fault.QueueFull, "too many requests wait for an engine")
-	return []Action{d.refuse(out.Value.Request, f)}
-}
-
-// offer starts waiting requests that fit on one engine.
-func (d *Dispatcher) offer(now time.Time, s *server) []Action {
-	var out []Action
-	for _, p := range d.waitingPools() {
-		q := d.queues[p]
-		suspect := d.suspect(now, d.pool(p))
-		if !s.has(p) || !s.takes(now, suspect) {
-			continue
-		}
-		for q.Len() > 0 {
-			w, ok := q.Pop(now, func(w Work) bool {
-				c := candidates{now: now, suspect: suspect, avoid: w.Avoid}
-				return d.fits(c, s, d.generation(now, w), w)
-			})
-			if !ok {
-				break
-			}
-			out = append(out, d.start(now, s, w, "room after waiting"))
-		}
-	}
-	return out
-}
-
-// waitingPools lists the pools with a queue in a fixed order.
-func (d *Dispatcher) waitingPools() []pool {
-	var l []pool
-	for p, q := range d.queues {
-		if q.Len() > 0 {
-			l = append(l, p)
-		}
-	}
-	slices.SortFunc(l, func(a, b pool) int {
-		if a.Model != b.Model {
-			return compare(a.Model, b.Model)
-		}
-		return compare(a.Adapter, b.Adapter)
-	})
-	return l
-}
-
-func compare[T ~string](a, b T) int {
-	if a < b {
-		return -1
-	}
-	return 1
-}
-
-func (d *Dispatcher) drainQueues(now time.Time) []Action {
-	var out []Action
-	for _, s := range d.order {
-		out = append(out, d.offer(now, s)...)
-	}
-	return out
-}
-
 // Progress notes the tokens that a request has made.
 func (d *Dispatcher) Progress(r api.RequestID, made api.Tokens) {
+	delete(d.tokenless, r)
 	if a, ok := d.active[r]; ok {
 		a.server.load.Progress(r, made)
 	}
@@ -411,6 +228,7 @@
 		return nil
 	}
 	delete(d.active, r)
+	delete(d.tokenless, r)
 	a.server.load.Remove(r)
 	if made > 0 {
 		d.lengths.Observe(length.Key{Workspace: a.work.Workspace, Kind: a.work.Kind}, made, ended)
@@ -431,7 +249,8 @@
 	}
 }
 
-// Tick refuses requests that waited too long and starts what fits.
+// Tick refuses requests that waited too long, moves those that are stuck
+// without a token, and starts what fits.
 func (d *Dispatcher) Tick(now time.Time) []Action {
 	var out []Action
 	for _, p := range d.waitingPools() {
@@ -440,6 +259,7 @@
 			out = append(out, d.refuse(w.Request, f))
 		}
 	}
+	out = append(out, d.moves(now)...)
 	return append(out, d.drainQueues(now)...)
 }
 
--- /dev/null
+++ b/internal/decide/dispatch/offer.go
@@ -0,0 +1,55 @@
+package dispatch
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// offer starts waiting requests that fit on one engine.
+func (d *Dispatcher) offer(now time.Time, s *server) []Action {
+	var out []Action
+	for _, p := range d.waitingPools() {
+		q := d.queues[p]
+		suspect := d.suspect(now, d.pool(p))
+		if !s.has(p) || !s.takes(now, suspect) {
+			continue
+		}
+		for q.Len() > 0 {
+			w, ok := q.Pop(now, func(w Work) bool {
+				c := candidates{now: now, suspect: suspect, avoid: w.Avoid}
+				return d.fits(c, s, d.generation(now, w), w)
+			})
+			if !ok {
+				break
+			}
+			out = append(out, d.start(now, s, w, "room after waiting"))
+		}
+	}
+	return out
+}
+
+// waitingPools lists the pools with a queue in a fixed order.
+func (d *Dispatcher) waitingPools() []pool {
+	var l []pool
+	for p, q := range d.queues {
+		if q.Len() > 0 {
+			l = append(l, p)
+		}
+	}
+	slices.SortFunc(l, func(a, b pool) int {
+		if a.Model != b.Model {
+			return strings.Compare(string(a.Model), string(b.Model))
+		}
+		return strings.Compare(string(a.Adapter), string(b.Adapter))
+	})
+	return l
+}
+
+func (d *Dispatcher) drainQueues(now time.Time) []Action {
+	var out []Action
+	for _, s := range d.order {
+		out = append(out, d.offer(now, s)...)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/decide/dispatch/place.go
@@ -0,0 +1,148 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/admit"
+	"github.com/wardridge/wardridge/internal/decide/length"
+	"github.com/wardridge/wardridge/internal/decide/queue"
+	"github.com/wardridge/wardridge/internal/fault"
+)
+
+func (d *Dispatcher) place(now time.Time, w Work) []Action {
+	p := pool{w.Model, w.Adapter}
+	if !now.Before(w.Deadline) {
+		f := fault.New(fault.DeadlinePassed, "the deadline passed before an engine was chosen")
+		return []Action{d.refuse(w.Request, f)}
+	}
+	if q := d.queues[p]; q == nil || q.Len() == 0 {
+		if s := d.choose(now, p, w); s != nil {
+			return []Action{d.start(now, s, w, "room at once")}
+		}
+	}
+	if f := d.impossible(now, p, w); f != nil {
+		return []Action{d.refuse(w.Request, f)}
+	}
+	return d.enqueue(now, p, w)
+}
+
+// impossible finds a reason to refuse a request without waiting.
+func (d *Dispatcher) impossible(now time.Time, p pool, w Work) *fault.Error {
+	l := d.pool(p)
+	suspect := d.suspect(now, l)
+	taking, largest := 0, api.Tokens(0)
+	for _, s := range l {
+		if s.State(now, suspect) == api.ServerStatusStateReady {
+			taking++
+			largest = max(largest, s.load.Total())
+		}
+	}
+	if taking == 0 {
+		return fault.New(fault.NoServer, "no engine has the model loaded and takes work")
+	}
+	if !admit.Possible(w.Prompt, largest) {
+		return fault.New(fault.TooLarge, "the prompt is larger than any engine's memory")
+	}
+	return nil
+}
+
+// tries is how many picks may find no room before all engines are looked at.
+const tries = 3
+
+func (d *Dispatcher) choose(now time.Time, p pool, w Work) *server {
+	l := d.pool(p)
+	if len(l) == 0 {
+		return nil
+	}
+	c := candidates{servers: l, now: now, suspect: d.suspect(now, l), avoid: w.Avoid}
+	g := d.generation(now, w)
+	for range tries {
+		i := d.options.Routing.Pick(d.random, w.Prefix, c)
+		if d.fits(c, l[i], g, w) {
+			return l[i]
+		}
+	}
+	return d.first(c, w, g)
+}
+
+// suspect is the silence after which an engine gets no work: longer when every
+// engine of the pool is silent.
+func (d *Dispatcher) suspect(now time.Time, l []*server) time.Duration {
+	for _, s := range l {
+		if s.State(now, d.options.Suspect) == api.ServerStatusStateReady {
+			return d.options.Suspect
+		}
+	}
+	return silence * d.options.Suspect
+}
+
+// first looks at every engine from a random one on.
+func (d *Dispatcher) first(c candidates, w Work, g admit.Generation) *server {
+	o := d.random.IntN(len(c.servers))
+	for i := range c.servers {
+		if s := c.servers[(o+i)%len(c.servers)]; d.fits(c, s, g, w) {
+			return s
+		}
+	}
+	return nil
+}
+
+// shares is the part of an engine's memory that each priority may fill, so
+// that a caller on the line finds room beside long background work.
+var shares = [...]float64{0.98, 0.94, 0.85}
+
+func (d *Dispatcher) fits(c candidates, s *server, g admit.Generation, w Work) bool {
+	if !s.takes(c.now, c.suspect) || s.Name == c.avoid {
+		return false
+	}
+	if !admit.Possible(w.Prompt, s.load.Total()) {
+		return false
+	}
+	return d.options.Admission.Fits(s.load, g, shares[w.Priority.Rank()])
+}
+
+func (d *Dispatcher) generation(now time.Time, w Work) admit.Generation {
+	k := length.Key{Workspace: w.Workspace, Kind: w.Kind}
+	return admit.Generation{Prompt: w.Prompt, Max: w.Max, Curve: d.lengths.Curve(k), Since: now}
+}
+
+func (d *Dispatcher) start(now time.Time, s *server, w Work, reason string) Action {
+	s.load.Add(w.Request, d.generation(now, w))
+	d.active[w.Request] = &assigned{work: w, server: s, since: now}
+	if w.Movable {
+		d.tokenless[w.Request] = struct{}{}
+	}
+	return Action{Request: w.Request, Server: s.Name, Reason: reason}
+}
+
+// waits is the part of the longest wait that each priority has: a caller on
+// the line is better told at once than kept waiting for a first token.
+var waits = [...]float64{0.2, 0.5, 1}
+
+func (d *Dispatcher) enqueue(now time.Time, p pool, w Work) []Action {
+	if wait := d.wait(); now.Add(wait).After(w.Deadline) {
+		f := fault.New(fault.DeadlinePassed, "no engine is expected to have room before the deadline")
+		return []Action{d.refuse(w.Request, f)}
+	}
+	q, ok := d.queues[p]
+	if !ok {
+		q = queue.New[Work](d.options.QueueLimit)
+		d.queues[p] = q
+	}
+	until := now.Add(time.Duration(waits[w.Priority.Rank()] * float64(d.options.QueueWait)))
+	if w.Deadline.Before(until) {
+		until = w.Deadline
+	}
+	g := d.generation(now, w)
+	out, full := q.Push(queue.Item[Work]{
+		Workspace: w.Workspace, Weight: w.Weight, Priority: w.Priority,
+		Cost:  float64(w.Prompt) + g.Curve.Mean(0, w.Max),
+		Since: now, Until: until, Value: w,
+	})
+	if !full {
+		return nil
+	}
+	f := fault.New(fault.QueueFull, "too many requests wait for an engine")
+	return []Action{d.refuse(out.Value.Request, f)}
+}
