--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -30,16 +30,13 @@
 	Deadline  time.Time
 	// Avoid is the engine of a failed attempt.
 	Avoid api.ServerName
-	// Movable tells that it may be moved before its first token.
-	Movable bool
 }
 
-// Action is one decision to carry out: start the request at Server, in place
-// of From when that is set, or, with a Refusal, answer it at once.
+// Action is one decision to carry out: start the request at Server, or, with a
+// Refusal, answer it at once.
 type Action struct {
 	Request api.RequestID
 	Server  api.ServerName
-	From    api.ServerName
 	Refusal *fault.Error
 	Reason  string
 }
@@ -78,9 +75,7 @@
 	pools   map[pool][]*server
 	queues  map[pool]*queue.Queue[Work]
 	active  map[api.RequestID]*assigned
-	// tokenless are the movable requests that have no token yet.
-	tokenless map[api.RequestID]struct{}
-	rate      rate
+	rate    rate
 }
 
 // New makes a dispatcher that knows no server yet.
@@ -94,8 +89,6 @@
 		pools:   map[pool][]*server{},
 		queues:  map[pool]*queue.Queue[Work]{},
 		active:  map[api.RequestID]*assigned{},
-
-		tokenless: map[api.RequestID]struct{}{},
 	}
 }
 
@@ -214,7 +207,6 @@
 
 // Progress notes the tokens that a request has made.
 func (d *Dispatcher) Progress(r api.RequestID, made api.Tokens) {
-	delete(d.tokenless, r)
 	if a, ok := d.active[r]; ok {
 		a.server.load.Progress(r, made)
 	}
@@ -228,7 +220,6 @@
 		return nil
 	}
 	delete(d.active, r)
-	delete(d.tokenless, r)
 	a.server.load.Remove(r)
 	if made > 0 {
 		d.lengths.Observe(length.Key{Workspace: a.work.Workspace, Kind: a.work.Kind}, made, ended)
@@ -249,8 +240,7 @@
 	}
 }
 
-// Tick refuses requests that waited too long, moves those that are stuck
-// without a token, and starts what fits.
+// Tick refuses requests that waited too long and starts what fits.
 func (d *Dispatcher) Tick(now time.Time) []Action {
 	var out []Action
 	for _, p := range d.waitingPools() {
@@ -259,7 +249,6 @@
 			out = append(out, d.refuse(w.Request, f))
 		}
 	}
-	out = append(out, d.moves(now)...)
 	return append(out, d.drainQueues(now)...)
 }
 
--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -110,9 +110,6 @@
 func (d *Dispatcher) start(now time.Time, s *server, w Work, reason string) Action {
 	s.load.Add(w.Request, d.generation(now, w))
 	d.active[w.Request] = &assigned{work: w, server: s, since: now}
-	if w.Movable {
-		d.tokenless[w.Request] = struct{}{}
-	}
 	return Action{Request: w.Request, Server: s.Name, Reason: reason}
 }
 
--- a/internal/measure/bench.go
+++ b/internal/measure/bench.go
@@ -92,14 +92,13 @@
 	entries []*entry
 	engines []*engine
 	lag     time.Duration
-	moves   bool
 	result  *Result
 	counted time.Time
 }
 
 // run measures one policy on one plan.
 func measure(s Size, p Policy, m load.Mix, factor float64, faults Faults, seed uint64) *Result {
-	b := &bench{size: s, random: rand.New(rand.NewPCG(seed, 99)), lag: s.ReportLag, moves: p.Moves, result: newResult()}
+	b := &bench{size: s, random: rand.New(rand.NewPCG(seed, 99)), lag: s.ReportLag, result: newResult()}
 	b.now = epoch
 	b.counted = epoch.Add(s.Warm)
 	b.build(p, seed)
@@ -177,7 +176,7 @@
 	q.work = dispatch.Work{
 		Request: api.RequestID(fmt.Sprint(a.Serial)), Workspace: api.WorkspaceName(a.Class.Key), Weight: 1,
 		Kind: api.RequestKind(a.Class.Name), Priority: a.Class.Priority, Model: model,
-		Prompt: a.Prompt, Max: a.Class.Output.Most, Prefix: a.Class.System, Deadline: b.now.Add(10 * time.Minute), Movable: b.moves,
+		Prompt: a.Prompt, Max: a.Class.Output.Most, Prefix: a.Class.System, Deadline: b.now.Add(10 * time.Minute),
 	}
 	b.result.asked(b, q)
 	b.pending()[q.work.Request] = q
@@ -192,10 +191,6 @@
 // carry carries a dispatcher's decisions out.
 func (b *bench) carry(e *entry, l []dispatch.Action) {
 	for _, a := range l {
-		if a.From != "" {
-			b.move(e, a)
-			continue
-		}
 		q, ok := b.pending()[a.Request]
 		if !ok {
 			continue
@@ -209,21 +204,6 @@
 	}
 }
 
-// move cancels a request without a token and starts it elsewhere; one whose
-// first token was faster goes on where it is.
-func (b *bench) move(e *entry, a dispatch.Action) {
-	x := b.find(a.From)
-	for id, q := range x.runs {
-		if q.work.Request != a.Request || q.made > 0 {
-			continue
-		}
-		x.model.Cancel(id)
-		delete(x.runs, id)
-		b.start(e, q, a.Server)
-		return
-	}
-}
-
 func (b *bench) find(n api.ServerName) *engine {
 	for _, x := range b.engines {
 		if x.name == n {
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -16,8 +16,6 @@
 	Name  string
 	Admit func() admit.Policy
 	Route func() route.Policy
-	// Moves tells whether requests are moved before their first token.
-	Moves bool
 }
 
 // Settings that the product takes by default.
@@ -51,8 +49,7 @@
 		{Name: "two choices, slots", Admit: slots(tuned), Route: two},
 		{Name: "two choices, mean", Admit: func() admit.Policy { return admit.Mean{} }, Route: two},
 		{Name: "two choices, maximum", Admit: func() admit.Policy { return admit.Maximum{} }, Route: two},
-		{Name: "two choices, survival", Admit: survival, Route: two},
-		{Name: "two choices, survival, moves (default)", Admit: survival, Route: two, Moves: true},
+		{Name: "two choices, survival (default)", Admit: survival, Route: two},
 		{Name: "prefix, survival", Admit: survival, Route: func() route.Policy { return route.Prefix{Over: homeBound} }},
 	}
 }
