test: the whole process of a fleet in virtual time, over a network that can be cut

Cause: how entry VMs act together through outages and cuts was tested by parts only. node.Run takes the machine it works on (connections, listeners, clock), so a test runs whole processes in virtual time. A peer that was lost is trusted again only after it has answered twice as often for each loss, so that a bad link does not make it flap.

Also: an arbiter per engine (decide/credit) for a measurement to come, requests share their way through limits and deadline, a resume over a limit says that it ran.

--- a/cmd/measure.go
+++ b/cmd/measure.go
@@ -40,6 +40,7 @@
 	}
 	var b strings.Builder
 	b.WriteString(measure.Calibration(o.Mixes))
+	b.WriteString(measure.Flood(o.Size, o.Seeds))
 	for _, t := range l {
 		b.WriteString(t.Markdown())
 	}
--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -54,7 +54,7 @@
 		return err
 	}
 	defer end()
-	return node.Run(ctx, s, e)
+	return node.Run(ctx, node.Real(), s, e)
 }
 
 // fail writes a failure and gives the exit status.
--- a/contract/refusal_test.go
+++ b/contract/refusal_test.go
@@ -174,6 +174,17 @@
 	if got := v.send(back); got.status != http.StatusOK {
 		t.Errorf("its own caller: got %d %s, want 200", got.status, got.body)
 	}
+	o, err := b.store.Get(api.ResourceKindWorkspace, "dispatch")
+	if err != nil {
+		t.Fatal(err)
+	}
+	o.Spec = []byte(strings.Replace(string(o.Spec), "{", `{"requests_per_second":1,`, 1))
+	n := b.put(o).Version
+	b.inForce(v, n)
+	b.until("the limit", func() bool { return v.send(back).status == http.StatusTooManyRequests })
+	if f := v.send(back).fault(); f.Ran != api.RanYes {
+		t.Errorf("resume over the limit: got ran %s, want yes, as the request itself ran", f.Ran)
+	}
 	back.path = "/v1/chat/completions/another"
 	checkRefusal(t, v.send(back), fault.UnknownStream)
 }
--- /dev/null
+++ b/e2e/policy_bench_test.go
@@ -0,0 +1,69 @@
+package e2e
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/load"
+	"github.com/wardridge/wardridge/internal/measure"
+	"github.com/wardridge/wardridge/internal/peer"
+)
+
+// policies are the baseline and the default, as settings.
+var policies = []struct{ name, settings string }{
+	{"baseline", "[engine]\nadmission = slots\nslots = 41\nrouting = least-loaded\n"},
+	{"default", ""},
+}
+
+// BenchmarkPolicies confirms docs/MEASUREMENTS.md with real processes: 4 entry
+// VMs before 4 engines of the measured size, skip-hire at shares of capacity.
+func BenchmarkPolicies(b *testing.B) {
+	m, ok := load.Find("skip-hire")
+	if !ok {
+		b.Fatal("no mix")
+	}
+	size := measure.Today()
+	for _, p := range policies {
+		for _, f := range []struct {
+			name  string
+			share float64
+		}{{"0.9", 0.9}, {"1.1", 1.1}} {
+			b.Run(p.name+"/"+f.name, func(b *testing.B) {
+				s := newSystem(b, options{entries: size.Entries, engines: size.Engines, settings: p.settings, engine: []string{"--step", "12ms"}})
+				for range b.N {
+					rate := measure.Capacity(size, m) * f.share
+					const span = 40 * time.Second
+					r, err := load.Run(context.Background(), load.Options{
+						Entries: addresses(s.entries), Mix: m, Model: "desk",
+						Requests: int(rate * span.Seconds()), PerSecond: rate, Seed: 1, Wait: time.Minute,
+					})
+					if err != nil {
+						b.Fatal(err)
+					}
+					if len(r.Wrong) > 0 {
+						b.Errorf("wrong answers: got %v", r.Wrong)
+					}
+					b.ReportMetric(r.All.StallSum/1000, "stall-s")
+					b.ReportMetric(1000*float64(s.preemptions())/float64(r.Requests), "preempted/1000")
+					b.ReportMetric(r.All.Gaps.P99, "gap-p99-ms")
+					b.ReportMetric(r.All.First.P95, "first-p95-ms")
+					b.ReportMetric(float64(r.Tokens)/r.Seconds, "tokens/s")
+					b.ReportMetric(100*float64(r.Requests-r.Whole)/float64(r.Requests), "refused%")
+				}
+			})
+		}
+	}
+}
+
+// preemptions sums what the entry VMs were told.
+func (s *system) preemptions() int64 {
+	n := int64(0)
+	for _, e := range s.entries {
+		m := map[string]int64{}
+		if get("http://"+e.control+peer.PathMetrics, &m) == nil {
+			n += m["preemptions_seen_total"]
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/fleet/bed_test.go
@@ -0,0 +1,196 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/node"
+	"github.com/wardridge/wardridge/internal/peer"
+	"github.com/wardridge/wardridge/internal/resource"
+	"github.com/wardridge/wardridge/internal/sample"
+	"github.com/wardridge/wardridge/internal/settings"
+	"github.com/wardridge/wardridge/internal/standin/platform"
+	"github.com/wardridge/wardridge/internal/wire"
+)
+
+// platformHost is the platform's machine.
+const platformHost = "10.0.0.1"
+
+// vm is one entry VM.
+type vm struct {
+	name, host string
+	domain     api.DomainName
+	cancel     context.CancelFunc
+	done       chan error
+}
+
+// bed is a fleet of entry VMs on a network in memory.
+type bed struct {
+	t        *testing.T
+	net      *network
+	store    *platform.Store
+	platform *platform.Server
+	group    *duty.Group
+	vms      []*vm
+	peers    *peer.Client
+}
+
+// newBed starts a platform and n entry VMs in three failure domains; it has to
+// run in a bubble of virtual time.
+func newBed(t *testing.T, n int) *bed {
+	t.Helper()
+	b := &bed{t: t, net: newNetwork(), store: platform.NewStore()}
+	b.platform = platform.New(b.store, platform.Options{WritesPerSecond: 100, ReadsPerSecond: 2000, ListLag: 2 * time.Second})
+	var end func()
+	b.group, end = duty.New(context.Background())
+	t.Cleanup(end)
+	b.serve(platformHost+":80", b.platform.Handler())
+	l, err := resource.Parse("sample", sample.Resources)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, o := range l {
+		if _, err := b.store.Put(o); err != nil {
+			t.Fatal(err)
+		}
+	}
+	c, closer := wire.NewClientOver(machine{b.net, "operator"}.dial, false)
+	t.Cleanup(closer)
+	b.peers = peer.Over(c, time.Second)
+	for i := range n {
+		b.start(i)
+	}
+	return b
+}
+
+func (b *bed) serve(a string, h http.Handler) {
+	l, err := machine{b.net, host(a)}.listen(context.Background(), a)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	s := wire.NewServer(h, time.Second)
+	b.group.Go(func(context.Context) error { _ = s.Serve(l); return nil })
+	b.t.Cleanup(func() { _ = s.Close() })
+}
+
+// start starts entry VM i, or a new one in its place.
+func (b *bed) start(i int) *vm {
+	b.t.Helper()
+	v := &vm{name: fmt.Sprintf("entry-%d", i), host: fmt.Sprintf("10.0.1.%d", i), domain: api.DomainName(fmt.Sprintf("hall-%d", i%3)), done: make(chan error, 1)}
+	text := fmt.Sprintf("[node]\nname = %s\ndomain = %s\nlisten = %s:80\ncontrol = %s:81\n[platform]\naddress = %s:80\n", v.name, v.domain, v.host, v.host, platformHost)
+	s, err := settings.Parse(v.name, []byte(text))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	v.cancel = cancel
+	m := machine{b.net, v.host}
+	b.platform.SetVM(api.VM{Name: v.name, Role: api.VMRoleEntry, State: api.VMStateLive, Address: v.host + ":81", Domain: v.domain})
+	b.group.Go(func(context.Context) error {
+		v.done <- node.Run(ctx, node.Machine{Dial: m.dial, Listen: m.listen, Now: time.Now}, s, event.Discard())
+		close(v.done)
+		return nil
+	})
+	b.t.Cleanup(func() { v.stop() })
+	if i < len(b.vms) {
+		b.vms[i] = v
+	} else {
+		b.vms = append(b.vms, v)
+	}
+	return v
+}
+
+// stop stops an entry VM as planned.
+func (v *vm) stop() {
+	v.cancel()
+	<-v.done
+}
+
+// status asks an entry VM from outside the fleet.
+func (b *bed) status(v *vm) (api.NodeStatus, error) {
+	return b.peers.Status(context.Background(), v.host+":81")
+}
+
+// within waits until a condition holds and gives the virtual time it took; a
+// condition that does not come within the limit fails the test.
+func (b *bed) within(limit time.Duration, what string, ok func() bool) time.Duration {
+	b.t.Helper()
+	began := time.Now()
+	for time.Since(began) <= limit {
+		if ok() {
+			return time.Since(began)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	b.t.Errorf("%s: got nothing within %v", what, limit)
+	return limit
+}
+
+// settled waits until every entry VM serves and sees every other one.
+func (b *bed) settled() {
+	b.t.Helper()
+	b.within(2*time.Minute, "the fleet to settle", func() bool {
+		return b.every(func(s api.NodeStatus) bool {
+			n := 0
+			for _, m := range s.Members {
+				if m.State == api.MemberStatusStateServing {
+					n++
+				}
+			}
+			return s.State == api.PeerStateServing && n == len(b.vms)-1
+		})
+	})
+}
+
+func (b *bed) every(ok func(s api.NodeStatus) bool, except ...*vm) bool {
+	for _, v := range b.vms {
+		if slices.Contains(except, v) {
+			continue
+		}
+		s, err := b.status(v)
+		if err != nil || !ok(s) {
+			return false
+		}
+	}
+	return true
+}
+
+// change changes a model and gives its version.
+func (b *bed) change(weights string) api.Version {
+	b.t.Helper()
+	o, err := b.store.Get(api.ResourceKindModel, "desk")
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	o.Spec = fmt.Appendf(nil, `{"weights":%q}`, weights)
+	o, err = b.store.Put(o)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return o.Version
+}
+
+// inForce reports whether a version is in force on every entry VM.
+func (b *bed) inForce(n api.Version, except ...*vm) func() bool {
+	return func() bool {
+		return b.every(func(s api.NodeStatus) bool { return s.ConfigVersion >= n }, except...)
+	}
+}
+
+// holders counts the entry VMs that hold a duty.
+func (b *bed) holders(name string) int {
+	n := 0
+	for _, v := range b.vms {
+		if s, err := b.status(v); err == nil && slices.Contains(s.Leases, name) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,215 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/orders"
+	"github.com/wardridge/wardridge/internal/standin/platform"
+)
+
+// force is the time within which an accepted change is in force everywhere.
+const force = 5 * time.Second
+
+// fleet runs a test of n entry VMs in virtual time.
+func fleet(t *testing.T, n int, f func(t *testing.T, b *bed)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, n)
+		b.settled()
+		f(t, b)
+	})
+}
+
+func TestChangeIsInForceEverywhere(t *testing.T) {
+	fleet(t, 9, func(t *testing.T, b *bed) {
+		for i := range 5 {
+			d := b.within(force, "the change", b.inForce(b.change(fmt.Sprint(i))))
+			t.Logf("in force on 9 entry VMs after %v", d)
+		}
+	})
+}
+
+func TestPlatformDownForAnHour(t *testing.T) {
+	fleet(t, 9, func(t *testing.T, b *bed) {
+		b.platform.Set(platform.Faults{Outage: true})
+		time.Sleep(time.Hour)
+		if !b.every(func(s api.NodeStatus) bool { return s.State == api.PeerStateServing }) {
+			t.Errorf("after an hour: got entry VMs that do not serve")
+		}
+		if got := b.holders(orders.Duty); got != 0 {
+			t.Errorf("holders of the orders without the platform: got %d, want 0", got)
+		}
+		b.platform.Set(platform.Faults{})
+		d := b.within(force, "the change", b.inForce(b.change("after")))
+		t.Logf("in force on 9 entry VMs %v after the outage", d)
+		b.within(30*time.Second, "a holder of the orders", func() bool { return b.holders(orders.Duty) == 1 })
+	})
+}
+
+func TestFailureDomainGone(t *testing.T) {
+	fleet(t, 9, func(t *testing.T, b *bed) {
+		// A third of the entry VMs is cut off from everything at once.
+		var lost []*vm
+		for _, v := range b.vms {
+			if v.domain == "hall-0" {
+				lost = append(lost, v)
+				b.isolate(v, true)
+			}
+		}
+		d := b.within(force, "the change", b.inForce(b.change("without"), lost...))
+		t.Logf("in force on the other two thirds after %v", d)
+		b.within(20*time.Second, "the loss to be seen", func() bool {
+			return b.every(func(s api.NodeStatus) bool {
+				n := 0
+				for _, m := range s.Members {
+					if m.State == api.MemberStatusStateSuspect {
+						n++
+					}
+				}
+				return n == len(lost)
+			}, lost...)
+		})
+		b.within(30*time.Second, "one holder of the orders", func() bool { return b.holders(orders.Duty) == 1 })
+		for _, v := range lost {
+			b.isolate(v, false)
+		}
+		b.within(30*time.Second, "the lost to catch up", b.inForce(b.change("with")))
+		b.settled()
+	})
+}
+
+// isolate cuts or mends every link of an entry VM but those of the operator.
+func (b *bed) isolate(v *vm, cut bool) {
+	others := []string{platformHost}
+	for _, o := range b.vms {
+		if o != v {
+			others = append(others, o.host)
+		}
+	}
+	for _, o := range others {
+		b.net.cut(v.host, o, cut)
+		b.net.cut(o, v.host, cut)
+	}
+}
+
+func TestCutOffVMSaysWhatItServesAndCatchesUp(t *testing.T) {
+	fleet(t, 6, func(t *testing.T, b *bed) {
+		v := b.vms[2]
+		before, err := b.status(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.isolate(v, true)
+		n := b.change("new")
+		b.within(force, "the others", b.inForce(n, v))
+		time.Sleep(10 * time.Minute)
+		s, err := b.status(v)
+		if err != nil || s.ConfigVersion < before.ConfigVersion || s.ConfigVersion >= n {
+			t.Errorf("cut off: got version %d, %v, want from %d to below %d", s.ConfigVersion, err, before.ConfigVersion, n)
+		}
+		if s.PlatformAgeMS < 60000 {
+			t.Errorf("cut off: got platform heard %d ms ago, want long ago", s.PlatformAgeMS)
+		}
+		b.isolate(v, false)
+		b.within(30*time.Second, "it to catch up", b.inForce(n))
+	})
+}
+
+func TestOneWayCutNeitherFlapsNorStopsServing(t *testing.T) {
+	fleet(t, 6, func(t *testing.T, b *bed) {
+		v := b.vms[1]
+		for _, o := range b.vms {
+			if o != v {
+				// The others can't reach it; it reaches them.
+				b.net.cut(o.host, v.host, true)
+			}
+		}
+		time.Sleep(20 * time.Second)
+		changes := 0
+		last := map[string]api.MemberStatusState{}
+		for range 200 {
+			time.Sleep(time.Second)
+			for _, o := range b.vms {
+				s, err := b.status(o)
+				if err != nil {
+					t.Fatal(err)
+				}
+				for _, m := range s.Members {
+					k := o.name + string(m.VM)
+					if last[k] != "" && last[k] != m.State {
+						changes++
+					}
+					last[k] = m.State
+				}
+			}
+		}
+		if changes != 0 {
+			t.Errorf("changes of views under a steady cut: got %d, want 0", changes)
+		}
+		if got := b.holders(orders.Duty); got != 1 {
+			t.Errorf("holders of the orders: got %d, want 1", got)
+		}
+		b.within(force, "a change", b.inForce(b.change("x")))
+	})
+}
+
+func TestRollingReplacementOfAll(t *testing.T) {
+	fleet(t, 6, func(t *testing.T, b *bed) {
+		last := api.Version(0)
+		for i := range b.vms {
+			b.vms[i].stop()
+			n := b.change(fmt.Sprint("during ", i))
+			b.within(force, "the change on the others", b.inForce(n, b.vms[i]))
+			v := b.start(i)
+			b.within(time.Minute, "the new one to serve by it", func() bool {
+				s, err := b.status(v)
+				return err == nil && s.State == api.PeerStateServing && s.ConfigVersion >= n
+			})
+			if n <= last {
+				t.Errorf("version: got %d after %d", n, last)
+			}
+			last = n
+		}
+		b.settled()
+		b.within(30*time.Second, "one holder of the orders", func() bool { return b.holders(orders.Duty) == 1 })
+	})
+}
+
+// TestQuietFleetCosts counts what ten minutes without callers cost the platform
+// and the network, and how often anybody was wrongly suspected.
+func TestQuietFleetCosts(t *testing.T) {
+	for _, n := range []int{3, 6, 9} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			fleet(t, n, func(t *testing.T, b *bed) {
+				const span = 10 * time.Minute
+				before, bytes := b.platform.Calls(), b.net.bytes.Load()
+				suspected := 0
+				for range 60 {
+					time.Sleep(span / 60)
+					if !b.every(func(s api.NodeStatus) bool {
+						for _, m := range s.Members {
+							if m.State == api.MemberStatusStateSuspect {
+								suspected++
+							}
+						}
+						return true
+					}) {
+						t.Errorf("got an entry VM that does not answer")
+					}
+				}
+				after := b.platform.Calls()
+				per := span.Seconds() * float64(n)
+				t.Logf("%d entry VMs: %.2f reads, %.3f watches a second and node, %.2f writes a second in all, %.2f KB/s a node, %d suspected",
+					n, float64(after.Reads-before.Reads)/per, float64(after.Watches-before.Watches)/per,
+					float64(after.Writes-before.Writes)/span.Seconds(), float64(b.net.bytes.Load()-bytes)/per/1024, suspected)
+				if suspected != 0 {
+					t.Errorf("false suspicions: got %d, want 0", suspected)
+				}
+			})
+		})
+	}
+}
--- /dev/null
+++ b/fleet/network_test.go
@@ -0,0 +1,144 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// network joins machines in memory; links can be cut in one direction.
+type network struct {
+	mutex     sync.Mutex
+	listeners map[string]*listener
+	cuts      map[[2]string]bool
+	conns     map[*conn]struct{}
+	bytes     atomic.Int64
+}
+
+func newNetwork() *network {
+	return &network{listeners: map[string]*listener{}, cuts: map[[2]string]bool{}, conns: map[*conn]struct{}{}}
+}
+
+// machine is one end of the network; addresses are machine:port.
+type machine struct {
+	net  *network
+	name string
+}
+
+// listener takes connections to one address.
+type listener struct {
+	net     *network
+	address string
+	conns   chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (l *listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *listener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		l.net.mutex.Lock()
+		defer l.net.mutex.Unlock()
+		if l.net.listeners[l.address] == l {
+			delete(l.net.listeners, l.address)
+		}
+	})
+	return nil
+}
+
+func (l *listener) Addr() net.Addr { return address(l.address) }
+
+type address string
+
+func (a address) Network() string { return "memory" }
+func (a address) String() string  { return string(a) }
+
+// conn counts the bytes that it carries and is broken when its link is cut.
+type conn struct {
+	net.Conn
+	net  *network
+	link [2]string
+}
+
+func (c *conn) Write(p []byte) (int, error) {
+	c.net.bytes.Add(int64(len(p)))
+	return c.Conn.Write(p)
+}
+
+func (c *conn) Close() error {
+	c.net.mutex.Lock()
+	delete(c.net.conns, c)
+	c.net.mutex.Unlock()
+	return c.Conn.Close()
+}
+
+func (m machine) listen(_ context.Context, a string) (net.Listener, error) {
+	l := &listener{net: m.net, address: a, conns: make(chan net.Conn), closed: make(chan struct{})}
+	m.net.mutex.Lock()
+	defer m.net.mutex.Unlock()
+	m.net.listeners[a] = l
+	return l, nil
+}
+
+func host(a string) string {
+	h, _, _ := net.SplitHostPort(a)
+	return h
+}
+
+// dial connects to an address; over a cut link it hangs until its context
+// ends, and where nobody listens it is refused.
+func (m machine) dial(ctx context.Context, _, a string) (net.Conn, error) {
+	m.net.mutex.Lock()
+	cut := m.net.cuts[[2]string{m.name, host(a)}]
+	l := m.net.listeners[a]
+	m.net.mutex.Unlock()
+	if cut {
+		<-ctx.Done()
+		return nil, &net.OpError{Op: "dial", Net: "memory", Err: ctx.Err()}
+	}
+	if l == nil {
+		return nil, &net.OpError{Op: "dial", Net: "memory", Err: net.ErrClosed}
+	}
+	near, far := net.Pipe()
+	x := &conn{Conn: near, net: m.net, link: [2]string{m.name, host(a)}}
+	y := &conn{Conn: far, net: m.net, link: [2]string{m.name, host(a)}}
+	m.net.mutex.Lock()
+	m.net.conns[x] = struct{}{}
+	m.net.conns[y] = struct{}{}
+	m.net.mutex.Unlock()
+	select {
+	case l.conns <- y:
+		return x, nil
+	case <-l.closed:
+		return nil, &net.OpError{Op: "dial", Net: "memory", Err: net.ErrClosed}
+	case <-ctx.Done():
+		return nil, &net.OpError{Op: "dial", Net: "memory", Err: ctx.Err()}
+	}
+}
+
+// cut cuts or mends the link from one machine to another, and breaks the
+// connections over it.
+func (n *network) cut(from, to string, is bool) {
+	n.mutex.Lock()
+	n.cuts[[2]string{from, to}] = is
+	var broken []*conn
+	for c := range n.conns {
+		if is && c.link == [2]string{from, to} {
+			broken = append(broken, c)
+		}
+	}
+	n.mutex.Unlock()
+	for _, c := range broken {
+		_ = c.Close()
+	}
+}
--- /dev/null
+++ b/internal/decide/credit/doc.go
@@ -0,0 +1,3 @@
+// Package credit hands out one engine's memory to entry VMs, in bounded
+// credits that lapse.
+package credit
--- a/internal/decide/member/member.go
+++ b/internal/decide/member/member.go
@@ -24,6 +24,20 @@
 	beat    api.Heartbeat
 	heard   time.Time
 	alive   bool
+	// losses counts how often it was lost in this life, and answers how often
+	// it answered since.
+	losses  int
+	answers int
+}
+
+// trustMost bounds the answers in a row that a peer has to give after losses.
+const trustMost = 8
+
+// trusted reports whether a peer that answers counts as there: at once the
+// first time, and after each loss only when it has answered twice as often, so
+// that a link that comes and goes does not make it flap.
+func (p *Peer) trusted() bool {
+	return p.losses == 0 || p.answers >= min(1<<p.losses, trustMost)
 }
 
 // Members is one entry VM's view of the others.
@@ -74,9 +88,16 @@
 	if !ok || b.Incarnation < p.beat.Incarnation {
 		return Change{}, false
 	}
+	if b.Incarnation > p.beat.Incarnation {
+		p.losses, p.answers = 0, 0
+	}
+	if now.Sub(p.heard) > m.suspect {
+		p.answers = 0
+	}
 	p.beat = b
 	p.heard = now
-	if p.alive {
+	p.answers++
+	if p.alive || !p.trusted() {
 		return Change{}, false
 	}
 	p.alive = true
@@ -89,6 +110,8 @@
 	for _, p := range m.Peers() {
 		if p.alive && now.Sub(p.heard) > m.suspect {
 			p.alive = false
+			p.losses++
+			p.answers = 0
 			l = append(l, Change{VM: p.VM, Lost: true})
 		}
 	}
--- a/internal/decide/member/member_test.go
+++ b/internal/decide/member/member_test.go
@@ -62,3 +62,41 @@
 		t.Errorf("silent peer off the list: got kept, want removed")
 	}
 }
+
+func TestPeerOnABadLinkDoesNotFlap(t *testing.T) {
+	m := member.New("a", time.Second)
+	m.Listed(epoch, []api.VM{entry("b")})
+	changes := 0
+	now := epoch
+	// The link is there for two beats and gone for two seconds, again and again.
+	for range 50 {
+		for range 2 {
+			now = now.Add(300 * time.Millisecond)
+			if _, ok := m.Heard(now, beat("b", 1, 1)); ok {
+				changes++
+			}
+		}
+		now = now.Add(2 * time.Second)
+		changes += len(m.Step(now))
+	}
+	if changes > 4 {
+		t.Errorf("changes over 50 breaks: got %d, want at most 4", changes)
+	}
+	for range 10 {
+		now = now.Add(300 * time.Millisecond)
+		m.Heard(now, beat("b", 1, 1))
+	}
+	if got := m.Serving(); got != 2 {
+		t.Errorf("after the link has mended: got %d serving, want 2", got)
+	}
+}
+
+func TestRestartedPeerIsTrustedAtOnce(t *testing.T) {
+	m := member.New("a", time.Second)
+	m.Listed(epoch, []api.VM{entry("b")})
+	m.Heard(epoch, beat("b", 1, 1))
+	m.Step(epoch.Add(2 * time.Second))
+	if _, ok := m.Heard(epoch.Add(3*time.Second), beat("b", 2, 1)); !ok {
+		t.Errorf("new life: got no change, want it to count at once")
+	}
+}
--- a/internal/dev/up.go
+++ b/internal/dev/up.go
@@ -72,7 +72,7 @@
 		if err != nil {
 			return err
 		}
-		g.Go(func(context.Context) error { return node.Run(x, s, l) })
+		g.Go(func(context.Context) error { return node.Run(x, node.Real(), s, l) })
 	}
 	welcome(out)
 	return g.Wait()
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -53,7 +53,12 @@
 // closes its connections.
 func New(timeout time.Duration) (*Client, func()) {
 	c, closer := wire.NewClient(timeout, true)
-	return &Client{http: c, timeout: timeout}, closer
+	return Over(c, timeout), closer
+}
+
+// Over makes a client of engines over an HTTP client.
+func Over(c *http.Client, timeout time.Duration) *Client {
+	return &Client{http: c, timeout: timeout}
 }
 
 // Start sends a generation and opens its stream; failures are *StreamError.
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -48,21 +48,13 @@
 		s.refuse(w, q, err)
 		return
 	}
-	done, err := s.admit(q.workspace)
-	if err != nil {
-		s.refuse(w, q, err)
-		return
-	}
-	defer done()
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
-	defer cancel()
-	if served, err := s.claimChat(ctx, w, c); err != nil || served {
-		if err != nil {
-			s.refuse(w, q, err)
+	s.admitted(w, r, q, func(ctx context.Context) error {
+		if served, err := s.claimChat(ctx, w, c); err != nil || served {
+			return err
 		}
-		return
-	}
-	s.answer(ctx, w, c)
+		s.answer(ctx, w, c)
+		return nil
+	})
 }
 
 // readChat reads and checks the body.
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -37,6 +37,8 @@
 	deadline  time.Time
 	key       string
 	once      bool
+	// resumed tells that its generation runs whatever becomes of this call.
+	resumed bool
 }
 
 // head reads a request's head and finds its workspace by its key.
--- a/internal/entry/resume.go
+++ b/internal/entry/resume.go
@@ -84,16 +84,11 @@
 		s.refuse(w, q, err)
 		return
 	}
-	done, err := s.admit(q.workspace)
-	if err != nil {
-		// The stream itself runs; only this call is refused.
-		s.refuse(w, q, fault.From(err).WithRan(api.RanYes))
-		return
-	}
-	defer done()
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
-	defer cancel()
-	s.goOn(ctx, w, c, g, next)
+	q.resumed = true
+	s.admitted(w, r, q, func(ctx context.Context) error {
+		s.goOn(ctx, w, c, g, next)
+		return nil
+	})
 }
 
 func (s *Server) goOn(ctx context.Context, w http.ResponseWriter, c *chat, g api.GenerationID, next int) {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -199,12 +199,31 @@
 	}, nil
 }
 
+// admitted runs a request within its workspace's limits and its deadline, and
+// refuses it with the failure that f gives.
+func (s *Server) admitted(w http.ResponseWriter, r *http.Request, q *request, f func(ctx context.Context) error) {
+	done, err := s.admit(q.workspace)
+	if err != nil {
+		s.refuse(w, q, err)
+		return
+	}
+	defer done()
+	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
+	defer cancel()
+	if err := f(ctx); err != nil {
+		s.refuse(w, q, err)
+	}
+}
+
 // refuse answers a failed request that has sent nothing to its caller yet.
 func (s *Server) refuse(w http.ResponseWriter, q *request, err error) {
 	f := fault.From(err)
 	id := api.RequestID("")
 	if q != nil {
 		id = q.id
+		if q.resumed && f.Ran == api.RanNo {
+			f = f.WithRan(api.RanYes)
+		}
 		s.note(q, "refused", f.Error())
 	}
 	s.count(f, id)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -55,24 +55,18 @@
 		s.refuse(w, q, err)
 		return
 	}
-	done, err := s.admit(q.workspace)
-	if err != nil {
-		s.refuse(w, q, err)
-		return
-	}
-	defer done()
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
-	defer cancel()
-	a, err := s.claimCall(ctx, c)
-	if err != nil {
-		s.refuse(w, q, err)
-		return
-	}
-	if a != nil {
-		s.replay(w, q, a)
-		return
-	}
-	s.finishCall(ctx, w, c)
+	s.admitted(w, r, q, func(ctx context.Context) error {
+		a, err := s.claimCall(ctx, c)
+		if err != nil {
+			return err
+		}
+		if a != nil {
+			s.replay(w, q, a)
+			return nil
+		}
+		s.finishCall(ctx, w, c)
+		return nil
+	})
 }
 
 func (s *Server) readCall(w http.ResponseWriter, r *http.Request, q *request) (*call, error) {
--- a/internal/measure/result.go
+++ b/internal/measure/result.go
@@ -25,6 +25,7 @@
 	// onLine are the first tokens of callers on the line.
 	onLine  *hdrhistogram.Histogram
 	good    int
+	classes map[string]*share
 	pending map[api.RequestID]*request
 }
 
@@ -36,7 +37,26 @@
 
 func newResult() *Result {
 	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, most, digits) }
-	return &Result{gaps: h(), stalls: h(), firsts: h(), onLine: h(), pending: map[api.RequestID]*request{}}
+	return &Result{gaps: h(), stalls: h(), firsts: h(), onLine: h(), classes: map[string]*share{}, pending: map[api.RequestID]*request{}}
+}
+
+// share is what one class of requests got.
+type share struct {
+	asked, whole int
+	firsts       *hdrhistogram.Histogram
+}
+
+func (r *Result) of(q *request) *share {
+	s, ok := r.classes[q.class.Name]
+	if !ok {
+		s = &share{firsts: hdrhistogram.New(1, most, digits)}
+		r.classes[q.class.Name] = s
+	}
+	return s
+}
+
+func (s *share) percent() float64 {
+	return 100 * float64(s.whole) / float64(max(s.asked, 1))
 }
 
 // measured reports whether a request belongs to the measured span.
@@ -47,6 +67,7 @@
 func (r *Result) asked(b *bench, q *request) {
 	if b.measured(q) {
 		r.Asked++
+		r.of(q).asked++
 	}
 }
 
@@ -81,6 +102,7 @@
 	}
 	if q.made == 1 {
 		record(r.firsts, b.now.Sub(q.came))
+		record(r.of(q).firsts, b.now.Sub(q.came))
 		if q.work.Priority == api.PriorityInteractive {
 			record(r.onLine, b.now.Sub(q.came))
 		}
@@ -98,6 +120,7 @@
 		return
 	}
 	r.Whole++
+	r.of(q).whole++
 	r.StallTotal += q.stall
 	record(r.stalls, q.stall)
 }
--- a/internal/node/context.go
+++ b/internal/node/context.go
@@ -32,6 +32,7 @@
 	context.Context
 
 	Settings api.Settings
+	Machine  Machine
 	Log      *event.Log
 	Metrics  *metric.Set
 	Life     *lifecycle.Life
@@ -62,11 +63,12 @@
 	cleanups []func()
 }
 
-// New makes the context of a start.
-func New(ctx context.Context, s api.Settings, l *event.Log) *Context {
+// New makes the context of a start on a machine.
+func New(ctx context.Context, m Machine, s api.Settings, l *event.Log) *Context {
 	return &Context{
 		Context:  ctx,
 		Settings: s,
+		Machine:  m,
 		Log:      l,
 		Metrics:  metric.New(),
 		Owner: lease.Owner{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,9 +14,10 @@
 	"github.com/wardridge/wardridge/internal/step"
 )
 
-// Run runs an entry VM until its context ends, and then stops it as planned.
-func Run(ctx context.Context, s api.Settings, l *event.Log) error {
-	c := New(ctx, s, l)
+// Run runs an entry VM on a machine until its context ends, and then stops it
+// as planned.
+func Run(ctx context.Context, m Machine, s api.Settings, l *event.Log) error {
+	c := New(ctx, m, s, l)
 	defer c.Close()
 	if err := step.Run(c, l, starting); err != nil {
 		if ctx.Err() != nil {
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -2,19 +2,14 @@
 
 import (
 	"context"
-	"errors"
-	"net"
 	"net/http"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/sys/unix"
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/broker"
 	"github.com/wardridge/wardridge/internal/claims"
-	"github.com/wardridge/wardridge/internal/clock"
 	"github.com/wardridge/wardridge/internal/control"
 	"github.com/wardridge/wardridge/internal/decide/admit"
 	"github.com/wardridge/wardridge/internal/decide/config"
@@ -51,7 +46,7 @@
 func (state) String() string { return "state" }
 
 func (state) Run(c *Context) error {
-	c.Life = lifecycle.New(clock.Boot)
+	c.Life = lifecycle.New(c.Machine.Now)
 	c.Explain = explain.New(c.Settings.Node.Name, c.Settings.Entry.ExplainRecords)
 	return nil
 }
@@ -61,24 +56,18 @@
 
 func (clients) String() string { return "clients" }
 
-// dialTime bounds the time to connect to a backend server or a peer.
-const dialTime = time.Second
-
 // peerTime bounds one call to a peer.
 const peerTime = 1500 * time.Millisecond
 
 func (clients) Run(c *Context) error {
 	var closer func()
-	c.Platform, closer = platform.New(c.Settings.Platform.Address, c.Settings.Platform.TimeoutMS.Duration())
-	c.cleanup(closer)
-	c.Engines, closer = engine.New(dialTime)
-	c.cleanup(closer)
-	c.Peers, closer = peer.New(peerTime)
+	c.Reused, closer = wire.NewClientOver(c.Machine.Dial, true)
 	c.cleanup(closer)
-	c.Reused, closer = wire.NewClient(dialTime, true)
-	c.cleanup(closer)
-	c.Single, closer = wire.NewClient(dialTime, false)
+	c.Single, closer = wire.NewClientOver(c.Machine.Dial, false)
 	c.cleanup(closer)
+	c.Platform = platform.Over(c.Reused, c.Settings.Platform.Address, c.Settings.Platform.TimeoutMS.Duration())
+	c.Engines = engine.Over(c.Reused, dialTime)
+	c.Peers = peer.Over(c.Reused, peerTime)
 	return nil
 }
 
@@ -178,8 +167,8 @@
 // lead makes the leases and what is done under them.
 func (c *Context) lead() {
 	t := lease.Timing{Duration: c.Settings.Lease.DurationMS.Duration(), Skew: c.Settings.Lease.SkewMS.Duration()}
-	o := leader.New(orders.Duty, c.Platform, c.Owner, t, clock.Boot, c.Log, c.Metrics)
-	u := leader.New(upkeep.Duty, c.Platform, c.Owner, t, clock.Boot, c.Log, c.Metrics)
+	o := leader.New(orders.Duty, c.Platform, c.Owner, t, c.Machine.Now, c.Log, c.Metrics)
+	u := leader.New(upkeep.Duty, c.Platform, c.Owner, t, c.Machine.Now, c.Log, c.Metrics)
 	c.Leaders = []*leader.Leader{o, u}
 	c.Orders = orders.New(o, c.Engines, c.Follow.View, c.Poll.Last, c.Settings.Order.WeightsMBPerSecond, c.Log, c.Metrics)
 	c.Upkeep = upkeep.New(u, c.Platform, c.Follow.View, c.Broker.Status, c.Poll.Last, c.Settings.Claim.KeepMS.Duration(), c.Log, c.Metrics)
@@ -238,20 +227,8 @@
 	return err
 }
 
-// sendBuffer bounds what the kernel holds for a caller that reads slowly.
-const sendBuffer = 128 << 10
-
-// bounded sets the bound on a listening socket, whose connections inherit it.
-func bounded(_, _ string, r syscall.RawConn) error {
-	var err error
-	e := r.Control(func(f uintptr) {
-		err = unix.SetsockoptInt(int(f), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
-	})
-	return errors.Join(e, err)
-}
-
 func (c *Context) listen(address string, h http.Handler, wait time.Duration) (*http.Server, error) {
-	l, err := (&net.ListenConfig{Control: bounded}).Listen(c, "tcp", address)
+	l, err := c.Machine.Listen(c, address)
 	if err != nil {
 		return nil, fault.Wrap(fault.ListenFailed, err, "listening on "+address)
 	}
--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -34,7 +34,12 @@
 // its connections.
 func New(timeout time.Duration) (*Client, func()) {
 	c, closer := wire.NewClient(timeout, true)
-	return &Client{http: c, timeout: timeout}, closer
+	return Over(c, timeout), closer
+}
+
+// Over makes a client of other entry VMs over an HTTP client.
+func Over(c *http.Client, timeout time.Duration) *Client {
+	return &Client{http: c, timeout: timeout}
 }
 
 func (c *Client) call(ctx context.Context, what, method, address, path string, in, out any) error {
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -19,14 +19,21 @@
 // answerLimit bounds the answers that are read whole.
 const answerLimit = 16 << 20
 
+// Dial connects to an address, as net.Dialer does.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewTransport makes a transport whose dials end in time. With reuse false
 // each request has a connection of its own, so that the transport never sends
 // a request a second time and no late answer can meet it.
 func NewTransport(dial time.Duration, reuse bool) *http.Transport {
-	const perHost = 64
 	d := &net.Dialer{Timeout: dial, KeepAlive: 15 * time.Second}
+	return transportOver(d.DialContext, reuse)
+}
+
+func transportOver(d Dial, reuse bool) *http.Transport {
+	const perHost = 64
 	return &http.Transport{
-		DialContext:         d.DialContext,
+		DialContext:         d,
 		MaxIdleConnsPerHost: perHost,
 		IdleConnTimeout:     time.Minute,
 		DisableKeepAlives:   !reuse,
@@ -39,7 +46,16 @@
 // NewClient makes a client that carries the trace on and follows no redirect;
 // the clean-up closes its idle connections.
 func NewClient(dial time.Duration, reuse bool) (*http.Client, func()) {
-	t := NewTransport(dial, reuse)
+	return clientOver(NewTransport(dial, reuse))
+}
+
+// NewClientOver makes a client as NewClient does, whose connections are made
+// by a function.
+func NewClientOver(d Dial, reuse bool) (*http.Client, func()) {
+	return clientOver(transportOver(d, reuse))
+}
+
+func clientOver(t *http.Transport) (*http.Client, func()) {
 	c := &http.Client{
 		Transport: otelhttp.NewTransport(t),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
