perf: a request that does not fit is passed for 300 ms at most; credits tried and reverted

Cause: beside a flooding workspace of equal weight a steady one that asks for 0.4 of capacity got 77% to 85% of its requests whole: its large ones were passed for 2 s, as long as a caller on the line may wait.

--- a/fleet/bed_test.go
+++ b/fleet/bed_test.go
@@ -110,7 +110,9 @@
 // stop stops an entry VM as planned.
 func (v *vm) stop() {
 	v.cancel()
-	<-v.done
+	if err, ok := <-v.done; ok && err != nil {
+		panic(err)
+	}
 }
 
 // status asks an entry VM from outside the fleet.
--- a/internal/decide/admit/load.go
+++ b/internal/decide/admit/load.go
@@ -69,9 +69,6 @@
 	at      time.Time
 	others  float64
 	pace    pace
-	// credit is the memory that an arbiter grants until it lapses.
-	credit      float64
-	creditUntil time.Time
 }
 
 // NewLoad makes the load of an engine that has not reported.
@@ -168,28 +165,8 @@
 	return l.at
 }
 
-// Credit takes a grant of an arbiter, which lapses at a time.
-func (l *Load) Credit(amount api.Tokens, until time.Time) {
-	l.credit = float64(amount)
-	l.creditUntil = until
-}
-
-// Ahead is the most memory that the own generations are expected to need at
-// any horizon, with z standard deviations kept free.
-func (l *Load) Ahead(z float64) api.Tokens {
-	m := 0.0
-	for i := range horizons {
-		m = math.Max(m, l.sum.mean[i]+z*math.Sqrt(math.Max(0, l.sum.variance[i])))
-	}
-	return api.Tokens(m)
-}
-
-// others at a horizon are taken to grow as this entry VM's own generations do;
-// under a credit they have all that it leaves.
-func (l *Load) othersAt(now time.Time, i int) float64 {
-	if now.Before(l.creditUntil) {
-		return float64(l.report.KVTotal) - l.credit
-	}
+// others at a horizon are taken to grow as this entry VM's own generations do.
+func (l *Load) othersAt(i int) float64 {
 	if l.sum.mean[0] < 1 {
 		return l.others
 	}
--- a/internal/decide/admit/policy.go
+++ b/internal/decide/admit/policy.go
@@ -79,7 +79,7 @@
 	f := g.forecast()
 	c := share * float64(l.Total())
 	for i := range horizons {
-		m := l.othersAt(g.Since, i) + l.sum.mean[i] + f.mean[i]
+		m := l.othersAt(i) + l.sum.mean[i] + f.mean[i]
 		v := math.Max(0, l.sum.variance[i]+f.variance[i])
 		if m+s.Z*math.Sqrt(v) > c {
 			return false
--- a/internal/decide/credit/doc.go
+++ /dev/null
@@ -1,3 +0,0 @@
-// Package credit hands out one engine's memory to entry VMs, in bounded
-// credits that lapse.
-package credit
--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -8,7 +8,6 @@
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/admit"
-	"github.com/wardridge/wardridge/internal/decide/credit"
 	"github.com/wardridge/wardridge/internal/decide/length"
 	"github.com/wardridge/wardridge/internal/decide/queue"
 	"github.com/wardridge/wardridge/internal/decide/retry"
@@ -190,25 +189,6 @@
 	}
 }
 
-// Ahead is the memory that the own generations on an engine are expected to
-// need, for its arbiter.
-func (d *Dispatcher) Ahead(n api.ServerName, z float64) api.Tokens {
-	if s, ok := d.servers[n]; ok {
-		return s.load.Ahead(z)
-	}
-	return 0
-}
-
-// Credit takes a grant of an engine's arbiter and starts what fits now.
-func (d *Dispatcher) Credit(now time.Time, n api.ServerName, g credit.Grant) []Action {
-	s, ok := d.servers[n]
-	if !ok {
-		return nil
-	}
-	s.load.Credit(g.Amount, g.Until)
-	return d.offer(now, s)
-}
-
 // Submit decides on a new request.
 func (d *Dispatcher) Submit(now time.Time, w Work) []Action {
 	d.budget.Fresh()
--- a/internal/decide/fresh/fresh.go
+++ b/internal/decide/fresh/fresh.go
@@ -9,11 +9,15 @@
 // it: a VM cut off from all then serves what it has.
 const Patience = 5 * time.Second
 
+// again is the time between questions that confirm an old view.
+const again = time.Second
+
 // View tells whether the configuration may be served by.
 type View struct {
-	beat time.Time
-	old  bool
-	woke time.Time
+	beat  time.Time
+	old   bool
+	woke  time.Time
+	asked time.Time
 }
 
 // New makes a view that is fresh at a time.
@@ -21,16 +25,25 @@
 	return &View{beat: now}
 }
 
-// Beat notes that the process runs; it reports true when it had stopped for
-// longer than Jump.
+// Beat notes that the process runs; it reports true when the view has to be
+// asked for, as the process had stopped for longer than Jump and nobody has
+// confirmed it yet.
 func (v *View) Beat(now time.Time) bool {
-	jumped := now.Sub(v.beat) > Jump
-	v.beat = now
-	if jumped {
+	v.notice(now)
+	if !v.old || now.Sub(v.asked) < again {
+		return false
+	}
+	v.asked = now
+	return true
+}
+
+// notice takes the time and finds a jump.
+func (v *View) notice(now time.Time) {
+	if now.Sub(v.beat) > Jump {
 		v.old = true
 		v.woke = now
 	}
-	return jumped
+	v.beat = now
 }
 
 // Confirmed notes that the platform or a peer confirmed the view by an answer
@@ -45,7 +58,7 @@
 // before the next beat finds the jump itself.
 func (v *View) Usable(now time.Time) bool {
 	if now.Sub(v.beat) > Jump {
-		v.Beat(now)
+		v.notice(now)
 	}
 	return !v.old || now.Sub(v.woke) >= Patience
 }
--- a/internal/decide/fresh/fresh_test.go
+++ b/internal/decide/fresh/fresh_test.go
@@ -41,3 +41,23 @@
 		t.Errorf("after %v: got not usable, want usable", now.Sub(woke))
 	}
 }
+
+// A request that notices the jump first must not keep the beat from asking.
+func TestBeatAsksUntilTheViewIsConfirmed(t *testing.T) {
+	v := fresh.New(epoch)
+	woke := epoch.Add(time.Minute)
+	v.Usable(woke)
+	if got := v.Beat(woke); !got {
+		t.Fatalf("beat after a request noticed the jump: got no question, want one")
+	}
+	if got := v.Beat(woke.Add(100 * time.Millisecond)); got {
+		t.Errorf("beat right after a question: got another, want none")
+	}
+	if got := v.Beat(woke.Add(time.Second)); !got {
+		t.Errorf("beat a second after a question without an answer: got none, want another")
+	}
+	v.Confirmed(woke)
+	if got := v.Beat(woke.Add(2 * time.Second)); got {
+		t.Errorf("beat of a confirmed view: got a question, want none")
+	}
+}
--- a/internal/decide/queue/queue.go
+++ b/internal/decide/queue/queue.go
@@ -117,7 +117,7 @@
 const lookahead = 8
 
 // patience is the wait after which nothing passes a request that does not fit.
-const patience = 2 * time.Second
+const patience = 300 * time.Millisecond
 
 // Pop takes the first request that fits. A request that has waited long is not
 // passed by others of its priority or a lower one; a higher one passes it.
--- /dev/null
+++ b/internal/decide/status/doc.go
@@ -0,0 +1,2 @@
+// Package status decides which state is reported of a backend server.
+package status
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -13,6 +13,7 @@
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/claims"
+	decide "github.com/wardridge/wardridge/internal/decide/call"
 	"github.com/wardridge/wardridge/internal/decide/config"
 	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/fault"
@@ -39,8 +40,6 @@
 	body    []byte
 	permit  *claims.Permit
 	tried   []api.ServerName
-	// maybe tells that an attempt may have run.
-	maybe bool
 }
 
 // service serves a call of a plain service.
@@ -129,10 +128,11 @@
 // try sends the call to one server after the other while it may be repeated
 // or provably was not sent.
 func (s *Server) try(ctx context.Context, c *call) (*claims.Answer, error) {
+	d := decide.New(c.once)
 	for {
 		n, ok := s.pick(c)
 		if !ok {
-			return nil, c.ran(fault.New(fault.NoServer, "no server of the service takes work").After(time.Second))
+			return nil, d.NoServer()
 		}
 		a, err := s.send(ctx, c, n)
 		s.release(n, err)
@@ -140,33 +140,27 @@
 			return a, nil
 		}
 		s.note(c.request, "failed", string(n)+": "+err.Error())
-		if fault.Has(err, fault.ClaimHeld) {
-			return nil, err
+		o := outcome(err)
+		if m, f := d.Failed(o, err, ctx.Err() != nil, s.again); m == decide.Fail {
+			return nil, f
 		}
-		sent := !fault.Has(err, fault.NotStarted)
-		c.maybe = c.maybe || sent
-		if ctx.Err() != nil {
-			return nil, c.ran(fault.Wrap(fault.DeadlinePassed, err, "the deadline passed or the caller left"))
-		}
-		if sent && c.once {
-			return nil, c.ran(fault.Wrap(fault.OutcomeUnknown, err, "the call was sent and no whole answer came back"))
-		}
-		if !sent && c.permit != nil {
+		if o == decide.Unsent && c.permit != nil {
 			c.permit.Unsent()
 		}
-		if !s.again() {
-			return nil, c.ran(fault.Wrap(fault.NoServer, err, "the attempt failed and the retry budget is spent").After(time.Second))
-		}
 		s.Metrics.Add(metric.Retries, 1)
 	}
 }
 
-// ran sets what is known of the call's own attempts.
-func (c *call) ran(f *fault.Error) *fault.Error {
-	if c.maybe {
-		return f.WithRan(api.RanUnknown)
+// outcome types an attempt's failure.
+func outcome(err error) decide.Outcome {
+	switch {
+	case fault.Has(err, fault.NotStarted):
+		return decide.Unsent
+	case fault.Has(err, fault.ClaimHeld):
+		return decide.Taken
+	default:
+		return decide.Broken
 	}
-	return f.WithRan(api.RanNo)
 }
 
 func (s *Server) pick(c *call) (api.ServerName, bool) {
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -113,7 +113,8 @@
 	}
 }
 
-// Beat notes that the process runs and reports whether it had stopped.
+// Beat notes that the process runs and reports whether its view has to be
+// asked for, as it had stopped.
 func (l *Life) Beat() bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/internal/measure/bench.go
+++ b/internal/measure/bench.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
-	"github.com/wardridge/wardridge/internal/decide/credit"
 	"github.com/wardridge/wardridge/internal/decide/dispatch"
 	"github.com/wardridge/wardridge/internal/load"
 	"github.com/wardridge/wardridge/internal/standin/batch"
@@ -42,7 +41,6 @@
 const (
 	deathAt    = 10 * time.Second
 	deathFor   = 10 * time.Second
-	arbiterAt  = 20 * time.Second
 	freezeAt   = 25 * time.Second
 	freezeFor  = 3 * time.Second
 	lateAt     = 35 * time.Second
@@ -77,14 +75,13 @@
 }
 
 type engine struct {
-	arbiter *credit.Arbiter
-	name    api.ServerName
-	model   *batch.Model
-	busy    bool
-	dead    bool
-	frozen  time.Time
-	life    int
-	runs    map[api.GenerationID]*request
+	name   api.ServerName
+	model  *batch.Model
+	busy   bool
+	dead   bool
+	frozen time.Time
+	life   int
+	runs   map[api.GenerationID]*request
 }
 
 // bench is one run.
@@ -132,9 +129,6 @@
 		b.entries = append(b.entries, e)
 		b.after(0, func() { b.tick(e) })
 		for _, x := range b.engines {
-			if p.Credits {
-				b.after(creditEvery, func() { b.ask(i, e, x) })
-			}
 			b.after(time.Duration(b.random.Int64N(int64(b.size.ReportEvery))), func() { b.poll(e, x) })
 		}
 	}
@@ -300,14 +294,12 @@
 	base := epoch.Add(b.size.Warm)
 	b.at(base.Add(deathAt), func() { b.die(b.engines[0]) })
 	b.at(base.Add(deathAt+deathFor), func() { b.engines[0].dead = false })
-	b.at(base.Add(arbiterAt), func() { b.engines[2].arbiter = nil })
 	b.at(base.Add(freezeAt), func() { b.engines[1].frozen = b.now.Add(freezeFor) })
 	b.at(base.Add(lateAt), func() { b.lag = lateReport })
 	b.at(base.Add(lateAt+lateFor), func() { b.lag = b.size.ReportLag })
 }
 
 func (b *bench) die(x *engine) {
-	x.arbiter = nil
 	x.dead, x.busy = true, false
 	x.life++
 	x.model = batch.New(b.size.Batch)
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -16,8 +16,6 @@
 	Name  string
 	Admit func() admit.Policy
 	Route func() route.Policy
-	// Credits tells whether an arbiter per engine hands out its memory.
-	Credits bool
 }
 
 // Settings that the product takes by default.
@@ -52,7 +50,6 @@
 		{Name: "two choices, mean", Admit: func() admit.Policy { return admit.Mean{} }, Route: two},
 		{Name: "two choices, maximum", Admit: func() admit.Policy { return admit.Maximum{} }, Route: two},
 		{Name: "two choices, survival (default)", Admit: survival, Route: two},
-		{Name: "two choices, survival, credits", Admit: survival, Route: two, Credits: true},
 		{Name: "prefix, survival", Admit: survival, Route: func() route.Policy { return route.Prefix{Over: homeBound} }},
 	}
 }
--- a/internal/upkeep/status.go
+++ b/internal/upkeep/status.go
@@ -3,13 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/config"
+	"github.com/wardridge/wardridge/internal/decide/status"
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/fault"
@@ -99,35 +99,13 @@
 		if !ok {
 			continue
 		}
-		x := api.StatusSpec{
-			OfKind:          api.ResourceKindBackendServer,
-			OfName:          string(s.Server),
-			ObservedVersion: d.Version,
-			Loaded:          append([]string{}, r[s.Server].Loaded...),
-		}
-		x.State, x.Detail = state(s, v.Items(d), x.Loaded)
-		l = append(l, x)
+		l = append(l, status.Of(status.Server{
+			Name: s.Server, Seen: s.State, Version: d.Version, Want: v.Items(d), Have: r[s.Server].Loaded,
+		}))
 	}
 	return l
 }
 
-func state(s api.ServerStatus, want, have []string) (api.StatusSpecState, string) {
-	switch s.State {
-	case api.ServerStatusStateUnreachable:
-		return api.StatusSpecStateUnreachable, "no load report for too long"
-	case api.ServerStatusStateDraining:
-		return api.StatusSpecStateDraining, "draining as declared"
-	case api.ServerStatusStateLeaving:
-		return api.StatusSpecStateDraining, "leaving by its own notice or the list of VMs"
-	}
-	for _, i := range want {
-		if !slices.Contains(have, i) {
-			return api.StatusSpecStateLoading, i + " is not loaded"
-		}
-	}
-	return api.StatusSpecStateReady, ""
-}
-
 // write writes a status that changed and reports whether it called the
 // platform.
 func (k *Keeper) write(ctx context.Context, s api.StatusSpec) bool {
--- a/spec/answer_test.go
+++ b/spec/answer.go
@@ -1,7 +1,6 @@
 package spec
 
 import (
-	"testing"
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
@@ -184,8 +183,3 @@
 	s.answer.Sent()
 	s.begun++
 }
-
-func TestOneGeneration(t *testing.T) {
-	holds(t, func(m string) world[answerState] { return answerWorld(true, m) }, "late tokens are taken")
-	holds(t, func(m string) world[answerState] { return answerWorld(false, m) }, "a failed resume counts as unsent")
-}
--- a/spec/claim_test.go
+++ b/spec/claim.go
@@ -1,8 +1,6 @@
 package spec
 
 import (
-	"testing"
-
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/claim"
 )
@@ -243,13 +241,3 @@
 	// The answer's text plays no part any more.
 	a.next = claim.Move{Kind: m.Kind}
 }
-
-func TestClaim(t *testing.T) {
-	for _, z := range []claimSize{
-		{"claim: 2 attempts on 2 entry VMs, a crash, lost and late writes", 2, true},
-		{"claim: 3 attempts on 2 entry VMs, a crash, lost writes", 3, false},
-	} {
-		holds(t, func(m string) world[claimState] { return claimWorld(z, m) },
-			"a silent owner counts as given up", "no read-back", "no check before the send")
-	}
-}
--- a/spec/explore_test.go
+++ b/spec/explore.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"hash/maphash"
 	"slices"
-	"strings"
-	"testing"
 )
 
 // step is one thing that can happen in a world.
@@ -75,27 +73,7 @@
 	return found[S]{states: len(seen)}
 }
 
-// holds checks a world, and that each mutation of it is caught.
-func holds[S comparable](t *testing.T, make func(mutation string) world[S], mutations ...string) {
-	t.Helper()
-	f := explore(make(""))
-	if f.broken != "" {
-		t.Fatalf("%s: got broken %q after %d states by\n%s", make("").name, f.broken, f.states, strings.Join(f.run, "\n"))
-	}
-	if f.states >= limit {
-		t.Fatalf("%s: got more than %d states", make("").name, limit)
-	}
-	t.Logf("%s: %d states, all properties hold", make("").name, f.states)
-	for _, m := range mutations {
-		f := explore(make(m))
-		if f.broken == "" {
-			t.Errorf("%s with %q: got nothing broken in %d states, want the mutation caught", make("").name, m, f.states)
-			continue
-		}
-		t.Logf("%s with %q: caught after %d states: %s, by %d steps", make("").name, m, f.states, f.broken, len(f.run))
-	}
-}
-
+// named formats the name of a step.
 func named(format string, a ...any) string {
 	return fmt.Sprintf(format, a...)
 }
--- a/spec/lease_test.go
+++ b/spec/lease.go
@@ -1,7 +1,6 @@
 package spec
 
 import (
-	"testing"
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
@@ -122,82 +121,108 @@
 	add := func(what string, n leaseState) {
 		l = append(l, step[leaseState]{named("%d s: vm-%d %s", s.now, i, what), n})
 	}
-	if !s.call[i].open {
-		n := s
-		switch a := n.lease[i].Step(at(s.now)); a.Kind {
-		case lease.Read:
-			n.lease[i].Observed(at(s.now), s.exists, s.spec, s.version)
-			if mutation == "no wait after a cold start" {
-				m := *lease.New(owner(i, s.life[i]), leaseTiming)
-				m.Observed(at(-100), s.exists, s.spec, s.version)
-				n.lease[i] = m
-			}
-			add("reads the lease", n)
-		case lease.Write:
-			n.call[i] = call{open: true, spec: a.Spec, expect: a.Version}
-			add("sends a write", n)
-		}
+	c := s.call[i]
+	switch {
+	case !c.open:
+		stepNext(s, i, mutation, add)
+	case !c.applied:
+		applyNext(s, i, z, add)
+	default:
+		answerArrives(s, i, mutation, add)
 	}
-	if c := s.call[i]; c.open && !c.applied {
-		n := s
-		n.call[i].applied = true
-		if c.expect == s.version {
-			n.exists, n.spec, n.version = true, c.spec, s.version+1
-			n.call[i].ok, n.call[i].version = true, n.version
-		}
-		if c.late {
-			n.call[i] = call{}
-		}
-		add("has its write carried out", n)
+	if i == 0 && s.life[i] <= z.crashes {
+		crashNext(s, i, add)
 	}
-	if c := s.call[i]; c.open && c.applied {
-		n := s
-		n.call[i] = call{}
-		if mutation == "deadline counted from receipt" && c.ok {
-			// The hold begins anew when the answer comes.
-			m := n.lease[i]
-			m.Unsettled()
-			m.Observed(at(s.now), s.exists, s.spec, c.expect)
-			m.Step(at(s.now))
+	if !z.orders {
+		return l
+	}
+	return append(l, orderNext(s, i, mutation)...)
+}
+
+type adder func(what string, n leaseState)
+
+// stepNext makes the call that the candidate's own code asks for.
+func stepNext(s leaseState, i int, mutation string, add adder) {
+	n := s
+	switch a := n.lease[i].Step(at(s.now)); a.Kind {
+	case lease.Read:
+		n.lease[i].Observed(at(s.now), s.exists, s.spec, s.version)
+		if mutation == "no wait after a cold start" {
+			m := *lease.New(owner(i, s.life[i]), leaseTiming)
+			m.Observed(at(-100), s.exists, s.spec, s.version)
 			n.lease[i] = m
 		}
-		if c.ok {
-			n.lease[i].Written(c.version)
-		} else {
-			n.lease[i].Unsettled()
-		}
-		add("gets the answer", n)
-		n = s
+		add("reads the lease", n)
+	case lease.Write:
+		n.call[i] = call{open: true, spec: a.Spec, expect: a.Version}
+		add("sends a write", n)
+	}
+}
+
+// applyNext carries a write out, or lets its caller give up waiting first.
+func applyNext(s leaseState, i int, z leaseSize, add adder) {
+	c := s.call[i]
+	n := s
+	n.call[i].applied = true
+	if c.expect == s.version {
+		n.exists, n.spec, n.version = true, c.spec, s.version+1
+		n.call[i].ok, n.call[i].version = true, n.version
+	}
+	if c.late {
 		n.call[i] = call{}
-		n.lease[i].Unsettled()
-		if mutation == "no read-back" {
-			n.lease[i] = s.lease[i]
-			n.lease[i].Written(c.expect + 1)
-		}
-		add("loses the answer", n)
 	}
-	if c := s.call[i]; c.open && !c.applied && !c.late && z.late {
-		n := s
-		n.call[i].late = true
+	add("has its write carried out", n)
+	if c.late || !z.late {
+		return
+	}
+	n = s
+	n.call[i].late = true
+	n.lease[i].Unsettled()
+	add("gives up waiting, the write is late", n)
+}
+
+// answerArrives gives the candidate the answer to its write, or loses it.
+func answerArrives(s leaseState, i int, mutation string, add adder) {
+	c := s.call[i]
+	n := s
+	n.call[i] = call{}
+	if mutation == "deadline counted from receipt" && c.ok {
+		// The hold begins anew when the answer comes.
+		m := n.lease[i]
+		m.Unsettled()
+		m.Observed(at(s.now), s.exists, s.spec, c.expect)
+		m.Step(at(s.now))
+		n.lease[i] = m
+	}
+	if c.ok {
+		n.lease[i].Written(c.version)
+	} else {
 		n.lease[i].Unsettled()
-		add("gives up waiting, the write is late", n)
 	}
-	if i == 0 && s.life[i] <= z.crashes {
-		n := s
-		n.life[i]++
-		n.lease[i] = *lease.New(owner(i, n.life[i]), leaseTiming)
-		if n.call[i].open {
-			n.call[i].late = true
-			if n.call[i].applied {
-				n.call[i] = call{}
-			}
-		}
-		add("crashes and starts again", n)
+	add("gets the answer", n)
+	n = s
+	n.call[i] = call{}
+	n.lease[i].Unsettled()
+	if mutation == "no read-back" {
+		n.lease[i] = s.lease[i]
+		n.lease[i].Written(c.expect + 1)
 	}
-	if !z.orders {
-		return l
+	add("loses the answer", n)
+}
+
+// crashNext starts the candidate again without a memory; a write on its way
+// may still be carried out.
+func crashNext(s leaseState, i int, add adder) {
+	n := s
+	n.life[i]++
+	n.lease[i] = *lease.New(owner(i, n.life[i]), leaseTiming)
+	if n.call[i].open {
+		n.call[i].late = true
+		if n.call[i].applied {
+			n.call[i] = call{}
+		}
 	}
-	return append(l, orderNext(s, i, mutation)...)
+	add("crashes and starts again", n)
 }
 
 // orderNext sends an order while the lease is held; it may stay on its way for
@@ -226,14 +251,3 @@
 	}
 	return l
 }
-
-func TestLease(t *testing.T) {
-	z := leaseSize{name: "lease: 2 candidates, 5 s, a crash, late writes", seconds: 5, late: true, crashes: 1}
-	holds(t, func(m string) world[leaseState] { return leaseWorld(z, m) },
-		"deadline counted from receipt", "no read-back", "no wait after a cold start")
-}
-
-func TestFence(t *testing.T) {
-	z := leaseSize{name: "fence: 2 candidates, 5 s, orders late and doubled", seconds: 5, orders: true}
-	holds(t, func(m string) world[leaseState] { return leaseWorld(z, m) }, "engine checks no fence")
-}
--- /dev/null
+++ b/spec/spec_test.go
@@ -0,0 +1,53 @@
+package spec
+
+import (
+	"strings"
+	"testing"
+)
+
+// holds checks a world, and that each mutation of it is caught.
+func holds[S comparable](t *testing.T, make func(mutation string) world[S], mutations ...string) {
+	t.Helper()
+	f := explore(make(""))
+	if f.broken != "" {
+		t.Fatalf("%s: got broken %q after %d states by\n%s", make("").name, f.broken, f.states, strings.Join(f.run, "\n"))
+	}
+	if f.states >= limit {
+		t.Fatalf("%s: got more than %d states", make("").name, limit)
+	}
+	t.Logf("%s: %d states, all properties hold", make("").name, f.states)
+	for _, m := range mutations {
+		f := explore(make(m))
+		if f.broken == "" {
+			t.Errorf("%s with %q: got nothing broken in %d states, want the mutation caught", make("").name, m, f.states)
+			continue
+		}
+		t.Logf("%s with %q: caught after %d states: %s, by %d steps", make("").name, m, f.states, f.broken, len(f.run))
+	}
+}
+
+func TestLease(t *testing.T) {
+	z := leaseSize{name: "lease: 2 candidates, 5 s, a crash, late writes", seconds: 5, late: true, crashes: 1}
+	holds(t, func(m string) world[leaseState] { return leaseWorld(z, m) },
+		"deadline counted from receipt", "no read-back", "no wait after a cold start")
+}
+
+func TestFence(t *testing.T) {
+	z := leaseSize{name: "fence: 2 candidates, 5 s, orders late and doubled", seconds: 5, orders: true}
+	holds(t, func(m string) world[leaseState] { return leaseWorld(z, m) }, "engine checks no fence")
+}
+
+func TestClaim(t *testing.T) {
+	for _, z := range []claimSize{
+		{"claim: 2 attempts on 2 entry VMs, a crash, lost and late writes", 2, true},
+		{"claim: 3 attempts on 2 entry VMs, a crash, lost writes", 3, false},
+	} {
+		holds(t, func(m string) world[claimState] { return claimWorld(z, m) },
+			"a silent owner counts as given up", "no read-back", "no check before the send")
+	}
+}
+
+func TestOneGeneration(t *testing.T) {
+	holds(t, func(m string) world[answerState] { return answerWorld(true, m) }, "late tokens are taken")
+	holds(t, func(m string) world[answerState] { return answerWorld(false, m) }, "a failed resume counts as unsent")
+}
