--- a/e2e/faults_test.go
+++ b/e2e/faults_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -281,11 +282,35 @@
 	}
 }
 
+// drained takes a backend server out of work on every entry VM.
+func (s *system) drained(name string) {
+	s.t.Helper()
+	s.inForce(s.mustCtl("drain", name))
+}
+
+// inForce waits until every entry VM has the version that wardctl told.
+func (s *system) inForce(out string) {
+	s.t.Helper()
+	f := strings.Fields(out)
+	n, err := strconv.Atoi(f[len(f)-1])
+	if err != nil {
+		s.t.Fatalf("no version in %q", out)
+	}
+	for _, e := range s.entries {
+		until(s.t, "the change on "+e.name, func() bool {
+			v, err := status(e)
+			return err == nil && v.ConfigVersion >= api.Version(n)
+		})
+	}
+}
+
 func TestRollingRestartOfAllCutsNothingOff(t *testing.T) {
 	s := newSystem(t, options{entries: 3, engines: 3, settings: patientSettings})
+	second := s.startService("orders-2", address(t))
+	s.inForce(s.apply(fmt.Sprintf("kind: backend-server\nname: orders-2\nspec: {type: service, address: %q, domain: hall-a}\n---\nkind: service\nname: orders\nspec: {servers: [orders-1, orders-2], not_repeatable: [{method: POST, path: /confirm}, {method: POST, path: /bookings/*}]}\n", second.listen), "--replace"))
 	done := make(chan load.Report, 1)
 	var w sync.WaitGroup
-	w.Go(func() { done <- s.load(600, 25, 5) })
+	w.Go(func() { done <- s.load(900, 25, 5) })
 	for i, e := range s.entries {
 		if got := e.stop(t); got != 0 {
 			t.Errorf("%s: got exit status %d, want 0", e.name, got)
@@ -303,6 +328,14 @@
 		s.engines[i] = s.startEngine(e.name, e.listen)
 		s.ready()
 	}
+	for _, p := range []*process{s.service, second} {
+		s.drained(p.name)
+		if got := p.stop(t); got != 0 {
+			t.Errorf("%s: got exit status %d, want 0", p.name, got)
+		}
+		s.startService(p.name, p.listen)
+		s.inForce(s.mustCtl("drain", p.name, "--undo"))
+	}
 	whole(t, <-done)
 	w.Wait()
 }
--- a/e2e/system_test.go
+++ b/e2e/system_test.go
@@ -223,8 +223,7 @@
 	for i := range o.engines {
 		s.engines = append(s.engines, s.startEngine(fmt.Sprintf("engine-%d", i+1), address(t), o.engine...))
 	}
-	a = address(t)
-	s.service = s.start("orders-1", a, "wardctl", "dev", "service", "--listen", a, "--name", "orders-1")
+	s.service = s.startService("orders-1", address(t))
 	s.apply(s.resources())
 	for i := range o.entries {
 		s.entries = append(s.entries, s.startEntry(fmt.Sprintf("entry-%d", i+1), address(t), address(t)))
@@ -238,6 +237,10 @@
 	return s.start(name, a, "wardctl", args...)
 }
 
+func (s *system) startService(name, a string) *process {
+	return s.start(name, a, "wardctl", "dev", "service", "--listen", a, "--name", name)
+}
+
 func (s *system) startEntry(name, listen, control string) *process {
 	s.t.Helper()
 	ini := fmt.Sprintf("[node]\nname = %s\ndomain = hall-a\nlisten = %s\ncontrol = %s\n[platform]\naddress = %s\n%s", name, listen, control, s.platform.listen, s.extra)
--- a/fleet/network_test.go
+++ b/fleet/network_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // network joins machines in memory; links can be cut in one direction.
@@ -95,16 +96,22 @@
 	return h
 }
 
-// dial connects to an address; over a cut link it hangs until its context
-// ends, and where nobody listens it is refused.
+// dialTime bounds a dial over a cut link, as the real machine does.
+const dialTime = time.Second
+
+// dial connects to an address; over a cut link it hangs for a while, and where
+// nobody listens it is refused.
 func (m machine) dial(ctx context.Context, _, a string) (net.Conn, error) {
 	m.net.mutex.Lock()
 	cut := m.net.cuts[[2]string{m.name, host(a)}]
 	l := m.net.listeners[a]
 	m.net.mutex.Unlock()
 	if cut {
-		<-ctx.Done()
-		return nil, &net.OpError{Op: "dial", Net: "memory", Err: ctx.Err()}
+		select {
+		case <-ctx.Done():
+		case <-time.After(dialTime):
+		}
+		return nil, &net.OpError{Op: "dial", Net: "memory", Err: context.DeadlineExceeded}
 	}
 	if l == nil {
 		return nil, &net.OpError{Op: "dial", Net: "memory", Err: net.ErrClosed}
--- a/internal/load/balancer.go
+++ b/internal/load/balancer.go
@@ -8,6 +8,7 @@
 
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/entry"
+	"github.com/wardridge/wardridge/internal/wire"
 )
 
 // healthEvery is the time between looks at an entry VM's health.
@@ -22,9 +23,9 @@
 	down    map[string]bool
 }
 
-func newBalancer(entries []string) *balancer {
+func newBalancer(entries []string, d wire.Dial) *balancer {
 	const wait = time.Second
-	t := &http.Transport{DisableKeepAlives: true}
+	t := &http.Transport{DisableKeepAlives: true, DialContext: d}
 	return &balancer{http: &http.Client{Transport: t, Timeout: wait}, entries: entries, down: map[string]bool{}}
 }
 
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -20,6 +20,8 @@
 	Seed      uint64
 	// Wait bounds the whole run after the last arrival.
 	Wait time.Duration
+	// Dial makes connections; nil for the machine's own.
+	Dial wire.Dial
 }
 
 // Run sends a plan and reports what the callers saw.
@@ -28,8 +30,11 @@
 	const perHost = 512
 	t := wire.NewTransport(dial, true)
 	t.MaxIdleConnsPerHost = perHost
+	if o.Dial != nil {
+		t.DialContext = o.Dial
+	}
 	defer t.CloseIdleConnections()
-	b := newBalancer(o.Entries)
+	b := newBalancer(o.Entries, t.DialContext)
 	looks, stop := duty.New(ctx)
 	defer stop()
 	looks.Go(b.run)
