refactor: one place for each constant and decoder, no unread code

Cause: read as a newcomer. The schema's names of resources, the aim of the step time, the bound of prefix homes and the bound of a stall each stood twice, so that the bench could drift from the product; the bench kept its waiting requests in its result; a client for cache events and an engine's failure domain in the dispatcher were read by nobody; the programs' comments stood in main.go.

--- /dev/null
+++ b/cmd/wardctl/doc.go
@@ -0,0 +1,2 @@
+// Command wardctl is the operators' command line.
+package main
--- a/cmd/wardctl/main.go
+++ b/cmd/wardctl/main.go
@@ -1,4 +1,3 @@
-// Command wardctl is the operators' command line.
 package main
 
 import (
--- /dev/null
+++ b/cmd/wardridge/doc.go
@@ -0,0 +1,2 @@
+// Command wardridge is the process on each entry VM.
+package main
--- a/cmd/wardridge/main.go
+++ b/cmd/wardridge/main.go
@@ -1,4 +1,3 @@
-// Command wardridge is the process on each entry VM.
 package main
 
 import (
--- a/internal/decide/admit/policy.go
+++ b/internal/decide/admit/policy.go
@@ -50,6 +50,10 @@
 	return m <= share*float64(l.Total())
 }
 
+// StepAimMS is the time between tokens that the product keeps to, ms: the
+// target of 70 ms with room for the path to the caller.
+const StepAimMS = 63
+
 // Survival bounds the chance that memory overflows at any horizon ahead, and
 // keeps the batch's step time under the aim.
 type Survival struct {
--- a/internal/decide/dispatch/server.go
+++ b/internal/decide/dispatch/server.go
@@ -13,7 +13,6 @@
 // Server is an engine as operators declare it.
 type Server struct {
 	Name     api.ServerName
-	Domain   api.DomainName
 	Draining bool
 }
 
--- a/internal/decide/route/route.go
+++ b/internal/decide/route/route.go
@@ -61,6 +61,10 @@
 	return a
 }
 
+// HomeBound is how much fuller than another engine the product lets the home
+// of a prefix be.
+const HomeBound = 0.02
+
 // Prefix keeps requests of one prefix on one engine by rendezvous hashing
 // while that engine is not much fuller than others, and else takes two choices.
 type Prefix struct {
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -140,15 +140,6 @@
 	return r, err
 }
 
-// CacheEvents reads an engine's cache events from a sequence number.
-func (c *Client) CacheEvents(ctx context.Context, address string, from int) (api.CacheEventList, error) {
-	ctx, end := context.WithTimeout(ctx, c.timeout)
-	defer end()
-	var l api.CacheEventList
-	err := c.short(ctx, "reading cache events", http.MethodGet, fmt.Sprintf("%s/cache-events?from=%d", base(address), from), nil, &l)
-	return l, err
-}
-
 // Order sends a fenced order and waits until the engine has carried it out; an
 // old fence is refused with OldFence.
 func (c *Client) Order(ctx context.Context, address string, o api.Order) error {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -189,8 +189,8 @@
 	}
 }
 
-// stallBound is the gap between tokens beyond which it counts as a stall.
-const stallBound = 200 * time.Millisecond
+// StallBound is the gap between tokens beyond which it counts as a stall.
+const StallBound = 200 * time.Millisecond
 
 // progressEvery is the number of tokens after which the dispatcher is told.
 const progressEvery = 16
@@ -201,8 +201,8 @@
 	if e.Index == 0 {
 		m.Add(metric.FirstTokens, 1)
 		m.Add(metric.FirstTokenMS, now.Sub(t.chat.began).Milliseconds())
-	} else if g := now.Sub(t.last); g > stallBound {
-		m.Add(metric.StallMS, (g - stallBound).Milliseconds())
+	} else if g := now.Sub(t.last); g > StallBound {
+		m.Add(metric.StallMS, (g - StallBound).Milliseconds())
 	}
 	t.last = now
 	if e.Index%progressEvery == progressEvery-1 {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -17,8 +16,8 @@
 	"github.com/wardridge/wardridge/internal/fault"
 	"github.com/wardridge/wardridge/internal/lifecycle"
 	"github.com/wardridge/wardridge/internal/metric"
+	"github.com/wardridge/wardridge/internal/resource"
 	"github.com/wardridge/wardridge/internal/ring"
-	"github.com/wardridge/wardridge/schema"
 )
 
 // Source is where the configuration comes from.
@@ -227,7 +226,7 @@
 	var v *config.View
 	var bad []config.Problem
 	if changed {
-		v, bad = config.Build(f.store, f.view.Load(), decode)
+		v, bad = config.Build(f.store, f.view.Load(), resource.Decode)
 	}
 	f.mutex.Unlock()
 	if changed {
@@ -291,16 +290,3 @@
 	f.metrics.Put(metric.ConfigVersion, int64(v.Version))
 	f.log.Emit(event.ConfigApplied, zap.Int("version", int(v.Version)))
 }
-
-// definitions names the schema of each declared kind.
-var definitions = map[api.ResourceKind]string{
-	api.ResourceKindModel:         "ModelSpec",
-	api.ResourceKindAdapter:       "AdapterSpec",
-	api.ResourceKindWorkspace:     "WorkspaceSpec",
-	api.ResourceKindBackendServer: "BackendServerSpec",
-	api.ResourceKindService:       "ServiceSpec",
-}
-
-func decode(k api.ResourceKind, raw json.RawMessage, out any) error {
-	return schema.Decode(schema.ResourceFile, definitions[k], raw, out)
-}
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -9,10 +9,11 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/entry"
 )
 
 // StallBound is the gap between tokens beyond which it counts as a stall.
-const StallBound = 200 * time.Millisecond
+const StallBound = entry.StallBound
 
 // Bounds of the histograms, in microseconds.
 const (
--- a/internal/measure/bench.go
+++ b/internal/measure/bench.go
@@ -48,8 +48,8 @@
 	lateReport = 5 * time.Second
 )
 
-// timeout is the wait for a first token after which a request is tried
-// elsewhere, and tick the time between the dispatcher's own rounds.
+// tick is the time between the dispatchers' own rounds; queueWait is the
+// product's longest wait for an engine.
 const (
 	tick      = 50 * time.Millisecond
 	queueWait = 10 * time.Second
@@ -94,11 +94,13 @@
 	lag     time.Duration
 	result  *Result
 	counted time.Time
+	// pending are the requests that have no engine yet.
+	pending map[api.RequestID]*request
 }
 
 // run measures one policy on one plan.
 func measure(s Size, p Policy, m load.Mix, factor float64, faults Faults, seed uint64) *Result {
-	b := &bench{size: s, random: rand.New(rand.NewPCG(seed, 99)), lag: s.ReportLag, result: newResult()}
+	b := &bench{size: s, random: rand.New(rand.NewPCG(seed, 99)), lag: s.ReportLag, result: newResult(), pending: map[api.RequestID]*request{}}
 	b.now = epoch
 	b.counted = epoch.Add(s.Warm)
 	b.build(p, seed)
@@ -179,23 +181,18 @@
 		Prompt: a.Prompt, Max: a.Class.Output.Most, Prefix: a.Class.System, Deadline: b.now.Add(10 * time.Minute),
 	}
 	b.result.asked(b, q)
-	b.pending()[q.work.Request] = q
+	b.pending[q.work.Request] = q
 	b.carry(e, e.decide.Submit(b.now, q.work))
 }
 
-// pending holds the requests that have no engine yet.
-func (b *bench) pending() map[api.RequestID]*request {
-	return b.result.pending
-}
-
 // carry carries a dispatcher's decisions out.
 func (b *bench) carry(e *entry, l []dispatch.Action) {
 	for _, a := range l {
-		q, ok := b.pending()[a.Request]
+		q, ok := b.pending[a.Request]
 		if !ok {
 			continue
 		}
-		delete(b.pending(), a.Request)
+		delete(b.pending, a.Request)
 		if a.Refusal != nil {
 			b.result.refused(b, q)
 			continue
@@ -232,7 +229,7 @@
 // again tries a request without a token on another engine.
 func (b *bench) again(q *request) {
 	e := q.entry
-	b.pending()[q.work.Request] = q
+	b.pending[q.work.Request] = q
 	q.work.Avoid = q.engine.name
 	b.carry(e, e.decide.Finish(b.now, q.work.Request, 0, false))
 	b.carry(e, e.decide.Again(b.now, q.work))
--- a/internal/measure/policy.go
+++ b/internal/measure/policy.go
@@ -21,8 +21,6 @@
 // Settings that the product takes by default.
 const (
 	overflow   = 0.02
-	stepAim    = 63
-	homeBound  = 0.02
 	queueLimit = 512
 	suspect    = 2 * time.Second
 )
@@ -50,12 +48,12 @@
 		{Name: "two choices, mean", Admit: func() admit.Policy { return admit.Mean{} }, Route: two},
 		{Name: "two choices, maximum", Admit: func() admit.Policy { return admit.Maximum{} }, Route: two},
 		{Name: "two choices, survival (default)", Admit: survival, Route: two},
-		{Name: "prefix, survival", Admit: survival, Route: func() route.Policy { return route.Prefix{Over: homeBound} }},
+		{Name: "prefix, survival", Admit: survival, Route: func() route.Policy { return route.Prefix{Over: route.HomeBound} }},
 	}
 }
 
 func survival() admit.Policy {
-	return admit.NewSurvival(overflow, stepAim)
+	return admit.NewSurvival(overflow, admit.StepAimMS)
 }
 
 // moments are what capacity is worked out from.
--- a/internal/measure/result.go
+++ b/internal/measure/result.go
@@ -26,7 +26,6 @@
 	onLine  *hdrhistogram.Histogram
 	good    int
 	classes map[string]*share
-	pending map[api.RequestID]*request
 }
 
 // Bounds of the histograms, in microseconds.
@@ -37,7 +36,7 @@
 
 func newResult() *Result {
 	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, most, digits) }
-	return &Result{gaps: h(), stalls: h(), firsts: h(), onLine: h(), classes: map[string]*share{}, pending: map[api.RequestID]*request{}}
+	return &Result{gaps: h(), stalls: h(), firsts: h(), onLine: h(), classes: map[string]*share{}}
 }
 
 // share is what one class of requests got.
@@ -127,7 +126,6 @@
 
 func (r *Result) close(span time.Duration) {
 	r.GoodTokens = float64(r.good) / span.Seconds()
-	r.pending = nil
 }
 
 func record(h *hdrhistogram.Histogram, d time.Duration) {
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -92,10 +92,6 @@
 	return nil
 }
 
-// stepAim is the time between tokens that admission keeps to, ms: the target
-// of 70 ms with room for the path to the caller.
-const stepAim = 63
-
 func admission(s api.EngineSettings) admit.Policy {
 	const permille = 1000
 	switch s.Admission {
@@ -106,13 +102,10 @@
 	case api.EngineSettingsAdmissionMaximum:
 		return admit.Maximum{}
 	default:
-		return admit.NewSurvival(float64(s.OverflowPermille)/permille, stepAim)
+		return admit.NewSurvival(float64(s.OverflowPermille)/permille, admit.StepAimMS)
 	}
 }
 
-// homeBound is how much fuller than another engine the home of a prefix may be.
-const homeBound = 0.02
-
 func routing(s api.EngineSettings) route.Policy {
 	switch s.Routing {
 	case api.EngineSettingsRoutingRoundRobin:
@@ -120,7 +113,7 @@
 	case api.EngineSettingsRoutingLeastLoaded:
 		return route.LeastLoaded{}
 	case api.EngineSettingsRoutingPrefix:
-		return route.Prefix{Over: homeBound}
+		return route.Prefix{Over: route.HomeBound}
 	default:
 		return route.TwoChoices{}
 	}
@@ -203,7 +196,7 @@
 func (c *Context) declare(v *config.View) {
 	var l []dispatch.Server
 	for _, s := range v.Engines() {
-		l = append(l, dispatch.Server{Name: s.Name, Domain: s.Domain, Draining: s.State == api.ServerStateDraining})
+		l = append(l, dispatch.Server{Name: s.Name, Draining: s.State == api.ServerStateDraining})
 	}
 	c.Broker.Declare(l)
 }
--- a/internal/style/style_test.go
+++ b/internal/style/style_test.go
@@ -47,8 +47,8 @@
 
 func TestEveryPackageHasADocFile(t *testing.T) {
 	_, m := sources(t)
-	for p, f := range m {
-		if f.Name.Name == "main" || strings.HasSuffix(p, "_test.go") {
+	for p := range m {
+		if strings.HasSuffix(p, "_test.go") {
 			continue
 		}
 		if _, err := os.Stat(filepath.Join(filepath.Dir(p), "doc.go")); err != nil {
