--- a/cmd/serve.go
+++ b/cmd/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/node"
 	"github.com/wardridge/wardridge/internal/settings"
@@ -54,6 +55,9 @@
 		return err
 	}
 	defer end()
+	if s.Platform.Wire == api.PlatformSettingsWireHosted {
+		return node.RunHosted(ctx, node.Real(), s, e, hosted)
+	}
 	return node.Run(ctx, node.Real(), s, e)
 }
 
--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -406,6 +406,30 @@
 	Type string `json:"type"`
 }
 
+// Exchange is what two entry VMs tell each other several times a second.
+type Exchange struct {
+	// Control address of the sender.
+	Address string `json:"address"`
+
+	// Version up to which the sender knows the configuration.
+	ConfigAt Version `json:"config_at"`
+
+	// Loads of the sender by backend server.
+	Loads map[string]ServerLoad `json:"loads,omitempty,omitzero"`
+
+	// Control addresses of the peers that answer the sender.
+	Peers []string `json:"peers,omitempty,omitzero"`
+
+	// Version of the protocol between entry VMs.
+	Protocol int `json:"protocol"`
+
+	// Version up to which the sender knows the backend servers.
+	ServersAt Version `json:"servers_at"`
+
+	// Sender.
+	VM VMName `json:"vm"`
+}
+
 // Explanation tells what was decided for a request and why.
 type Explanation struct {
 	// Decisions in order.
@@ -430,6 +454,30 @@
 const FinishReasonLength FinishReason = "length"
 const FinishReasonStop FinishReason = "stop"
 
+// GatewaySettings tunes the gateway of a hosted system.
+type GatewaySettings struct {
+	// Time in which an accepted change has to be in force, ms.
+	ApplyMS Milliseconds `json:"apply_ms,omitempty,omitzero"`
+
+	// Time from the signal to stop to the end of the process, s.
+	GraceS float64 `json:"grace_s,omitempty,omitzero"`
+
+	// Address of the readiness check.
+	Ready string `json:"ready,omitempty,omitzero"`
+
+	// Repeated sends that the fleet allows for each request of a span.
+	RetryRatio float64 `json:"retry_ratio,omitempty,omitzero"`
+
+	// Repeated sends that the fleet allows in a span beyond that share.
+	RetrySlack float64 `json:"retry_slack,omitempty,omitzero"`
+
+	// Span over which repeated sends are counted, s.
+	RetryWindowS float64 `json:"retry_window_s,omitempty,omitzero"`
+
+	// Control addresses of other entry VMs, with commas.
+	Seeds string `json:"seeds,omitempty,omitzero"`
+}
+
 // GenerateRequest asks an engine to generate.
 type GenerateRequest struct {
 	// Adapter to apply or empty.
@@ -738,8 +786,17 @@
 
 	// Longest wait of one watch call, ms.
 	WatchWaitMS Milliseconds `json:"watch_wait_ms,omitempty,omitzero"`
+
+	// What callers, backend servers and the object API speak: the own interface, or
+	// that of a hosting platform.
+	Wire PlatformSettingsWire `json:"wire,omitempty,omitzero"`
 }
 
+type PlatformSettingsWire string
+
+const PlatformSettingsWireHosted PlatformSettingsWire = "hosted"
+const PlatformSettingsWireOwn PlatformSettingsWire = "own"
+
 type Priority string
 
 const PriorityBackground Priority = "background"
@@ -769,6 +826,18 @@
 const ResourceKindStatus ResourceKind = "status"
 const ResourceKindWorkspace ResourceKind = "workspace"
 
+// ServerLoad is what one entry VM has in flight at a backend server.
+type ServerLoad struct {
+	// Requests in flight.
+	Requests int `json:"requests"`
+
+	// Engine memory that they hold or will soon hold.
+	Tokens Tokens `json:"tokens,omitempty,omitzero"`
+
+	// Prompt tokens of requests without a first event.
+	Unread Tokens `json:"unread,omitempty,omitzero"`
+}
+
 // ServerName names one backend server.
 type ServerName string
 
@@ -836,6 +905,9 @@
 	// The callers' side.
 	Entry EntrySettings `json:"entry,omitempty,omitzero"`
 
+	// The gateway of a hosted system.
+	Gateway GatewaySettings `json:"gateway,omitempty,omitzero"`
+
 	// Leases on duties.
 	Lease LeaseSettings `json:"lease,omitempty,omitzero"`
 
--- /dev/null
+++ b/internal/decide/directory/directory.go
@@ -0,0 +1,93 @@
+package directory
+
+import (
+	"strings"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/fault"
+)
+
+// place is where a route begins.
+type place struct {
+	host, prefix string
+}
+
+// Directory is a configuration made ready for look-ups; it does not change.
+type Directory struct {
+	Config
+
+	routes     map[place]*Route
+	services   map[api.ServiceName]*Service
+	workspaces map[string]*Workspace
+}
+
+// New makes a directory of a configuration.
+func New(c Config) *Directory {
+	d := &Directory{
+		Config:     c,
+		routes:     make(map[place]*Route, len(c.Routes)),
+		services:   make(map[api.ServiceName]*Service, len(c.Services)),
+		workspaces: map[string]*Workspace{},
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		d.routes[place{r.Host, r.Prefix}] = r
+	}
+	for i := range c.Services {
+		d.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Workspaces {
+		for _, k := range c.Workspaces[i].Keys {
+			d.workspaces[k] = &c.Workspaces[i]
+		}
+	}
+	return d
+}
+
+// Route finds the route with the longest prefix of a path on a host.
+func (d *Directory) Route(host, path string) (*Route, *fault.Error) {
+	for n := strings.LastIndexByte(path, '/'); n >= 0; n = strings.LastIndexByte(path[:n], '/') {
+		if r, ok := d.routes[place{host, path[:n+1]}]; ok {
+			return r, nil
+		}
+	}
+	return nil, fault.New(fault.UnknownPath, "no route of this host covers the path")
+}
+
+// Workspace finds the workspace of a key for a route; it is empty where the
+// configuration has no workspaces or the route needs no key.
+func (d *Directory) Workspace(r *Route, key string) (Workspace, *fault.Error) {
+	if w, ok := d.workspaces[key]; ok {
+		return *w, nil
+	}
+	if r.Anonymous || len(d.Workspaces) == 0 {
+		return Workspace{}, nil
+	}
+	return Workspace{}, fault.New(fault.UnknownWorkspace, "no workspace has this key")
+}
+
+// Service finds a service by its name.
+func (d *Directory) Service(n api.ServiceName) (*Service, bool) {
+	s, ok := d.services[n]
+	return s, ok
+}
+
+// Choose picks one of a route's services by weight with a number from 0 up to
+// 1.
+func (r *Route) Choose(draw float64) api.ServiceName {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	at := draw * float64(total)
+	for _, t := range r.Targets {
+		at -= float64(t.Weight)
+		if at < 0 {
+			return t.Service
+		}
+	}
+	if n := len(r.Targets); n > 0 {
+		return r.Targets[n-1].Service
+	}
+	return ""
+}
--- /dev/null
+++ b/internal/decide/placement/health.go
@@ -0,0 +1,115 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+)
+
+// Outcome is what a request met at a server.
+type Outcome int
+
+// Outcomes, from good to bad.
+const (
+	// Served requests got an answer of the server.
+	Served Outcome = iota
+	// Full servers said that they did not run the request.
+	Full
+	// Failed requests got an answer that says the server failed.
+	Failed
+	// Lost requests got no answer, a broken one, or no connection.
+	Lost
+)
+
+const (
+	// restFirst and restLast bound the time that a server which loses requests
+	// is left alone; it doubles with each loss in a row.
+	restFirst = 250 * time.Millisecond
+	restLast  = 4 * time.Second
+	// restFull is how long a server that was full is left alone: a few steps of
+	// an engine, in which a request ends.
+	restFull = 100 * time.Millisecond
+	// failWeight is the weight of the newest request in the share of failures.
+	failWeight = 0.1
+	// failMargin is how far above its pool's share of failures a server may be
+	// before it counts as faulty; some failures belong to the requests.
+	failMargin = 0.2
+)
+
+// record is what requests met at one server.
+type record struct {
+	losses int
+	rest   time.Time
+	failed float64
+}
+
+// Health keeps what requests met at servers.
+type Health struct {
+	records map[api.ServerName]*record
+}
+
+// NewHealth makes a record of no requests.
+func NewHealth() *Health {
+	return &Health{records: map[api.ServerName]*record{}}
+}
+
+// Note takes what a request met at a server.
+func (h *Health) Note(now time.Time, n api.ServerName, o Outcome) {
+	r, ok := h.records[n]
+	if !ok {
+		r = &record{}
+		h.records[n] = r
+	}
+	r.failed *= 1 - failWeight
+	switch o {
+	case Served:
+		r.losses = 0
+	case Full:
+		r.rest = later(r.rest, now.Add(restFull))
+	case Failed:
+		r.losses = 0
+		r.failed += failWeight
+	case Lost:
+		r.rest = later(r.rest, now.Add(min(restFirst<<min(r.losses, 8), restLast)))
+		r.losses++
+	}
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Forget drops the records of servers that are gone.
+func (h *Health) Forget(keep func(n api.ServerName) bool) {
+	for n := range h.records {
+		if !keep(n) {
+			delete(h.records, n)
+		}
+	}
+}
+
+// resting reports whether a server is left alone for now.
+func (h *Health) resting(now time.Time, n api.ServerName) bool {
+	r, ok := h.records[n]
+	return ok && now.Before(r.rest)
+}
+
+// faulty reports whether a server fails clearly more often than its pool.
+func (h *Health) faulty(n api.ServerName, pool float64) bool {
+	r, ok := h.records[n]
+	return ok && r.failed > pool+failMargin
+}
+
+// share is the mean share of failures of a pool.
+func (h *Health) share(pool []api.ServerName) float64 {
+	sum := 0.0
+	for _, n := range pool {
+		if r, ok := h.records[n]; ok {
+			sum += r.failed
+		}
+	}
+	return sum / float64(max(1, len(pool)))
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -34,12 +34,18 @@
 	GenerationRetried   ID = 305
 	CallerLeft          ID = 306
 	HandlerPanicked     ID = 307
+	AttemptFailed       ID = 308
+	GenerationLost      ID = 309
+	MoveStep            ID = 310
+	CopyKept            ID = 311
 	ServerReady         ID = 401
 	ServerUnreachable   ID = 402
 	ServerLeaving       ID = 403
 	OrderSent           ID = 404
 	OrderRefused        ID = 405
 	StatusWritten       ID = 406
+	ServerState         ID = 407
+	ObjectUnreadable    ID = 408
 	LeaseTaken          ID = 501
 	LeaseLost           ID = 502
 	LeaseReleased       ID = 503
@@ -51,6 +57,7 @@
 	PeerJoined          ID = 601
 	PeerLost            ID = 602
 	PeerRefused         ID = 603
+	PeerSilent          ID = 604
 	StandInStarted      ID = 901
 	StandInFault        ID = 902
 	StandInOrderApplied ID = 903
@@ -86,12 +93,18 @@
 	{GenerationRetried, "generation_retried", zapcore.InfoLevel, "A generation without a token was started again elsewhere."},
 	{CallerLeft, "caller_left", zapcore.InfoLevel, "A caller closed its connection; the engine was told to cancel."},
 	{HandlerPanicked, "handler_panicked", zapcore.ErrorLevel, "A handler panicked; the request failed alone."},
+	{AttemptFailed, "attempt_failed", zapcore.DebugLevel, "One attempt at a backend server failed."},
+	{GenerationLost, "generation_lost", zapcore.WarnLevel, "A stream broke and no copy of its generation was left to go on from."},
+	{MoveStep, "move_step", zapcore.DebugLevel, "A step of the move of a running generation ended."},
+	{CopyKept, "copy_kept", zapcore.InfoLevel, "A copy of a generation that nobody uses could not be freed and will lapse."},
 	{ServerReady, "server_ready", zapcore.InfoLevel, "A backend server takes work."},
 	{ServerUnreachable, "server_unreachable", zapcore.WarnLevel, "A backend server stopped reporting."},
 	{ServerLeaving, "server_leaving", zapcore.InfoLevel, "A backend server is leaving or draining; it gets no new work."},
 	{OrderSent, "order_sent", zapcore.InfoLevel, "A fenced order was carried out by an engine."},
 	{OrderRefused, "order_refused", zapcore.WarnLevel, "An engine refused an order."},
 	{StatusWritten, "status_written", zapcore.DebugLevel, "A status object was written."},
+	{ServerState, "server_state", zapcore.InfoLevel, "A backend server is believed ready, lapsed or leaving."},
+	{ObjectUnreadable, "object_unreadable", zapcore.WarnLevel, "An object of the platform could not be read; its last good form stays."},
 	{LeaseTaken, "lease_taken", zapcore.InfoLevel, "This entry VM holds the lease on a duty."},
 	{LeaseLost, "lease_lost", zapcore.WarnLevel, "This entry VM no longer holds the lease on a duty."},
 	{LeaseReleased, "lease_released", zapcore.InfoLevel, "This entry VM gave a lease back at its stop."},
@@ -103,6 +116,7 @@
 	{PeerJoined, "peer_joined", zapcore.InfoLevel, "An entry VM answers heartbeats."},
 	{PeerLost, "peer_lost", zapcore.WarnLevel, "An entry VM stopped answering heartbeats."},
 	{PeerRefused, "peer_refused", zapcore.WarnLevel, "An entry VM of another protocol version was refused."},
+	{PeerSilent, "peer_silent", zapcore.DebugLevel, "A peer did not give what it knows."},
 	{StandInStarted, "stand_in_started", zapcore.InfoLevel, "A stand-in serves."},
 	{StandInFault, "stand_in_fault", zapcore.InfoLevel, "A stand-in injected a fault."},
 	{StandInOrderApplied, "stand_in_order_applied", zapcore.InfoLevel, "A stand-in engine carried an order out."},
@@ -121,7 +135,7 @@
 	zap *zap.Logger
 }
 
-// New makes a log on standard error; the clean-up flushes it.
+// New makes a log on standard output; the clean-up flushes it.
 func New(s api.LogSettings) (*Log, func(), error) {
 	v, err := zapcore.ParseLevel(string(s.Level))
 	if err != nil {
@@ -133,7 +147,7 @@
 	if s.Format == api.LogSettingsFormatConsole {
 		e = zapcore.NewConsoleEncoder(c)
 	}
-	z := zap.New(zapcore.NewCore(e, zapcore.Lock(os.Stderr), v))
+	z := zap.New(zapcore.NewCore(e, zapcore.Lock(os.Stdout), v))
 	return &Log{zap: z}, func() { _ = z.Sync() }, nil
 }
 
--- /dev/null
+++ b/internal/gateway/call.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/decide/call"
+	"github.com/wardridge/wardridge/internal/decide/directory"
+	"github.com/wardridge/wardridge/internal/decide/placement"
+	"github.com/wardridge/wardridge/internal/decide/roster"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/metric"
+	"github.com/wardridge/wardridge/internal/port"
+)
+
+// hangAims is how many times its aim a safe request waits for one server
+// before another is asked: the slowest hundredth of answers takes less.
+const hangAims = 2.5
+
+// served is a backend server's answer with where it came from; the lease is nil
+// for a failure of a server that was kept while others were tried.
+type served struct {
+	answer port.Answer
+	server roster.Server
+	lease  *lease
+}
+
+// call serves a request that is answered whole.
+func (g *Gateway) call(ctx context.Context, q *request) {
+	v, f := g.try(ctx, q, placement.Need{})
+	if f != nil {
+		g.refuse(q.Request, q.sink, f)
+		return
+	}
+	v.lease.end()
+	g.done(q)
+	q.sink.Whole(v.answer)
+}
+
+func (g *Gateway) done(q *request) {
+	g.Metrics.Add(metric.RequestsDone, 1)
+	g.Log.Emit(event.RequestDone, zap.String("request", string(q.ID)), zap.Duration("took", time.Since(q.Arrived)))
+}
+
+// try sends a request to one server after the other while it may be repeated
+// or provably was not run, and gives the answer to take.
+func (g *Gateway) try(ctx context.Context, q *request, n placement.Need) (served, *fault.Error) {
+	c := call.New(q.route.Kind != directory.Safe)
+	var failed *port.Answer
+	for {
+		s, l, ok := g.pick(q.service, n, q.tried)
+		if !ok {
+			return settle(failed, c.NoServer())
+		}
+		q.tried = append(q.tried, s.Name)
+		a, err := g.attempt(ctx, q, s)
+		if err == nil && !worthAnother(q, a) {
+			g.note(s.Name, placement.Served)
+			return served{answer: a, server: s, lease: l}, nil
+		}
+		l.end()
+		if err == nil {
+			g.note(s.Name, placement.Failed)
+			failed = &a
+			err = fault.New(fault.OutcomeUnknown, "the server answered "+http.StatusText(a.Status))
+		} else {
+			g.note(s.Name, met(err))
+		}
+		g.Log.Emit(event.AttemptFailed, zap.String("request", string(q.ID)), zap.String("server", string(s.Name)), zap.Error(err))
+		m, f := c.Failed(outcome(err), err, ctx.Err() != nil, g.again)
+		if m == call.Fail {
+			return settle(failed, f)
+		}
+		g.Metrics.Add(metric.Retries, 1)
+	}
+}
+
+// settle passes a server's own failure on where there is one.
+func settle(failed *port.Answer, f *fault.Error) (served, *fault.Error) {
+	if failed == nil {
+		return served{}, f
+	}
+	return served{answer: *failed}, nil
+}
+
+// worthAnother reports whether a server's failure is to be tried elsewhere.
+func worthAnother(q *request, a port.Answer) bool {
+	return a.Status >= http.StatusInternalServerError && q.route.Kind == directory.Safe && len(q.tried) < q.route.MaxServers
+}
+
+// attempt sends a request to one server.
+func (g *Gateway) attempt(ctx context.Context, q *request, s roster.Server) (port.Answer, error) {
+	left := time.Until(q.deadline)
+	if q.route.Kind == directory.Safe && len(q.tried) < q.route.MaxServers && q.route.Aim > 0 {
+		left = min(left, time.Duration(hangAims*float64(q.route.Aim)))
+		c, cancel := context.WithTimeout(ctx, left)
+		defer cancel()
+		ctx = c
+	}
+	if left <= 0 {
+		return port.Answer{}, fault.New(fault.NotStarted, "the deadline passed before the send")
+	}
+	return g.Backends.Send(ctx, port.Attempt{
+		Request: q.Request, Server: s, Workspace: q.workspace.Name, Left: left,
+	})
+}
+
+// outcome types an attempt's failure for the decision on another one.
+func outcome(err error) call.Outcome {
+	if fault.Has(err, fault.NotStarted) || fault.Has(err, fault.ServerRefused) {
+		return call.Unsent
+	}
+	return call.Broken
+}
+
+// met types an attempt's failure for the server's record.
+func met(err error) placement.Outcome {
+	if fault.Has(err, fault.ServerRefused) {
+		return placement.Full
+	}
+	return placement.Lost
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,187 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/directory"
+	"github.com/wardridge/wardridge/internal/decide/placement"
+	"github.com/wardridge/wardridge/internal/decide/replica"
+	"github.com/wardridge/wardridge/internal/decide/retry"
+	"github.com/wardridge/wardridge/internal/decide/roster"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/metric"
+	"github.com/wardridge/wardridge/internal/port"
+)
+
+// startWait is when a caller may come back to an entry VM that knows no
+// configuration yet.
+const startWait = 500 * time.Millisecond
+
+// Parts are what a gateway works with.
+type Parts struct {
+	Domain   api.DomainName
+	Backends port.Backends
+	Group    *duty.Group
+	Log      *event.Log
+	Metrics  *metric.Set
+	// Retries bounds the sends beyond the first of each request.
+	Retries *retry.Window
+}
+
+// Gateway serves requests.
+type Gateway struct {
+	Parts
+
+	directory atomic.Pointer[directory.Directory]
+	stopping  atomic.Bool
+	inFlight  atomic.Int64
+
+	mutex  sync.Mutex
+	roster *roster.Roster
+	picker *placement.Picker
+	runs   map[api.ServerName]map[*run]bool
+}
+
+// New makes a gateway that knows no configuration.
+func New(p Parts) *Gateway {
+	return &Gateway{
+		Parts: p, roster: roster.New(), picker: placement.NewPicker(),
+		runs: map[api.ServerName]map[*run]bool{},
+	}
+}
+
+// Ready reports whether new callers may come.
+func (g *Gateway) Ready() bool {
+	return g.directory.Load() != nil && !g.stopping.Load()
+}
+
+// Stop turns the readiness; requests that still come are served.
+func (g *Gateway) Stop() {
+	g.stopping.Store(true)
+}
+
+// Stopping reports whether the process is about to end.
+func (g *Gateway) Stopping() bool {
+	return g.stopping.Load()
+}
+
+// bodyLimit bounds bodies until a configuration says more, in bytes.
+const bodyLimit = 1 << 20
+
+// BodyLimit is the largest request body, in bytes.
+func (g *Gateway) BodyLimit() int64 {
+	if d := g.directory.Load(); d != nil && d.Limits.BodyBytes > 0 {
+		return d.Limits.BodyBytes
+	}
+	return bodyLimit
+}
+
+// InFlight counts the requests that have no answer yet.
+func (g *Gateway) InFlight() int {
+	return int(g.inFlight.Load())
+}
+
+// Configure brings a configuration into force unless a newer one is.
+func (g *Gateway) Configure(s replica.Snapshot[directory.Config]) {
+	for _, o := range s.Items {
+		d := g.directory.Load()
+		if d != nil && o.Value.Version <= d.Version {
+			continue
+		}
+		g.directory.Store(directory.New(o.Value))
+		g.Metrics.Put(metric.ConfigVersion, o.Value.Version)
+		g.Log.Emit(event.ConfigApplied, zap.Int64("number", o.Value.Version), zap.Int("version", int(s.At)), zap.Int("routes", len(o.Value.Routes)))
+	}
+}
+
+// request is a request with what the configuration says of it.
+type request struct {
+	*port.Request
+	route     *directory.Route
+	workspace directory.Workspace
+	service   *directory.Service
+	deadline  time.Time
+	sink      port.Sink
+	tried     []api.ServerName
+}
+
+// Handle serves one request to its end.
+func (g *Gateway) Handle(ctx context.Context, r *port.Request, s port.Sink) {
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	g.Metrics.Add(metric.RequestsTotal, 1)
+	q, f := g.admit(r, s)
+	if f != nil {
+		g.refuse(r, s, f)
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, q.deadline)
+	defer cancel()
+	g.mutex.Lock()
+	g.Retries.Fresh(time.Now())
+	g.mutex.Unlock()
+	if q.route.Kind == directory.Stream {
+		g.stream(ctx, q)
+		return
+	}
+	g.call(ctx, q)
+}
+
+// admit finds what the configuration says of a request.
+func (g *Gateway) admit(r *port.Request, s port.Sink) (*request, *fault.Error) {
+	d := g.directory.Load()
+	if d == nil {
+		return nil, fault.New(fault.Starting, "this entry VM knows no configuration yet").After(startWait)
+	}
+	x, f := d.Route(r.Host, r.Path)
+	if f != nil {
+		return nil, f
+	}
+	w, f := d.Workspace(x, r.Key)
+	if f != nil {
+		return nil, f
+	}
+	n := x.Choose(rand.Float64())
+	v, ok := d.Service(n)
+	if !ok {
+		return nil, fault.New(fault.NoServer, "the route's service is not configured").After(startWait)
+	}
+	wait := x.Timeout
+	if r.Wait > 0 && (wait == 0 || r.Wait < wait) {
+		wait = r.Wait
+	}
+	return &request{
+		Request: r, route: x, workspace: w, service: v, sink: s,
+		deadline: r.Arrived.Add(wait),
+	}, nil
+}
+
+// refuse answers a request that no server answered.
+func (g *Gateway) refuse(r *port.Request, s port.Sink, f *fault.Error) {
+	e, m := event.RequestRefused, metric.RequestsRefused
+	switch {
+	case f.Code == fault.CallerGone:
+		e, m = event.CallerLeft, metric.CallersGone
+	case f.Ran != api.RanNo:
+		e, m = event.RequestFailed, metric.RequestsFailed
+	}
+	g.Metrics.Add(m, 1)
+	g.Log.Emit(e, zap.String("request", string(r.ID)), zap.String("type", f.Code.Kind().Type), zap.String("ran", string(f.Ran)), zap.Error(f))
+	s.Refuse(f)
+}
+
+// again takes one more send out of the fleet's bound.
+func (g *Gateway) again() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.Retries.Allow(time.Now())
+}
--- /dev/null
+++ b/internal/gateway/move.go
@@ -0,0 +1,260 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/evacuate"
+	"github.com/wardridge/wardridge/internal/decide/placement"
+	"github.com/wardridge/wardridge/internal/decide/roster"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/metric"
+	"github.com/wardridge/wardridge/internal/port"
+)
+
+const (
+	// copyTime bounds one call that copies a run's memory: no server serves
+	// longer after its notice.
+	copyTime = 3 * time.Second
+	// stopWait is how long a stream that ended waits for the move that ended it.
+	stopWait = 1500 * time.Millisecond
+	// dropTime bounds the call that frees a copy.
+	dropTime = time.Second
+)
+
+// move starts the move of a run off its server, unless one is under way.
+func (g *Gateway) move(r *run) {
+	e := r.request.service.Engine
+	if e == nil || !e.Moves {
+		return
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.moving || r.over {
+		return
+	}
+	r.moving = true
+	r.moved = make(chan struct{})
+	m := &mover{gateway: g, run: r, move: evacuate.New(time.Now()), source: r.server}
+	done := r.moved
+	g.Group.Go(func(ctx context.Context) error {
+		defer close(done)
+		m.steps(ctx)
+		return nil
+	})
+}
+
+// mover takes one run off one server.
+type mover struct {
+	gateway *Gateway
+	run     *run
+	move    *evacuate.Move
+	source  roster.Server
+	target  roster.Server
+	lease   *lease
+	tried   []api.ServerName
+}
+
+// steps follows the decisions to their end.
+func (m *mover) steps(ctx context.Context) {
+	m.gateway.Metrics.Add(metric.MovesBegun, 1)
+	a := m.move.First()
+	for a.Kind == evacuate.Copy || a.Kind == evacuate.Stop {
+		if a.After > 0 && !duty.Sleep(ctx, a.After) {
+			break
+		}
+		if m.ended() {
+			break
+		}
+		r := m.step(ctx, a)
+		a = m.move.Next(time.Now(), r)
+		m.gateway.Log.Emit(event.MoveStep, zap.String("request", string(m.run.request.ID)), zap.String("from", string(m.source.Name)), zap.String("to", string(m.target.Name)), zap.String("outcome", r.Outcome.String()), zap.Duration("took", r.Took), zap.String("next", a.Kind.String()))
+	}
+	m.end(a.Kind)
+}
+
+// ended reports whether the run needs no move any more.
+func (m *mover) ended() bool {
+	m.run.mutex.Lock()
+	defer m.run.mutex.Unlock()
+	return m.run.over || m.run.server.Name != m.source.Name
+}
+
+// step makes one copy.
+func (m *mover) step(ctx context.Context, a evacuate.Action) evacuate.Result {
+	if a.Elsewhere && !m.choose() {
+		return evacuate.Result{Outcome: evacuate.NoTarget}
+	}
+	if a.Kind == evacuate.Stop {
+		m.run.mutex.Lock()
+		m.run.stopped = true
+		m.run.mutex.Unlock()
+	}
+	c, cancel := context.WithTimeout(ctx, copyTime)
+	defer cancel()
+	b := time.Now()
+	x, err := m.gateway.Backends.Copy(c, port.CopyOrder{
+		Request: m.run.request.ID, Source: m.source, Target: m.target, Stop: a.Kind == evacuate.Stop,
+	})
+	r := evacuate.Result{Outcome: copied(err), Took: time.Since(b)}
+	if x.Handle != "" {
+		m.keep(x.Handle, r.Outcome)
+	}
+	if err != nil {
+		m.gateway.Log.Emit(event.AttemptFailed, zap.String("request", string(m.run.request.ID)), zap.String("server", string(m.source.Name)), zap.Error(err))
+	}
+	return r
+}
+
+// choose picks another target and takes the load off the one before.
+func (m *mover) choose() bool {
+	m.release()
+	q := m.run.request
+	_, n := m.run.progress()
+	x := q.service.Engine
+	k := placement.Need{Tokens: need(q).Tokens + api.Tokens(n*x.Stride/2)}
+	s, l, ok := m.gateway.pick(q.service, k, append(m.tried, m.source.Name))
+	if !ok {
+		m.tried = nil
+		return false
+	}
+	m.target, m.lease = s, l
+	m.tried = append(m.tried, s.Name)
+	return true
+}
+
+func (m *mover) release() {
+	m.lease.end()
+	m.lease = nil
+}
+
+// keep notes the copy that a step made; after a stop without room the source
+// itself holds the memory.
+func (m *mover) keep(handle string, o evacuate.Outcome) {
+	h := &held{at: m.target, lease: m.lease, resume: port.Resume{Source: m.source.Address, Handle: handle}}
+	if o != evacuate.Copied {
+		h.at = m.source
+		h.lease = nil
+	}
+	m.run.mutex.Lock()
+	defer m.run.mutex.Unlock()
+	m.run.copied = h
+}
+
+// end leaves the copy to the run, or frees what nobody will use.
+func (m *mover) end(k evacuate.Kind) {
+	m.run.mutex.Lock()
+	m.run.moving = false
+	used := m.run.copied != nil && !m.run.over
+	over := m.run.over
+	c := m.run.copied
+	if over {
+		m.run.copied = nil
+	}
+	m.run.mutex.Unlock()
+	if over && c != nil {
+		m.gateway.drop(c)
+	}
+	if !used {
+		m.release()
+	}
+	if k == evacuate.Resume || k == evacuate.Return {
+		m.gateway.Metrics.Add(metric.MovesDone, 1)
+	}
+}
+
+// copied types the failure of a copy.
+func copied(err error) evacuate.Outcome {
+	switch {
+	case err == nil:
+		return evacuate.Copied
+	case fault.Has(err, fault.NotFound):
+		return evacuate.Missing
+	case fault.Has(err, fault.VersionConflict):
+		return evacuate.Busy
+	case fault.Has(err, fault.ServerRefused):
+		return evacuate.Full
+	default:
+		return evacuate.Silent
+	}
+}
+
+// drop frees a copy that nobody will use.
+func (g *Gateway) drop(c *held) {
+	c.lease.end()
+	g.Group.Go(func(ctx context.Context) error {
+		x, cancel := context.WithTimeout(ctx, dropTime)
+		defer cancel()
+		if err := g.Backends.Release(x, c.at, c.resume.Handle); err != nil {
+			g.Log.Emit(event.CopyKept, zap.String("server", string(c.at.Name)), zap.Error(err))
+		}
+		return nil
+	})
+}
+
+// goOn resumes a run whose stream broke from the copy of its memory.
+func (g *Gateway) goOn(ctx context.Context, r *run, broke error) (port.Stream, bool) {
+	began := time.Now()
+	r.mutex.Lock()
+	stopped, done := r.stopped, r.moved
+	r.mutex.Unlock()
+	if stopped && done != nil {
+		select {
+		case <-done:
+		case <-time.After(stopWait):
+		case <-ctx.Done():
+		}
+	}
+	r.mutex.Lock()
+	c := r.copied
+	r.copied = nil
+	from := r.server
+	r.mutex.Unlock()
+	if !stopped {
+		g.note(from.Name, placement.Lost)
+	}
+	if c == nil {
+		g.lost(r, from, broke)
+		return nil, false
+	}
+	s, err := g.resume(ctx, r, c)
+	if err != nil {
+		c.lease.end()
+		g.lost(r, from, err)
+		return nil, false
+	}
+	g.Metrics.Add(metric.Resumes, 1)
+	g.Log.Emit(event.GenerationResumed, zap.String("request", string(r.request.ID)), zap.String("from", string(from.Name)), zap.String("to", string(c.at.Name)), zap.Bool("stopped", stopped), zap.Duration("took", time.Since(began)))
+	return s, true
+}
+
+// resume asks the holder of a copy to go on.
+func (g *Gateway) resume(ctx context.Context, r *run, c *held) (port.Stream, error) {
+	q := r.request
+	x := c.resume
+	x.After, _ = r.progress()
+	a, err := g.Backends.Send(ctx, port.Attempt{
+		Request: q.Request, Server: c.at, Workspace: q.workspace.Name, Left: time.Until(q.deadline), Fresh: true, Resume: &x,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if a.Stream == nil {
+		return nil, fault.New(fault.BadAnswer, "a resumed run was not answered by a stream")
+	}
+	g.detach(r)
+	g.attach(r, c.at, c.lease)
+	return a.Stream, nil
+}
+
+// lost logs a generation that can't go on.
+func (g *Gateway) lost(r *run, from roster.Server, err error) {
+	_, n := r.progress()
+	g.Metrics.Add(metric.RequestsFailed, 1)
+	g.Log.Emit(event.GenerationLost, zap.String("request", string(r.request.ID)), zap.String("server", string(from.Name)), zap.Int("events", n), zap.Error(err))
+}
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,133 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/placement"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/metric"
+	"github.com/wardridge/wardridge/internal/port"
+)
+
+// expectedShare is the part of an answer's expected length that counts as
+// memory from the start: a run holds half of its answer on average.
+const expectedShare = 0.5
+
+// need is what a stream asks of an engine.
+func need(q *request) placement.Need {
+	x := q.Prompt.Expected
+	if x == 0 {
+		x = q.Prompt.Limit
+	}
+	return placement.Need{
+		Tokens: q.Prompt.Tokens + api.Tokens(expectedShare*float64(min(x, max(q.Prompt.Limit, 1)))),
+		Unread: q.Prompt.Tokens,
+	}
+}
+
+// stream serves a request that is answered event by event.
+func (g *Gateway) stream(ctx context.Context, q *request) {
+	v, f := g.try(ctx, q, need(q))
+	switch {
+	case f != nil:
+		g.refuse(q.Request, q.sink, f)
+	case v.answer.Stream == nil:
+		v.lease.end()
+		g.done(q)
+		q.sink.Whole(v.answer)
+	default:
+		r := &run{request: q}
+		g.attach(r, v.server, v.lease)
+		defer g.leave(r)
+		q.sink.Begin(v.answer.Head)
+		g.pump(ctx, r, v.answer.Stream)
+	}
+}
+
+// leave ends a run, whatever became of it.
+func (g *Gateway) leave(r *run) {
+	r.mutex.Lock()
+	r.over = true
+	c := r.copied
+	r.copied = nil
+	r.mutex.Unlock()
+	g.detach(r)
+	if c != nil {
+		g.drop(c)
+	}
+}
+
+// pump passes events on until the stream is whole, lost, or the caller left.
+func (g *Gateway) pump(ctx context.Context, r *run, s port.Stream) {
+	for {
+		err := g.relay(ctx, r, s)
+		s.Close()
+		q := r.request
+		switch {
+		case err == nil:
+			q.sink.End()
+			g.done(q)
+			return
+		case ctx.Err() != nil || fault.Has(err, fault.CallerGone):
+			g.Metrics.Add(metric.CallersGone, 1)
+			g.Log.Emit(event.CallerLeft, zap.String("request", string(q.ID)), zap.Error(err))
+			q.sink.Abort()
+			return
+		}
+		next, ok := g.goOn(ctx, r, err)
+		if !ok {
+			q.sink.Abort()
+			return
+		}
+		s = next
+	}
+}
+
+// relay passes one server's events on; nil is the proper end.
+func (g *Gateway) relay(ctx context.Context, r *run, s port.Stream) error {
+	stop := context.AfterFunc(ctx, s.Close)
+	defer stop()
+	for {
+		e, err := s.Next()
+		if errors.Is(err, io.EOF) && !r.halted() {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		_, n := r.progress()
+		if n == 0 {
+			g.first(r)
+		}
+		if err := r.request.sink.Event(e); err != nil {
+			return fault.Wrap(fault.CallerGone, err, "writing an event")
+		}
+		r.passed(e.ID)
+	}
+}
+
+// halted reports whether the end of the stream was ordered.
+func (r *run) halted() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.stopped
+}
+
+// first notes a run's first event.
+func (g *Gateway) first(r *run) {
+	r.mutex.Lock()
+	l := r.lease
+	r.mutex.Unlock()
+	if l != nil {
+		l.read()
+	}
+	g.Metrics.Add(metric.FirstTokens, 1)
+	g.Metrics.Add(metric.FirstTokenMS, time.Since(r.request.Arrived).Milliseconds())
+}
--- /dev/null
+++ b/internal/mesh/serve.go
@@ -0,0 +1,62 @@
+package mesh
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/replica"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/mirror"
+	"github.com/wardridge/wardridge/internal/wire"
+)
+
+// Paths of the exchange on the control address.
+const (
+	PathExchange = "/mesh/v1/exchange"
+	PathConfig   = "/mesh/v1/config"
+	PathServers  = "/mesh/v1/servers"
+)
+
+// messageLimit bounds one message: 2,500 servers' loads at 60 bytes.
+const messageLimit = 256 << 10
+
+// Routes adds the exchange to a control interface.
+func (m *Mesh) Routes(r chi.Router) {
+	r.Post(PathExchange, m.answer)
+	r.Get(PathConfig, func(w http.ResponseWriter, _ *http.Request) {
+		wire.Write(w, http.StatusOK, m.Config.Snapshot())
+	})
+	r.Get(PathServers, func(w http.ResponseWriter, _ *http.Request) {
+		wire.Write(w, http.StatusOK, m.Servers.Snapshot())
+	})
+}
+
+func (m *Mesh) answer(w http.ResponseWriter, r *http.Request) {
+	var e api.Exchange
+	if err := wire.Read(w, r, messageLimit, &e); err != nil {
+		wire.Refuse(w, fault.From(err), "")
+		return
+	}
+	wire.Write(w, http.StatusOK, m.own())
+	m.heard(e)
+}
+
+// fetch takes what a peer knows of a kind.
+func fetch[T any](m *Mesh, address, path string, k *mirror.Mirror[T]) {
+	m.Group.Go(func(ctx context.Context) error {
+		c, cancel := context.WithTimeout(ctx, callTime)
+		defer cancel()
+		var s replica.Snapshot[T]
+		if err := wire.Call(c, m.Client, http.MethodGet, "http://"+address+path, nil, &s); err != nil {
+			m.Log.Emit(event.PeerSilent, zap.String("address", address), zap.Error(err))
+			return nil
+		}
+		k.Offer(s)
+		return nil
+	})
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -22,6 +22,8 @@
 	StallMS          Name = "stall_ms_total"
 	Preemptions      Name = "preemptions_seen_total"
 	Resumes          Name = "stream_resumes_total"
+	MovesBegun       Name = "moves_begun_total"
+	MovesDone        Name = "moves_done_total"
 	Retries          Name = "retries_total"
 	CallersGone      Name = "callers_gone_total"
 	ClaimsMade       Name = "claims_made_total"
@@ -68,6 +70,8 @@
 	{StallMS, "ms", "Sum of the gaps between tokens beyond 200 ms."},
 	{Preemptions, "preemptions", "Preemptions that engines told of finished generations."},
 	{Resumes, "resumes", "Streams resumed on their engine."},
+	{MovesBegun, "moves", "Moves of running generations that were begun."},
+	{MovesDone, "moves", "Moves of running generations that were done."},
 	{Retries, "attempts", "Attempts started again elsewhere."},
 	{CallersGone, "requests", "Requests whose callers closed their connections."},
 	{ClaimsMade, "claims", "Claims recorded before a send."},
--- /dev/null
+++ b/internal/mirror/mirror.go
@@ -0,0 +1,187 @@
+package mirror
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/replica"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/metric"
+	"github.com/wardridge/wardridge/internal/port"
+)
+
+// Bounds of the wait after a failed call; the last is below the time in which
+// a change has to be in force.
+const (
+	backoffFirst = 100 * time.Millisecond
+	backoffLast  = 800 * time.Millisecond
+)
+
+// Timing bounds the calls of a mirror.
+type Timing struct {
+	// Wait is the longest time of one watch: a watch that is silent for longer
+	// has lost its events.
+	Wait time.Duration
+	// Slack is what an answer may take beyond that.
+	Slack time.Duration
+}
+
+// Parts are what a mirror works with.
+type Parts[T any] struct {
+	// Name is the kind, for logs.
+	Name    string
+	Source  port.Source[T]
+	Log     *event.Log
+	Metrics *metric.Set
+	Timing  Timing
+	// Take is told of every snapshot that differs from the one before; calls
+	// don't overlap.
+	Take func(s replica.Snapshot[T])
+	// Away is told when the platform is lost and when it is back.
+	Away func(away bool)
+}
+
+// Mirror follows one kind.
+type Mirror[T any] struct {
+	Parts[T]
+
+	mutex sync.Mutex
+	store *replica.Store[T]
+	away  bool
+}
+
+// New makes a mirror that knows nothing.
+func New[T any](p Parts[T]) *Mirror[T] {
+	return &Mirror[T]{Parts: p, store: replica.New[T]()}
+}
+
+// Run is the duty that asks the platform.
+func (m *Mirror[T]) Run(ctx context.Context) error {
+	list, failures := true, 0
+	for ctx.Err() == nil {
+		var err error
+		if list {
+			err = m.list(ctx)
+		} else {
+			err = m.watch(ctx)
+		}
+		if err == nil {
+			list, failures = false, 0
+			m.reached()
+			continue
+		}
+		// After any failure the history may be lost without a word.
+		list = true
+		if fault.Has(err, fault.WatchTooOld) {
+			m.Log.Emit(event.WatchRestarted, zap.String("kind", m.Name), zap.Int("version", int(m.At())))
+			continue
+		}
+		failures++
+		m.failed(ctx, err)
+		duty.Sleep(ctx, backoff(failures))
+	}
+	return nil
+}
+
+// backoff doubles with each failure and is spread, so that entry VMs don't
+// come back together.
+func backoff(failures int) time.Duration {
+	d := min(backoffFirst<<min(failures-1, 6), backoffLast)
+	return d/2 + rand.N(d/2)
+}
+
+func (m *Mirror[T]) list(ctx context.Context) error {
+	c, cancel := context.WithTimeout(ctx, m.Timing.Wait)
+	defer cancel()
+	m.Metrics.Add(metric.PlatformReads, 1)
+	s, err := m.Source.List(c)
+	if err != nil {
+		return err
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if s.At < m.store.At() {
+		m.Log.Emit(event.ConfigStale, zap.String("kind", m.Name), zap.Int("offered", int(s.At)), zap.Int("version", int(m.store.At())))
+		return nil
+	}
+	m.store.Replace(s)
+	m.Take(m.store.Snapshot())
+	return nil
+}
+
+func (m *Mirror[T]) watch(ctx context.Context) error {
+	c, cancel := context.WithTimeout(ctx, m.Timing.Wait+m.Timing.Slack)
+	defer cancel()
+	m.Metrics.Add(metric.PlatformWatches, 1)
+	x, err := m.Source.Watch(c, m.At(), m.Timing.Wait)
+	if err != nil {
+		return err
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.store.Apply(x) > 0 {
+		m.Take(m.store.Snapshot())
+	}
+	return nil
+}
+
+// Offer takes what a peer has, if it is newer.
+func (m *Mirror[T]) Offer(s replica.Snapshot[T]) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if s.At <= m.store.At() {
+		return
+	}
+	m.store.Replace(s)
+	m.Metrics.Add(metric.ConfigFromPeers, 1)
+	m.Take(m.store.Snapshot())
+}
+
+// At is the version up to which every change is known; zero knows nothing.
+func (m *Mirror[T]) At() api.Version {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.store.At()
+}
+
+// Snapshot gives what is known, for a peer.
+func (m *Mirror[T]) Snapshot() replica.Snapshot[T] {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.store.Snapshot()
+}
+
+func (m *Mirror[T]) reached() {
+	if m.change(false) {
+		m.Log.Emit(event.PlatformBack, zap.String("kind", m.Name))
+	}
+}
+
+func (m *Mirror[T]) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	m.Metrics.Add(metric.PlatformFailures, 1)
+	if m.change(true) {
+		m.Log.Emit(event.PlatformLost, zap.String("kind", m.Name), zap.Error(err))
+	}
+}
+
+// change reports whether the word on the platform is new.
+func (m *Mirror[T]) change(away bool) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.away == away {
+		return false
+	}
+	m.away = away
+	m.Away(away)
+	return true
+}
--- /dev/null
+++ b/internal/node/hosted.go
@@ -0,0 +1,275 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/directory"
+	"github.com/wardridge/wardridge/internal/decide/retry"
+	"github.com/wardridge/wardridge/internal/decide/roster"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/gateway"
+	"github.com/wardridge/wardridge/internal/mesh"
+	"github.com/wardridge/wardridge/internal/metric"
+	"github.com/wardridge/wardridge/internal/mirror"
+	"github.com/wardridge/wardridge/internal/peer"
+	"github.com/wardridge/wardridge/internal/port"
+	"github.com/wardridge/wardridge/internal/step"
+	"github.com/wardridge/wardridge/internal/upstream"
+	"github.com/wardridge/wardridge/internal/wire"
+)
+
+// Adapter is a hosting platform's wire. Its parts only translate.
+type Adapter struct {
+	Config   port.Source[directory.Config]
+	Servers  port.Source[roster.Server]
+	Backends port.Backends
+	// Ingress serves callers and Readiness the balancer.
+	Ingress   func(g *gateway.Gateway) http.Handler
+	Readiness func(g *gateway.Gateway) http.Handler
+}
+
+// Links are what an adapter is made over.
+type Links struct {
+	// Platform sends calls to the platform's store at its address.
+	Platform *http.Client
+	Address  string
+	Pool     *upstream.Pool
+	Log      *event.Log
+}
+
+// Hosted is carried through the steps of a hosted entry VM.
+type Hosted struct {
+	context.Context
+
+	Settings api.Settings
+	Machine  Machine
+	Log      *event.Log
+	Metrics  *metric.Set
+	Adapt    func(l Links) Adapter
+
+	adapter  Adapter
+	group    *duty.Group
+	pool     *upstream.Pool
+	peers    *http.Client
+	gateway  *gateway.Gateway
+	config   *mirror.Mirror[directory.Config]
+	servers  *mirror.Mirror[roster.Server]
+	mesh     *mesh.Mesh
+	callers  *http.Server
+	cleanups []func()
+}
+
+// RunHosted runs an entry VM behind a hosting platform's wire until its
+// context ends, and then stops it as planned.
+func RunHosted(ctx context.Context, m Machine, s api.Settings, l *event.Log, adapt func(l Links) Adapter) error {
+	h := &Hosted{Context: ctx, Settings: s, Machine: m, Log: l, Metrics: metric.New(), Adapt: adapt}
+	defer h.close()
+	if err := step.Run(h, l, hostedStart); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	h.Context = context.WithoutCancel(ctx)
+	return step.Run(h, l, hostedStop)
+}
+
+func (h *Hosted) close() {
+	for i := len(h.cleanups) - 1; i >= 0; i-- {
+		h.cleanups[i]()
+	}
+}
+
+func (h *Hosted) cleanup(f func()) {
+	h.cleanups = append(h.cleanups, f)
+}
+
+var hostedStart = []step.Step[*Hosted]{hostedClients{}, hostedDecisions{}, hostedServers{}, hostedDuties{}}
+
+var hostedStop = []step.Step[*Hosted]{hostedTurning{}, hostedDraining{}}
+
+// hostedClients makes the connections to other processes.
+type hostedClients struct{}
+
+func (hostedClients) String() string { return "clients" }
+
+func (hostedClients) Run(h *Hosted) error {
+	var closer func()
+	h.group, closer = duty.New(context.WithoutCancel(h.Context))
+	h.cleanup(closer)
+	h.peers, closer = wire.NewClientOver(h.Machine.Dial, true)
+	h.cleanup(closer)
+	p, closer := wire.NewClientOver(h.Machine.Dial, true)
+	h.cleanup(closer)
+	h.pool, closer = upstream.New(h.Machine.Dial)
+	h.cleanup(closer)
+	h.adapter = h.Adapt(Links{Platform: p, Address: h.Settings.Platform.Address, Pool: h.pool, Log: h.Log})
+	return nil
+}
+
+// hostedDecisions makes the parts that decide and remember.
+type hostedDecisions struct{}
+
+func (hostedDecisions) String() string { return "decisions" }
+
+// mirrorShare is the share of the time in which a change has to be in force
+// that one watch may wait; mirrorSlack is what its answer may take beyond.
+const (
+	mirrorShare = 0.5
+	mirrorSlack = 0.2
+)
+
+func (hostedDecisions) Run(h *Hosted) error {
+	s := h.Settings.Gateway
+	h.gateway = gateway.New(gateway.Parts{
+		Domain: h.Settings.Node.Domain, Backends: h.adapter.Backends, Group: h.group, Log: h.Log, Metrics: h.Metrics,
+		Retries: retry.NewWindow(seconds(s.RetryWindowS), s.RetryRatio, s.RetrySlack),
+	})
+	apply := s.ApplyMS.Duration()
+	t := mirror.Timing{
+		Wait:  time.Duration(mirrorShare * float64(apply)),
+		Slack: time.Duration(mirrorSlack * float64(apply)),
+	}
+	h.config = mirror.New(mirror.Parts[directory.Config]{
+		Name: "config", Source: h.adapter.Config, Log: h.Log, Metrics: h.Metrics, Timing: t,
+		Take: h.gateway.Configure, Away: func(bool) {},
+	})
+	h.servers = mirror.New(mirror.Parts[roster.Server]{
+		Name: "servers", Source: h.adapter.Servers, Log: h.Log, Metrics: h.Metrics, Timing: t,
+		Take: h.gateway.Serve, Away: h.gateway.Away,
+	})
+	h.mesh = mesh.New(mesh.Parts{
+		VM: h.Settings.Node.Name, Address: h.Settings.Node.Control, Seeds: split(s.Seeds),
+		Client: h.peers, Group: h.group, Log: h.Log, Metrics: h.Metrics,
+		Config: h.config, Servers: h.servers, Loads: h.gateway.Loads, Told: h.gateway.Told,
+	})
+	return nil
+}
+
+func seconds(n float64) time.Duration {
+	return time.Duration(n * float64(time.Second))
+}
+
+func split(s string) []string {
+	var l []string
+	for _, a := range strings.Split(s, ",") {
+		if a = strings.TrimSpace(a); a != "" {
+			l = append(l, a)
+		}
+	}
+	return l
+}
+
+// hostedServers listens.
+type hostedServers struct{}
+
+func (hostedServers) String() string { return "servers" }
+
+// headerWait bounds the time that a caller's head may take; operators allow
+// callers 3 s.
+const headerWait = 5 * time.Second
+
+func (hostedServers) Run(h *Hosted) error {
+	r := chi.NewRouter()
+	h.mesh.Routes(r)
+	r.Get(peer.PathMetrics, h.Metrics.ServeHTTP)
+	var err error
+	if _, err = h.listen(h.Settings.Node.Control, r); err != nil {
+		return err
+	}
+	if _, err = h.listen(h.Settings.Gateway.Ready, h.adapter.Readiness(h.gateway)); err != nil {
+		return err
+	}
+	h.callers, err = h.listen(h.Settings.Node.Listen, h.adapter.Ingress(h.gateway))
+	return err
+}
+
+func (h *Hosted) listen(address string, x http.Handler) (*http.Server, error) {
+	l, err := h.Machine.Listen(h, address)
+	if err != nil {
+		return nil, fault.Wrap(fault.ListenFailed, err, "listening on "+address)
+	}
+	s := wire.NewServer(x, headerWait)
+	h.group.Go(func(context.Context) error {
+		// The end of the server is part of the stop.
+		_ = s.Serve(l)
+		return nil
+	})
+	h.cleanup(func() { _ = s.Close() })
+	return s, nil
+}
+
+// hostedDuties starts what runs until the end.
+type hostedDuties struct{}
+
+func (hostedDuties) String() string { return "duties" }
+
+const (
+	// stepEvery is the pause between looks at lapses and members.
+	stepEvery = 200 * time.Millisecond
+	// sweepEvery is the pause between closings of idle connections.
+	sweepEvery = time.Second
+)
+
+func (hostedDuties) Run(h *Hosted) error {
+	h.group.Go(h.config.Run)
+	h.group.Go(h.servers.Run)
+	h.group.Go(h.mesh.Run)
+	h.group.Every(stepEvery, func(ctx context.Context) {
+		h.gateway.Step(ctx)
+		h.gateway.Members(h.mesh.Size())
+		h.Metrics.Put(metric.RequestsInFlight, int64(h.gateway.InFlight()))
+	})
+	h.group.Every(sweepEvery, func(context.Context) { h.pool.Sweep() })
+	h.Log.Emit(event.Started, zap.String("listen", h.Settings.Node.Listen), zap.String("control", h.Settings.Node.Control))
+	return nil
+}
+
+// hostedTurning says not ready, so that new callers go elsewhere.
+type hostedTurning struct{}
+
+func (hostedTurning) String() string { return "turning the readiness" }
+
+func (hostedTurning) Run(h *Hosted) error {
+	h.Log.Emit(event.StopBegun, zap.Int("in_flight", h.gateway.InFlight()))
+	h.gateway.Stop()
+	return nil
+}
+
+// hostedDraining serves on until callers had time to go elsewhere and their
+// requests are answered, or the time to stop is over.
+type hostedDraining struct{}
+
+func (hostedDraining) String() string { return "draining" }
+
+const (
+	// turnTime is how long the balancer may take to notice, and callers to
+	// use their open connections once more.
+	turnTime = 2500 * time.Millisecond
+	// endMargin is kept of the time to stop for the end itself.
+	endMargin = 400 * time.Millisecond
+	// drainEvery is the pause between looks at what is in flight.
+	drainEvery = 50 * time.Millisecond
+)
+
+func (hostedDraining) Run(h *Hosted) error {
+	began := time.Now()
+	limit := seconds(h.Settings.Gateway.GraceS) - endMargin
+	for time.Since(began) < limit {
+		if h.gateway.InFlight() == 0 && time.Since(began) > turnTime {
+			break
+		}
+		if !duty.Sleep(h, drainEvery) {
+			break
+		}
+	}
+	h.Log.Emit(event.StopDone, zap.Int("in_flight", h.gateway.InFlight()))
+	return nil
+}
--- /dev/null
+++ b/internal/port/answer.go
@@ -0,0 +1,52 @@
+package port
+
+import (
+	"net/http"
+
+	"github.com/wardridge/wardridge/internal/fault"
+)
+
+// Head is the first part of a backend server's answer.
+type Head struct {
+	Status int
+	Header http.Header
+}
+
+// Event is one event of a stream, whole, in the bytes the server sent.
+type Event struct {
+	ID    string
+	Bytes []byte
+}
+
+// Stream is an answer that arrives event by event.
+type Stream interface {
+	// Next waits for the next whole event; io.EOF is the proper end, any other
+	// failure means that the stream broke.
+	Next() (Event, error)
+	// Close ends the stream, so that the server stops its work.
+	Close()
+}
+
+// Answer is a backend server's answer: whole, or as a stream when Stream is
+// not nil.
+type Answer struct {
+	Head
+	Body   []byte
+	Stream Stream
+}
+
+// Sink takes the one answer of a request.
+type Sink interface {
+	// Whole writes a complete answer of a backend server.
+	Whole(a Answer)
+	// Begin writes the head of a stream.
+	Begin(h Head)
+	// Event passes one event on; it fails once the caller is gone.
+	Event(e Event) error
+	// End completes the stream.
+	End()
+	// Abort breaks the stream off so that it can't pass for a complete one.
+	Abort()
+	// Refuse writes a failure of the system itself.
+	Refuse(f *fault.Error)
+}
--- /dev/null
+++ b/internal/port/backend.go
@@ -0,0 +1,64 @@
+package port
+
+import (
+	"context"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/roster"
+)
+
+// Attempt is one request on its way to one backend server.
+type Attempt struct {
+	Request   *Request
+	Server    roster.Server
+	Workspace api.WorkspaceName
+	// Left is the time the server is given.
+	Left time.Duration
+	// Fresh asks for a connection that nothing was sent on before.
+	Fresh bool
+	// Protect is the address of the server that is to keep a copy of the run
+	// as it grows; empty for none.
+	Protect string
+	// Resume goes on with a run from a copy of its memory; nil for a new run.
+	Resume *Resume
+}
+
+// Resume names the copy of a run's memory and the last event that the caller
+// has.
+type Resume struct {
+	// Source is the address of the server that the copy was made from, or of
+	// the one that holds it when Handle is the id of a protected request.
+	Source string
+	Handle string
+	After  string
+}
+
+// CopyOrder asks a server to copy the memory of a run to another one.
+type CopyOrder struct {
+	Request api.RequestID
+	Source  roster.Server
+	Target  roster.Server
+	// Stop ends the run at the source first; else it goes on meanwhile.
+	Stop bool
+}
+
+// Copy is a copy of a run's memory.
+type Copy struct {
+	Handle string
+	// Events counts the events that the run had made.
+	Events int
+}
+
+// Backends sends to backend servers. Failures are faults: NotStarted and
+// ServerRefused say that the request did not run, all others that it may have.
+type Backends interface {
+	// Send sends a request and gives its answer.
+	Send(ctx context.Context, a Attempt) (Answer, error)
+	// Copy copies a run's memory. It fails with NotFound when the server has no
+	// such run, VersionConflict when a copy is under way, and ServerRefused when
+	// there is no room or no way; the handle may be known then too.
+	Copy(ctx context.Context, o CopyOrder) (Copy, error)
+	// Release frees a copy that nothing will use.
+	Release(ctx context.Context, s roster.Server, handle string) error
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -113,14 +113,22 @@
 
 // value types a key's text as the schema wants it.
 func value(p schema.Property, s string) (any, error) {
-	if p.Type != "integer" {
+	switch p.Type {
+	case "integer":
+		n, err := strconv.Atoi(s)
+		if err != nil {
+			return nil, fault.New(fault.InvalidSettings, strconv.Quote(s)+" is not a whole number")
+		}
+		return n, nil
+	case "number":
+		n, err := strconv.ParseFloat(s, 64)
+		if err != nil {
+			return nil, fault.New(fault.InvalidSettings, strconv.Quote(s)+" is not a number")
+		}
+		return n, nil
+	default:
 		return s, nil
 	}
-	n, err := strconv.Atoi(s)
-	if err != nil {
-		return nil, fault.New(fault.InvalidSettings, strconv.Quote(s)+" is not a whole number")
-	}
-	return n, nil
 }
 
 // Allowed tells in words what a key may hold.
@@ -138,6 +146,8 @@
 		return fmt.Sprintf("allowed is %v or more", p.Minimum)
 	case p.Type == "integer":
 		return "allowed is a whole number"
+	case p.Type == "number":
+		return "allowed is a number"
 	default:
 		return "allowed is a text"
 	}
--- /dev/null
+++ b/internal/upstream/exchange.go
@@ -0,0 +1,160 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/fault"
+)
+
+const (
+	// keepDefault is how long a connection is kept when the server does not say
+	// when it closes idle ones.
+	keepDefault = 2 * time.Second
+	// keepMargin is subtracted from the time that a server names: the answer's
+	// way, and the request's.
+	keepMargin = 500 * time.Millisecond
+	// surplusLimit bounds the answers of earlier requests that are skipped.
+	surplusLimit = 4
+	// surplusBytes bounds one such answer.
+	surplusBytes = 1 << 20
+)
+
+// Call is one request for one address.
+type Call struct {
+	Address string
+	Request *http.Request
+	// Fresh asks for a new connection.
+	Fresh bool
+	// Mine tells the answer of this request from late ones of others; nil takes
+	// the first.
+	Mine func(h http.Header) bool
+}
+
+// Do sends a call and reads the head of its answer. Failures are faults:
+// NotStarted says that no byte was sent, BadAnswer that what came is no answer,
+// OutcomeUnknown that the request may have been taken.
+func (p *Pool) Do(ctx context.Context, c Call) (*http.Response, error) {
+	var b bytes.Buffer
+	if err := c.Request.Write(&b); err != nil {
+		return nil, fault.Wrap(fault.NotStarted, err, "encoding the request")
+	}
+	n, err := p.get(ctx, c.Address, c.Fresh)
+	if err != nil {
+		return nil, fault.Wrap(fault.NotStarted, err, "connecting to "+c.Address)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = n.SetDeadline(time.Unix(1, 0)) })
+	if w, err := n.Write(b.Bytes()); err != nil {
+		stop()
+		_ = n.Close()
+		return nil, unsent(w, err)
+	}
+	r, err := n.answer(c)
+	if err != nil {
+		stop()
+		_ = n.Close()
+		return nil, err
+	}
+	r.Body = &body{ReadCloser: r.Body, pool: p, conn: n, stop: stop, keep: keep(r)}
+	return r, nil
+}
+
+func unsent(written int, err error) error {
+	if written == 0 {
+		return fault.Wrap(fault.NotStarted, err, "sending the request")
+	}
+	return fault.Wrap(fault.OutcomeUnknown, err, "the request was sent in part")
+}
+
+// answer reads heads until one belongs to the call.
+func (n *conn) answer(c Call) (*http.Response, error) {
+	for range surplusLimit {
+		r, err := http.ReadResponse(n.reader, c.Request)
+		if err != nil {
+			return nil, broken(err)
+		}
+		if r.StatusCode >= 100 && r.StatusCode < 200 {
+			continue
+		}
+		if c.Mine == nil || c.Mine(r.Header) {
+			return r, nil
+		}
+		// It answers an earlier request on this connection; the own one follows.
+		if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, surplusBytes)); err != nil {
+			return nil, broken(err)
+		}
+	}
+	return nil, fault.New(fault.BadAnswer, "only answers of other requests arrived")
+}
+
+// broken types a failure to read an answer.
+func broken(err error) error {
+	var e interface{ Timeout() bool }
+	switch {
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return fault.Wrap(fault.OutcomeUnknown, err, "the connection was closed without a whole answer")
+	case errors.As(err, &e) && e.Timeout():
+		return fault.Wrap(fault.OutcomeUnknown, err, "no answer in time")
+	case strings.Contains(err.Error(), "connection reset"):
+		return fault.Wrap(fault.OutcomeUnknown, err, "the connection was reset")
+	default:
+		return fault.Wrap(fault.BadAnswer, err, "what arrived is no answer")
+	}
+}
+
+// keep is how long the connection of an answer may be kept idle; zero when the
+// server closes it.
+func keep(r *http.Response) time.Duration {
+	if r.Close {
+		return 0
+	}
+	for _, f := range strings.Split(r.Header.Get("Keep-Alive"), ",") {
+		k, v, _ := strings.Cut(strings.TrimSpace(f), "=")
+		if n, err := strconv.Atoi(v); err == nil && strings.EqualFold(k, "timeout") {
+			return time.Duration(n)*time.Second - keepMargin
+		}
+	}
+	return keepDefault
+}
+
+// body gives its connection back once it was read to its end.
+type body struct {
+	io.ReadCloser
+
+	pool *Pool
+	conn *conn
+	stop func() bool
+	keep time.Duration
+	// whole is set at the proper end of the body.
+	whole  bool
+	closed atomic.Bool
+}
+
+// Read reads on and notes the end.
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF {
+		b.whole = true
+	}
+	return n, err
+}
+
+// Close keeps the connection of a whole answer and cuts any other, so that the
+// server stops its work.
+func (b *body) Close() error {
+	if b.closed.Swap(true) {
+		return nil
+	}
+	if b.stop() && b.whole {
+		b.pool.put(b.conn, b.keep)
+		return nil
+	}
+	return b.conn.Close()
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,118 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/wire"
+)
+
+// readBuffer holds an answer's head and a few events of a stream.
+const readBuffer = 4 << 10
+
+// conn is one connection to a backend server.
+type conn struct {
+	net.Conn
+	reader  *bufio.Reader
+	address string
+	reused  bool
+	// until is when the server may close the connection for being idle.
+	until time.Time
+}
+
+// Pool keeps idle connections by address.
+type Pool struct {
+	dial wire.Dial
+
+	mutex  sync.Mutex
+	idle   map[string][]*conn
+	closed bool
+}
+
+// New makes a pool over a way to connect; the clean-up closes what is idle.
+func New(d wire.Dial) (*Pool, func()) {
+	p := &Pool{dial: d, idle: map[string][]*conn{}}
+	return p, p.close
+}
+
+func (p *Pool) close() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.closed = true
+	for _, l := range p.idle {
+		for _, c := range l {
+			_ = c.Close()
+		}
+	}
+	p.idle = nil
+}
+
+// get gives an idle connection that is still whole, or a new one.
+func (p *Pool) get(ctx context.Context, address string, fresh bool) (*conn, error) {
+	for !fresh {
+		c := p.take(address)
+		if c == nil {
+			break
+		}
+		if time.Now().Before(c.until) && quiet(c.Conn) {
+			c.reused = true
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	n, err := p.dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &conn{Conn: n, reader: bufio.NewReaderSize(n, readBuffer), address: address}, nil
+}
+
+// take removes the connection that was used last, which the server is least
+// likely to have closed.
+func (p *Pool) take(address string) *conn {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	l := p.idle[address]
+	if len(l) == 0 {
+		return nil
+	}
+	c := l[len(l)-1]
+	p.idle[address] = l[:len(l)-1]
+	return c
+}
+
+// put keeps a connection for a time.
+func (p *Pool) put(c *conn, keep time.Duration) {
+	c.until = time.Now().Add(keep)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.closed || keep <= 0 || c.reader.Buffered() > 0 {
+		_ = c.Close()
+		return
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// Sweep closes connections that were idle too long.
+func (p *Pool) Sweep() {
+	now := time.Now()
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for a, l := range p.idle {
+		kept := l[:0]
+		for _, c := range l {
+			if now.Before(c.until) {
+				kept = append(kept, c)
+				continue
+			}
+			_ = c.Close()
+		}
+		p.idle[a] = kept
+		if len(kept) == 0 {
+			delete(p.idle, a)
+		}
+	}
+}
