feat: copies of long runs ahead of any notice, spread choices, the story of a stream

Peers that know the same chose the same server for 250 ms. Change: a run of 300 expected tokens or more is protected where at most half of the protector's memory is promised; it goes on there once its server ends. A drawn part of 0.15 in each score. A stream's log line tells its first event, longest pause and moves.

--- a/internal/decide/placement/pick.go
+++ b/internal/decide/placement/pick.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -44,6 +45,9 @@
 	// unreadScale is the prompt tokens whose reading holds an engine up for
 	// about as long as a full memory is worth: half a second at 14 tokens a ms.
 	unreadScale = 7000.0
+	// spread is the part of a score that is drawn: entry VMs that know the same
+	// must not all choose the same server until they hear of each other.
+	spread = 0.15
 	// avoid puts servers that rest, fail or lapsed behind all others.
 	avoid = 10.0
 	// memoryBound is the share of an engine's memory that may be promised; the
@@ -55,30 +59,48 @@
 type Picker struct {
 	Book   *Book
 	Health *Health
+	random *rand.Rand
 }
 
-// NewPicker makes a picker without load.
-func NewPicker() *Picker {
-	return &Picker{Book: NewBook(), Health: NewHealth()}
+// NewPicker makes a picker without load that draws from a source.
+func NewPicker(s rand.Source) *Picker {
+	return &Picker{Book: NewBook(), Health: NewHealth(), random: rand.New(s)}
+}
+
+// Choice is a server with the figures that decided for it.
+type Choice struct {
+	roster.Server
+	// Load is what was known to be in flight there.
+	Load api.ServerLoad
+	// Score rates it, lower is better.
+	Score float64
+	// Of counts the servers that it was chosen from.
+	Of int
 }
 
 // Pick gives the best server for a need that is none of those tried, or false
 // when no server may take it.
-func (p *Picker) Pick(now time.Time, l Pool, n Need, tried []api.ServerName) (roster.Server, bool) {
-	var best roster.Server
-	found := false
-	lowest := 0.0
+func (p *Picker) Pick(now time.Time, l Pool, n Need, tried []api.ServerName) (Choice, bool) {
+	var best Choice
 	share := p.Health.share(names(l.Members))
 	for _, m := range l.Members {
 		if m.State == roster.Leaving || slices.Contains(tried, m.Name) {
 			continue
 		}
 		s, ok := p.score(now, l, m, n, share)
-		if ok && (!found || s < lowest) {
-			best, lowest, found = m.Server, s, true
+		if !ok {
+			continue
 		}
+		best.Of++
+		if best.Of == 1 || s < best.Score {
+			best = Choice{Server: m.Server, Score: s, Of: best.Of}
+		}
+	}
+	if best.Of == 0 {
+		return best, false
 	}
-	return best, found
+	best.Load = p.Book.Total(now, best.Name)
+	return best, true
 }
 
 // score rates a server, lower is better; it reports false for an engine whose
@@ -93,6 +115,7 @@
 		}
 		s = used + float64(t.Unread)/unreadScale
 	}
+	s += spread * p.random.Float64()
 	if m.Domain != l.Domain {
 		s += l.Away
 	}
@@ -108,9 +131,26 @@
 	return s, true
 }
 
-// Room is the share of a server's engine memory that nothing was promised.
-func (p *Picker) Room(now time.Time, n api.ServerName, memory api.Tokens) float64 {
-	return 1 - float64(p.Book.Total(now, n).Tokens)/float64(max(1, memory))
+const (
+	// protectBound is the share of an engine's memory that may be promised with
+	// copies for runs elsewhere; what is above stays for runs of its own.
+	protectBound = 0.5
+	// protectFrom is the expected length of an answer from which a run is worth
+	// a copy: about three seconds in which its server may end.
+	protectFrom = 300
+)
+
+// Protect gives the server that is to keep a copy of a run as it grows, or
+// false where the run is short or memory is needed for runs themselves.
+func (p *Picker) Protect(now time.Time, l Pool, n Need, expected api.Tokens, source api.ServerName) (roster.Server, bool) {
+	if expected < protectFrom {
+		return roster.Server{}, false
+	}
+	s, ok := p.Pick(now, l, n, []api.ServerName{source})
+	if !ok {
+		return s.Server, false
+	}
+	return s.Server, float64(s.Load.Tokens+n.Tokens) <= protectBound*float64(l.Memory)
 }
 
 func names(l []roster.Member) []api.ServerName {
--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -62,7 +63,7 @@
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
-			p := placement.NewPicker()
+			p := placement.NewPicker(rand.NewPCG(1, 2))
 			c.prepare(p)
 			l := placement.Pool{Members: c.members, Memory: 34000, Domain: "x", Away: c.away}
 			got, _ := p.Pick(begin, l, placement.Need{Tokens: 4000, Unread: 3000}, c.tried)
@@ -76,7 +77,7 @@
 // A server that fails half of its requests is put behind, one that fails as
 // often as the others is not.
 func TestFaultyServerIsFoundAgainstItsPool(t *testing.T) {
-	p := placement.NewPicker()
+	p := placement.NewPicker(rand.NewPCG(1, 2))
 	l := placement.Pool{Members: []roster.Member{member("a", "x", roster.Ready), member("b", "x", roster.Ready), member("c", "x", roster.Ready)}, Domain: "x"}
 	for i := range 60 {
 		p.Health.Note(begin, "b", fails(i%7 == 0))
@@ -101,7 +102,7 @@
 }
 
 func TestRestGrowsAndEnds(t *testing.T) {
-	p := placement.NewPicker()
+	p := placement.NewPicker(rand.NewPCG(1, 2))
 	l := placement.Pool{Members: []roster.Member{member("a", "x", roster.Ready), member("b", "x", roster.Ready)}, Domain: "x"}
 	p.Book.Add("b", api.ServerLoad{Requests: 4})
 	pick := func(ms int) api.ServerName {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -38,6 +38,7 @@
 	GenerationLost      ID = 309
 	MoveStep            ID = 310
 	CopyKept            ID = 311
+	ServerChosen        ID = 312
 	ServerReady         ID = 401
 	ServerUnreachable   ID = 402
 	ServerLeaving       ID = 403
@@ -96,6 +97,7 @@
 	{AttemptFailed, "attempt_failed", zapcore.DebugLevel, "One attempt at a backend server failed."},
 	{GenerationLost, "generation_lost", zapcore.WarnLevel, "A stream broke and no copy of its generation was left to go on from."},
 	{MoveStep, "move_step", zapcore.DebugLevel, "A step of the move of a running generation ended."},
+	{ServerChosen, "server_chosen", zapcore.DebugLevel, "A backend server was chosen; the figures are what was in flight there, at all entry VMs heard of."},
 	{CopyKept, "copy_kept", zapcore.InfoLevel, "A copy of a generation that nobody uses could not be freed and will lapse."},
 	{ServerReady, "server_ready", zapcore.InfoLevel, "A backend server takes work."},
 	{ServerUnreachable, "server_unreachable", zapcore.WarnLevel, "A backend server stopped reporting."},
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -27,6 +27,13 @@
 	answer port.Answer
 	server roster.Server
 	lease  *lease
+	backup *backup
+}
+
+// end takes the load of an answer away that needs no server any more.
+func (v served) end() {
+	v.lease.end()
+	v.backup.end()
 }
 
 // call serves a request that is answered whole.
@@ -36,14 +43,16 @@
 		g.refuse(q.Request, q.sink, f)
 		return
 	}
-	v.lease.end()
+	v.end()
 	g.done(q)
 	q.sink.Whole(v.answer)
 }
 
-func (g *Gateway) done(q *request) {
+// done logs a request that was answered whole.
+func (g *Gateway) done(q *request, story ...zap.Field) {
 	g.Metrics.Add(metric.RequestsDone, 1)
-	g.Log.Emit(event.RequestDone, zap.String("request", string(q.ID)), zap.Duration("took", time.Since(q.Arrived)))
+	l := []zap.Field{zap.String("request", string(q.ID)), zap.String("route", q.route.Name), zap.Duration("took", time.Since(q.Arrived))}
+	g.Log.Emit(event.RequestDone, append(l, story...)...)
 }
 
 // try sends a request to one server after the other while it may be repeated
@@ -52,17 +61,21 @@
 	c := call.New(q.route.Kind != directory.Safe)
 	var failed *port.Answer
 	for {
-		s, l, ok := g.pick(q.service, n, q.tried)
+		x, l, ok := g.pick(q.service, n, q.tried)
 		if !ok {
 			return settle(failed, c.NoServer())
 		}
+		s := x.Server
+		g.Log.Emit(event.ServerChosen, zap.String("request", string(q.ID)), zap.String("server", string(s.Name)), zap.Int("requests", x.Load.Requests), zap.Int("tokens", int(x.Load.Tokens)), zap.Int("unread", int(x.Load.Unread)), zap.Float64("score", x.Score), zap.Int("of", x.Of))
 		q.tried = append(q.tried, s.Name)
-		a, err := g.attempt(ctx, q, s)
+		b := g.protect(q, s)
+		a, err := g.attempt(ctx, q, s, b)
 		if err == nil && !worthAnother(q, a) {
 			g.note(s.Name, placement.Served)
-			return served{answer: a, server: s, lease: l}, nil
+			return served{answer: a, server: s, lease: l, backup: b}, nil
 		}
 		l.end()
+		b.end()
 		if err == nil {
 			g.note(s.Name, placement.Failed)
 			failed = &a
@@ -93,7 +106,7 @@
 }
 
 // attempt sends a request to one server.
-func (g *Gateway) attempt(ctx context.Context, q *request, s roster.Server) (port.Answer, error) {
+func (g *Gateway) attempt(ctx context.Context, q *request, s roster.Server, b *backup) (port.Answer, error) {
 	left := time.Until(q.deadline)
 	if q.route.Kind == directory.Safe && len(q.tried) < q.route.MaxServers && q.route.Aim > 0 {
 		left = min(left, time.Duration(hangAims*float64(q.route.Aim)))
@@ -104,10 +117,14 @@
 	if left <= 0 {
 		return port.Answer{}, fault.New(fault.NotStarted, "the deadline passed before the send")
 	}
-	return g.Backends.Send(ctx, port.Attempt{
+	a := port.Attempt{
 		Request: q.Request, Server: s, Workspace: q.workspace.Name, Left: left,
 		Fresh: q.route.Kind == directory.Stream,
-	})
+	}
+	if b != nil {
+		a.Protect = b.at.Address
+	}
+	return g.Backends.Send(ctx, a)
 }
 
 // outcome types an attempt's failure for the decision on another one.
--- /dev/null
+++ b/internal/gateway/fake_test.go
@@ -0,0 +1,291 @@
+package gateway_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/directory"
+	"github.com/wardridge/wardridge/internal/decide/replica"
+	"github.com/wardridge/wardridge/internal/decide/retry"
+	"github.com/wardridge/wardridge/internal/decide/roster"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/gateway"
+	"github.com/wardridge/wardridge/internal/metric"
+	"github.com/wardridge/wardridge/internal/port"
+)
+
+// eventGap is the time between two events of a fake engine.
+const eventGap = 30 * time.Millisecond
+
+// copyTime is what the first copy of a run takes, and restTime a later one.
+const (
+	copyTime = 300 * time.Millisecond
+	restTime = 10 * time.Millisecond
+)
+
+// fakeRun is one generation, wherever it runs.
+type fakeRun struct {
+	total   int
+	made    int
+	server  string
+	stopped bool
+}
+
+// fake stands for all backend servers.
+type fake struct {
+	mutex sync.Mutex
+	// answers scripts plain servers: what each send gets, in order.
+	answers map[string][]any
+	sends   []string
+	runs    map[string]*fakeRun
+	dead    map[string]bool
+	// full targets refuse copies; handles names the copies that are held.
+	full     map[string]bool
+	handles  map[string]string
+	copies   int
+	missing  int
+	released []string
+	closed   int
+	total    int
+	leaves   map[string]bool
+}
+
+func newFake() *fake {
+	return &fake{
+		answers: map[string][]any{}, runs: map[string]*fakeRun{}, dead: map[string]bool{},
+		full: map[string]bool{}, handles: map[string]string{}, leaves: map[string]bool{}, total: 20,
+	}
+}
+
+func (f *fake) Send(ctx context.Context, a port.Attempt) (port.Answer, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	n := string(a.Server.Name)
+	f.sends = append(f.sends, n)
+	if l := f.answers[n]; len(l) > 0 {
+		f.answers[n] = l[1:]
+		if err, ok := l[0].(error); ok {
+			return port.Answer{}, err
+		}
+		return port.Answer{Head: port.Head{Status: l[0].(int)}, Body: []byte(n)}, nil
+	}
+	if f.dead[n] {
+		return port.Answer{}, fault.New(fault.NotStarted, "dead")
+	}
+	return f.open(ctx, a)
+}
+
+// open starts or resumes a run; the mutex is held.
+func (f *fake) open(ctx context.Context, a port.Attempt) (port.Answer, error) {
+	n, id := string(a.Server.Name), string(a.Request.ID)
+	r := f.runs[id]
+	after := 0
+	if x := a.Resume; x != nil {
+		if f.handles[x.Handle] != n {
+			return port.Answer{}, fault.New(fault.ServerRefused, "no such copy")
+		}
+		after, _ = strconv.Atoi(x.After)
+		r.stopped = false
+	} else {
+		r = &fakeRun{total: f.total}
+		f.runs[id] = r
+	}
+	r.server = n
+	s := &fakeStream{fake: f, run: r, server: n, next: after + 1, closed: make(chan struct{})}
+	h := http.Header{"Content-Type": {"text/event-stream"}}
+	return port.Answer{Head: port.Head{Status: http.StatusOK, Header: h}, Stream: s}, ctx.Err()
+}
+
+type fakeStream struct {
+	fake   *fake
+	run    *fakeRun
+	server string
+	next   int
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (s *fakeStream) Next() (port.Event, error) {
+	t := time.NewTimer(eventGap)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-s.closed:
+		return port.Event{}, fault.New(fault.GenerationLost, "closed")
+	}
+	s.fake.mutex.Lock()
+	defer s.fake.mutex.Unlock()
+	switch {
+	case s.run.stopped || s.fake.dead[s.server] || s.run.server != s.server:
+		return port.Event{}, fault.New(fault.GenerationLost, "broke off")
+	case s.next > s.run.total:
+		return port.Event{}, io.EOF
+	}
+	id := strconv.Itoa(s.next)
+	s.run.made = max(s.run.made, s.next)
+	s.next++
+	return port.Event{ID: id, Bytes: []byte("id: " + id + "\n\n")}, nil
+}
+
+func (s *fakeStream) Close() {
+	s.once.Do(func() {
+		close(s.closed)
+		s.fake.mutex.Lock()
+		defer s.fake.mutex.Unlock()
+		s.fake.closed++
+	})
+}
+
+func (f *fake) Copy(_ context.Context, o port.CopyOrder) (port.Copy, error) {
+	f.mutex.Lock()
+	first := f.copies == 0
+	if f.missing > 0 {
+		f.missing--
+		f.mutex.Unlock()
+		return port.Copy{}, fault.New(fault.NotFound, "not begun")
+	}
+	f.mutex.Unlock()
+	if first {
+		time.Sleep(copyTime)
+	} else {
+		time.Sleep(restTime)
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	r := f.runs[string(o.Request)]
+	switch {
+	case f.dead[string(o.Source.Name)]:
+		return port.Copy{}, fault.New(fault.OutcomeUnknown, "dead")
+	case r == nil || r.server != string(o.Source.Name):
+		return port.Copy{}, fault.New(fault.NotFound, "no such run")
+	case f.full[string(o.Target.Name)]:
+		return port.Copy{}, fault.New(fault.ServerRefused, "no room")
+	}
+	f.copies++
+	h := "h-" + string(o.Target.Name)
+	f.handles[h] = string(o.Target.Name)
+	r.stopped = r.stopped || o.Stop
+	return port.Copy{Handle: h, Events: r.made}, nil
+}
+
+func (f *fake) Leaving(_ context.Context, s roster.Server) (bool, error) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.leaves[string(s.Name)], nil
+}
+
+func (f *fake) Release(_ context.Context, _ roster.Server, handle string) error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.released = append(f.released, handle)
+	return nil
+}
+
+// caller collects one answer.
+type caller struct {
+	mutex   sync.Mutex
+	status  int
+	body    string
+	ids     []string
+	ended   bool
+	aborted bool
+	fault   *fault.Error
+	gone    bool
+}
+
+func (c *caller) Whole(a port.Answer) { c.status, c.body = a.Status, string(a.Body) }
+func (c *caller) Begin(h port.Head)   { c.status = h.Status }
+func (c *caller) End()                { c.ended = true }
+func (c *caller) Abort()              { c.aborted = true }
+
+func (c *caller) Refuse(f *fault.Error) { c.fault = f }
+
+func (c *caller) Event(e port.Event) error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.gone {
+		return io.ErrClosedPipe
+	}
+	c.ids = append(c.ids, e.ID)
+	return nil
+}
+
+func (c *caller) count() int {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return len(c.ids)
+}
+
+// whole reports whether the caller has events 1 to n, once each and in order.
+func (c *caller) whole(n int) bool {
+	if len(c.ids) != n || !c.ended || c.aborted {
+		return false
+	}
+	for i, id := range c.ids {
+		if id != strconv.Itoa(i+1) {
+			return false
+		}
+	}
+	return true
+}
+
+// bed is a gateway over fake servers.
+type bed struct {
+	*gateway.Gateway
+	fake    *fake
+	version api.Version
+}
+
+// newBed makes a gateway that knows a stream route and plain ones, and two
+// engines and two plain servers.
+func newBed(t *testing.T, f *fake, slack float64) *bed {
+	t.Helper()
+	g, closer := duty.New(context.Background())
+	t.Cleanup(closer)
+	b := &bed{fake: f, Gateway: gateway.New(gateway.Parts{
+		Domain: "x", Backends: f, Group: g, Log: event.Discard(), Metrics: metric.New(),
+		Retries: retry.NewWindow(10*time.Second, 0, slack),
+	})}
+	e := &directory.Engine{Slots: 24, Memory: 34000, Moves: true, Stride: 4}
+	route := func(p string, k directory.Kind, s api.ServiceName) directory.Route {
+		return directory.Route{Host: "h", Prefix: p, Kind: k, Timeout: 30 * time.Second, Aim: 100 * time.Millisecond, MaxServers: 2, Targets: []directory.Target{{Service: s, Weight: 1}}}
+	}
+	b.Configure(replica.Snapshot[directory.Config]{Items: []replica.Object[directory.Config]{{Value: directory.Config{
+		Version: 1,
+		Routes: []directory.Route{
+			route("/stream/", directory.Stream, "engines"), route("/safe/", directory.Safe, "plain"), route("/unsafe/", directory.Unsafe, "plain"),
+		},
+		Services: []directory.Service{{Name: "engines", Engine: e}, {Name: "plain"}},
+	}}}})
+	b.servers(map[string]bool{"e1": false, "e2": false, "p1": false, "p2": false})
+	return b
+}
+
+// servers declares servers by name and whether they are draining.
+func (b *bed) servers(m map[string]bool) {
+	b.version++
+	s := replica.Snapshot[roster.Server]{At: b.version}
+	for n, d := range m {
+		v := api.ServiceName("plain")
+		if n[0] == 'e' {
+			v = "engines"
+		}
+		s.Items = append(s.Items, replica.Object[roster.Server]{Name: n, Value: roster.Server{Name: api.ServerName(n), Service: v, Address: n, Domain: "x", Slots: 6, Draining: d}})
+	}
+	b.Serve(s)
+}
+
+func request(path string) *port.Request {
+	return &port.Request{
+		ID: "r", Method: http.MethodPost, Host: "h", Path: path, Target: path, Header: http.Header{}, Arrived: time.Now(),
+		Wait: 20 * time.Second, Prompt: port.Prompt{Tokens: 3000, Limit: 2000, Expected: 900},
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -29,7 +29,9 @@
 
 // Parts are what a gateway works with.
 type Parts struct {
-	Domain   api.DomainName
+	Domain api.DomainName
+	// Seed is of the numbers that are drawn to choose servers.
+	Seed     uint64
 	Backends port.Backends
 	Group    *duty.Group
 	Log      *event.Log
@@ -55,7 +57,7 @@
 // New makes a gateway that knows no configuration.
 func New(p Parts) *Gateway {
 	return &Gateway{
-		Parts: p, roster: roster.New(), picker: placement.NewPicker(),
+		Parts: p, roster: roster.New(), picker: placement.NewPicker(rand.NewPCG(p.Seed, 0)),
 		runs: map[api.ServerName]map[*run]bool{},
 	}
 }
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -35,7 +35,7 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.moving || r.over {
+	if r.moving || r.over || r.backup != nil {
 		return
 	}
 	r.moving = true
@@ -123,7 +123,7 @@
 		m.tried = nil
 		return false
 	}
-	m.target, m.lease = s, l
+	m.target, m.lease = s.Server, l
 	m.tried = append(m.tried, s.Name)
 	return true
 }
@@ -211,8 +211,7 @@
 		}
 	}
 	r.mutex.Lock()
-	c := r.copied
-	r.copied = nil
+	c := r.hold()
 	from := r.server
 	r.mutex.Unlock()
 	if !stopped {
@@ -229,7 +228,7 @@
 		return nil, false
 	}
 	g.Metrics.Add(metric.Resumes, 1)
-	g.Log.Emit(event.GenerationResumed, zap.String("request", string(r.request.ID)), zap.String("from", string(from.Name)), zap.String("to", string(c.at.Name)), zap.Bool("stopped", stopped), zap.Duration("took", time.Since(began)))
+	g.Log.Emit(event.GenerationResumed, zap.String("request", string(r.request.ID)), zap.String("from", string(from.Name)), zap.String("to", string(c.at.Name)), zap.Bool("stopped", stopped), zap.Bool("kept", c.kept), zap.Duration("took", time.Since(began)))
 	return s, true
 }
 
@@ -238,20 +237,39 @@
 	q := r.request
 	x := c.resume
 	x.After, _ = r.progress()
-	a, err := g.Backends.Send(ctx, port.Attempt{
+	b := g.protect(q, c.at)
+	t := port.Attempt{
 		Request: q.Request, Server: c.at, Workspace: q.workspace.Name, Left: time.Until(q.deadline), Fresh: true, Resume: &x,
-	})
+	}
+	if b != nil {
+		t.Protect = b.at.Address
+	}
+	a, err := g.Backends.Send(ctx, t)
 	if err != nil {
+		b.end()
 		return nil, err
 	}
 	if a.Stream == nil {
+		b.end()
 		return nil, fault.New(fault.BadAnswer, "a resumed run was not answered by a stream")
 	}
 	g.detach(r)
-	g.attach(r, c.at, c.lease)
+	g.attach(r, c.at, c.lease, b)
 	return a.Stream, nil
 }
 
+// hold takes the copy to go on from: the newest one made on order, or else
+// that of the server which kept one as the run grew; the mutex is held.
+func (r *run) hold() *held {
+	c, b := r.copied, r.backup
+	r.copied = nil
+	if c != nil || b == nil {
+		return c
+	}
+	r.backup = nil
+	return &held{at: b.at, lease: b.lease, resume: port.Resume{Source: b.at.Address, Handle: string(r.request.ID)}, kept: true}
+}
+
 // lost logs a generation that can't go on.
 func (g *Gateway) lost(r *run, from roster.Server, err error) {
 	_, n := r.progress()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -2,6 +2,9 @@
 
 import (
 	"sync"
+	"time"
+
+	"go.uber.org/zap"
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/roster"
@@ -14,6 +17,21 @@
 	at     roster.Server
 	lease  *lease
 	resume port.Resume
+	// kept is set for a copy that grew with the run, rather than on order.
+	kept bool
+}
+
+// backup is the server that keeps a copy of a run as it grows.
+type backup struct {
+	at    roster.Server
+	lease *lease
+}
+
+// end takes the copy's load away.
+func (b *backup) end() {
+	if b != nil {
+		b.lease.end()
+	}
 }
 
 // run is one running generation on its way to its caller.
@@ -32,14 +50,73 @@
 	stopped bool
 	// copied is the newest copy of the run's memory, nil for none.
 	copied *held
+	// backup keeps a copy of the run at its present server, nil for none.
+	backup *backup
 	over   bool
+	pace   pace
+}
+
+// at is the server that runs it.
+func (r *run) at() roster.Server {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.server
+}
+
+// unprotect gives up the copy that a leaving server keeps.
+func (r *run) unprotect(l []roster.Member) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, m := range l {
+		if r.backup != nil && m.State == roster.Leaving && m.Name == r.backup.at.Name {
+			r.backup.end()
+			r.backup = nil
+		}
+	}
+}
+
+// pace is what a caller saw of a stream's times.
+type pace struct {
+	// first is the time to the first event, last when the last one came.
+	first time.Duration
+	last  time.Time
+	// pause is the longest time between two events, and after the event before
+	// it.
+	pause time.Duration
+	after int
+	moves int
+}
+
+// note takes the time of an event.
+func (p *pace) note(now, arrived time.Time, count int) {
+	if p.last.IsZero() {
+		p.first = now.Sub(arrived)
+	} else if d := now.Sub(p.last); d > p.pause {
+		p.pause = d
+		p.after = count - 1
+	}
+	p.last = now
 }
 
 // take judges an event.
 func (r *run) take(id string) sequence.Verdict {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.events.Take(id)
+	v := r.events.Take(id)
+	if v == sequence.Deliver {
+		r.pace.note(time.Now(), r.request.Arrived, r.events.Count())
+	}
+	return v
+}
+
+// story gives the fields of the log line at a stream's end.
+func (r *run) story() []zap.Field {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return []zap.Field{
+		zap.String("server", string(r.server.Name)), zap.Int("events", r.events.Count()), zap.Duration("first", r.pace.first),
+		zap.Duration("pause", r.pace.pause), zap.Int("pause_after", r.pace.after), zap.Int("moves", r.pace.moves),
+	}
 }
 
 // progress gives the last event's id and the count.
@@ -50,11 +127,15 @@
 }
 
 // attach counts a run at its server and moves it on if that leaves.
-func (g *Gateway) attach(r *run, s roster.Server, l *lease) {
+func (g *Gateway) attach(r *run, s roster.Server, l *lease, b *backup) {
 	r.mutex.Lock()
+	r.backup = b
 	r.server = s
 	r.lease = l
-	r.events.Join()
+	if r.events.Count() > 0 {
+		r.events.Join()
+		r.pace.moves++
+	}
 	r.stopped = false
 	r.copied = nil
 	r.mutex.Unlock()
@@ -66,6 +147,9 @@
 	}
 	m[r] = true
 	g.mutex.Unlock()
+	if b != nil && g.leaving(b.at.Name) {
+		r.unprotect([]roster.Member{{Server: b.at, State: roster.Leaving}})
+	}
 	if g.leaving(s.Name) {
 		g.move(r)
 	}
@@ -75,10 +159,11 @@
 func (g *Gateway) detach(r *run) {
 	r.mutex.Lock()
 	n := r.server.Name
-	l := r.lease
-	r.lease = nil
+	l, b := r.lease, r.backup
+	r.lease, r.backup = nil, nil
 	r.mutex.Unlock()
 	l.end()
+	b.end()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.forget(n, r)
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -48,25 +48,31 @@
 
 // changed moves runs off servers that have begun to leave.
 func (g *Gateway) changed(l []roster.Member) {
+	if len(l) == 0 {
+		return
+	}
 	for _, m := range l {
 		g.Log.Emit(event.ServerState, zap.String("server", string(m.Name)), zap.String("address", m.Address), zap.String("state", m.State.String()))
-		if m.State == roster.Leaving {
-			g.evacuate(m.Name)
+	}
+	for _, r := range g.all() {
+		r.unprotect(l)
+		if g.leaving(r.at().Name) {
+			g.move(r)
 		}
 	}
 }
 
-// evacuate starts the move of every run at a server.
-func (g *Gateway) evacuate(n api.ServerName) {
+// all lists the runs that are under way.
+func (g *Gateway) all() []*run {
 	g.mutex.Lock()
+	defer g.mutex.Unlock()
 	var l []*run
-	for r := range g.runs[n] {
-		l = append(l, r)
-	}
-	g.mutex.Unlock()
-	for _, r := range l {
-		g.move(r)
+	for _, m := range g.runs {
+		for r := range m {
+			l = append(l, r)
+		}
 	}
+	return l
 }
 
 // leaving reports whether a server is known to leave.
@@ -79,26 +85,53 @@
 
 // pick chooses a server of a service for a need and counts the load there; the
 // clean-up takes the load away.
-func (g *Gateway) pick(s *directory.Service, n placement.Need, tried []api.ServerName) (roster.Server, *lease, bool) {
+func (g *Gateway) pick(s *directory.Service, n placement.Need, tried []api.ServerName) (placement.Choice, *lease, bool) {
 	return g.pickNear(s, n, tried, g.Domain, placement.AwayCall)
 }
 
 // pickNear is pick with a failure domain to stay in, and the price of leaving
 // it.
-func (g *Gateway) pickNear(s *directory.Service, n placement.Need, tried []api.ServerName, d api.DomainName, away float64) (roster.Server, *lease, bool) {
+func (g *Gateway) pickNear(s *directory.Service, n placement.Need, tried []api.ServerName, d api.DomainName, away float64) (placement.Choice, *lease, bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	x, ok := g.picker.Pick(time.Now(), g.pool(s, d, away), n, tried)
+	if !ok {
+		return x, nil, false
+	}
+	return x, g.lease(x.Name, api.ServerLoad{Requests: 1, Tokens: n.Tokens, Unread: n.Unread}), true
+}
+
+// pool is the servers of a service; the mutex is held.
+func (g *Gateway) pool(s *directory.Service, d api.DomainName, away float64) placement.Pool {
 	p := placement.Pool{Members: g.roster.Service(s.Name), Domain: d, Away: away}
 	if s.Engine != nil {
 		p.Memory = s.Engine.Memory
 	}
-	x, ok := g.picker.Pick(time.Now(), p, n, tried)
+	return p
+}
+
+// lease counts a load at a server; the mutex is held.
+func (g *Gateway) lease(n api.ServerName, x api.ServerLoad) *lease {
+	l := &lease{gateway: g, server: n, load: x}
+	g.picker.Book.Add(n, x)
+	return l
+}
+
+// protect chooses the server that is to keep a copy of a stream as it grows,
+// and counts the copy there; nil for none.
+func (g *Gateway) protect(q *request, source roster.Server) *backup {
+	if e := q.service.Engine; e == nil || !e.Backups || q.route.Kind != directory.Stream {
+		return nil
+	}
+	n := need(q)
+	n.Unread = 0
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	s, ok := g.picker.Protect(time.Now(), g.pool(q.service, source.Domain, placement.AwayCall), n, q.expected(), source.Name)
 	if !ok {
-		return x, nil, false
+		return nil
 	}
-	l := &lease{gateway: g, server: x.Name, load: api.ServerLoad{Requests: 1, Tokens: n.Tokens, Unread: n.Unread}}
-	g.picker.Book.Add(l.server, l.load)
-	return x, l, true
+	return &backup{at: s, lease: g.lease(s.Name, api.ServerLoad{Tokens: n.Tokens})}
 }
 
 // lease is the load of one request counted at one server.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -23,16 +23,20 @@
 
 // need is what a stream asks of an engine.
 func need(q *request) placement.Need {
-	x := q.Prompt.Expected
-	if x == 0 {
-		x = q.Prompt.Limit
-	}
 	return placement.Need{
-		Tokens: q.Prompt.Tokens + api.Tokens(expectedShare*float64(min(x, max(q.Prompt.Limit, 1)))),
+		Tokens: q.Prompt.Tokens + api.Tokens(expectedShare*float64(q.expected())),
 		Unread: q.Prompt.Tokens,
 	}
 }
 
+// expected is the expected length of the answer.
+func (q *request) expected() api.Tokens {
+	if x := q.Prompt.Expected; x > 0 && x < q.Prompt.Limit {
+		return x
+	}
+	return q.Prompt.Limit
+}
+
 // stream serves a request that is answered event by event.
 func (g *Gateway) stream(ctx context.Context, q *request) {
 	v, f := g.try(ctx, q, need(q))
@@ -40,12 +44,12 @@
 	case f != nil:
 		g.refuse(q.Request, q.sink, f)
 	case v.answer.Stream == nil:
-		v.lease.end()
+		v.end()
 		g.done(q)
 		q.sink.Whole(v.answer)
 	default:
 		r := &run{request: q}
-		g.attach(r, v.server, v.lease)
+		g.attach(r, v.server, v.lease, v.backup)
 		defer g.leave(r)
 		q.sink.Begin(v.answer.Head)
 		g.pump(ctx, r, v.answer.Stream)
@@ -74,7 +78,7 @@
 		switch {
 		case err == nil:
 			q.sink.End()
-			g.done(q)
+			g.done(q, r.story()...)
 			return
 		case ctx.Err() != nil || fault.Has(err, fault.CallerGone):
 			g.Metrics.Add(metric.CallersGone, 1)
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -132,7 +132,7 @@
 func (hostedDecisions) Run(h *Hosted) error {
 	s := h.Settings.Gateway
 	h.gateway = gateway.New(gateway.Parts{
-		Domain: h.Settings.Node.Domain, Backends: h.adapter.Backends, Group: h.group, Log: h.Log, Metrics: h.Metrics,
+		Domain: h.Settings.Node.Domain, Seed: uint64(time.Now().UnixNano()), Backends: h.adapter.Backends, Group: h.group, Log: h.Log, Metrics: h.Metrics,
 		Retries: retry.NewWindow(seconds(s.RetryWindowS), s.RetryRatio, s.RetrySlack),
 	})
 	apply := s.ApplyMS.Duration()
