fix: believe a settled peer that a server is gone; feat: dev up waits for a first answer

Ruled out: late word of the notice (logs show it 3 ms after the others'). Change: views that peers pass on say whether the store has answered for 2.5 s; a missing entry in such a view, or after an outage that only this VM had, is a leave. dev up asks each entry VM until it answers.

--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -19,6 +19,9 @@
 type Snapshot[T any] struct {
 	At    api.Version `json:"at"`
 	Items []Object[T] `json:"items"`
+	// Settled is set on a view that is passed on where the platform has answered
+	// for so long that nothing is missing from it for an outage.
+	Settled bool `json:"settled,omitempty"`
 	// Kept names objects that could not be read and stay as they were.
 	Kept []string `json:"-"`
 }
--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -63,26 +63,36 @@
 type Roster struct {
 	members map[api.ServerName]*Member
 	away    bool
-	// back is when the store answered again after its last outage.
+	// lost is when the store's last outage began, back when it answered again.
+	lost time.Time
 	back time.Time
+	// vouched is when a peer that the store answers last gave its view.
+	vouched time.Time
 }
 
-// New makes a roster without servers.
+// New makes a roster without servers, which the store has not answered yet.
 func New() *Roster {
-	return &Roster{members: map[api.ServerName]*Member{}}
+	return &Roster{members: map[api.ServerName]*Member{}, away: true}
 }
 
 // Away notes whether the store is unreachable.
 func (r *Roster) Away(now time.Time, away bool) {
-	if r.away && !away {
+	switch {
+	case r.away && !away:
 		r.back = now
+	case !r.away && away:
+		r.lost = now
 	}
 	r.away = away
 }
 
 // Update takes the entries as the store has them and gives the servers whose
-// state has changed.
-func (r *Roster) Update(now time.Time, entries []Server) []Member {
+// state has changed. With vouched, they come from a peer that the store has
+// answered for long enough, so that a missing entry is no lapse.
+func (r *Roster) Update(now time.Time, entries []Server, vouched bool) []Member {
+	if vouched {
+		r.vouched = now
+	}
 	var l []Member
 	seen := make(map[api.ServerName]bool, len(entries))
 	for _, e := range entries {
@@ -113,12 +123,18 @@
 	if m.State == Leaving {
 		return Leaving
 	}
-	if r.away || now.Sub(r.back) < returnTime {
+	if r.unsure(now) {
 		return Lapsed
 	}
 	return Leaving
 }
 
+// unsure reports whether entries may be missing for an outage of the store. An
+// outage in which a peer vouched for its view was of this entry VM alone.
+func (r *Roster) unsure(now time.Time) bool {
+	return (r.away || now.Sub(r.back) < returnTime) && !r.vouched.After(r.lost)
+}
+
 // set reports whether the state is new.
 func (r *Roster) set(now time.Time, s Server, t State) bool {
 	m, ok := r.members[s.Name]
@@ -141,7 +157,7 @@
 	var l []Member
 	for n, m := range r.members {
 		switch {
-		case m.State == Lapsed && !r.away && now.Sub(r.back) >= returnTime:
+		case m.State == Lapsed && !r.unsure(now):
 			m.State = Leaving
 			m.Since = now
 			l = append(l, *m)
--- a/internal/decide/roster/roster_test.go
+++ b/internal/decide/roster/roster_test.go
@@ -18,6 +18,13 @@
 	return roster.Server{Name: api.ServerName(n), Service: "s", Address: "10.0.0.1:1", Draining: draining}
 }
 
+// settled gives a roster that the store has answered for long.
+func settled() *roster.Roster {
+	r := roster.New()
+	r.Away(at(-10000), false)
+	return r
+}
+
 func state(t *testing.T, r *roster.Roster, n string) roster.State {
 	t.Helper()
 	m, ok := r.Find(api.ServerName(n))
@@ -34,47 +41,69 @@
 		want roster.State
 	}{
 		{"entry", func(*roster.Roster) {}, roster.Ready},
-		{"draining entry", func(r *roster.Roster) { r.Update(at(10), []roster.Server{server("a", true)}) }, roster.Leaving},
-		{"entry gone while the store is well", func(r *roster.Roster) { r.Update(at(10), nil) }, roster.Leaving},
+		{"draining entry", func(r *roster.Roster) { r.Update(at(10), []roster.Server{server("a", true)}, false) }, roster.Leaving},
+		{"entry gone while the store is well", func(r *roster.Roster) { r.Update(at(10), nil, false) }, roster.Leaving},
 		{"entry gone in an outage", func(r *roster.Roster) {
 			r.Away(at(10), true)
-			r.Update(at(20), nil)
+			r.Update(at(20), nil, false)
 		}, roster.Lapsed},
 		{"entry gone right after an outage", func(r *roster.Roster) {
 			r.Away(at(10), true)
 			r.Away(at(5000), false)
-			r.Update(at(5010), nil)
+			r.Update(at(5010), nil, false)
 		}, roster.Lapsed},
 		{"entry back after an outage", func(r *roster.Roster) {
 			r.Away(at(10), true)
 			r.Away(at(5000), false)
-			r.Update(at(5010), nil)
-			r.Update(at(6000), []roster.Server{server("a", false)})
+			r.Update(at(5010), nil, false)
+			r.Update(at(6000), []roster.Server{server("a", false)}, false)
 		}, roster.Ready},
+		{"entry gone in the view of a peer while this VM alone is turned away", func(r *roster.Roster) {
+			r.Away(at(10), true)
+			r.Update(at(20), nil, true)
+		}, roster.Leaving},
+		{"entry gone after an outage of this VM alone", func(r *roster.Roster) {
+			r.Away(at(10), true)
+			r.Update(at(20), []roster.Server{server("a", false)}, true)
+			r.Away(at(5000), false)
+			r.Update(at(5010), nil, false)
+		}, roster.Leaving},
+		{"entry gone in an outage of all after one of this VM alone", func(r *roster.Roster) {
+			r.Away(at(10), true)
+			r.Update(at(20), []roster.Server{server("a", false)}, true)
+			r.Away(at(5000), false)
+			r.Away(at(9000), true)
+			r.Update(at(9010), nil, false)
+		}, roster.Lapsed},
+		{"entry gone before the store ever answered", func(r *roster.Roster) {
+			*r = *roster.New()
+			r.Update(at(10), []roster.Server{server("a", false)}, false)
+			r.Update(at(20), nil, false)
+		}, roster.Lapsed},
 		{"entry still missing after the time to return", func(r *roster.Roster) {
 			r.Away(at(10), true)
 			r.Away(at(5000), false)
-			r.Update(at(5010), nil)
+			r.Update(at(5010), nil, false)
 			r.Step(at(7010))
 		}, roster.Leaving},
 		{"lapse lasts as long as the outage", func(r *roster.Roster) {
 			r.Away(at(10), true)
-			r.Update(at(20), nil)
+			r.Update(at(20), nil, false)
 			r.Step(at(9000))
 		}, roster.Lapsed},
 		{"own word of leaving outlasts a late entry", func(r *roster.Roster) {
 			r.Leave(at(10), "a")
-			r.Update(at(20), []roster.Server{server("a", false)})
+			r.Update(at(20), []roster.Server{server("a", false)}, false)
 		}, roster.Leaving},
 		{"entry that was silent for a while", func(r *roster.Roster) {
-			r.Update(at(10), nil)
-			r.Update(at(3000), []roster.Server{server("a", false)})
+			r.Update(at(10), nil, false)
+			r.Update(at(3000), []roster.Server{server("a", false)}, false)
 		}, roster.Ready},
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
-			r := roster.New()
-			r.Update(at(0), []roster.Server{server("a", false)})
+			r := settled()
+			r.Update(at(0), []roster.Server{server("a", false)}, false)
 			c.do(r)
 			if got := state(t, r, "a"); got != c.want {
 				t.Errorf("state: got %v, want %v", got, c.want)
@@ -84,19 +113,19 @@
 }
 
 func TestChangesAreToldOnce(t *testing.T) {
-	r := roster.New()
-	r.Update(at(0), []roster.Server{server("a", false), server("b", false)})
-	if got := r.Update(at(10), []roster.Server{server("a", true), server("b", false)}); len(got) != 1 || got[0].Name != "a" {
+	r := settled()
+	r.Update(at(0), []roster.Server{server("a", false), server("b", false)}, false)
+	if got := r.Update(at(10), []roster.Server{server("a", true), server("b", false)}, false); len(got) != 1 || got[0].Name != "a" {
 		t.Errorf("first word: got %v, want a alone", got)
 	}
-	if got := r.Update(at(20), []roster.Server{server("a", true)}); len(got) != 1 || got[0].Name != "b" {
+	if got := r.Update(at(20), []roster.Server{server("a", true)}, false); len(got) != 1 || got[0].Name != "b" {
 		t.Errorf("second word: got %v, want b alone", got)
 	}
 }
 
 func TestServerThatLeftIsForgotten(t *testing.T) {
-	r := roster.New()
-	r.Update(at(0), []roster.Server{server("a", true)})
+	r := settled()
+	r.Update(at(0), []roster.Server{server("a", true)}, false)
 	r.Step(at(20000))
 	if _, ok := r.Find("a"); ok {
 		t.Error("20 s after its notice: got the server, want none")
--- a/internal/dev/up.go
+++ b/internal/dev/up.go
@@ -74,6 +74,9 @@
 		}
 		g.Go(func(context.Context) error { return node.Run(x, node.Real(), s, l) })
 	}
+	if err := wait(ctx, entries); err != nil {
+		return g.Wait()
+	}
 	welcome(out)
 	return g.Wait()
 }
@@ -118,7 +121,7 @@
 
 func welcome(out io.Writer) {
 	// A reader that is gone needs no welcome.
-	_, _ = fmt.Fprintf(out, `A small system is starting: two entry VMs, two engines, one plain service.
+	_, _ = fmt.Fprintf(out, `A small system is ready: two entry VMs, two engines, one plain service.
 Ask through either entry VM:
 
   curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' \
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -21,7 +21,7 @@
 		l = append(l, o.Value)
 	}
 	g.mutex.Lock()
-	c := g.roster.Update(time.Now(), l)
+	c := g.roster.Update(time.Now(), l, s.Settled)
 	g.mutex.Unlock()
 	g.changed(c)
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -41,8 +41,8 @@
 	Log     *event.Log
 	Metrics *metric.Set
 	Timing  Timing
-	// Take is told of every snapshot that differs from the one before; calls
-	// don't overlap.
+	// Take is told of every snapshot that differs from the one before; Settled
+	// is set on those of peers alone. Calls don't overlap.
 	Take func(s replica.Snapshot[T])
 	// Away is told when the platform is lost and when it is back.
 	Away func(away bool)
@@ -54,12 +54,14 @@
 
 	mutex sync.Mutex
 	store *replica.Store[T]
+	// away is set while the platform does not answer; it has since a time.
 	away  bool
+	since time.Time
 }
 
 // New makes a mirror that knows nothing.
 func New[T any](p Parts[T]) *Mirror[T] {
-	return &Mirror[T]{Parts: p, store: replica.New[T]()}
+	return &Mirror[T]{Parts: p, store: replica.New[T](), away: true}
 }
 
 // Run is the duty that asks the platform.
@@ -141,7 +143,9 @@
 	}
 	m.store.Replace(s)
 	m.Metrics.Add(metric.ConfigFromPeers, 1)
-	m.Take(m.store.Snapshot())
+	v := m.store.Snapshot()
+	v.Settled = s.Settled
+	m.Take(v)
 }
 
 // At is the version up to which every change is known; zero knows nothing.
@@ -158,11 +162,18 @@
 	return m.away
 }
 
+// settleTime is how long the platform has to have answered before what is
+// missing counts as gone: entries that lapsed in an outage are back within two
+// seconds.
+const settleTime = 2500 * time.Millisecond
+
 // Snapshot gives what is known, for a peer.
 func (m *Mirror[T]) Snapshot() replica.Snapshot[T] {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.store.Snapshot()
+	s := m.store.Snapshot()
+	s.Settled = !m.away && time.Since(m.since) >= settleTime
+	return s
 }
 
 func (m *Mirror[T]) reached() {
@@ -189,6 +200,7 @@
 		return false
 	}
 	m.away = away
+	m.since = time.Now()
 	m.Away(away)
 	return true
 }
