feat: hubs and one watcher in each failure domain

Change: the first three members of a domain are hubs, which exchange with all hubs; others exchange with their own hubs; loads count once, through the hub that carries a VM; the first hub of a domain follows the platform, the others take over 800 ms after it is silent, turned away or cut off.

--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -408,24 +408,33 @@
 
 // Exchange is what two entry VMs tell each other several times a second.
 type Exchange struct {
-	// Control address of the sender.
-	Address string `json:"address"`
-
 	// Whether the platform does not answer the sender.
 	Away bool `json:"away,omitempty,omitzero"`
 
 	// Version up to which the sender knows the configuration.
 	ConfigAt Version `json:"config_at"`
 
-	// Loads of the sender by backend server.
+	// Whether the sender leaves the platform to hubs.
+	Follows bool `json:"follows,omitempty,omitzero"`
+
+	// Loads by backend server that the sender reports to the receiver.
 	Loads map[string]ServerLoad `json:"loads,omitempty,omitzero"`
 
-	// Control addresses of the peers that answer the sender.
-	Peers []string `json:"peers,omitempty,omitzero"`
+	// Entry VMs that these loads are of.
+	Members int `json:"members,omitempty,omitzero"`
+
+	// Members that answer the sender, now and then.
+	Peers []MeshMember `json:"peers,omitempty,omitzero"`
 
 	// Version of the protocol between entry VMs.
 	Protocol int `json:"protocol"`
 
+	// What the receiver is to the sender in the exchange of loads.
+	Relation ExchangeRelation `json:"relation,omitempty,omitzero"`
+
+	// The sender as peers pass it on.
+	Self MeshMember `json:"self"`
+
 	// Version up to which the sender knows the backend servers.
 	ServersAt Version `json:"servers_at"`
 
@@ -433,6 +442,13 @@
 	VM VMName `json:"vm"`
 }
 
+type ExchangeRelation string
+
+const ExchangeRelationCarried ExchangeRelation = "carried"
+const ExchangeRelationHub ExchangeRelation = "hub"
+const ExchangeRelationPrimary ExchangeRelation = "primary"
+const ExchangeRelationStranger ExchangeRelation = "stranger"
+
 // Explanation tells what was decided for a request and why.
 type Explanation struct {
 	// Decisions in order.
@@ -465,6 +481,10 @@
 	// Time from the signal to stop to the end of the process, s.
 	GraceS float64 `json:"grace_s,omitempty,omitzero"`
 
+	// Entry VMs of a failure domain that follow the platform for the others, and
+	// exchange with all others like them.
+	Hubs int `json:"hubs,omitempty,omitzero"`
+
 	// Address of the readiness check.
 	Ready string `json:"ready,omitempty,omitzero"`
 
@@ -656,6 +676,18 @@
 const MemberStatusStateStopping MemberStatusState = "stopping"
 const MemberStatusStateSuspect MemberStatusState = "suspect"
 
+// MeshMember is one entry VM as peers pass it on.
+type MeshMember struct {
+	// Control address.
+	Address string `json:"address"`
+
+	// Failure domain.
+	Domain DomainName `json:"domain"`
+
+	// Whether it exchanges with every other hub.
+	Hub bool `json:"hub,omitempty,omitzero"`
+}
+
 // Milliseconds is a duration or a Unix time in ms.
 type Milliseconds int
 
--- a/internal/decide/gossip/gossip.go
+++ b/internal/decide/gossip/gossip.go
@@ -1,10 +1,12 @@
 package gossip
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/placement"
 )
 
 const (
@@ -14,86 +16,212 @@
 	// forget is how long an address that does not answer is tried and passed
 	// on before it is dropped; a VM that restarts is back sooner.
 	forget = 20 * time.Second
+	// retry is the pause between tries of an address that does not answer.
+	retry = time.Second
+	// spare is the pause between exchanges with a hub that is not the primary
+	// one: often enough to notice that it is there when it is needed.
+	spare = time.Second
+	// revisit is the pause between exchanges with an address of the settings
+	// that nothing else asks for, so that parts of the fleet find each other.
+	revisit = 5 * time.Second
 )
 
+// Member is an entry VM as peers pass it on.
+type Member struct {
+	Address string
+	Domain  api.DomainName
+	// Hub members exchange with every other hub.
+	Hub bool
+}
+
+// Word is what a peer said of itself and others.
+type Word struct {
+	Member
+	VM api.VMName
+	// Others are the members that answer the peer.
+	Others []Member
+	// Away is set while the platform does not answer the peer, Follows while it
+	// leaves the platform to hubs. Both hear of changes from peers alone.
+	Away    bool
+	Follows bool
+}
+
 // peer is one address and what is known of it.
 type peer struct {
-	vm   api.VMName
-	away bool
+	Word
 	// seed addresses come from the settings and are never dropped.
 	seed  bool
 	added time.Time
 	heard time.Time
+	// told is when another peer last passed the address on.
+	told  time.Time
 	tried time.Time
 }
 
-// Peers is what one entry VM knows of the others.
+// Peers is what one entry VM knows of the others. In each failure domain the
+// first few members are hubs; the others exchange with the hubs of their own
+// domain only, so that no VM's messages grow with the fleet times the fleet.
 type Peers struct {
-	self  string
+	self  Member
+	hubs  int
 	peers map[string]*peer
 }
 
-// New makes the peers of an entry VM at an address, from the addresses in its
-// settings.
-func New(now time.Time, self string, seeds []string) *Peers {
-	p := &Peers{self: self, peers: map[string]*peer{}}
+// New makes the peers of an entry VM, from the addresses in its settings, with
+// so many hubs in each failure domain.
+func New(now time.Time, self Member, seeds []string, hubs int) *Peers {
+	p := &Peers{self: self, hubs: hubs, peers: map[string]*peer{}}
 	for _, a := range seeds {
-		p.learn(now, a, true)
+		p.learn(now, Member{Address: a})
+		if x, ok := p.peers[a]; ok {
+			x.seed = true
+			x.told = time.Time{}
+		}
 	}
 	return p
 }
 
-func (p *Peers) learn(now time.Time, address string, seed bool) {
-	if address == p.self || address == "" {
+func (p *Peers) learn(now time.Time, m Member) {
+	if m.Address == p.self.Address || m.Address == "" {
 		return
 	}
-	if _, ok := p.peers[address]; !ok {
-		p.peers[address] = &peer{seed: seed, added: now}
+	x, ok := p.peers[m.Address]
+	if !ok {
+		x = &peer{added: now}
+		x.Member = m
+		p.peers[m.Address] = x
+	}
+	x.told = now
+	if !p.alive(now, x) {
+		x.Domain, x.Hub = m.Domain, m.Hub
 	}
 }
 
-// Word is what a peer said of itself and others.
-type Word struct {
-	VM      api.VMName
-	Address string
-	// Others are the addresses that answer the peer.
-	Others []string
-	// Away is set while the platform does not answer the peer.
-	Away bool
-}
-
-// Heard notes a message of a peer and the addresses that it passes on.
+// Heard notes a message of a peer and the members that it passes on.
 func (p *Peers) Heard(now time.Time, w Word) {
-	if w.Address == p.self || w.Address == "" {
+	if w.Address == p.self.Address || w.Address == "" {
 		return
 	}
-	p.learn(now, w.Address, false)
+	p.learn(now, w.Member)
 	x := p.peers[w.Address]
-	x.vm = w.VM
-	x.away = w.Away
+	x.Word = w
+	x.Others = nil
 	x.heard = now
-	for _, a := range w.Others {
-		p.learn(now, a, false)
+	for _, m := range w.Others {
+		p.learn(now, m)
 	}
 }
 
-// Away lists the live peers that the platform does not answer, in order.
-func (p *Peers) Away(now time.Time) []string {
-	var l []string
+func (p *Peers) alive(now time.Time, x *peer) bool {
+	return !x.heard.IsZero() && now.Sub(x.heard) < silence
+}
+
+// near reports whether a peer counts as a member that may be a hub: it was
+// heard lately, or passed on lately and not yet tried in vain.
+func (p *Peers) near(now time.Time, x *peer) bool {
+	if p.alive(now, x) {
+		return true
+	}
+	return !x.told.IsZero() && now.Sub(x.told) < silence && (x.tried.IsZero() || x.tried.Before(x.added.Add(retry)))
+}
+
+// Hubs lists the addresses of the hubs of the own failure domain in order,
+// which may hold the own one.
+func (p *Peers) Hubs(now time.Time) []string {
+	l := []string{p.self.Address}
 	for a, x := range p.peers {
-		if x.away && p.alive(now, x) {
+		if x.Domain == p.self.Domain && p.near(now, x) {
 			l = append(l, a)
 		}
 	}
 	slices.Sort(l)
+	return l[:min(p.hubs, len(l))]
+}
+
+// Hub reports whether this entry VM is a hub.
+func (p *Peers) Hub(now time.Time) bool {
+	return slices.Contains(p.Hubs(now), p.self.Address)
+}
+
+// Primary is the hub that carries this entry VM's load: the first one heard,
+// or none for a hub.
+func (p *Peers) Primary(now time.Time) string {
+	l := p.Hubs(now)
+	if slices.Contains(l, p.self.Address) {
+		return ""
+	}
+	for _, a := range l {
+		if p.alive(now, p.peers[a]) {
+			return a
+		}
+	}
+	return l[0]
+}
+
+// Name is the VM at an address, empty until it was heard.
+func (p *Peers) Name(address string) api.VMName {
+	if x, ok := p.peers[address]; ok {
+		return x.VM
+	}
+	return ""
+}
+
+// Relation is what the peer at an address is to this entry VM in the exchange
+// of loads.
+func (p *Peers) Relation(now time.Time, address string) placement.Relation {
+	x, ok := p.peers[address]
+	hub := p.Hub(now)
+	switch {
+	case !ok:
+		return placement.Stranger
+	case hub && x.Hub && p.alive(now, x):
+		return placement.Hub
+	case !hub && address == p.Primary(now):
+		return placement.Primary
+	default:
+		return placement.Stranger
+	}
+}
+
+// watchers is the number of hubs in a failure domain that follow the platform
+// for all: calls are counted there, and hubs of other domains tell of what one
+// missed.
+const watchers = 1
+
+// Guided reports whether a watcher that the platform answers was heard so
+// lately that it may be left to bring what changes.
+func (p *Peers) Guided(now time.Time, within time.Duration) bool {
+	l := p.Hubs(now)
+	l = l[:min(watchers, len(l))]
+	if slices.Contains(l, p.self.Address) {
+		return false
+	}
+	for _, a := range l {
+		x := p.peers[a]
+		if !x.heard.IsZero() && now.Sub(x.heard) < within && !x.Away && !x.Follows {
+			return true
+		}
+	}
+	return false
+}
+
+// Live lists the members heard lately in order of address.
+func (p *Peers) Live(now time.Time) []Member {
+	var l []Member
+	for _, x := range p.peers {
+		if p.alive(now, x) {
+			l = append(l, x.Member)
+		}
+	}
+	slices.SortFunc(l, func(a, b Member) int { return cmp.Compare(a.Address, b.Address) })
 	return l
 }
 
-// Live lists the addresses of peers heard lately, in order.
-func (p *Peers) Live(now time.Time) []string {
+// Blind lists the live peers that hear of changes from peers alone, in order.
+func (p *Peers) Blind(now time.Time) []string {
 	var l []string
 	for a, x := range p.peers {
-		if p.alive(now, x) {
+		if p.alive(now, x) && (x.Away || x.Follows) {
 			l = append(l, a)
 		}
 	}
@@ -101,27 +229,34 @@
 	return l
 }
 
-func (p *Peers) alive(now time.Time, x *peer) bool {
-	return !x.heard.IsZero() && now.Sub(x.heard) < silence
+// Alone reports whether no live peer has word from the platform.
+func (p *Peers) Alone(now time.Time) bool {
+	for _, x := range p.peers {
+		if p.alive(now, x) && !x.Away {
+			return false
+		}
+	}
+	return true
 }
 
-// retry is the pause between tries of an address that does not answer.
-const retry = time.Second
+// place is this entry VM's place among the hubs.
+type place struct {
+	hubs    []string
+	hub     bool
+	primary string
+}
 
-// Round lists whom to exchange with now: every live peer, and silent ones once
-// in a while. Of two live peers the one with the lower address begins, so that
-// each pair makes one exchange a round.
+// Round lists whom to begin an exchange with now.
 func (p *Peers) Round(now time.Time) []string {
 	var l []string
+	h := p.Hubs(now)
+	c := place{hubs: h, hub: slices.Contains(h, p.self.Address), primary: p.Primary(now)}
 	for a, x := range p.peers {
-		switch {
-		case !x.seed && now.Sub(x.added) > forget && now.Sub(x.heard) > forget:
+		if p.stale(now, x) {
 			delete(p.peers, a)
-		case p.alive(now, x):
-			if p.self < a {
-				l = append(l, a)
-			}
-		case now.Sub(x.tried) >= retry:
+			continue
+		}
+		if now.Sub(x.tried) >= p.pause(now, x, c) {
 			x.tried = now
 			l = append(l, a)
 		}
@@ -130,7 +265,35 @@
 	return l
 }
 
-// Size counts the members, this entry VM among them.
-func (p *Peers) Size(now time.Time) int {
-	return 1 + len(p.Live(now))
+// stale reports whether an address is to be dropped.
+func (p *Peers) stale(now time.Time, x *peer) bool {
+	return !x.seed && now.Sub(x.added) > forget && now.Sub(x.heard) > forget && now.Sub(x.told) > forget
+}
+
+// never is the pause before an exchange that the other side begins or nobody
+// needs.
+const never = time.Hour
+
+// pause is the time between exchanges with a peer that this entry VM begins.
+func (p *Peers) pause(now time.Time, x *peer, c place) time.Duration {
+	live := p.alive(now, x)
+	switch {
+	case !live && (x.seed || x.heard.IsZero()):
+		return retry
+	case c.hub && live && x.Hub:
+		// Of two hubs the one with the lower address begins.
+		if p.self.Address < x.Address {
+			return 0
+		}
+	case c.hub && x.Hub:
+		return retry
+	case !c.hub && x.Address == c.primary:
+		return 0
+	case !c.hub && slices.Contains(c.hubs, x.Address):
+		return spare
+	}
+	if x.seed {
+		return revisit
+	}
+	return never
 }
--- a/internal/decide/gossip/gossip_test.go
+++ b/internal/decide/gossip/gossip_test.go
@@ -1,10 +1,12 @@
 package gossip_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
 
+	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/gossip"
 )
 
@@ -47,33 +49,171 @@
 	}
 }
 
-func TestPeersAreLearnedAndDropped(t *testing.T) {
-	p := gossip.New(at(0), "a:1", []string{"b:1", "a:1"})
+// fleet is a set of entry VMs that exchange over a network without loss.
+type fleet struct {
+	peers map[string]*gossip.Peers
+	self  map[string]gossip.Member
+	dead  map[string]bool
+	// sent counts the exchanges that each has begun or answered.
+	sent map[string]int
+}
+
+// newFleet makes so many VMs in each of the domains; the first ones are seeds.
+func newFleet(domains, each, hubs int) *fleet {
+	f := &fleet{peers: map[string]*gossip.Peers{}, self: map[string]gossip.Member{}, dead: map[string]bool{}, sent: map[string]int{}}
+	seeds := []string{address(0, 0), address(1%domains, 0), address(0, 1%each)}
+	for d := range domains {
+		for i := range each {
+			m := gossip.Member{Address: address(d, i), Domain: api.DomainName(fmt.Sprint("d", d))}
+			f.self[m.Address] = m
+			f.peers[m.Address] = gossip.New(at(0), m, seeds, hubs)
+		}
+	}
+	return f
+}
+
+func address(d, i int) string {
+	return fmt.Sprintf("10.%d.0.%03d:1", d, i)
+}
+
+// word is what a VM says.
+func (f *fleet) word(now time.Time, a string) gossip.Word {
+	m := f.self[a]
+	m.Hub = f.peers[a].Hub(now)
+	return gossip.Word{Member: m, VM: api.VMName(a), Others: f.peers[a].Live(now), Follows: !m.Hub}
+}
+
+// run plays rounds of 250 ms from one time to another.
+func (f *fleet) run(from, to int) {
+	for ms := from; ms < to; ms += 250 {
+		for a, p := range f.peers {
+			if f.dead[a] {
+				continue
+			}
+			for _, b := range p.Round(at(ms)) {
+				f.sent[a]++
+				if f.dead[b] {
+					continue
+				}
+				f.sent[b]++
+				f.peers[b].Heard(at(ms+1), f.word(at(ms), a))
+				p.Heard(at(ms+2), f.word(at(ms), b))
+			}
+		}
+	}
+}
+
+func (f *fleet) hubs(now time.Time) []string {
+	var l []string
+	for a, p := range f.peers {
+		if !f.dead[a] && p.Hub(now) {
+			l = append(l, a)
+		}
+	}
+	slices.Sort(l)
+	return l
+}
+
+func TestFleetFindsItsHubs(t *testing.T) {
+	f := newFleet(3, 10, 2)
+	f.run(0, 6000)
+	want := []string{address(0, 0), address(0, 1), address(1, 0), address(1, 1), address(2, 0), address(2, 1)}
+	if got := f.hubs(at(6000)); !slices.Equal(got, want) {
+		t.Errorf("hubs: got %v, want %v", got, want)
+	}
+	for a, p := range f.peers {
+		if first := a[len(a)-5:] == "000:1"; first == p.Guided(at(6000), time.Second) {
+			t.Errorf("%s is guided: got %v, want it for all but the first of a domain", a, !first)
+		}
+		if !p.Hub(at(6000)) && !p.Guided(at(6000), time.Second) {
+			t.Errorf("%s: got no hub heard within a second, want one", a)
+		}
+	}
+}
+
+func TestSmallFleetIsAllHubs(t *testing.T) {
+	f := newFleet(3, 3, 3)
+	f.run(0, 3000)
+	if got := f.hubs(at(3000)); len(got) != 9 {
+		t.Errorf("hubs: got %v, want all nine", got)
+	}
+	for a, p := range f.peers {
+		if got := len(p.Live(at(3000))); got != 8 {
+			t.Errorf("%s hears %d peers, want 8", a, got)
+		}
+	}
+}
+
+func TestHubsThatDieAreReplaced(t *testing.T) {
+	f := newFleet(3, 10, 2)
+	f.run(0, 6000)
+	f.dead[address(1, 0)], f.dead[address(1, 1)] = true, true
+	f.run(6000, 12000)
+	got := f.hubs(at(12000))
+	if !slices.Contains(got, address(1, 2)) || !slices.Contains(got, address(1, 3)) {
+		t.Errorf("hubs: got %v, want the next two of domain 1", got)
+	}
+	for a, p := range f.peers {
+		if !f.dead[a] && !p.Hub(at(12000)) && !p.Guided(at(12000), time.Second) {
+			t.Errorf("%s: got no hub heard within a second, want one", a)
+		}
+	}
+}
+
+// The messages of a VM that is no hub must not grow with the fleet.
+func TestMessagesDoNotGrowWithTheFleet(t *testing.T) {
+	most := func(each int) int {
+		f := newFleet(3, each, 2)
+		f.run(0, 8000)
+		f.sent = map[string]int{}
+		f.run(8000, 12000)
+		n := 0
+		for a, p := range f.peers {
+			if !p.Hub(at(12000)) {
+				n = max(n, f.sent[a])
+			}
+		}
+		return n
+	}
+	small, large := most(6), most(24)
+	if large > small {
+		t.Errorf("exchanges in 4 s: got %d at 72 VMs, want at most the %d at 18", large, small)
+	}
+}
+
+func TestAddressesAreDropped(t *testing.T) {
+	self := gossip.Member{Address: "a:1", Domain: "d"}
+	p := gossip.New(at(0), self, []string{"b:1", "a:1"}, 3)
 	if got, want := p.Round(at(0)), []string{"b:1"}; !slices.Equal(got, want) {
 		t.Fatalf("first round: got %v, want %v", got, want)
 	}
-	p.Heard(at(10), gossip.Word{VM: "b", Address: "b:1", Others: []string{"c:1"}})
+	p.Heard(at(10), gossip.Word{Member: gossip.Member{Address: "b:1", Domain: "d", Hub: true}, Others: []gossip.Member{{Address: "c:1", Domain: "d"}}})
 	if got, want := p.Round(at(250)), []string{"b:1", "c:1"}; !slices.Equal(got, want) {
 		t.Errorf("after a message: got %v, want %v", got, want)
 	}
-	if got, want := p.Live(at(300)), []string{"b:1"}; !slices.Equal(got, want) {
-		t.Errorf("live: got %v, want %v", got, want)
+	p.Round(at(40000))
+	if got := p.Round(at(42000)); slices.Contains(got, "c:1") {
+		t.Errorf("after 42 s of silence: got %v, want no c:1", got)
 	}
-	p.Round(at(30000))
-	if got := p.Round(at(32000)); slices.Contains(got, "c:1") {
-		t.Errorf("after 32 s of silence: got %v, want no c:1", got)
-	}
-	if got := p.Round(at(34000)); !slices.Contains(got, "b:1") {
-		t.Errorf("address from the settings: got %v, want b:1", got)
+	if got := p.Round(at(44000)); !slices.Contains(got, "b:1") {
+		t.Errorf("address of the settings: got %v, want b:1", got)
 	}
 }
 
-// Of two live peers one begins the exchange.
-func TestLowerAddressBegins(t *testing.T) {
-	p := gossip.New(at(0), "b:1", []string{"a:1", "c:1"})
-	p.Heard(at(0), gossip.Word{VM: "a", Address: "a:1", Others: nil})
-	p.Heard(at(0), gossip.Word{VM: "c", Address: "c:1", Others: nil})
-	if got, want := p.Round(at(100)), []string{"c:1"}; !slices.Equal(got, want) {
-		t.Errorf("got %v, want %v", got, want)
+func TestBlindAndAlone(t *testing.T) {
+	p := gossip.New(at(0), gossip.Member{Address: "a:1", Domain: "d"}, nil, 3)
+	if !p.Alone(at(0)) {
+		t.Error("without peers: got false, want alone")
+	}
+	p.Heard(at(0), gossip.Word{Member: gossip.Member{Address: "b:1"}, Away: true})
+	if !p.Alone(at(10)) {
+		t.Error("peer without the platform: got false, want alone")
+	}
+	p.Heard(at(0), gossip.Word{Member: gossip.Member{Address: "c:1"}})
+	if p.Alone(at(10)) {
+		t.Error("peer with the platform: got alone, want false")
+	}
+	if got, want := p.Blind(at(10)), []string{"b:1"}; !slices.Equal(got, want) {
+		t.Errorf("blind: got %v, want %v", got, want)
 	}
 }
--- a/internal/decide/placement/load.go
+++ b/internal/decide/placement/load.go
@@ -22,10 +22,33 @@
 // exchange between entry VMs, after which its runs may be anywhere.
 const peerTime = 3 * time.Second
 
+// Relation is what a peer is to this entry VM in the exchange of loads.
+type Relation int
+
+// Relations. Each entry VM that is no hub is carried by one hub, so that the
+// sum over the hubs counts every load once.
+const (
+	// Stranger peers exchange no loads.
+	Stranger Relation = iota
+	// Hub peers tell what they carry, their own loads among it.
+	Hub
+	// Carried peers are carried by this hub.
+	Carried
+	// Primary peers carry this entry VM, and tell the loads of all others.
+	Primary
+)
+
+// Report is loads, and how many entry VMs they are of.
+type Report struct {
+	Loads   Loads
+	Members int
+}
+
 // told is what one peer said.
 type told struct {
-	at    time.Time
-	loads Loads
+	Report
+	at       time.Time
+	relation Relation
 }
 
 // Book counts what is in flight, here and at the peers.
@@ -49,18 +72,57 @@
 	b.own[n] = x
 }
 
-// Own gives a copy of the own loads, for the peers.
-func (b *Book) Own() Loads {
-	l := make(Loads, len(b.own))
-	for n, x := range b.own {
-		l[n] = x
+// Told takes a peer's report. What a primary tells replaces all that others
+// told; strangers report nothing, and what they told before runs out.
+func (b *Book) Told(now time.Time, p api.VMName, r Relation, x Report) {
+	switch r {
+	case Stranger:
+		return
+	case Primary:
+		clear(b.peers)
 	}
-	return l
+	b.peers[p] = told{Report: x, at: now, relation: r}
+}
+
+// Tell gives the report for a peer.
+func (b *Book) Tell(now time.Time, p api.VMName, r Relation) Report {
+	switch r {
+	case Primary:
+		return b.sum(now, func(api.VMName, told) bool { return false })
+	case Hub:
+		return b.sum(now, func(_ api.VMName, t told) bool { return t.relation == Carried })
+	case Carried:
+		return b.sum(now, func(n api.VMName, _ told) bool { return n != p })
+	default:
+		return Report{}
+	}
+}
+
+// sum adds the own loads and those of the peers that are chosen.
+func (b *Book) sum(now time.Time, choose func(n api.VMName, t told) bool) Report {
+	x := Report{Loads: make(Loads, len(b.own)), Members: 1}
+	for s, l := range b.own {
+		x.Loads[s] = l
+	}
+	for n, t := range b.peers {
+		if now.Sub(t.at) > peerTime {
+			delete(b.peers, n)
+			continue
+		}
+		if !choose(n, t) {
+			continue
+		}
+		x.Members += t.Members
+		for s, l := range t.Loads {
+			x.Loads[s] = plus(x.Loads[s], l)
+		}
+	}
+	return x
 }
 
-// Told takes a peer's own loads.
-func (b *Book) Told(now time.Time, p api.VMName, l Loads) {
-	b.peers[p] = told{at: now, loads: l}
+// Members counts the entry VMs that are known of, this one among them.
+func (b *Book) Members(now time.Time) int {
+	return b.sum(now, func(api.VMName, told) bool { return true }).Members
 }
 
 // Total is the load of a server over all entry VMs heard of lately.
@@ -71,7 +133,7 @@
 			delete(b.peers, p)
 			continue
 		}
-		l = plus(l, t.loads[n])
+		l = plus(l, t.Loads[n])
 	}
 	return l
 }
--- /dev/null
+++ b/internal/decide/placement/load_test.go
@@ -0,0 +1,85 @@
+package placement_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/placement"
+)
+
+// vm is an entry VM with its relations to others.
+type vm struct {
+	book *placement.Book
+	name api.VMName
+}
+
+func newVM(n api.VMName, tokens api.Tokens) vm {
+	b := placement.NewBook()
+	b.Add("s", api.ServerLoad{Requests: 1, Tokens: tokens})
+	return vm{book: b, name: n}
+}
+
+// exchange makes two VMs tell each other: to is what the second is to the
+// first, from the other way round.
+func exchange(now time.Time, a, b vm, to, from placement.Relation) {
+	x, y := a.book.Tell(now, b.name, to), b.book.Tell(now, a.name, from)
+	a.book.Told(now, b.name, to, y)
+	b.book.Told(now, a.name, from, x)
+}
+
+// Two hubs carry two VMs each: everyone knows the load of all six, once.
+func TestEveryLoadCountsOnce(t *testing.T) {
+	h1, h2 := newVM("h1", 1), newVM("h2", 10)
+	a1, a2 := newVM("a1", 100), newVM("a2", 1000)
+	b1, b2 := newVM("b1", 10000), newVM("b2", 100000)
+	now := begin
+	for range 3 {
+		for _, a := range []vm{a1, a2} {
+			exchange(now, a, h1, placement.Primary, placement.Carried)
+		}
+		for _, b := range []vm{b1, b2} {
+			exchange(now, b, h2, placement.Primary, placement.Carried)
+		}
+		exchange(now, h1, h2, placement.Hub, placement.Hub)
+		now = now.Add(250 * time.Millisecond)
+	}
+	for _, v := range []vm{h1, h2, a1, a2, b1, b2} {
+		if got := v.book.Total(now, "s"); got.Tokens != 111111 || got.Requests != 6 {
+			t.Errorf("%s: got %+v, want 111111 tokens of 6 requests", v.name, got)
+		}
+		if got := v.book.Members(now); got != 6 {
+			t.Errorf("%s: got %d members, want 6", v.name, got)
+		}
+	}
+	// A VM that changes its hub is counted by the new one alone, once its word
+	// to the old one has run out.
+	for range 16 {
+		exchange(now, a2, h1, placement.Primary, placement.Carried)
+		exchange(now, a1, h2, placement.Primary, placement.Carried)
+		exchange(now, a1, h1, placement.Stranger, placement.Stranger)
+		for _, b := range []vm{b1, b2} {
+			exchange(now, b, h2, placement.Primary, placement.Carried)
+		}
+		exchange(now, h1, h2, placement.Hub, placement.Hub)
+		exchange(now, a1, h2, placement.Primary, placement.Carried)
+		now = now.Add(250 * time.Millisecond)
+	}
+	for _, v := range []vm{h1, h2, a1} {
+		if got := v.book.Total(now, "s").Tokens; got != 111111 {
+			t.Errorf("%s after the change: got %d, want 111111", v.name, got)
+		}
+	}
+}
+
+func TestSilentPeersAreLeftOut(t *testing.T) {
+	h1, h2 := newVM("h1", 1), newVM("h2", 10)
+	exchange(begin, h1, h2, placement.Hub, placement.Hub)
+	later := begin.Add(4 * time.Second)
+	if got := h1.book.Total(later, "s").Tokens; got != 1 {
+		t.Errorf("tokens: got %d, want the own 1", got)
+	}
+	if got := h1.book.Members(later); got != 1 {
+		t.Errorf("members: got %d, want 1", got)
+	}
+}
--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -34,11 +34,11 @@
 			p.Book.Add("b", load(3000, 0))
 		}, 0.03, nil, "b"},
 		{"peers' loads count", []roster.Member{member("a", "x", roster.Ready), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
-			p.Book.Told(begin, "vm", placement.Loads{"b": load(9000, 0)})
+			p.Book.Told(begin, "vm", placement.Hub, placement.Report{Loads: placement.Loads{"b": load(9000, 0)}})
 			p.Book.Add("a", load(3000, 0))
 		}, 0.03, nil, "a"},
 		{"a peer unheard for long does not", []roster.Member{member("a", "x", roster.Ready), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
-			p.Book.Told(begin.Add(-10*time.Second), "vm", placement.Loads{"b": load(9000, 0)})
+			p.Book.Told(begin.Add(-10*time.Second), "vm", placement.Hub, placement.Report{Loads: placement.Loads{"b": load(9000, 0)}})
 			p.Book.Add("a", load(3000, 0))
 		}, 0.03, nil, "b"},
 		{"prompts to be read hold up", []roster.Member{member("a", "x", roster.Ready), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,7 +8,7 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/placement"
 	"github.com/wardridge/wardridge/internal/fault"
 	"github.com/wardridge/wardridge/internal/gateway"
 )
@@ -148,7 +148,7 @@
 		if f.closed == 0 {
 			t.Error("streams closed: got none, want the server's")
 		}
-		if l := b.Loads(); len(l) != 0 {
+		if l := b.Tell("peer", placement.Primary).Loads; len(l) != 0 {
 			t.Errorf("loads at the end: got %v, want none", l)
 		}
 	})
@@ -202,7 +202,7 @@
 				b := newBed(t, f, c.slack)
 				f.answers["p1"], f.answers["p2"] = c.p1, c.p2
 				// What a peer has at p2 makes p1 the first choice, whatever is drawn.
-				b.Told("peer", map[string]api.ServerLoad{"p2": {Requests: 3}})
+				b.Told("peer", placement.Hub, placement.Report{Loads: placement.Loads{"p2": {Requests: 3}}, Members: 1})
 				var k caller
 				b.Handle(context.Background(), request(c.path), &k)
 				code := fault.Code(0)
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -42,6 +42,7 @@
 		_, ok := g.roster.Find(n)
 		return ok
 	})
+	g.Retries.Members(g.picker.Book.Members(now))
 	g.mutex.Unlock()
 	g.changed(c)
 }
@@ -167,31 +168,16 @@
 	g.picker.Health.Note(time.Now(), n, o)
 }
 
-// Loads gives the own loads, for the peers.
-func (g *Gateway) Loads() map[string]api.ServerLoad {
+// Tell gives the report on loads for a peer.
+func (g *Gateway) Tell(vm api.VMName, r placement.Relation) placement.Report {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	m := map[string]api.ServerLoad{}
-	for n, l := range g.picker.Book.Own() {
-		m[string(n)] = l
-	}
-	return m
-}
-
-// Told takes a peer's loads.
-func (g *Gateway) Told(vm api.VMName, m map[string]api.ServerLoad) {
-	l := make(placement.Loads, len(m))
-	for n, x := range m {
-		l[api.ServerName(n)] = x
-	}
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.picker.Book.Told(time.Now(), vm, l)
+	return g.picker.Book.Tell(time.Now(), vm, r)
 }
 
-// Members sets how many entry VMs share the bound on repeated sends.
-func (g *Gateway) Members(n int) {
+// Told takes a peer's report on loads.
+func (g *Gateway) Told(vm api.VMName, r placement.Relation, x placement.Report) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.Retries.Members(n)
+	g.picker.Book.Told(time.Now(), vm, r, x)
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -12,6 +12,7 @@
 	"github.com/wardridge/wardridge/internal/decide/directory"
 	"github.com/wardridge/wardridge/internal/decide/gossip"
 	"github.com/wardridge/wardridge/internal/decide/member"
+	"github.com/wardridge/wardridge/internal/decide/placement"
 	"github.com/wardridge/wardridge/internal/decide/roster"
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/event"
@@ -26,22 +27,34 @@
 	roundTime = 250 * time.Millisecond
 	// callTime bounds one call to a peer.
 	callTime = 600 * time.Millisecond
+	// guideTime is how lately a hub has to be heard to be followed: two rounds
+	// and a lost message's repeat.
+	guideTime = 800 * time.Millisecond
+	// memberRounds is the number of rounds between lists of members.
+	memberRounds = 4
 )
 
+// Loads is where reports on loads come from and go to.
+type Loads interface {
+	// Tell gives the report for a peer.
+	Tell(vm api.VMName, r placement.Relation) placement.Report
+	// Told takes a peer's report.
+	Told(vm api.VMName, r placement.Relation, x placement.Report)
+}
+
 // Parts are what the mesh works with.
 type Parts struct {
 	VM      api.VMName
-	Address string
+	Self    gossip.Member
 	Seeds   []string
+	Hubs    int
 	Client  *http.Client
 	Group   *duty.Group
 	Log     *event.Log
 	Metrics *metric.Set
 	Config  *mirror.Mirror[directory.Config]
 	Servers *mirror.Mirror[roster.Server]
-	// Loads gives the own loads, and Told takes those of a peer.
-	Loads func() map[string]api.ServerLoad
-	Told  func(vm api.VMName, l map[string]api.ServerLoad)
+	Loads   Loads
 }
 
 // Mesh is one entry VM's side of the exchange.
@@ -52,14 +65,15 @@
 	peers *gossip.Peers
 	busy  map[string]bool
 	// lag notices kinds that stand still behind a peer.
-	lag  map[string]*gossip.Lag
-	live map[string]bool
+	lag    map[string]*gossip.Lag
+	live   map[string]bool
+	rounds int
 }
 
 // New makes a mesh that knows the addresses in the settings.
 func New(p Parts) *Mesh {
 	return &Mesh{
-		Parts: p, peers: gossip.New(time.Now(), p.Address, p.Seeds),
+		Parts: p, peers: gossip.New(time.Now(), p.Self, p.Seeds, p.Hubs),
 		busy: map[string]bool{}, lag: map[string]*gossip.Lag{PathConfig: {}, PathServers: {}}, live: map[string]bool{},
 	}
 }
@@ -70,22 +84,34 @@
 }
 
 func (m *Mesh) round(context.Context) {
-	m.begin(m.next())
+	m.mutex.Lock()
+	now := time.Now()
+	m.rounds++
+	m.noteLive(now)
+	l := m.free(m.peers.Round(now))
+	m.mutex.Unlock()
+	m.begin(l)
 }
 
-// Tell begins an exchange at once with peers that the platform does not
-// answer, since only peers tell them of a change.
+// Tell begins an exchange at once with peers that hear of changes from here
+// alone.
 func (m *Mesh) Tell() {
 	m.mutex.Lock()
-	var l []string
-	for _, a := range m.peers.Away(time.Now()) {
+	l := m.free(m.peers.Blind(time.Now()))
+	m.mutex.Unlock()
+	m.begin(l)
+}
+
+// free leaves out the peers that still owe an answer; the mutex is held.
+func (m *Mesh) free(l []string) []string {
+	var free []string
+	for _, a := range l {
 		if !m.busy[a] {
 			m.busy[a] = true
-			l = append(l, a)
+			free = append(free, a)
 		}
 	}
-	m.mutex.Unlock()
-	m.begin(l)
+	return free
 }
 
 // begin makes exchanges side by side.
@@ -98,30 +124,13 @@
 	}
 }
 
-// next lists the peers to begin an exchange with, without those that still owe
-// an answer.
-func (m *Mesh) next() []string {
-	m.mutex.Lock()
-	defer m.mutex.Unlock()
-	now := time.Now()
-	m.noteLive(now)
-	var l []string
-	for _, a := range m.peers.Round(now) {
-		if !m.busy[a] {
-			m.busy[a] = true
-			l = append(l, a)
-		}
-	}
-	return l
-}
-
 // noteLive logs peers that came and went; the mutex is held.
 func (m *Mesh) noteLive(now time.Time) {
 	live := map[string]bool{}
-	for _, a := range m.peers.Live(now) {
-		live[a] = true
-		if !m.live[a] {
-			m.Log.Emit(event.PeerJoined, zap.String("address", a))
+	for _, x := range m.peers.Live(now) {
+		live[x.Address] = true
+		if !m.live[x.Address] {
+			m.Log.Emit(event.PeerJoined, zap.String("address", x.Address))
 		}
 	}
 	for a := range m.live {
@@ -133,26 +142,29 @@
 	m.Metrics.Put(metric.MembersServing, int64(1+len(live)))
 }
 
-// Size counts the entry VMs heard lately, this one among them.
-func (m *Mesh) Size() int {
+// Alone reports whether no peer is heard that has word from the platform.
+func (m *Mesh) Alone() bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.peers.Size(time.Now())
+	return m.peers.Alone(time.Now())
 }
 
-// Alone reports whether no peer is heard that the platform answers.
-func (m *Mesh) Alone() bool {
+// Guided reports whether a hub brings what changes.
+func (m *Mesh) Guided() bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	now := time.Now()
-	return len(m.peers.Live(now)) == len(m.peers.Away(now))
+	return m.peers.Guided(time.Now(), guideTime)
 }
 
 func (m *Mesh) exchange(ctx context.Context, address string) {
 	c, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
+	m.mutex.Lock()
+	vm := m.peers.Name(address)
+	r := m.peers.Relation(time.Now(), address)
+	m.mutex.Unlock()
 	var e api.Exchange
-	err := wire.Call(c, m.Client, http.MethodPost, "http://"+address+PathExchange, m.own(), &e)
+	err := wire.Call(c, m.Client, http.MethodPost, "http://"+address+PathExchange, m.own(vm, r), &e)
 	m.mutex.Lock()
 	delete(m.busy, address)
 	m.mutex.Unlock()
@@ -161,39 +173,77 @@
 		m.Metrics.Add(metric.HeartbeatsFailed, 1)
 		return
 	}
-	m.heard(e)
+	m.heard(e, r)
 }
 
-// own is what this entry VM tells.
-func (m *Mesh) own() api.Exchange {
+// own is what this entry VM tells a peer that has a relation to it.
+func (m *Mesh) own(vm api.VMName, r placement.Relation) api.Exchange {
+	x := m.Loads.Tell(vm, r)
 	e := api.Exchange{
-		Protocol: member.Protocol, VM: m.VM, Address: m.Address,
-		ConfigAt: m.Config.At(), ServersAt: m.Servers.At(), Loads: m.Loads(),
+		Protocol: member.Protocol, VM: m.VM, ConfigAt: m.Config.At(), ServersAt: m.Servers.At(),
+		Away: m.Servers.Lost() || m.Config.Lost(), Relation: relations[r], Members: x.Members,
+	}
+	if len(x.Loads) > 0 {
+		e.Loads = make(map[string]api.ServerLoad, len(x.Loads))
+		for n, l := range x.Loads {
+			e.Loads[string(n)] = l
+		}
 	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	e.Peers = m.peers.Live(time.Now())
-	e.Away = m.Servers.Lost() || m.Config.Lost()
+	now := time.Now()
+	e.Self = message(m.Self)
+	e.Self.Hub = m.peers.Hub(now)
+	e.Follows = m.peers.Guided(now, guideTime)
+	if m.rounds%memberRounds == 0 || vm == "" {
+		for _, x := range m.peers.Live(now) {
+			e.Peers = append(e.Peers, message(x))
+		}
+	}
 	return e
 }
 
-// heard takes a peer's message.
-func (m *Mesh) heard(e api.Exchange) {
+// relations translates relations to their names in messages.
+var relations = map[placement.Relation]api.ExchangeRelation{
+	placement.Stranger: api.ExchangeRelationStranger,
+	placement.Hub:      api.ExchangeRelationHub,
+	placement.Carried:  api.ExchangeRelationCarried,
+	placement.Primary:  api.ExchangeRelationPrimary,
+}
+
+func message(m gossip.Member) api.MeshMember {
+	return api.MeshMember{Address: m.Address, Domain: m.Domain, Hub: m.Hub}
+}
+
+func fromMessage(m api.MeshMember) gossip.Member {
+	return gossip.Member{Address: m.Address, Domain: m.Domain, Hub: m.Hub}
+}
+
+// heard takes the message of a peer that has a relation to this entry VM.
+func (m *Mesh) heard(e api.Exchange, r placement.Relation) {
 	if e.Protocol != member.Protocol {
 		m.Log.Emit(event.PeerRefused, zap.String("vm", string(e.VM)), zap.Int("protocol", e.Protocol))
 		return
 	}
+	w := gossip.Word{Member: fromMessage(e.Self), VM: e.VM, Away: e.Away, Follows: e.Follows}
+	for _, x := range e.Peers {
+		w.Others = append(w.Others, fromMessage(x))
+	}
 	m.mutex.Lock()
-	m.peers.Heard(time.Now(), gossip.Word{VM: e.VM, Address: e.Address, Others: e.Peers, Away: e.Away})
+	m.peers.Heard(time.Now(), w)
 	m.mutex.Unlock()
-	m.Told(e.VM, e.Loads)
-	catchUp(m, e.Address, PathConfig, e.ConfigAt, m.Config)
-	catchUp(m, e.Address, PathServers, e.ServersAt, m.Servers)
+	x := placement.Report{Loads: make(placement.Loads, len(e.Loads)), Members: e.Members}
+	for n, l := range e.Loads {
+		x.Loads[api.ServerName(n)] = l
+	}
+	m.Loads.Told(e.VM, r, x)
+	catchUp(m, e.Self.Address, PathConfig, e.ConfigAt, m.Config)
+	catchUp(m, e.Self.Address, PathServers, e.ServersAt, m.Servers)
 }
 
 // catchUp asks a peer for a kind that it knows more of.
 func catchUp[T any](m *Mesh, address, path string, theirs api.Version, k *mirror.Mirror[T]) {
-	own, away := k.At(), k.Lost()
+	own, away := k.At(), k.Lost() || m.Guided()
 	m.mutex.Lock()
 	ask := m.lag[path].Ask(time.Now(), own, theirs, away)
 	m.mutex.Unlock()
--- a/internal/mesh/serve.go
+++ b/internal/mesh/serve.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/placement"
 	"github.com/wardridge/wardridge/internal/decide/replica"
 	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/fault"
@@ -36,14 +37,27 @@
 	})
 }
 
-func (m *Mesh) answer(w http.ResponseWriter, r *http.Request) {
+func (m *Mesh) answer(w http.ResponseWriter, q *http.Request) {
 	var e api.Exchange
-	if err := wire.Read(w, r, messageLimit, &e); err != nil {
+	if err := wire.Read(w, q, messageLimit, &e); err != nil {
 		wire.Refuse(w, fault.From(err), "")
 		return
 	}
-	wire.Write(w, http.StatusOK, m.own())
-	m.heard(e)
+	r := m.relation(e)
+	wire.Write(w, http.StatusOK, m.own(e.VM, r))
+	m.heard(e, r)
+}
+
+// relation is what a peer is to this entry VM, by what this one is to it.
+func (m *Mesh) relation(e api.Exchange) placement.Relation {
+	switch e.Relation {
+	case api.ExchangeRelationPrimary:
+		return placement.Carried
+	case api.ExchangeRelationHub:
+		return placement.Hub
+	default:
+		return placement.Stranger
+	}
 }
 
 // fetch takes what a peer knows of a kind.
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -24,6 +24,9 @@
 	backoffLast  = 800 * time.Millisecond
 )
 
+// guidedTime is the pause between looks whether peers still bring changes.
+const guidedTime = 100 * time.Millisecond
+
 // Timing bounds the calls of a mirror.
 type Timing struct {
 	// Wait is the longest time of one watch: a watch that is silent for longer
@@ -44,6 +47,9 @@
 	// Take is told of every snapshot that differs from the one before; Settled
 	// is set on those of peers alone. Calls don't overlap.
 	Take func(s replica.Snapshot[T])
+	// Guided reports whether a peer that follows the platform brings what
+	// changes, so that it need not be asked.
+	Guided func() bool
 	// Away is told when the platform is lost and when it is back.
 	Away func(away bool)
 }
@@ -68,6 +74,12 @@
 func (m *Mirror[T]) Run(ctx context.Context) error {
 	list, failures := true, 0
 	for ctx.Err() == nil {
+		if m.Guided() {
+			list = true
+			m.reached()
+			duty.Sleep(ctx, guidedTime)
+			continue
+		}
 		var err error
 		if list {
 			err = m.list(ctx)
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -11,6 +11,7 @@
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/directory"
+	"github.com/wardridge/wardridge/internal/decide/gossip"
 	"github.com/wardridge/wardridge/internal/decide/replica"
 	"github.com/wardridge/wardridge/internal/decide/retry"
 	"github.com/wardridge/wardridge/internal/decide/roster"
@@ -142,24 +143,39 @@
 	}
 	h.config = mirror.New(mirror.Parts[directory.Config]{
 		Name: "config", Source: h.adapter.Config, Log: h.Log, Metrics: h.Metrics, Timing: t,
-		Take: h.gateway.Configure, Away: func(bool) {},
+		Take: h.configure, Guided: h.guided, Away: func(bool) {},
 	})
 	h.servers = mirror.New(mirror.Parts[roster.Server]{
 		Name: "servers", Source: h.adapter.Servers, Log: h.Log, Metrics: h.Metrics, Timing: t,
-		Take: h.tell, Away: h.gateway.Away,
+		Take: h.serve, Guided: h.guided, Away: h.gateway.Away,
 	})
 	h.mesh = mesh.New(mesh.Parts{
-		VM: h.Settings.Node.Name, Address: h.Settings.Node.Control, Seeds: split(s.Seeds),
+		VM: h.Settings.Node.Name, Hubs: s.Hubs, Seeds: split(s.Seeds),
+		Self:   gossip.Member{Address: h.Settings.Node.Control, Domain: h.Settings.Node.Domain},
 		Client: h.peers, Group: h.group, Log: h.Log, Metrics: h.Metrics,
-		Config: h.config, Servers: h.servers, Loads: h.gateway.Loads, Told: h.gateway.Told,
+		Config: h.config, Servers: h.servers, Loads: h.gateway,
 	})
 	return nil
 }
 
-// tell takes servers as the platform has them, and tells peers that it does
-// not answer.
-func (h *Hosted) tell(s replica.Snapshot[roster.Server]) {
+// guided reports whether a hub brings what changes.
+func (h *Hosted) guided() bool {
+	return h.mesh.Guided()
+}
+
+// configure takes a configuration, and tells peers that hear of it from here.
+func (h *Hosted) configure(s replica.Snapshot[directory.Config]) {
+	h.gateway.Configure(s)
+	h.tell()
+}
+
+// serve takes servers, and tells peers that hear of them from here.
+func (h *Hosted) serve(s replica.Snapshot[roster.Server]) {
 	h.gateway.Serve(s)
+	h.tell()
+}
+
+func (h *Hosted) tell() {
 	h.group.Go(func(context.Context) error {
 		h.mesh.Tell()
 		return nil
@@ -240,7 +256,6 @@
 	h.group.Go(h.mesh.Run)
 	h.group.Every(stepEvery, func(ctx context.Context) {
 		h.gateway.Step(ctx)
-		h.gateway.Members(h.mesh.Size())
 		h.Metrics.Put(metric.RequestsInFlight, int64(h.gateway.InFlight()))
 	})
 	h.group.Every(askEvery, func(ctx context.Context) {
