perf: many entry VMs compare two servers, few compare all

Logs: 12 to 30 of them within half a second went to the same server, which had just started and which all 62 VMs knew as empty. Ruled out: slow VMs or links (late ones spread over all VMs; mean 0.02 cores). Change: a draw of 2 + 48 / members servers is compared. Conclusion: loads known late call for draws, loads known early for comparison.

--- a/internal/decide/placement/pick.go
+++ b/internal/decide/placement/pick.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -78,29 +79,51 @@
 	Of int
 }
 
-// Pick gives the best server for a need that is none of those tried, or false
-// when no server may take it.
+// Pick gives the best of some servers for a need that are none of those tried,
+// or false when no server may take it.
 func (p *Picker) Pick(now time.Time, l Pool, n Need, tried []api.ServerName) (Choice, bool) {
-	var best Choice
+	all := p.rate(now, l, n, tried)
+	if len(all) == 0 {
+		return Choice{}, false
+	}
+	best := slices.MinFunc(p.sample(all, p.Book.Members(now)), func(a, b Choice) int { return cmp.Compare(a.Score, b.Score) })
+	best.Load = p.Book.Total(now, best.Name)
+	best.Of = len(all)
+	return best, true
+}
+
+// rate gives the servers that may take a need with their scores.
+func (p *Picker) rate(now time.Time, l Pool, n Need, tried []api.ServerName) []Choice {
+	var all []Choice
 	share := p.Health.share(names(l.Members))
 	for _, m := range l.Members {
 		if m.State == roster.Leaving || slices.Contains(tried, m.Name) {
 			continue
 		}
-		s, ok := p.score(now, l, m, n, share)
-		if !ok {
-			continue
-		}
-		best.Of++
-		if best.Of == 1 || s < best.Score {
-			best = Choice{Server: m.Server, Score: s, Of: best.Of}
+		if s, ok := p.score(now, l, m, n, share); ok {
+			all = append(all, Choice{Server: m.Server, Score: s})
 		}
 	}
-	if best.Of == 0 {
-		return best, false
+	return all
+}
+
+const (
+	// sampleLeast and sampleShare give the number of servers that are compared:
+	// all of a small pool for a few entry VMs, two for many. Loads are known some
+	// hundred ms late, and many that compare all servers meet at the best one.
+	sampleLeast = 2
+	sampleShare = 48
+)
+
+// sample draws some of the servers, from those that are not to be avoided where
+// there are any.
+func (p *Picker) sample(all []Choice, members int) []Choice {
+	good := slices.DeleteFunc(slices.Clone(all), func(c Choice) bool { return c.Score >= avoid })
+	if len(good) == 0 {
+		return all
 	}
-	best.Load = p.Book.Total(now, best.Name)
-	return best, true
+	p.random.Shuffle(len(good), func(i, j int) { good[i], good[j] = good[j], good[i] })
+	return good[:min(len(good), sampleLeast+sampleShare/members)]
 }
 
 // score rates a server, lower is better; it reports false for an engine whose
--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -122,3 +123,25 @@
 		t.Errorf("5 s after three losses: got %s, want a", got)
 	}
 }
+
+// Sixty entry VMs that know the same must not all choose the one empty server.
+func TestManyDoNotMeetAtTheBestServer(t *testing.T) {
+	var l placement.Pool
+	l.Memory, l.Domain = 34000, "x"
+	for i := range 40 {
+		l.Members = append(l.Members, member(fmt.Sprint("s", i), "x", roster.Ready))
+	}
+	got := map[api.ServerName]int{}
+	for seed := range uint64(60) {
+		p := placement.NewPicker(rand.NewPCG(seed, 0))
+		p.Book.Told(begin, "primary", placement.Primary, placement.Report{Members: 59})
+		for _, m := range l.Members[1:] {
+			p.Book.Add(m.Name, load(8000, 0))
+		}
+		s, _ := p.Pick(begin, l, placement.Need{Tokens: 4000, Unread: 3000}, nil)
+		got[s.Name]++
+	}
+	if got["s0"] > 10 {
+		t.Errorf("choices of the empty server: got %d of 60, want at most 10", got["s0"])
+	}
+}
