--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -411,7 +411,7 @@
 	// Whether the platform does not answer the sender.
 	Away bool `json:"away,omitempty,omitzero"`
 
-	// Version up to which the sender knows the configuration.
+	// Version at which the configuration last changed.
 	ConfigAt Version `json:"config_at"`
 
 	// Whether the sender leaves the platform to hubs.
@@ -435,7 +435,7 @@
 	// The sender as peers pass it on.
 	Self MeshMember `json:"self"`
 
-	// Version up to which the sender knows the backend servers.
+	// Version at which the backend servers last changed.
 	ServersAt Version `json:"servers_at"`
 
 	// Sender.
--- a/internal/decide/gossip/gossip.go
+++ b/internal/decide/gossip/gossip.go
@@ -63,6 +63,7 @@
 // domain only, so that no VM's messages grow with the fleet times the fleet.
 type Peers struct {
 	self  Member
+	began time.Time
 	hubs  int
 	peers map[string]*peer
 }
@@ -70,7 +71,7 @@
 // New makes the peers of an entry VM, from the addresses in its settings, with
 // so many hubs in each failure domain.
 func New(now time.Time, self Member, seeds []string, hubs int) *Peers {
-	p := &Peers{self: self, hubs: hubs, peers: map[string]*peer{}}
+	p := &Peers{self: self, began: now, hubs: hubs, peers: map[string]*peer{}}
 	for _, a := range seeds {
 		p.learn(now, Member{Address: a})
 		if x, ok := p.peers[a]; ok {
@@ -138,9 +139,13 @@
 	return l[:min(p.hubs, len(l))]
 }
 
+// settle is how long an entry VM that has just started listens before it may
+// be a hub: where all start together, each would take itself for one.
+const settle = 1500 * time.Millisecond
+
 // Hub reports whether this entry VM is a hub.
 func (p *Peers) Hub(now time.Time) bool {
-	return slices.Contains(p.Hubs(now), p.self.Address)
+	return now.Sub(p.began) >= settle && slices.Contains(p.Hubs(now), p.self.Address)
 }
 
 // Primary is the hub that carries this entry VM's load: the first one heard,
@@ -250,13 +255,13 @@
 func (p *Peers) Round(now time.Time) []string {
 	var l []string
 	h := p.Hubs(now)
-	c := place{hubs: h, hub: slices.Contains(h, p.self.Address), primary: p.Primary(now)}
+	c := place{hubs: h, hub: p.Hub(now), primary: p.Primary(now)}
 	for a, x := range p.peers {
 		if p.stale(now, x) {
 			delete(p.peers, a)
 			continue
 		}
-		if now.Sub(x.tried) >= p.pause(now, x, c) {
+		if d, ok := p.pause(now, x, c); ok && now.Sub(x.tried) >= d {
 			x.tried = now
 			l = append(l, a)
 		}
@@ -270,30 +275,41 @@
 	return !x.seed && now.Sub(x.added) > forget && now.Sub(x.heard) > forget && now.Sub(x.told) > forget
 }
 
-// never is the pause before an exchange that the other side begins or nobody
-// needs.
-const never = time.Hour
+const (
+	// smallFleet is the number of peers up to which each round has an exchange
+	// with every hub; loads are compared closely there.
+	smallFleet = 16
+	// largePace is the least pause between exchanges with a hub in larger fleets,
+	// just below two rounds: a hub answers a domain's members and all other hubs.
+	largePace = 450 * time.Millisecond
+)
 
-// pause is the time between exchanges with a peer that this entry VM begins.
-func (p *Peers) pause(now time.Time, x *peer, c place) time.Duration {
+// pace is the least pause between exchanges with a hub.
+func (p *Peers) pace() time.Duration {
+	if len(p.peers) <= smallFleet {
+		return 0
+	}
+	return largePace
+}
+
+// pause is the time between exchanges with a peer that this entry VM begins, or
+// false where the other side begins or nobody needs one.
+func (p *Peers) pause(now time.Time, x *peer, c place) (time.Duration, bool) {
 	live := p.alive(now, x)
 	switch {
-	case !live && (x.seed || x.heard.IsZero()):
-		return retry
+	case !live && x.seed:
+		return retry, true
 	case c.hub && live && x.Hub:
 		// Of two hubs the one with the lower address begins.
 		if p.self.Address < x.Address {
-			return 0
+			return p.pace(), true
 		}
 	case c.hub && x.Hub:
-		return retry
+		return retry, true
 	case !c.hub && x.Address == c.primary:
-		return 0
-	case !c.hub && slices.Contains(c.hubs, x.Address):
-		return spare
-	}
-	if x.seed {
-		return revisit
+		return p.pace(), true
+	case slices.Contains(c.hubs, x.Address):
+		return spare, true
 	}
-	return never
+	return revisit, x.seed
 }
--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -17,19 +17,19 @@
 
 // Snapshot is every object of a kind at a version of the platform.
 type Snapshot[T any] struct {
-	At    api.Version `json:"at"`
-	Items []Object[T] `json:"items"`
-	// Settled is set on a view that is passed on where the platform has answered
-	// for so long that nothing is missing from it for an outage.
-	Settled bool `json:"settled,omitempty"`
+	At    api.Version
+	Items []Object[T]
+	// Settled is set on what a peer has passed on where the platform has answered
+	// it for so long that nothing is missing for an outage.
+	Settled bool
 	// Kept names objects that could not be read and stay as they were.
-	Kept []string `json:"-"`
+	Kept []string
 }
 
 // Change is one object that was written or, with Gone, removed.
 type Change[T any] struct {
 	Object[T]
-	Gone bool
+	Gone bool `json:"gone,omitempty"`
 }
 
 // Changes are what happened up to a version.
@@ -38,15 +38,41 @@
 	Items []Change[T]
 }
 
+// Delta is what a peer passes on: what has changed after From, or everything
+// where From is zero.
+type Delta[T any] struct {
+	From    api.Version `json:"from"`
+	At      api.Version `json:"at"`
+	Items   []Change[T] `json:"items"`
+	Settled bool        `json:"settled"`
+}
+
+// removalsKept bounds the removals that are remembered for deltas: a few
+// minutes of servers that come and go.
+const removalsKept = 512
+
+// removal is an object that is gone.
+type removal struct {
+	name string
+	// at is when it was known to be gone.
+	at api.Version
+}
+
 // Store is a copy of a kind; the zero value of At means that nothing is known.
 type Store[T any] struct {
 	at      api.Version
+	changed api.Version
 	objects map[string]Object[T]
+	// seen is when this store learned of each object's present form.
+	seen     map[string]api.Version
+	removals []removal
+	// floor is the version from which removals are remembered.
+	floor api.Version
 }
 
 // New makes a store that knows nothing.
 func New[T any]() *Store[T] {
-	return &Store[T]{objects: map[string]Object[T]{}}
+	return &Store[T]{objects: map[string]Object[T]{}, seen: map[string]api.Version{}}
 }
 
 // At is the version up to which every change is known.
@@ -54,22 +80,33 @@
 	return s.at
 }
 
+// Changed is the version at which an object last changed, as far as known.
+func (s *Store[T]) Changed() api.Version {
+	return s.changed
+}
+
 // Replace takes a snapshot; it reports false for one that is older than what
 // is known, which is dropped.
 func (s *Store[T]) Replace(n Snapshot[T]) bool {
 	if n.At < s.at {
 		return false
 	}
+	if s.at == 0 {
+		s.floor = n.At
+	}
 	s.at = n.At
-	before := s.objects
-	s.objects = make(map[string]Object[T], len(n.Items))
+	stays := make(map[string]bool, len(n.Items)+len(n.Kept))
 	for _, k := range n.Kept {
-		if o, ok := before[k]; ok {
-			s.objects[k] = o
-		}
+		stays[k] = true
 	}
 	for _, o := range n.Items {
-		s.objects[o.Name] = o
+		stays[o.Name] = true
+		s.put(o)
+	}
+	for name := range s.objects {
+		if !stays[name] {
+			s.remove(name)
+		}
 	}
 	return true
 }
@@ -78,32 +115,93 @@
 // newer than the object known is dropped; a removal carries the version of the
 // object that it removes.
 func (s *Store[T]) Apply(c Changes[T]) int {
+	if c.At <= s.at {
+		// All of it is known, and what is gone since must not come back.
+		return 0
+	}
+	s.at = c.At
 	n := 0
 	for _, x := range c.Items {
 		if s.apply(x) {
 			n++
 		}
 	}
-	s.at = max(s.at, c.At)
 	return n
 }
 
 func (s *Store[T]) apply(c Change[T]) bool {
+	if !c.Gone {
+		return s.put(c.Object)
+	}
 	o, ok := s.objects[c.Name]
-	if c.Gone {
-		if !ok || o.Version > c.Version {
-			return false
-		}
-		delete(s.objects, c.Name)
-		return true
+	if !ok || o.Version > c.Version {
+		return false
 	}
-	if ok && o.Version >= c.Version {
+	s.remove(c.Name)
+	return true
+}
+
+// put reports whether the object was not known in this form.
+func (s *Store[T]) put(o Object[T]) bool {
+	if x, ok := s.objects[o.Name]; ok && x.Version >= o.Version {
 		return false
 	}
-	s.objects[c.Name] = c.Object
+	s.objects[o.Name] = o
+	s.seen[o.Name] = s.at
+	s.changed = s.at
 	return true
 }
 
+func (s *Store[T]) remove(name string) {
+	delete(s.objects, name)
+	delete(s.seen, name)
+	s.changed = s.at
+	s.removals = append(s.removals, removal{name: name, at: s.at})
+	if len(s.removals) > removalsKept {
+		s.floor = s.removals[0].at
+		s.removals = s.removals[1:]
+	}
+}
+
+// Offer takes a peer's delta; it reports whether anything was new. A delta from
+// a version that is not yet known here is dropped.
+func (s *Store[T]) Offer(d Delta[T]) bool {
+	if d.At <= s.at || d.From > s.at {
+		return false
+	}
+	before := s.changed
+	if d.From == 0 {
+		n := Snapshot[T]{At: d.At}
+		for _, c := range d.Items {
+			n.Items = append(n.Items, c.Object)
+		}
+		s.Replace(n)
+	} else {
+		s.Apply(Changes[T]{At: d.At, Items: d.Items})
+	}
+	return s.changed != before
+}
+
+// Since gives what a peer that knows everything up to a version has missed.
+func (s *Store[T]) Since(from api.Version) Delta[T] {
+	d := Delta[T]{From: from, At: s.at}
+	if from == 0 || from < s.floor || from > s.at {
+		d.From, from = 0, 0
+	}
+	for name, o := range s.objects {
+		if from == 0 || s.seen[name] > from {
+			d.Items = append(d.Items, Change[T]{Object: o})
+		}
+	}
+	for _, r := range s.removals {
+		if from > 0 && r.at > from {
+			d.Items = append(d.Items, Change[T]{Object: Object[T]{Name: r.name, Version: r.at}, Gone: true})
+		}
+	}
+	slices.SortFunc(d.Items, func(a, b Change[T]) int { return cmp.Compare(a.Name, b.Name) })
+	return d
+}
+
 // Snapshot gives every object in order of name.
 func (s *Store[T]) Snapshot() Snapshot[T] {
 	l := make([]Object[T], 0, len(s.objects))
--- a/internal/decide/replica/replica_test.go
+++ b/internal/decide/replica/replica_test.go
@@ -82,3 +82,68 @@
 		}
 	})
 }
+
+// Two stores that pass deltas on know the same, whatever one learned of lists
+// and changes, and however many of them the other has missed.
+func TestDeltasPassEverythingOn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := replica.New[string](), replica.New[string]()
+		at := api.Version(1)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			at += api.Version(rapid.IntRange(1, 3).Draw(t, "more"))
+			n := string(rune('a' + rapid.IntRange(0, 4).Draw(t, "name")))
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				a.Apply(replica.Changes[string]{At: at, Items: []replica.Change[string]{{Object: object(n, at, n)}}})
+			case 1:
+				a.Apply(replica.Changes[string]{At: at, Items: []replica.Change[string]{{Object: object(n, at, ""), Gone: true}}})
+			case 2:
+				a.Replace(replica.Snapshot[string]{At: at, Items: []replica.Object[string]{object(n, at, n)}})
+			case 3:
+				b.Offer(a.Since(b.At()))
+				same(t, a, b)
+			}
+		}
+		b.Offer(a.Since(b.At()))
+		same(t, a, b)
+	})
+}
+
+func same(t *rapid.T, a, b *replica.Store[string]) {
+	x, y := a.Snapshot(), b.Snapshot()
+	if len(x.Items) != len(y.Items) {
+		t.Fatalf("got %v, want %v", y.Items, x.Items)
+	}
+	for i := range x.Items {
+		if x.Items[i] != y.Items[i] {
+			t.Fatalf("got %v, want %v", y.Items, x.Items)
+		}
+	}
+}
+
+// The answer to a watch that was sent before a peer told more must not bring
+// back what is gone.
+func TestLateWatchBringsNothingBack(t *testing.T) {
+	s := replica.New[string]()
+	s.Replace(replica.Snapshot[string]{At: 10, Items: []replica.Object[string]{object("a", 9, "x")}})
+	s.Offer(replica.Delta[string]{From: 10, At: 20, Items: []replica.Change[string]{{Object: object("a", 15, ""), Gone: true}}})
+	s.Apply(replica.Changes[string]{At: 13, Items: []replica.Change[string]{{Object: object("a", 12, "x")}}})
+	if got := value(s, "a"); got != "" {
+		t.Errorf("got %q, want it gone", got)
+	}
+}
+
+// A version that moves on without a change of the kind is no reason to ask.
+func TestChangedStandsStillWithoutChanges(t *testing.T) {
+	s := replica.New[string]()
+	s.Replace(replica.Snapshot[string]{At: 5, Items: []replica.Object[string]{object("a", 5, "x")}})
+	s.Apply(replica.Changes[string]{At: 9})
+	s.Replace(replica.Snapshot[string]{At: 12, Items: []replica.Object[string]{object("a", 5, "x")}})
+	if got := s.Changed(); got != 5 {
+		t.Errorf("changed: got %d, want 5", got)
+	}
+	s.Apply(replica.Changes[string]{At: 13, Items: []replica.Change[string]{{Object: object("a", 13, ""), Gone: true}}})
+	if got := s.Changed(); got != 13 {
+		t.Errorf("changed after a removal: got %d, want 13", got)
+	}
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -22,9 +22,6 @@
 )
 
 const (
-	// roundTime is the pause between exchanges with each peer: well below the
-	// half second in which engines' loads change much.
-	roundTime = 250 * time.Millisecond
 	// callTime bounds one call to a peer.
 	callTime = 600 * time.Millisecond
 	// guideTime is how lately a hub has to be heard to be followed: two rounds
@@ -78,12 +75,8 @@
 	}
 }
 
-// Run is the duty that begins exchanges.
-func (m *Mesh) Run(ctx context.Context) error {
-	return duty.Loop(ctx, func() time.Duration { return roundTime }, m.round)
-}
-
-func (m *Mesh) round(context.Context) {
+// Round begins the exchanges that are due.
+func (m *Mesh) Round() {
 	m.mutex.Lock()
 	now := time.Now()
 	m.rounds++
@@ -180,7 +173,7 @@
 func (m *Mesh) own(vm api.VMName, r placement.Relation) api.Exchange {
 	x := m.Loads.Tell(vm, r)
 	e := api.Exchange{
-		Protocol: member.Protocol, VM: m.VM, ConfigAt: m.Config.At(), ServersAt: m.Servers.At(),
+		Protocol: member.Protocol, VM: m.VM, ConfigAt: m.Config.Changed(), ServersAt: m.Servers.Changed(),
 		Away: m.Servers.Lost() || m.Config.Lost(), Relation: relations[r], Members: x.Members,
 	}
 	if len(x.Loads) > 0 {
--- a/internal/mesh/serve.go
+++ b/internal/mesh/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 
 	"github.com/go-chi/chi/v5"
 	"go.uber.org/zap"
@@ -29,12 +30,23 @@
 // Routes adds the exchange to a control interface.
 func (m *Mesh) Routes(r chi.Router) {
 	r.Post(PathExchange, m.answer)
-	r.Get(PathConfig, func(w http.ResponseWriter, _ *http.Request) {
-		wire.Write(w, http.StatusOK, m.Config.Snapshot())
-	})
-	r.Get(PathServers, func(w http.ResponseWriter, _ *http.Request) {
-		wire.Write(w, http.StatusOK, m.Servers.Snapshot())
-	})
+	r.Get(PathConfig, pass(m.Config))
+	r.Get(PathServers, pass(m.Servers))
+}
+
+// since names the version that the asking peer knows a kind up to.
+const since = "since"
+
+// pass answers a peer with what it has missed of a kind; a version that is no
+// number counts as nothing known.
+func pass[T any](k *mirror.Mirror[T]) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		n, err := strconv.Atoi(r.URL.Query().Get(since))
+		if err != nil {
+			n = 0
+		}
+		wire.Write(w, http.StatusOK, k.Since(api.Version(n)))
+	}
 }
 
 func (m *Mesh) answer(w http.ResponseWriter, q *http.Request) {
@@ -65,12 +77,13 @@
 	m.Group.Go(func(ctx context.Context) error {
 		c, cancel := context.WithTimeout(ctx, callTime)
 		defer cancel()
-		var s replica.Snapshot[T]
-		if err := wire.Call(c, m.Client, http.MethodGet, "http://"+address+path, nil, &s); err != nil {
+		var d replica.Delta[T]
+		u := "http://" + address + path + "?" + since + "=" + strconv.Itoa(int(k.At()))
+		if err := wire.Call(c, m.Client, http.MethodGet, u, nil, &d); err != nil {
 			m.Log.Emit(event.PeerSilent, zap.String("address", address), zap.Error(err))
 			return nil
 		}
-		k.Offer(s)
+		k.Offer(d)
 		return nil
 	})
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -25,7 +25,7 @@
 )
 
 // guidedTime is the pause between looks whether peers still bring changes.
-const guidedTime = 100 * time.Millisecond
+const guidedTime = 250 * time.Millisecond
 
 // Timing bounds the calls of a mirror.
 type Timing struct {
@@ -125,8 +125,11 @@
 		m.Log.Emit(event.ConfigStale, zap.String("kind", m.Name), zap.Int("offered", int(s.At)), zap.Int("version", int(m.store.At())))
 		return nil
 	}
+	before := m.store.Changed()
 	m.store.Replace(s)
-	m.Take(m.store.Snapshot())
+	if m.store.Changed() != before {
+		m.Take(m.store.Snapshot())
+	}
 	return nil
 }
 
@@ -146,17 +149,16 @@
 	return nil
 }
 
-// Offer takes what a peer has, if it is newer.
-func (m *Mirror[T]) Offer(s replica.Snapshot[T]) {
+// Offer takes what a peer has passed on.
+func (m *Mirror[T]) Offer(d replica.Delta[T]) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if s.At <= m.store.At() {
+	if !m.store.Offer(d) {
 		return
 	}
-	m.store.Replace(s)
 	m.Metrics.Add(metric.ConfigFromPeers, 1)
 	v := m.store.Snapshot()
-	v.Settled = s.Settled
+	v.Settled = d.Settled
 	m.Take(v)
 }
 
@@ -179,13 +181,20 @@
 // seconds.
 const settleTime = 2500 * time.Millisecond
 
-// Snapshot gives what is known, for a peer.
-func (m *Mirror[T]) Snapshot() replica.Snapshot[T] {
+// Since gives a peer what it has missed after a version.
+func (m *Mirror[T]) Since(from api.Version) replica.Delta[T] {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	d := m.store.Since(from)
+	d.Settled = !m.away && time.Since(m.since) >= settleTime
+	return d
+}
+
+// Changed is the version at which an object last changed, as far as known.
+func (m *Mirror[T]) Changed() api.Version {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	s := m.store.Snapshot()
-	s.Settled = !m.away && time.Since(m.since) >= settleTime
-	return s
+	return m.store.Changed()
 }
 
 func (m *Mirror[T]) reached() {
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-chi/chi/v5"
@@ -67,6 +68,9 @@
 	servers *mirror.Mirror[roster.Server]
 	mesh    *mesh.Mesh
 	callers *http.Server
+	rounds  int
+	// telling is set while changes are gathered for peers.
+	telling atomic.Bool
 	// end is when a planned stop has to be over.
 	end      time.Time
 	cleanups []func()
@@ -175,8 +179,17 @@
 	h.tell()
 }
 
+// tellTime is how long changes are gathered before peers are told: servers
+// that leave together say so within a few ms.
+const tellTime = 15 * time.Millisecond
+
 func (h *Hosted) tell() {
-	h.group.Go(func(context.Context) error {
+	if h.telling.Swap(true) {
+		return
+	}
+	h.group.Go(func(ctx context.Context) error {
+		duty.Sleep(ctx, tellTime)
+		h.telling.Store(false)
 		h.mesh.Tell()
 		return nil
 	})
@@ -241,33 +254,37 @@
 func (hostedDuties) String() string { return "duties" }
 
 const (
-	// stepEvery is the pause between looks at lapses and members.
-	stepEvery = 200 * time.Millisecond
-	// askEvery is the pause between questions to servers while nobody else
-	// tells of them: a tenth of the shortest notice.
-	askEvery = 250 * time.Millisecond
-	// sweepEvery is the pause between closings of idle connections.
-	sweepEvery = time.Second
+	// roundEvery is the pause between rounds of the small duties: well below the
+	// half second in which engines' loads change much, and a sixth of the
+	// shortest notice of servers that leave. Each wake-up costs processor time,
+	// so that one clock serves them all.
+	roundEvery = 250 * time.Millisecond
+	// sweepRounds is the number of rounds between closings of idle connections.
+	sweepRounds = 4
 )
 
 func (hostedDuties) Run(h *Hosted) error {
 	h.group.Go(h.config.Run)
 	h.group.Go(h.servers.Run)
-	h.group.Go(h.mesh.Run)
-	h.group.Every(stepEvery, func(ctx context.Context) {
-		h.gateway.Step(ctx)
-		h.Metrics.Put(metric.RequestsInFlight, int64(h.gateway.InFlight()))
-	})
-	h.group.Every(askEvery, func(ctx context.Context) {
-		if h.servers.Lost() && h.mesh.Alone() {
-			h.gateway.Ask(ctx)
-		}
-	})
-	h.group.Every(sweepEvery, func(context.Context) { h.pool.Sweep() })
+	h.group.Every(roundEvery, h.tick)
 	h.Log.Emit(event.Started, zap.String("listen", h.Settings.Node.Listen), zap.String("control", h.Settings.Node.Control))
 	return nil
 }
 
+// tick is one round of the small duties.
+func (h *Hosted) tick(ctx context.Context) {
+	h.rounds++
+	h.mesh.Round()
+	h.gateway.Step(ctx)
+	h.Metrics.Put(metric.RequestsInFlight, int64(h.gateway.InFlight()))
+	if h.servers.Lost() && h.mesh.Alone() {
+		h.gateway.Ask(ctx)
+	}
+	if h.rounds%sweepRounds == 0 {
+		h.pool.Sweep()
+	}
+}
+
 // hostedTurning says not ready, so that new callers go elsewhere.
 type hostedTurning struct{}
 
