--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -1,18 +1,29 @@
 package cmd
 
 import (
+	"os"
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/story"
 )
 
+// standardInput names standard input among log files.
+const standardInput = "-"
+
 // explainCommand tells of a request.
 type explainCommand struct {
-	Request string `arg:"" help:"Request id, as in X-Request-Id."`
+	Request string   `arg:"" help:"Request id, as in X-Request-Id."`
+	Logs    []string `help:"Log files of entry VMs to read in place of asking one; - is standard input." type:"path" sep:","`
 }
 
-// Run asks any entry VM, which asks its peers for a request it did not handle.
+// Run reads logs, or asks any entry VM, which asks its peers for a request it
+// did not handle.
 func (c *explainCommand) Run(e *environment) error {
+	if len(c.Logs) > 0 {
+		return c.read(e)
+	}
 	p, closer := e.peer()
 	defer closer()
 	x, err := p.Explain(e, e.line.Entry, api.RequestID(c.Request), false)
@@ -33,3 +44,41 @@
 	}
 	return nil
 }
+
+// read tells the story of a request from logs.
+func (c *explainCommand) read(e *environment) error {
+	var all []story.Line
+	for _, n := range c.Logs {
+		l, err := readLog(n)
+		if err != nil {
+			return err
+		}
+		all = append(all, l...)
+	}
+	l := story.Tell(all, c.Request)
+	if len(l) == 0 {
+		return fault.New(fault.UnknownRequest, "no line of these logs tells of request "+c.Request)
+	}
+	if e.json() {
+		return e.write(l)
+	}
+	for _, x := range l {
+		if err := e.print("%s\n", x); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readLog(name string) ([]story.Line, error) {
+	if name == standardInput {
+		return story.Read("standard input", os.Stdin)
+	}
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, fault.Wrap(fault.UnreadableFile, err, "opening a log")
+	}
+	// Closing a file that was only read loses nothing.
+	defer func() { _ = f.Close() }()
+	return story.Read(name, f)
+}
--- a/cmd/explain_test.go
+++ b/cmd/explain_test.go
@@ -1,6 +1,10 @@
 package cmd
 
-import "testing"
+import (
+	"os"
+	"path/filepath"
+	"testing"
+)
 
 func TestExplain(t *testing.T) {
 	s := newShell(t)
@@ -8,3 +12,15 @@
 	s.want(0, "engine-1: room at once", "explain", "r1")
 	s.want(0, `"step": "dispatch"`, "explain", "r1", "-o", "json")
 }
+
+func TestExplainFromLogs(t *testing.T) {
+	s := newShell(t)
+	a := filepath.Join(t.TempDir(), "a.log")
+	const line = `{"level":"warn","ts":"2026-03-09T15:44:02.9Z","msg":"generation_lost","event":309,"request":"q7","server":"i-1"}`
+	if err := os.WriteFile(a, []byte(line+"\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s.want(0, "generation_lost server=i-1", "explain", "q7", "--logs", a)
+	s.want(1, "unknown_request", "explain", "q8", "--logs", a)
+	s.want(1, "unreadable_file", "explain", "q7", "--logs", a+".none")
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -72,7 +72,7 @@
 
 // Run is the duty that asks the platform.
 func (m *Mirror[T]) Run(ctx context.Context) error {
-	list, failures := true, 0
+	list, failures, forgotten := true, 0, 0
 	for ctx.Err() == nil {
 		if m.Guided() {
 			list = true
@@ -87,6 +87,9 @@
 			err = m.watch(ctx)
 		}
 		if err == nil {
+			if !list {
+				forgotten = 0
+			}
 			list, failures = false, 0
 			m.reached()
 			continue
@@ -95,6 +98,11 @@
 		list = true
 		if fault.Has(err, fault.WatchTooOld) {
 			m.Log.Emit(event.WatchRestarted, zap.String("kind", m.Name), zap.Int("version", int(m.At())))
+			forgotten++
+			if forgotten > 1 {
+				// A store that forgets at once is not asked at once again.
+				duty.Sleep(ctx, backoff(forgotten))
+			}
 			continue
 		}
 		failures++
--- /dev/null
+++ b/internal/story/story.go
@@ -0,0 +1,143 @@
+package story
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/fault"
+)
+
+// Line is one line of a log.
+type Line struct {
+	At time.Time
+	// Source is the log that it stands in: a file, and what stood before the line.
+	Source string
+	Event  event.ID
+	Name   string
+	Fields map[string]any
+}
+
+const (
+	// lineMost bounds one line, in bytes.
+	lineMost = 1 << 20
+	// before and after are how far around a request's own lines the beliefs of
+	// its entry VM are shown: a server's notice, and an outage found late.
+	before = 4 * time.Second
+	after  = time.Second
+)
+
+// beliefs are the events that change what an entry VM believes.
+var beliefs = map[event.ID]bool{
+	event.ConfigApplied: true, event.PlatformLost: true, event.PlatformBack: true, event.WatchRestarted: true,
+	event.PeerLost: true, event.PeerJoined: true, event.ServerState: true, event.ClockJump: true,
+	event.StopBegun: true, event.Started: true, event.LinesLeftOut: true,
+}
+
+// Read gives the lines of a log; what is no line of a log is passed over.
+func Read(name string, r io.Reader) ([]Line, error) {
+	var l []Line
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, lineMost)
+	for s.Scan() {
+		if x, ok := parse(name, s.Text()); ok {
+			l = append(l, x)
+		}
+	}
+	if err := s.Err(); err != nil {
+		return nil, fault.Wrap(fault.UnreadableFile, err, "reading "+name)
+	}
+	return l, nil
+}
+
+// parse reads one line; a collector may have put the VM's name before it.
+func parse(name, text string) (Line, bool) {
+	i := strings.IndexByte(text, '{')
+	if i < 0 {
+		return Line{}, false
+	}
+	var f map[string]any
+	if json.Unmarshal([]byte(text[i:]), &f) != nil {
+		return Line{}, false
+	}
+	id, ok := f["event"].(float64)
+	if !ok {
+		return Line{}, false
+	}
+	ts, _ := f["ts"].(string)
+	at, err := time.Parse(time.RFC3339Nano, ts)
+	if err != nil {
+		return Line{}, false
+	}
+	n, _ := f["msg"].(string)
+	for _, k := range []string{"event", "ts", "msg", "level"} {
+		delete(f, k)
+	}
+	source := name
+	if w := strings.Fields(text[:i]); len(w) > 0 {
+		source += " " + w[len(w)-1]
+	}
+	return Line{At: at, Source: source, Event: event.ID(id), Name: n, Fields: f}, true
+}
+
+// Tell gives the lines of a request in order of time, with what its entry VM
+// came to believe around them: of the platform, of peers, and of the servers
+// that the request met.
+func Tell(all []Line, request string) []Line {
+	var own []Line
+	servers := map[any]bool{}
+	for _, l := range all {
+		if l.Fields["request"] != request {
+			continue
+		}
+		own = append(own, l)
+		for _, k := range []string{"server", "from", "to"} {
+			if s := l.Fields[k]; s != nil {
+				servers[s] = true
+			}
+		}
+	}
+	if len(own) == 0 {
+		return nil
+	}
+	sortLines(own)
+	from, to := own[0].At.Add(-before), own[len(own)-1].At.Add(after)
+	story := own
+	for _, l := range all {
+		if l.Source != own[0].Source || !beliefs[l.Event] || l.At.Before(from) || l.At.After(to) {
+			continue
+		}
+		if l.Event == event.ServerState && !servers[l.Fields["server"]] {
+			continue
+		}
+		story = append(story, l)
+	}
+	sortLines(story)
+	return story
+}
+
+func sortLines(l []Line) {
+	slices.SortStableFunc(l, func(a, b Line) int { return a.At.Compare(b.At) })
+}
+
+// String writes a line for people.
+func (l Line) String() string {
+	keys := make([]string, 0, len(l.Fields))
+	for k := range l.Fields {
+		if k != "request" {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s %s %s", l.At.UTC().Format("15:04:05.000"), l.Source, l.Name)
+	for _, k := range keys {
+		fmt.Fprintf(&b, " %s=%v", k, l.Fields[k])
+	}
+	return b.String()
+}
--- /dev/null
+++ b/spec/move.go
@@ -0,0 +1,230 @@
+package spec
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/decide/evacuate"
+	"github.com/wardridge/wardridge/internal/decide/sequence"
+)
+
+// The move's world: a run of three events on a source that is about to end, and
+// two servers that it may go to. Copies meet refusals and silence, a stop's
+// answer may be lost, servers die, connections break, the caller leaves.
+const (
+	moveEvents  = 3
+	moveServers = 3
+	// moveStepsMost bounds the mover's steps; further ones meet silence.
+	moveStepsMost = 5
+	// none stands for no server.
+	none = -1
+)
+
+type moveState struct {
+	move   evacuate.Move
+	action evacuate.Action
+	// moving is set while the mover has steps to take.
+	moving bool
+	steps  int
+	// halted is set once the entry VM has told the source to stop.
+	halted bool
+	target int
+	// held is the server with the newest copy that the entry VM knows of.
+	held   int
+	copies [moveServers]int
+	alive  [moveServers]bool
+	// runs tells which servers work on the run, made how many events it has.
+	runs [moveServers]bool
+	made int
+	// stream is the server that is read, next the event that comes next there.
+	stream  int
+	next    int
+	events  sequence.Sequence
+	got     [moveEvents + 1]int
+	count   int
+	resumed bool
+	ended   bool
+	aborted bool
+	double  bool
+}
+
+func moveWorld(mutation string) world[moveState] {
+	m := evacuate.New(at(0))
+	s := moveState{move: *m, action: m.First(), moving: true, target: none, held: none, made: 1, stream: 0, next: 1}
+	for i := range moveServers {
+		s.alive[i] = true
+		s.copies[i] = none
+	}
+	s.runs[0] = true
+	return world[moveState]{
+		name:   named("move: a run of %d events, %d servers, crashes, breaks, lost answers", moveEvents, moveServers),
+		start:  s,
+		next:   func(s moveState) []step[moveState] { return moveNext(s, mutation) },
+		broken: moveBroken,
+	}
+}
+
+func moveBroken(s moveState) string {
+	for i := range s.count {
+		if s.got[i] != i+1 {
+			return "the caller saw an event doubled, missing or out of order"
+		}
+	}
+	switch {
+	case s.double:
+		return "the run goes on at a server while another one works on it"
+	case s.ended && s.count != moveEvents:
+		return "the stream ended as whole before its last event"
+	}
+	return ""
+}
+
+func moveNext(s moveState, mutation string) []step[moveState] {
+	if s.ended || s.aborted {
+		return nil
+	}
+	var l []step[moveState]
+	add := func(name string, n moveState) { l = append(l, step[moveState]{name, n}) }
+	for i := range moveServers {
+		if s.runs[i] && s.made < moveEvents {
+			n := s
+			n.made++
+			add("an event is made", n)
+		}
+		if i < 2 && s.alive[i] {
+			n := s
+			n.alive[i], n.runs[i] = false, false
+			add(named("server %d dies", i), n)
+		}
+	}
+	l = append(l, moveRead(s, mutation)...)
+	l = append(l, moveSteps(s)...)
+	return l
+}
+
+// moveRead is what can come of the stream that is read.
+func moveRead(s moveState, mutation string) []step[moveState] {
+	var l []step[moveState]
+	add := func(name string, n moveState) { l = append(l, step[moveState]{name, n}) }
+	if s.stream == none {
+		if !s.halted || !s.moving {
+			add("the run goes on", s.goOn(false))
+			add("the run goes on from its copy's end", s.goOn(true))
+		}
+		return l
+	}
+	if s.next <= s.made {
+		add(named("event %d arrives", s.next), s.read(mutation))
+	}
+	if s.next > moveEvents && s.alive[s.stream] {
+		n := s
+		n.ended = true
+		add("the stream ends", n)
+	}
+	n := s
+	if mutation != "the connection is left open" {
+		// The server drops a request whose connection is closed.
+		n.runs[s.stream] = false
+	}
+	n.stream = none
+	add("the stream breaks", n)
+	n.aborted = true
+	add("the caller leaves", n)
+	return l
+}
+
+// read takes the next event of the stream.
+func (s moveState) read(mutation string) moveState {
+	v := s.events.Take(strconv.Itoa(s.next))
+	if mutation == "events are not judged" {
+		v = sequence.Deliver
+	}
+	switch v {
+	case sequence.Deliver:
+		s.got[min(s.count, moveEvents)] = s.next
+		s.count = min(s.count+1, moveEvents+1)
+	case sequence.Gap:
+		s.runs[s.stream] = false
+		s.stream = none
+		s.held = none
+	}
+	s.next++
+	return s
+}
+
+// goOn resumes the run from the copy in hand, once; some servers repeat events
+// that the caller has.
+func (s moveState) goOn(repeats bool) moveState {
+	h := s.held
+	if h == none || s.resumed || !s.alive[h] || s.copies[h] == none {
+		s.aborted = true
+		return s
+	}
+	s.resumed = true
+	s.moving = false
+	for i := range moveServers {
+		s.double = s.double || s.runs[i] && i != h
+	}
+	s.runs[h] = true
+	s.stream = h
+	s.next = s.count + 1
+	if repeats {
+		s.next = min(s.next, s.copies[h]+1)
+	}
+	s.made = max(s.copies[h], s.count)
+	s.events.Join()
+	return s
+}
+
+// moveSteps is what can come of the mover's present step.
+func moveSteps(s moveState) []step[moveState] {
+	if !s.moving {
+		return nil
+	}
+	if s.action.Kind != evacuate.Copy && s.action.Kind != evacuate.Stop {
+		n := s
+		n.moving = false
+		return []step[moveState]{{"the mover ends", n}}
+	}
+	if s.action.Elsewhere {
+		s.target = 1 + (s.target+moveServers)%(moveServers-1)
+		s.action.Elsewhere = false
+	}
+	s.halted = s.halted || s.action.Kind == evacuate.Stop
+	s.steps++
+	if !s.alive[0] || s.steps > moveStepsMost {
+		return []step[moveState]{{"the source is silent", s.result(evacuate.Silent, 0)}}
+	}
+	var l []step[moveState]
+	add := func(name string, n moveState) { l = append(l, step[moveState]{name, n}) }
+	add("the source is silent", s.result(evacuate.Silent, 0))
+	if !s.runs[0] && !s.halted {
+		add("no such run", s.result(evacuate.Missing, 0))
+		return l
+	}
+	add("a copy is under way", s.result(evacuate.Busy, 0))
+	n := s
+	if s.action.Kind == evacuate.Stop {
+		n.runs[0] = false
+		add("the run stops, the answer is lost", n.result(evacuate.Silent, 0))
+		f := n
+		f.copies[0], f.held = n.made, 0
+		add("the run stops, no room for the rest", f.result(evacuate.Full, 0))
+	} else {
+		add("no room", s.result(evacuate.Full, 0))
+	}
+	if !s.alive[s.target] {
+		return l
+	}
+	n.copies[n.target], n.held = n.made, n.target
+	add("copied on free links", n.result(evacuate.Copied, 10*time.Millisecond))
+	add("copied behind others", n.result(evacuate.Copied, time.Second))
+	return l
+}
+
+// result asks the real decision for the next step.
+func (s moveState) result(o evacuate.Outcome, took time.Duration) moveState {
+	s.action = s.move.Next(at(0), evacuate.Result{Outcome: o, Took: took})
+	s.action.After = 0
+	return s
+}
--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -51,3 +51,7 @@
 	holds(t, func(m string) world[answerState] { return answerWorld(true, m) }, "late tokens are taken")
 	holds(t, func(m string) world[answerState] { return answerWorld(false, m) }, "a failed resume counts as unsent")
 }
+
+func TestMove(t *testing.T) {
+	holds(t, moveWorld, "the connection is left open", "events are not judged")
+}
