--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -104,6 +105,9 @@
 		g.Log.Emit(event.AttemptFailed, zap.String("request", string(q.ID)), zap.String("server", string(s.Name)), zap.Error(err))
 		m, f := c.Failed(outcome(err), err, ctx.Err() != nil, g.again)
 		if m == call.Fail {
+			if errors.Is(ctx.Err(), context.Canceled) {
+				f = fault.Wrap(fault.CallerGone, err, "the caller closed its connection")
+			}
 			return settle(failed, f)
 		}
 		g.Metrics.Add(metric.Retries, 1)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -217,6 +217,22 @@
 	}
 }
 
+// A caller that leaves is no failure of the system.
+func TestCallerThatLeavesIsTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, newFake(), 0)
+		lost := fault.New(fault.OutcomeUnknown, "cut")
+		b.fake.answers["p1"], b.fake.answers["p2"] = []any{lost}, []any{lost}
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		var k caller
+		b.Handle(ctx, request("/unsafe/1"), &k)
+		if k.fault == nil || k.fault.Code != fault.CallerGone {
+			t.Errorf("got %v, want that the caller left", k.fault)
+		}
+	})
+}
+
 func TestVMWithoutConfigurationSaysNotRun(t *testing.T) {
 	g := gateway.New(gateway.Parts{})
 	if g.Ready() {
