perf: changes gathered between watches, members patient in an outage

Change: 40 ms between a change and the next watch; a VM that is no hub and hears one asks each 1 to 2 s after a second failure, as the hub tells it at once. Ruled out: members that never ask (a domain whose hubs are cut off would starve). A test of the mesh failed by the ports it happened to get, and names no VM now.

--- a/internal/decide/gossip/gossip.go
+++ b/internal/decide/gossip/gossip.go
@@ -210,6 +210,16 @@
 	return false
 }
 
+// Patient reports whether this entry VM is no hub and hears one, which asks the
+// platform for it also while the platform does not answer.
+func (p *Peers) Patient(now time.Time) bool {
+	l := p.Hubs(now)
+	if slices.Contains(l, p.self.Address) {
+		return false
+	}
+	return slices.ContainsFunc(l, func(a string) bool { return p.alive(now, p.peers[a]) })
+}
+
 // Live lists the members heard lately in order of address.
 func (p *Peers) Live(now time.Time) []Member {
 	var l []Member
--- a/internal/decide/gossip/gossip_test.go
+++ b/internal/decide/gossip/gossip_test.go
@@ -155,6 +155,20 @@
 	}
 }
 
+// In an outage of the platform the hubs ask for the others.
+func TestMembersArePatientWhileTheyHearAHub(t *testing.T) {
+	f := newFleet(3, 10, 2)
+	f.run(0, 6000)
+	for a, p := range f.peers {
+		if got, want := p.Patient(at(6000)), !p.Hub(at(6000)); got != want {
+			t.Errorf("%s: got patient %v, want %v", a, got, want)
+		}
+		if p.Patient(at(12000)) {
+			t.Errorf("%s after 6 s without a word: got patient, want it to ask itself", a)
+		}
+	}
+}
+
 func TestHubsThatDieAreReplaced(t *testing.T) {
 	f := newFleet(3, 10, 2)
 	f.run(0, 6000)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -149,6 +149,13 @@
 	return m.peers.Guided(time.Now(), guideTime)
 }
 
+// Patient reports whether a hub asks the platform for this entry VM.
+func (m *Mesh) Patient() bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.peers.Patient(time.Now())
+}
+
 func (m *Mesh) exchange(ctx context.Context, address string) {
 	c, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -88,7 +88,8 @@
 		return len(b.servers.Since(0).Items) == 0 && len(c.servers.Since(0).Items) == 0
 	})
 	until(t, "members of the fleet", l, func() bool {
-		return c.book.Tell("a", placement.Carried).Members >= 2
+		// Whichever VM is the hub that carries another one, by its port.
+		return c.book.Tell("nobody", placement.Carried).Members >= 2
 	})
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -24,6 +24,13 @@
 	backoffLast  = 800 * time.Millisecond
 )
 
+// gatherTime is the pause after a change: servers that leave together say so
+// within some ms, and each answer to a watch is a call.
+const gatherTime = 40 * time.Millisecond
+
+// patientTime is the pause after a failed call while others ask as well.
+const patientTime = 2 * time.Second
+
 // guidedTime is the pause between looks whether peers still bring changes.
 const guidedTime = 250 * time.Millisecond
 
@@ -50,6 +57,8 @@
 	// Guided reports whether a peer that follows the platform brings what
 	// changes, so that it need not be asked.
 	Guided func() bool
+	// Patient reports whether others ask the platform as well, and would tell.
+	Patient func() bool
 	// Away is told when the platform is lost and when it is back.
 	Away func(away bool)
 }
@@ -107,11 +116,19 @@
 		}
 		failures++
 		m.failed(ctx, err)
-		duty.Sleep(ctx, backoff(failures))
+		duty.Sleep(ctx, m.pause(failures))
 	}
 	return nil
 }
 
+// pause is the wait after failed calls.
+func (m *Mirror[T]) pause(failures int) time.Duration {
+	if failures > 1 && m.Patient() {
+		return patientTime/2 + rand.N(patientTime/2)
+	}
+	return backoff(failures)
+}
+
 // backoff doubles with each failure and is spread, so that entry VMs don't
 // come back together.
 func backoff(failures int) time.Duration {
@@ -149,12 +166,21 @@
 	if err != nil {
 		return err
 	}
+	if m.apply(x) {
+		duty.Sleep(ctx, gatherTime)
+	}
+	return nil
+}
+
+// apply reports whether a watch brought anything new.
+func (m *Mirror[T]) apply(x replica.Changes[T]) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	if m.store.Apply(x) > 0 {
-		m.Take(m.store.Snapshot())
+	if m.store.Apply(x) == 0 {
+		return false
 	}
-	return nil
+	m.Take(m.store.Snapshot())
+	return true
 }
 
 // Offer takes what a peer has passed on.
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -98,7 +98,8 @@
 			defer b.mutex.Unlock()
 			b.taken = append(b.taken, s.Items[0].Value)
 		},
-		Away: func(bool) {},
+		Patient: func() bool { return false },
+		Away:    func(bool) {},
 	})
 	g, end := duty.New(context.Background())
 	t.Cleanup(end)
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -161,11 +161,11 @@
 	}
 	h.config = mirror.New(mirror.Parts[directory.Config]{
 		Name: "config", Source: h.adapter.Config, Log: h.Log, Metrics: h.Metrics, Timing: t,
-		Take: h.configure, Guided: h.guided, Away: func(bool) {},
+		Take: h.configure, Guided: h.guided, Patient: h.patient, Away: func(bool) {},
 	})
 	h.servers = mirror.New(mirror.Parts[roster.Server]{
 		Name: "servers", Source: h.adapter.Servers, Log: h.Log, Metrics: h.Metrics, Timing: t,
-		Take: h.serve, Guided: h.guided, Away: h.gateway.Away,
+		Take: h.serve, Guided: h.guided, Patient: h.patient, Away: h.gateway.Away,
 	})
 	h.mesh = mesh.New(mesh.Parts{
 		VM: h.Settings.Node.Name, Hubs: s.Hubs, Seeds: split(s.Seeds),
@@ -181,6 +181,11 @@
 	return h.mesh.Guided()
 }
 
+// patient reports whether a hub asks the platform as well.
+func (h *Hosted) patient() bool {
+	return h.mesh.Patient()
+}
+
 // configure takes a configuration, and tells peers that hear of it from here.
 func (h *Hosted) configure(s replica.Snapshot[directory.Config]) {
 	h.gateway.Configure(s)
