refactor: one place for how requests end, steps of a start and a stop apart, objectapi

Cause: two packages named platform, two copies of which event and counter a failed request gets, one file of 380 lines for start, duties and stop. Change: internal/platform is internal/objectapi (the client of the own object API), platform/ alone is the hosting platform's wire; internal/ending holds the choice for both paths; hosted.go is three files. No behaviour changes.

--- a/cmd/control.go
+++ b/cmd/control.go
@@ -13,8 +13,8 @@
 	"github.com/willabides/kongplete"
 
 	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/objectapi"
 	"github.com/wardridge/wardridge/internal/peer"
-	"github.com/wardridge/wardridge/internal/platform"
 )
 
 // controlLine is the command line of wardctl.
@@ -79,8 +79,8 @@
 }
 
 // platform connects to the platform; the clean-up closes the connection.
-func (e *environment) platform() (*platform.Client, func()) {
-	return platform.New(e.line.Platform, e.line.Timeout)
+func (e *environment) platform() (*objectapi.Client, func()) {
+	return objectapi.New(e.line.Platform, e.line.Timeout)
 }
 
 // peer connects to entry VMs; the clean-up closes the connections.
--- a/contract/platform_test.go
+++ b/contract/platform_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/fault"
-	client "github.com/wardridge/wardridge/internal/platform"
+	client "github.com/wardridge/wardridge/internal/objectapi"
 	"github.com/wardridge/wardridge/internal/resource"
 	"github.com/wardridge/wardridge/internal/standin/platform"
 )
--- a/fleet/duty_test.go
+++ b/fleet/duty_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/objectapi"
 	"github.com/wardridge/wardridge/internal/orders"
-	"github.com/wardridge/wardridge/internal/platform"
 	"github.com/wardridge/wardridge/internal/resource"
 	"github.com/wardridge/wardridge/internal/wire"
 )
@@ -102,7 +102,7 @@
 	fleet(t, 6, func(t *testing.T, b *bed) {
 		c, closer := wire.NewClientOver(machine{b.net, "operator"}.dial, false)
 		defer closer()
-		p := platform.Over(c, platformHost+":80", time.Second)
+		p := objectapi.Over(c, platformHost+":80", time.Second)
 		for i := range 20 {
 			there, err := b.store.Get(api.ResourceKindModel, "desk")
 			if err != nil {
--- a/internal/dev/up.go
+++ b/internal/dev/up.go
@@ -10,7 +10,7 @@
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/node"
-	client "github.com/wardridge/wardridge/internal/platform"
+	client "github.com/wardridge/wardridge/internal/objectapi"
 	"github.com/wardridge/wardridge/internal/resource"
 	"github.com/wardridge/wardridge/internal/sample"
 	"github.com/wardridge/wardridge/internal/settings"
--- /dev/null
+++ b/internal/ending/doc.go
@@ -0,0 +1,3 @@
+// Package ending says how a request that was not answered whole is logged and
+// counted.
+package ending
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -19,6 +19,7 @@
 	"github.com/wardridge/wardridge/internal/decide/limit"
 	"github.com/wardridge/wardridge/internal/decide/retry"
 	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/ending"
 	"github.com/wardridge/wardridge/internal/engine"
 	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/explain"
@@ -238,13 +239,7 @@
 }
 
 func (s *Server) count(f *fault.Error, id api.RequestID) {
-	e, m := event.RequestRefused, metric.RequestsRefused
-	switch {
-	case f.Code == fault.CallerGone:
-		e, m = event.CallerLeft, metric.CallersGone
-	case f.Ran != api.RanNo:
-		e, m = event.RequestFailed, metric.RequestsFailed
-	}
+	e, m := ending.Of(f)
 	s.Metrics.Add(m, 1)
 	s.Log.Emit(e, zap.String("request", string(id)), zap.String("type", f.Code.Kind().Type), zap.Int("code", int(f.Code)), zap.String("ran", string(f.Ran)), zap.Error(f))
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/wardridge/wardridge/internal/decide/retry"
 	"github.com/wardridge/wardridge/internal/decide/roster"
 	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/ending"
 	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/fault"
 	"github.com/wardridge/wardridge/internal/metric"
@@ -215,13 +216,7 @@
 
 // refuse answers a request that no server answered.
 func (g *Gateway) refuse(r *port.Request, s port.Sink, f *fault.Error) {
-	e, m := event.RequestRefused, metric.RequestsRefused
-	switch {
-	case f.Code == fault.CallerGone:
-		e, m = event.CallerLeft, metric.CallersGone
-	case f.Ran != api.RanNo:
-		e, m = event.RequestFailed, metric.RequestsFailed
-	}
+	e, m := ending.Of(f)
 	g.Metrics.Add(m, 1)
 	g.Log.Emit(e, zap.String("request", string(r.ID)), zap.String("type", f.Code.Kind().Type), zap.String("ran", string(f.Ran)), zap.Error(f))
 	s.Refuse(f)
--- a/internal/node/context.go
+++ b/internal/node/context.go
@@ -20,9 +20,9 @@
 	"github.com/wardridge/wardridge/internal/leader"
 	"github.com/wardridge/wardridge/internal/lifecycle"
 	"github.com/wardridge/wardridge/internal/metric"
+	"github.com/wardridge/wardridge/internal/objectapi"
 	"github.com/wardridge/wardridge/internal/orders"
 	"github.com/wardridge/wardridge/internal/peer"
-	"github.com/wardridge/wardridge/internal/platform"
 	"github.com/wardridge/wardridge/internal/poll"
 	"github.com/wardridge/wardridge/internal/upkeep"
 )
@@ -39,7 +39,7 @@
 	Owner    lease.Owner
 	Explain  *explain.Recorder
 
-	Platform *platform.Client
+	Platform *objectapi.Client
 	Engines  *engine.Client
 	Peers    *peer.Client
 	Reused   *http.Client
--- /dev/null
+++ b/internal/node/hosted_start.go
@@ -0,0 +1,255 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/decide/directory"
+	"github.com/wardridge/wardridge/internal/decide/gossip"
+	"github.com/wardridge/wardridge/internal/decide/replica"
+	"github.com/wardridge/wardridge/internal/decide/retry"
+	"github.com/wardridge/wardridge/internal/decide/roster"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/gateway"
+	"github.com/wardridge/wardridge/internal/mesh"
+	"github.com/wardridge/wardridge/internal/metric"
+	"github.com/wardridge/wardridge/internal/mirror"
+	"github.com/wardridge/wardridge/internal/peer"
+	"github.com/wardridge/wardridge/internal/step"
+	"github.com/wardridge/wardridge/internal/upstream"
+	"github.com/wardridge/wardridge/internal/wire"
+)
+
+var hostedStart = []step.Step[*Hosted]{hostedClients{}, hostedDecisions{}, hostedServers{}, hostedDuties{}}
+
+// hostedClients makes the connections to other processes.
+type hostedClients struct{}
+
+func (hostedClients) String() string { return "clients" }
+
+func (hostedClients) Run(h *Hosted) error {
+	var closer func()
+	h.grace.Store(int64(seconds(h.Settings.Gateway.GraceS)))
+	h.group, closer = duty.New(context.WithoutCancel(h.Context))
+	h.cleanup(closer)
+	h.peers, closer = wire.NewClientOver(h.Machine.Dial, true)
+	h.cleanup(closer)
+	p, closer := wire.NewClientOver(h.Machine.Dial, true)
+	h.cleanup(closer)
+	h.pool, closer = upstream.New(h.Machine.Dial)
+	h.cleanup(closer)
+	h.adapter = h.Adapt(Links{Platform: p, Address: h.Settings.Platform.Address, Pool: h.pool, Log: h.Log})
+	return nil
+}
+
+// hostedDecisions makes the parts that decide and remember.
+type hostedDecisions struct{}
+
+func (hostedDecisions) String() string { return "decisions" }
+
+// mirrorShare is the share of the time in which a change has to be in force
+// that one watch may wait; mirrorSlack is what its answer may take beyond.
+const (
+	mirrorShare = 0.5
+	mirrorSlack = 0.2
+)
+
+func (hostedDecisions) Run(h *Hosted) error {
+	s := h.Settings.Gateway
+	h.gateway = gateway.New(gateway.Parts{
+		Domain: h.Settings.Node.Domain, Seed: uint64(time.Now().UnixNano()), Backends: h.adapter.Backends, Group: h.group, Log: h.Log, Metrics: h.Metrics,
+		Retries: retry.NewWindow(seconds(s.RetryWindowS), s.RetryRatio, s.RetrySlack),
+	})
+	apply := s.ApplyMS.Duration()
+	t := mirror.Timing{
+		Wait:  time.Duration(mirrorShare * float64(apply)),
+		Slack: time.Duration(mirrorSlack * float64(apply)),
+	}
+	h.config = mirror.New(mirror.Parts[directory.Config]{
+		Name: "config", Source: h.adapter.Config, Log: h.Log, Metrics: h.Metrics, Timing: t,
+		Take: h.configure, Guided: h.guided, Patient: h.patient, Away: func(bool) {},
+	})
+	h.servers = mirror.New(mirror.Parts[roster.Server]{
+		Name: "servers", Source: h.adapter.Servers, Log: h.Log, Metrics: h.Metrics, Timing: t,
+		Take: h.serve, Guided: h.guided, Patient: h.patient, Away: h.gateway.Away,
+	})
+	h.mesh = mesh.New(mesh.Parts{
+		VM: h.Settings.Node.Name, Hubs: s.Hubs, Seeds: split(s.Seeds),
+		Self:   gossip.Member{Address: h.Settings.Node.Control, Domain: h.Settings.Node.Domain},
+		Client: h.peers, Group: h.group, Log: h.Log, Metrics: h.Metrics,
+		Config: h.config, Servers: h.servers, Loads: h.gateway,
+	})
+	return nil
+}
+
+// guided reports whether a hub brings what changes.
+func (h *Hosted) guided() bool {
+	return h.mesh.Guided()
+}
+
+// patient reports whether a hub asks the platform as well.
+func (h *Hosted) patient() bool {
+	return h.mesh.Patient()
+}
+
+// configure takes a configuration, and tells peers that hear of it from here.
+func (h *Hosted) configure(s replica.Snapshot[directory.Config]) {
+	h.gateway.Configure(s)
+	h.tell()
+}
+
+// serve takes servers, and tells peers that hear of them from here.
+func (h *Hosted) serve(s replica.Snapshot[roster.Server]) {
+	h.gateway.Serve(s)
+	h.tell()
+}
+
+// tellTime is how long changes are gathered before peers are told: servers
+// that leave together say so within a few ms.
+const tellTime = 15 * time.Millisecond
+
+func (h *Hosted) tell() {
+	if h.telling.Swap(true) {
+		return
+	}
+	h.group.Go(func(ctx context.Context) error {
+		duty.Sleep(ctx, tellTime)
+		h.telling.Store(false)
+		h.mesh.Tell()
+		return nil
+	})
+}
+
+func seconds(n float64) time.Duration {
+	return time.Duration(n * float64(time.Second))
+}
+
+func split(s string) []string {
+	var l []string
+	for _, a := range strings.Split(s, ",") {
+		if a = strings.TrimSpace(a); a != "" {
+			l = append(l, a)
+		}
+	}
+	return l
+}
+
+// hostedServers listens.
+type hostedServers struct{}
+
+func (hostedServers) String() string { return "servers" }
+
+// headerWait bounds the time that a caller's head may take; operators allow
+// callers 3 s.
+const headerWait = 5 * time.Second
+
+func (hostedServers) Run(h *Hosted) error {
+	r := chi.NewRouter()
+	h.mesh.Routes(r)
+	r.Get(peer.PathMetrics, h.Metrics.ServeHTTP)
+	var err error
+	if _, err = h.listen(h.Settings.Node.Control, r); err != nil {
+		return err
+	}
+	if _, err = h.listen(h.Settings.Gateway.Ready, h.adapter.Readiness(h.gateway)); err != nil {
+		return err
+	}
+	h.callers, err = h.listen(h.Settings.Node.Listen, h.adapter.Ingress(h.gateway))
+	return err
+}
+
+func (h *Hosted) listen(address string, x http.Handler) (*http.Server, error) {
+	l, err := h.Machine.Listen(h, address)
+	if err != nil {
+		return nil, fault.Wrap(fault.ListenFailed, err, "listening on "+address)
+	}
+	s := wire.NewServer(x, headerWait)
+	h.group.Go(func(context.Context) error {
+		// The end of the server is part of the stop.
+		_ = s.Serve(l)
+		return nil
+	})
+	h.cleanup(func() { _ = s.Close() })
+	return s, nil
+}
+
+// hostedDuties starts what runs until the end.
+type hostedDuties struct{}
+
+func (hostedDuties) String() string { return "duties" }
+
+const (
+	// roundEvery is the pause between rounds of the small duties: well below the
+	// half second in which engines' loads change much, and a sixth of the
+	// shortest notice of servers that leave. Each wake-up costs processor time,
+	// so that one clock serves them all.
+	roundEvery = 250 * time.Millisecond
+	// sweepRounds is the number of rounds between closings of idle connections.
+	sweepRounds = 4
+	// leftRounds is the number of rounds between counts of lines left out.
+	leftRounds = 40
+)
+
+func (hostedDuties) Run(h *Hosted) error {
+	h.group.Go(h.config.Run)
+	h.group.Go(h.servers.Run)
+	h.group.Every(roundEvery, h.tick)
+	h.group.Go(h.reload)
+	h.Log.Emit(event.Started, zap.String("listen", h.Settings.Node.Listen), zap.String("control", h.Settings.Node.Control))
+	return nil
+}
+
+// tick is one round of the small duties.
+func (h *Hosted) tick(ctx context.Context) {
+	h.rounds++
+	h.mesh.Round()
+	h.gateway.Step(ctx)
+	h.Metrics.Put(metric.RequestsInFlight, int64(h.gateway.InFlight()))
+	if h.servers.Lost() && h.mesh.Alone() {
+		h.gateway.Ask(ctx)
+	}
+	if h.rounds%sweepRounds == 0 {
+		h.pool.Sweep()
+	}
+	if h.rounds%leftRounds == 0 {
+		h.leftOut()
+	}
+}
+
+// reload is the duty that takes changed settings. Bounds and the time to stop
+// change at once; addresses need a restart, and settings that are wrong change
+// nothing.
+func (h *Hosted) reload(ctx context.Context) error {
+	for {
+		select {
+		case <-h.Reloads.Signal:
+		case <-ctx.Done():
+			return nil
+		}
+		s, err := h.Reloads.Load()
+		if err != nil {
+			h.Log.Emit(event.SettingsRefused, zap.Error(err))
+			continue
+		}
+		h.grace.Store(int64(seconds(s.Gateway.GraceS)))
+		h.gateway.Bound(seconds(s.Gateway.RetryWindowS), s.Gateway.RetryRatio, s.Gateway.RetrySlack)
+		h.Log.Emit(event.SettingsTaken, zap.Bool("restart_needed", s.Node != h.Settings.Node || s.Platform != h.Settings.Platform))
+	}
+}
+
+// leftOut logs how many lines were left out since the last time.
+func (h *Hosted) leftOut() {
+	b, o := h.Log.Left()
+	if b == h.leftBound && o == h.leftOutput {
+		return
+	}
+	h.Log.Emit(event.LinesLeftOut, zap.Int64("beyond_bound", b-h.leftBound), zap.Int64("output", o-h.leftOutput))
+	h.leftBound, h.leftOutput = b, o
+}
--- /dev/null
+++ b/internal/node/hosted_stop.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/step"
+)
+
+var hostedStop = []step.Step[*Hosted]{hostedTurning{}, hostedDraining{}}
+
+// hostedTurning says not ready, so that new callers go elsewhere.
+type hostedTurning struct{}
+
+func (hostedTurning) String() string { return "turning the readiness" }
+
+func (hostedTurning) Run(h *Hosted) error {
+	h.Log.Emit(event.StopBegun, zap.Int("in_flight", h.gateway.InFlight()))
+	h.end = time.Now().Add(time.Duration(h.grace.Load()) - endMargin)
+	h.gateway.Stop(h.end)
+	return nil
+}
+
+// hostedDraining serves on until callers had time to go elsewhere and their
+// requests are answered, or the time to stop is over.
+type hostedDraining struct{}
+
+func (hostedDraining) String() string { return "draining" }
+
+const (
+	// turnTime is how long the balancer may take to notice, and callers to
+	// use their open connections once more.
+	turnTime = 2500 * time.Millisecond
+	// endMargin is kept of the time to stop for the end itself.
+	endMargin = 400 * time.Millisecond
+	// drainEvery is the pause between looks at what is in flight.
+	drainEvery = 50 * time.Millisecond
+)
+
+func (hostedDraining) Run(h *Hosted) error {
+	began := time.Now()
+	for time.Now().Before(h.end) {
+		if h.gateway.InFlight() == 0 && time.Since(began) > turnTime {
+			break
+		}
+		if !duty.Sleep(h, drainEvery) {
+			break
+		}
+	}
+	h.Log.Emit(event.StopDone, zap.Int("in_flight", h.gateway.InFlight()))
+	return nil
+}
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -26,9 +26,9 @@
 	"github.com/wardridge/wardridge/internal/heartbeat"
 	"github.com/wardridge/wardridge/internal/leader"
 	"github.com/wardridge/wardridge/internal/lifecycle"
+	"github.com/wardridge/wardridge/internal/objectapi"
 	"github.com/wardridge/wardridge/internal/orders"
 	"github.com/wardridge/wardridge/internal/peer"
-	"github.com/wardridge/wardridge/internal/platform"
 	"github.com/wardridge/wardridge/internal/poll"
 	"github.com/wardridge/wardridge/internal/step"
 	"github.com/wardridge/wardridge/internal/upkeep"
@@ -65,7 +65,7 @@
 	c.cleanup(closer)
 	c.Single, closer = wire.NewClientOver(c.Machine.Dial, false)
 	c.cleanup(closer)
-	c.Platform = platform.Over(c.Reused, c.Settings.Platform.Address, c.Settings.Platform.TimeoutMS.Duration())
+	c.Platform = objectapi.Over(c.Reused, c.Settings.Platform.Address, c.Settings.Platform.TimeoutMS.Duration())
 	c.Engines = engine.Over(c.Reused, dialTime)
 	c.Peers = peer.Over(c.Reused, peerTime)
 	return nil
--- a/internal/platform/client.go
+++ b/internal/objectapi/client.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"context"
--- a/internal/platform/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package platform is the client of the platform's object API.
-package platform
