--- a/internal/port/answer.go
+++ b/internal/port/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/wardridge/wardridge/internal/fault"
 )
@@ -35,6 +36,11 @@
 	Stream Stream
 }
 
+// SlowReader bounds one write to a caller that does not read; callers give a
+// stream up after a silence of a few seconds, and the default of the own
+// interface is the same.
+const SlowReader = 10 * time.Second
+
 // Sink takes the one answer of a request.
 type Sink interface {
 	// Whole writes a complete answer of a backend server.
