fix: a copy that hangs does not keep a run from being moved again

Cause: found in reading: a run that went on elsewhere while its mover still waited for a copy could not be moved again until that ended, and the late copy was taken for one of the new server's. Change: a mover belongs to one server; its late copy is freed. Before and after: TestRunIsMovedAgainBesideAHangingCopy failed before (the second move never began) and passes.

--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -48,10 +48,12 @@
 	runs    map[string]*fakeRun
 	dead    map[string]bool
 	// full targets refuse copies; handles names the copies that are held.
-	full     map[string]bool
-	handles  map[string]string
-	copies   int
-	missing  int
+	full    map[string]bool
+	handles map[string]string
+	copies  int
+	missing int
+	// hang makes copies take longer than any notice.
+	hang     bool
 	released []string
 	closed   int
 	total    int
@@ -152,10 +154,14 @@
 		f.mutex.Unlock()
 		return port.Copy{}, fault.New(fault.NotFound, "not begun")
 	}
+	hang := f.hang
 	f.mutex.Unlock()
-	if first {
+	switch {
+	case hang:
+		time.Sleep(3 * time.Second)
+	case first:
 		time.Sleep(copyTime)
-	} else {
+	default:
 		time.Sleep(restTime)
 	}
 	f.mutex.Lock()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -126,6 +126,37 @@
 	})
 }
 
+// A copy that still hangs at a server which died must not keep the run from
+// being moved again.
+func TestRunIsMovedAgainBesideAHangingCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		f.total = 100
+		b := newBed(t, f, 0)
+		var c caller
+		done, s := streamed(t, b, &c, 5)
+		o := other(s)
+		b.servers(map[string]bool{s: true, o: false})
+		time.Sleep(copyTime + time.Millisecond)
+		f.mutex.Lock()
+		f.hang = true
+		f.mutex.Unlock()
+		time.Sleep(2 * eventGap)
+		f.mutex.Lock()
+		f.dead[s], f.hang = true, false
+		f.mutex.Unlock()
+		time.Sleep(5 * eventGap)
+		b.servers(map[string]bool{o: true, "e3": false})
+		<-done
+		if !c.whole(100) {
+			t.Errorf("events: got %d ended %v, want 100 and an end", len(c.ids), c.ended)
+		}
+		if got, want := f.sends, []string{s, o, "e3"}; !slices.Equal(got, want) {
+			t.Errorf("sends: got %v, want %v", got, want)
+		}
+	})
+}
+
 func TestCopyIsFreedWhenCallerLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFake()
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -35,13 +35,12 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if r.moving || r.over || r.backup != nil {
+	if r.over || r.backup != nil || r.mover != nil && r.mover.source.Name == r.server.Name {
 		return
 	}
-	r.moving = true
-	r.moved = make(chan struct{})
 	m := &mover{gateway: g, run: r, move: evacuate.New(time.Now()), source: r.server}
-	done := r.moved
+	done := make(chan struct{})
+	r.mover, r.moved = m, done
 	g.Group.Go(func(ctx context.Context) error {
 		defer close(done)
 		m.steps(ctx)
@@ -143,21 +142,29 @@
 	}
 	m.run.mutex.Lock()
 	defer m.run.mutex.Unlock()
-	m.run.copied = h
+	if m.run.mover == m && m.run.server.Name == m.source.Name {
+		m.run.copied = h
+		return
+	}
+	// The run has gone on elsewhere: the copy is of no use.
+	m.lease = nil
+	m.gateway.drop(h)
 }
 
 // end leaves the copy to the run, or frees what nobody will use.
 func (m *mover) end(k evacuate.Kind) {
 	m.run.mutex.Lock()
-	m.run.moving = false
-	used := m.run.copied != nil && !m.run.over
-	over := m.run.over
+	if m.run.mover == m {
+		m.run.mover = nil
+	}
 	c := m.run.copied
+	over := m.run.over && c != nil
 	if over {
 		m.run.copied = nil
 	}
+	used := m.run.lease == m.lease || c != nil && c.lease == m.lease
 	m.run.mutex.Unlock()
-	if over && c != nil {
+	if over {
 		m.gateway.drop(c)
 	}
 	if !used {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -43,9 +43,10 @@
 	lease  *lease
 	// events judges what goes to the caller.
 	events sequence.Sequence
-	// moving is set while a move is under way; moved is closed at its end.
-	moving bool
-	moved  chan struct{}
+	// mover takes the run off its server, nil for none; moved is closed at its
+	// end.
+	mover *mover
+	moved chan struct{}
 	// stopped is set once the source was told to stop the run.
 	stopped bool
 	// copied is the newest copy of the run's memory, nil for none.
