fix: a large configuration is taken from the platform where a hub can't pass it on

Ruled out: the platform and the hubs (they had it at 26.4 s; no platform_lost). Change: a member whose fetch failed lists once from the platform, though guided.

--- a/internal/mesh/serve.go
+++ b/internal/mesh/serve.go
@@ -81,6 +81,7 @@
 		u := "http://" + address + path + "?" + since + "=" + strconv.Itoa(int(k.At()))
 		if err := wire.Call(c, m.Client, http.MethodGet, u, nil, &d); err != nil {
 			m.Log.Emit(event.PeerSilent, zap.String("address", address), zap.Error(err))
+			k.Refresh()
 			return nil
 		}
 		k.Offer(d)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -67,6 +68,9 @@
 type Mirror[T any] struct {
 	Parts[T]
 
+	// refresh asks for a list of the platform although a peer guides.
+	refresh atomic.Bool
+
 	mutex sync.Mutex
 	store *replica.Store[T]
 	// away is set while the platform does not answer; it has since a time.
@@ -83,7 +87,7 @@
 func (m *Mirror[T]) Run(ctx context.Context) error {
 	list, failures, forgotten := true, 0, 0
 	for ctx.Err() == nil {
-		if m.Guided() {
+		if m.Guided() && !m.refresh.Swap(false) {
 			list = true
 			m.reached()
 			duty.Sleep(ctx, guidedTime)
@@ -196,6 +200,12 @@
 	m.Take(v)
 }
 
+// Refresh asks the platform once although a peer guides: what the peer has did
+// not come through, as a large configuration to many over a narrow link.
+func (m *Mirror[T]) Refresh() {
+	m.refresh.Store(true)
+}
+
 // At is the version up to which every change is known; zero knows nothing.
 func (m *Mirror[T]) At() api.Version {
 	m.mutex.Lock()
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -204,3 +204,20 @@
 		}
 	})
 }
+
+// What the guide has but can't pass on is taken from the platform.
+func TestGuidedMirrorRefreshes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		b.mutex.Lock()
+		b.guided = true
+		b.mutex.Unlock()
+		time.Sleep(3 * time.Second)
+		b.store.write("v2")
+		b.Refresh()
+		time.Sleep(400 * time.Millisecond)
+		if got := b.last(); got != "v2" {
+			t.Errorf("0.4 s after a fetch failed: got %q, want v2", got)
+		}
+	})
+}
