--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -22,18 +22,18 @@
 // before another is asked: the slowest hundredth of answers takes less.
 const hangAims = 2.5
 
-// served is a backend server's answer with where it came from; the lease is nil
+// served is a backend server's answer with where it came from; the reservation is nil
 // for a failure of a server that was kept while others were tried.
 type served struct {
-	answer port.Answer
-	server roster.Server
-	lease  *lease
-	backup *backup
+	answer      port.Answer
+	server      roster.Server
+	reservation *reservation
+	backup      *backup
 }
 
 // end takes the load of an answer away that needs no server any more.
 func (v served) end() {
-	v.lease.end()
+	v.reservation.end()
 	v.backup.end()
 }
 
@@ -83,15 +83,13 @@
 			return settle(failed, c.NoServer())
 		}
 		s := x.Server
-		q.choices = append(q.choices, []zap.Field{
-			zap.Time("at", time.Now()), zap.String("request", string(q.ID)), zap.String("workspace", string(q.workspace.Name)), zap.String("server", string(s.Name)), zap.Int("requests", x.Load.Requests), zap.Int("tokens", int(x.Load.Tokens)), zap.Int("unread", int(x.Load.Unread)), zap.Float64("score", x.Score), zap.Int("of", x.Of),
-		})
+		q.choices = append(q.choices, chosen(q, x))
 		q.tried = append(q.tried, s.Name)
 		b := g.protect(q, s)
 		a, err := g.attempt(ctx, q, s, b)
 		if err == nil && !worthAnother(q, a) {
 			g.note(s.Name, placement.Served)
-			return served{answer: a, server: s, lease: l, backup: b}, nil
+			return served{answer: a, server: s, reservation: l, backup: b}, nil
 		}
 		l.end()
 		b.end()
@@ -115,6 +113,21 @@
 	}
 }
 
+// chosen gives the fields of the log line of a choice: the figures that decided.
+func chosen(q *request, x placement.Choice) []zap.Field {
+	return []zap.Field{
+		zap.Time("at", time.Now()),
+		zap.String("request", string(q.ID)),
+		zap.String("workspace", string(q.workspace.Name)),
+		zap.String("server", string(x.Name)),
+		zap.Int("requests", x.Load.Requests),
+		zap.Int("tokens", int(x.Load.Tokens)),
+		zap.Int("unread", int(x.Load.Unread)),
+		zap.Float64("score", x.Score),
+		zap.Int("of", x.Of),
+	}
+}
+
 // settle passes a server's own failure on where there is one.
 func settle(failed *port.Answer, f *fault.Error) (served, *fault.Error) {
 	if failed == nil {
@@ -142,7 +155,7 @@
 	}
 	a := port.Attempt{
 		Request: q.Request, Server: s, Workspace: q.workspace.Name, Left: left,
-		Fresh: q.route.Kind == directory.Stream,
+		Stream: q.route.Kind == directory.Stream,
 	}
 	if b != nil {
 		a.Protect = b.at.Address
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -179,7 +179,7 @@
 	h := "h-" + string(o.Target.Name)
 	f.handles[h] = string(o.Target.Name)
 	r.stopped = r.stopped || o.Stop
-	return port.Copy{Handle: h, Events: r.made}, nil
+	return port.Copy{Handle: h}, nil
 }
 
 func (f *fake) Leaving(_ context.Context, s roster.Server) (bool, error) {
@@ -264,10 +264,12 @@
 	route := func(p string, k directory.Kind, s api.ServiceName) directory.Route {
 		return directory.Route{Host: "h", Prefix: p, Kind: k, Timeout: 30 * time.Second, Aim: 100 * time.Millisecond, MaxServers: 2, Targets: []directory.Target{{Service: s, Weight: 1}}}
 	}
+	timeless := route("/timeless/", directory.Unsafe, "plain")
+	timeless.Timeout = 0
 	b.Configure(replica.Snapshot[directory.Config]{Items: []replica.Object[directory.Config]{{Value: directory.Config{
 		Version: 1,
 		Routes: []directory.Route{
-			route("/stream/", directory.Stream, "engines"), route("/safe/", directory.Safe, "plain"), route("/unsafe/", directory.Unsafe, "plain"),
+			route("/stream/", directory.Stream, "engines"), route("/safe/", directory.Safe, "plain"), route("/unsafe/", directory.Unsafe, "plain"), timeless,
 		},
 		Services: []directory.Service{{Name: "engines", Engine: e}, {Name: "plain"}},
 	}}}})
@@ -289,6 +291,11 @@
 	b.Serve(s)
 }
 
+// notice declares that one of the two engines is leaving.
+func (b *bed) notice(engine string) {
+	b.servers(map[string]bool{engine: true, other(engine): false})
+}
+
 func request(path string) *port.Request {
 	return &port.Request{
 		ID: "r", Method: http.MethodPost, Host: "h", Path: path, Target: path, Header: http.Header{}, Arrived: time.Now(),
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -168,19 +168,34 @@
 	if !ok {
 		return nil, fault.New(fault.NoServer, "the route's service is not configured").After(startWait)
 	}
-	wait := x.Timeout
-	if r.Wait > 0 && (wait == 0 || r.Wait < wait) {
-		wait = r.Wait
-	}
 	if f := g.closing(r, x); f != nil {
 		return nil, f
 	}
 	return &request{
 		Request: r, route: x, workspace: w, service: v, sink: s,
-		deadline: r.Arrived.Add(wait),
+		deadline: r.Arrived.Add(holdTime(x.Timeout, r.Wait)),
 	}, nil
 }
 
+// holdDefault is how long a request is held where neither its route nor its
+// caller says: longer than any answer of a plain service takes.
+const holdDefault = 30 * time.Second
+
+// holdTime is the shorter of the times that a route and a caller allow; zero
+// says nothing.
+func holdTime(route, caller time.Duration) time.Duration {
+	switch {
+	case route <= 0 && caller <= 0:
+		return holdDefault
+	case route <= 0:
+		return caller
+	case caller <= 0:
+		return route
+	default:
+		return min(route, caller)
+	}
+}
+
 // stopWait is when a caller that met a stopping entry VM may ask another one.
 const stopWait = 50 * time.Millisecond
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -43,7 +43,7 @@
 		b := newBed(t, f, 0)
 		var c caller
 		done, s := streamed(t, b, &c, 5)
-		b.servers(map[string]bool{s: true, other(s): false})
+		b.notice(s)
 		<-done
 		if !c.whole(40) {
 			t.Errorf("events: got %v ended %v, want 1 to 40 and an end", c.ids, c.ended)
@@ -61,7 +61,7 @@
 		b := newBed(t, f, 0)
 		var c caller
 		done, s := streamed(t, b, &c, 5)
-		b.servers(map[string]bool{s: true, other(s): false})
+		b.notice(s)
 		// The first copy has just ended; the server dies before it is stopped.
 		time.Sleep(copyTime + time.Millisecond)
 		f.mutex.Lock()
@@ -97,7 +97,7 @@
 		b := newBed(t, f, 0)
 		var c caller
 		done, s := streamed(t, b, &c, 1)
-		b.servers(map[string]bool{s: true, other(s): false})
+		b.notice(s)
 		<-done
 		if !c.whole(60) || len(f.sends) != 2 {
 			t.Errorf("events: got %d, sends %v, want 60 and a move", len(c.ids), f.sends)
@@ -164,7 +164,7 @@
 		b := newBed(t, f, 0)
 		var c caller
 		done, s := streamed(t, b, &c, 5)
-		b.servers(map[string]bool{s: true, other(s): false})
+		b.notice(s)
 		time.Sleep(copyTime + time.Millisecond)
 		c.mutex.Lock()
 		c.gone = true
@@ -248,6 +248,22 @@
 	}
 }
 
+// Where neither the route nor the caller says how long, a request is held for
+// a while and not refused at once.
+func TestRequestWithoutAnyTimeIsServed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, newFake(), 0)
+		b.fake.answers["p1"], b.fake.answers["p2"] = []any{200}, []any{200}
+		r := request("/timeless/1")
+		r.Wait = 0
+		var k caller
+		b.Handle(context.Background(), r, &k)
+		if k.status != http.StatusOK {
+			t.Errorf("got status %d and %v, want 200", k.status, k.fault)
+		}
+	})
+}
+
 // A caller that leaves is no failure of the system.
 func TestCallerThatLeavesIsTold(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -50,13 +50,13 @@
 
 // mover takes one run off one server.
 type mover struct {
-	gateway *Gateway
-	run     *run
-	move    *evacuate.Move
-	source  roster.Server
-	target  roster.Server
-	lease   *lease
-	tried   []api.ServerName
+	gateway     *Gateway
+	run         *run
+	move        *evacuate.Move
+	source      roster.Server
+	target      roster.Server
+	reservation *reservation
+	tried       []api.ServerName
 }
 
 // steps follows the decisions to their end.
@@ -89,10 +89,8 @@
 	if a.Elsewhere && !m.choose() {
 		return evacuate.Result{Outcome: evacuate.NoTarget}
 	}
-	if a.Kind == evacuate.Stop {
-		m.run.mutex.Lock()
-		m.run.stopped = true
-		m.run.mutex.Unlock()
+	if a.Kind == evacuate.Stop && !m.halt() {
+		return evacuate.Result{Outcome: evacuate.Missing}
 	}
 	c, cancel := context.WithTimeout(ctx, copyTime)
 	defer cancel()
@@ -110,6 +108,18 @@
 	return r
 }
 
+// halt notes that the source is about to be told to stop the run; it reports
+// false where the run has gone on elsewhere.
+func (m *mover) halt() bool {
+	m.run.mutex.Lock()
+	defer m.run.mutex.Unlock()
+	if m.run.server.Name != m.source.Name {
+		return false
+	}
+	m.run.stopped = true
+	return true
+}
+
 // choose picks another target and takes the load off the one before.
 func (m *mover) choose() bool {
 	m.release()
@@ -122,23 +132,23 @@
 		m.tried = nil
 		return false
 	}
-	m.target, m.lease = s.Server, l
+	m.target, m.reservation = s.Server, l
 	m.tried = append(m.tried, s.Name)
 	return true
 }
 
 func (m *mover) release() {
-	m.lease.end()
-	m.lease = nil
+	m.reservation.end()
+	m.reservation = nil
 }
 
 // keep notes the copy that a step made; after a stop without room the source
 // itself holds the memory.
 func (m *mover) keep(handle string, o evacuate.Outcome) {
-	h := &held{at: m.target, lease: m.lease, resume: port.Resume{Source: m.source.Address, Handle: handle}}
+	h := &held{at: m.target, reservation: m.reservation, resume: port.Resume{Source: m.source.Address, Handle: handle}}
 	if o != evacuate.Copied {
 		h.at = m.source
-		h.lease = nil
+		h.reservation = nil
 	}
 	m.run.mutex.Lock()
 	defer m.run.mutex.Unlock()
@@ -147,7 +157,7 @@
 		return
 	}
 	// The run has gone on elsewhere: the copy is of no use.
-	m.lease = nil
+	m.reservation = nil
 	m.gateway.drop(h)
 }
 
@@ -162,7 +172,7 @@
 	if over {
 		m.run.copied = nil
 	}
-	used := m.run.lease == m.lease || c != nil && c.lease == m.lease
+	used := m.run.reservation == m.reservation || c != nil && c.reservation == m.reservation
 	m.run.mutex.Unlock()
 	if over {
 		m.gateway.drop(c)
@@ -193,7 +203,7 @@
 
 // drop frees a copy that nobody will use.
 func (g *Gateway) drop(c *held) {
-	c.lease.end()
+	c.reservation.end()
 	g.Group.Go(func(ctx context.Context) error {
 		x, cancel := context.WithTimeout(ctx, dropTime)
 		defer cancel()
@@ -230,7 +240,7 @@
 	}
 	s, err := g.resume(ctx, r, c)
 	if err != nil {
-		c.lease.end()
+		c.reservation.end()
 		g.lost(r, from, err)
 		return nil, false
 	}
@@ -246,7 +256,7 @@
 	x.After, _ = r.progress()
 	b := g.protect(q, c.at)
 	t := port.Attempt{
-		Request: q.Request, Server: c.at, Workspace: q.workspace.Name, Left: time.Until(q.deadline), Fresh: true, Resume: &x,
+		Request: q.Request, Server: c.at, Workspace: q.workspace.Name, Left: time.Until(q.deadline), Stream: true, Resume: &x,
 	}
 	if b != nil {
 		t.Protect = b.at.Address
@@ -261,7 +271,7 @@
 		return nil, fault.New(fault.BadAnswer, "a resumed run was not answered by a stream")
 	}
 	g.detach(r)
-	g.attach(r, c.at, c.lease, b)
+	g.attach(r, c.at, c.reservation, b)
 	return a.Stream, nil
 }
 
@@ -274,7 +284,7 @@
 		return c
 	}
 	r.backup = nil
-	return &held{at: b.at, lease: b.lease, resume: port.Resume{Source: b.at.Address, Handle: string(r.request.ID)}, kept: true}
+	return &held{at: b.at, reservation: b.reservation, resume: port.Resume{Source: b.at.Address, Handle: string(r.request.ID)}, kept: true}
 }
 
 // lost logs a generation that can't go on.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -14,23 +14,23 @@
 
 // held is a copy of a run's memory that a server holds.
 type held struct {
-	at     roster.Server
-	lease  *lease
-	resume port.Resume
+	at          roster.Server
+	reservation *reservation
+	resume      port.Resume
 	// kept is set for a copy that grew with the run, rather than on order.
 	kept bool
 }
 
 // backup is the server that keeps a copy of a run as it grows.
 type backup struct {
-	at    roster.Server
-	lease *lease
+	at          roster.Server
+	reservation *reservation
 }
 
 // end takes the copy's load away.
 func (b *backup) end() {
 	if b != nil {
-		b.lease.end()
+		b.reservation.end()
 	}
 }
 
@@ -38,9 +38,9 @@
 type run struct {
 	request *request
 
-	mutex  sync.Mutex
-	server roster.Server
-	lease  *lease
+	mutex       sync.Mutex
+	server      roster.Server
+	reservation *reservation
 	// events judges what goes to the caller.
 	events sequence.Sequence
 	// mover takes the run off its server, nil for none; moved is closed at its
@@ -137,11 +137,11 @@
 }
 
 // attach counts a run at its server and moves it on if that leaves.
-func (g *Gateway) attach(r *run, s roster.Server, l *lease, b *backup) {
+func (g *Gateway) attach(r *run, s roster.Server, l *reservation, b *backup) {
 	r.mutex.Lock()
 	r.backup = b
 	r.server = s
-	r.lease = l
+	r.reservation = l
 	if r.events.Count() > 0 {
 		r.events.Join()
 		r.pace.moves++
@@ -169,8 +169,8 @@
 func (g *Gateway) detach(r *run) {
 	r.mutex.Lock()
 	n := r.server.Name
-	l, b := r.lease, r.backup
-	r.lease, r.backup = nil, nil
+	l, b := r.reservation, r.backup
+	r.reservation, r.backup = nil, nil
 	r.mutex.Unlock()
 	l.end()
 	b.end()
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -33,8 +32,8 @@
 	g.roster.Away(time.Now(), away)
 }
 
-// Step is the duty that lets lapses end.
-func (g *Gateway) Step(context.Context) {
+// Step lets lapses end, and shares the bound on repeated sends anew.
+func (g *Gateway) Step() {
 	now := time.Now()
 	g.mutex.Lock()
 	c := g.roster.Step(now)
@@ -84,22 +83,21 @@
 	return !ok || m.State == roster.Leaving
 }
 
-// pick chooses a server of a service for a need and counts the load there; the
-// clean-up takes the load away.
-func (g *Gateway) pick(s *directory.Service, n placement.Need, tried []api.ServerName) (placement.Choice, *lease, bool) {
+// pick chooses a server of a service for a need and reserves the load there.
+func (g *Gateway) pick(s *directory.Service, n placement.Need, tried []api.ServerName) (placement.Choice, *reservation, bool) {
 	return g.pickNear(s, n, tried, g.Domain, placement.AwayCall)
 }
 
 // pickNear is pick with a failure domain to stay in, and the price of leaving
 // it.
-func (g *Gateway) pickNear(s *directory.Service, n placement.Need, tried []api.ServerName, d api.DomainName, away float64) (placement.Choice, *lease, bool) {
+func (g *Gateway) pickNear(s *directory.Service, n placement.Need, tried []api.ServerName, d api.DomainName, away float64) (placement.Choice, *reservation, bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	x, ok := g.picker.Pick(time.Now(), g.pool(s, d, away), n, tried)
 	if !ok {
 		return x, nil, false
 	}
-	return x, g.lease(x.Name, api.ServerLoad{Requests: 1, Tokens: n.Tokens, Unread: n.Unread}), true
+	return x, g.reserve(x.Name, api.ServerLoad{Requests: 1, Tokens: n.Tokens, Unread: n.Unread}), true
 }
 
 // pool is the servers of a service; the mutex is held.
@@ -111,9 +109,10 @@
 	return p
 }
 
-// lease counts a load at a server; the mutex is held.
-func (g *Gateway) lease(n api.ServerName, x api.ServerLoad) *lease {
-	l := &lease{gateway: g, server: n, load: x}
+// reserve counts a load at a server until the reservation ends; the mutex is
+// held.
+func (g *Gateway) reserve(n api.ServerName, x api.ServerLoad) *reservation {
+	l := &reservation{gateway: g, server: n, load: x}
 	g.picker.Book.Add(n, x)
 	return l
 }
@@ -132,18 +131,18 @@
 	if !ok {
 		return nil
 	}
-	return &backup{at: s, lease: g.lease(s.Name, api.ServerLoad{Tokens: n.Tokens})}
+	return &backup{at: s, reservation: g.reserve(s.Name, api.ServerLoad{Tokens: n.Tokens})}
 }
 
-// lease is the load of one request counted at one server.
-type lease struct {
+// reservation is the load of one request counted at one server.
+type reservation struct {
 	gateway *Gateway
 	server  api.ServerName
 	load    api.ServerLoad
 }
 
 // read notes that the prompt was read.
-func (l *lease) read() {
+func (l *reservation) read() {
 	l.gateway.mutex.Lock()
 	defer l.gateway.mutex.Unlock()
 	l.gateway.picker.Book.Add(l.server, api.ServerLoad{Unread: -l.load.Unread})
@@ -151,7 +150,7 @@
 }
 
 // end takes the load away; further calls do nothing.
-func (l *lease) end() {
+func (l *reservation) end() {
 	if l == nil {
 		return
 	}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -49,7 +49,7 @@
 		q.sink.Whole(v.answer)
 	default:
 		r := &run{request: q}
-		g.attach(r, v.server, v.lease, v.backup)
+		g.attach(r, v.server, v.reservation, v.backup)
 		defer g.leave(r)
 		q.sink.Begin(v.answer.Head)
 		g.pump(ctx, r, v.answer.Stream)
@@ -127,7 +127,7 @@
 // first notes a run's first event.
 func (g *Gateway) first(r *run) {
 	r.mutex.Lock()
-	l := r.lease
+	l := r.reservation
 	r.mutex.Unlock()
 	if l != nil {
 		l.read()
--- a/internal/mesh/serve.go
+++ b/internal/mesh/serve.go
@@ -55,13 +55,13 @@
 		wire.Refuse(w, fault.From(err), "")
 		return
 	}
-	r := m.relation(e)
+	r := relation(e)
 	wire.Write(w, http.StatusOK, m.own(e.VM, r))
 	m.heard(e, r)
 }
 
 // relation is what a peer is to this entry VM, by what this one is to it.
-func (m *Mesh) relation(e api.Exchange) placement.Relation {
+func relation(e api.Exchange) placement.Relation {
 	switch e.Relation {
 	case api.ExchangeRelationPrimary:
 		return placement.Carried
--- a/internal/node/context.go
+++ b/internal/node/context.go
@@ -60,7 +60,7 @@
 	CallerServer  *http.Server
 	ControlServer *http.Server
 
-	cleanups []func()
+	cleanups cleanups
 }
 
 // New makes the context of a start on a machine.
@@ -80,13 +80,10 @@
 
 // cleanup notes what is to be done at the end, last first.
 func (c *Context) cleanup(f func()) {
-	c.cleanups = append(c.cleanups, f)
+	c.cleanups.add(f)
 }
 
 // Close does all clean-ups.
 func (c *Context) Close() {
-	for i := len(c.cleanups) - 1; i >= 0; i-- {
-		c.cleanups[i]()
-	}
-	c.cleanups = nil
+	c.cleanups.run()
 }
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -59,7 +59,6 @@
 	config                *mirror.Mirror[directory.Config]
 	servers               *mirror.Mirror[roster.Server]
 	mesh                  *mesh.Mesh
-	callers               *http.Server
 	rounds                int
 	leftBound, leftOutput int64
 	// telling is set while changes are gathered for peers.
@@ -68,7 +67,7 @@
 	grace atomic.Int64
 	// end is when a planned stop has to be over.
 	end      time.Time
-	cleanups []func()
+	cleanups cleanups
 }
 
 // Reloads tell of changed settings.
@@ -83,7 +82,7 @@
 // context ends, and then stops it as planned.
 func RunHosted(ctx context.Context, m Machine, s api.Settings, l *event.Log, r Reloads, adapt func(l Links) Adapter) error {
 	h := &Hosted{Context: ctx, Settings: s, Machine: m, Log: l, Metrics: metric.New(), Reloads: r, Adapt: adapt}
-	defer h.close()
+	defer h.cleanups.run()
 	if err := step.Run(h, l, hostedStart); err != nil {
 		return err
 	}
@@ -91,13 +90,3 @@
 	h.Context = context.WithoutCancel(ctx)
 	return step.Run(h, l, hostedStop)
 }
-
-func (h *Hosted) close() {
-	for i := len(h.cleanups) - 1; i >= 0; i-- {
-		h.cleanups[i]()
-	}
-}
-
-func (h *Hosted) cleanup(f func()) {
-	h.cleanups = append(h.cleanups, f)
-}
--- a/internal/node/hosted_start.go
+++ b/internal/node/hosted_start.go
@@ -16,7 +16,6 @@
 	"github.com/wardridge/wardridge/internal/decide/roster"
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/event"
-	"github.com/wardridge/wardridge/internal/fault"
 	"github.com/wardridge/wardridge/internal/gateway"
 	"github.com/wardridge/wardridge/internal/mesh"
 	"github.com/wardridge/wardridge/internal/metric"
@@ -38,13 +37,13 @@
 	var closer func()
 	h.grace.Store(int64(seconds(h.Settings.Gateway.GraceS)))
 	h.group, closer = duty.New(context.WithoutCancel(h.Context))
-	h.cleanup(closer)
+	h.cleanups.add(closer)
 	h.peers, closer = wire.NewClientOver(h.Machine.Dial, true)
-	h.cleanup(closer)
+	h.cleanups.add(closer)
 	p, closer := wire.NewClientOver(h.Machine.Dial, true)
-	h.cleanup(closer)
+	h.cleanups.add(closer)
 	h.pool, closer = upstream.New(h.Machine.Dial)
-	h.cleanup(closer)
+	h.cleanups.add(closer)
 	h.adapter = h.Adapt(Links{Platform: p, Address: h.Settings.Platform.Address, Pool: h.pool, Log: h.Log})
 	return nil
 }
@@ -154,30 +153,21 @@
 	r := chi.NewRouter()
 	h.mesh.Routes(r)
 	r.Get(peer.PathMetrics, h.Metrics.ServeHTTP)
-	var err error
-	if _, err = h.listen(h.Settings.Node.Control, r); err != nil {
-		return err
-	}
-	if _, err = h.listen(h.Settings.Gateway.Ready, h.adapter.Readiness(h.gateway)); err != nil {
-		return err
-	}
-	h.callers, err = h.listen(h.Settings.Node.Listen, h.adapter.Ingress(h.gateway))
-	return err
-}
-
-func (h *Hosted) listen(address string, x http.Handler) (*http.Server, error) {
-	l, err := h.Machine.Listen(h, address)
-	if err != nil {
-		return nil, fault.Wrap(fault.ListenFailed, err, "listening on "+address)
+	for _, x := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{h.Settings.Node.Control, r},
+		{h.Settings.Gateway.Ready, h.adapter.Readiness(h.gateway)},
+		{h.Settings.Node.Listen, h.adapter.Ingress(h.gateway)},
+	} {
+		_, closer, err := listen(h, h.Machine, h.group, x.address, x.handler, headerWait)
+		if err != nil {
+			return err
+		}
+		h.cleanups.add(closer)
 	}
-	s := wire.NewServer(x, headerWait)
-	h.group.Go(func(context.Context) error {
-		// The end of the server is part of the stop.
-		_ = s.Serve(l)
-		return nil
-	})
-	h.cleanup(func() { _ = s.Close() })
-	return s, nil
+	return nil
 }
 
 // hostedDuties starts what runs until the end.
@@ -210,7 +200,7 @@
 func (h *Hosted) tick(ctx context.Context) {
 	h.rounds++
 	h.mesh.Round()
-	h.gateway.Step(ctx)
+	h.gateway.Step()
 	h.Metrics.Put(metric.RequestsInFlight, int64(h.gateway.InFlight()))
 	if h.servers.Lost() && h.mesh.Alone() {
 		h.gateway.Ask(ctx)
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -221,17 +221,11 @@
 }
 
 func (c *Context) listen(address string, h http.Handler, wait time.Duration) (*http.Server, error) {
-	l, err := c.Machine.Listen(c, address)
+	s, closer, err := listen(c, c.Machine, c.Group, address, h, wait)
 	if err != nil {
-		return nil, fault.Wrap(fault.ListenFailed, err, "listening on "+address)
+		return nil, err
 	}
-	s := wire.NewServer(h, wait)
-	c.Group.Go(func(context.Context) error {
-		// The end of the server is part of the stop.
-		_ = s.Serve(l)
-		return nil
-	})
-	c.cleanup(func() { _ = s.Close() })
+	c.cleanup(closer)
 	return s, nil
 }
 
--- a/internal/port/answer.go
+++ b/internal/port/answer.go
@@ -51,7 +51,9 @@
 	Event(e Event) error
 	// End completes the stream.
 	End()
-	// Abort breaks the stream off so that it can't pass for a complete one.
+	// Abort breaks the stream off so that it can't pass for a complete one. It
+	// may end the calling goroutine by a panic that the wire's server expects, so
+	// that nothing but deferred calls may be left to do.
 	Abort()
 	// Refuse writes a failure of the system itself.
 	Refuse(f *fault.Error)
--- a/internal/port/backend.go
+++ b/internal/port/backend.go
@@ -15,8 +15,9 @@
 	Workspace api.WorkspaceName
 	// Left is the time the server is given.
 	Left time.Duration
-	// Fresh asks for a connection that nothing was sent on before.
-	Fresh bool
+	// Stream asks for the answer event by event, over a connection that nothing
+	// was sent on before; other answers are read whole.
+	Stream bool
 	// Protect is the address of the server that is to keep a copy of the run
 	// as it grows; empty for none.
 	Protect string
@@ -46,8 +47,6 @@
 // Copy is a copy of a run's memory.
 type Copy struct {
 	Handle string
-	// Events counts the events that the run had made.
-	Events int
 }
 
 // Backends sends to backend servers. Failures are faults: NotStarted and
--- a/internal/port/request.go
+++ b/internal/port/request.go
@@ -37,12 +37,4 @@
 	Limit api.Tokens
 	// Expected is the caller's guess of the answer's length, zero if none.
 	Expected api.Tokens
-	// Parts are the prompt's shared parts in order; the last is its own.
-	Parts []Part
-}
-
-// Part is one piece of a prompt that an engine may keep in its cache.
-type Part struct {
-	ID     string
-	Tokens api.Tokens
 }
