fix: late in a planned stop only streams that can't be cut are taken

Ruled out: the server (it worked until it was cut) and the earlier kept connections (the rule holds for requests sent 3 s after the signal). Change: from 2.5 s after the signal the longest possible answer decides, not the guess. Before that, a guess that is wrong costs the caller no more than a refusal.

--- a/internal/decide/drain/drain_test.go
+++ b/internal/decide/drain/drain_test.go
@@ -12,7 +12,7 @@
 // the end of the process.
 func TestTakesStream(t *testing.T) {
 	began := time.Unix(100, 0)
-	s := drain.Stop{End: began.Add(7600 * time.Millisecond)}
+	s := drain.Stop{Began: began, End: began.Add(7600 * time.Millisecond)}
 	tests := []struct {
 		name            string
 		after           time.Duration
@@ -26,6 +26,8 @@
 		{"short answer at the end", 7 * time.Second, 14, 48, false},
 		{"unknown length counts as the longest", 0, 0, 2184, false},
 		{"guess that may be far off", 0, 160, 2184, false},
+		{"small guess at the signal", 0, 60, 2184, true},
+		{"small guess when callers had time to go elsewhere", 3700 * time.Millisecond, 60, 2184, false},
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -71,7 +71,7 @@
 // Stop turns the readiness before the process ends at a time; requests that
 // still come are served where they will be over by then.
 func (g *Gateway) Stop(end time.Time) {
-	g.stop.Store(&drain.Stop{End: end})
+	g.stop.Store(&drain.Stop{Began: time.Now(), End: end})
 }
 
 // Stopping reports whether the process is about to end.
