perf: the next hub takes over the platform for its domain, starts listen first

Ruled out: steady watches (4 a second), the backoff of hubs.

Change: members follow any hub that says it follows the platform, and for 1.3 s after its last word, while the second hub takes over after 0.8 s; who has just started lists once and then listens; members wait long after their first failed call.

What is left is lists at starts and servers that come and go.

--- a/internal/decide/gossip/gossip.go
+++ b/internal/decide/gossip/gossip.go
@@ -53,6 +53,8 @@
 	seed  bool
 	added time.Time
 	heard time.Time
+	// led is when the peer last said that it follows the platform itself.
+	led time.Time
 	// told is when another peer last passed the address on.
 	told  time.Time
 	tried time.Time
@@ -108,6 +110,9 @@
 	x.Word = w
 	x.Others = nil
 	x.heard = now
+	if !w.Away && !w.Follows {
+		x.led = now
+	}
 	for _, m := range w.Others {
 		p.learn(now, m)
 	}
@@ -188,36 +193,55 @@
 	}
 }
 
-// watchers is the number of hubs in a failure domain that follow the platform
-// for all: calls are counted there, and hubs of other domains tell of what one
-// missed.
-const watchers = 1
+const (
+	// hubGuide is how lately the first hub has to be heard to be left to follow
+	// the platform alone: two rounds and a lost message's repeat.
+	hubGuide = 800 * time.Millisecond
+	// memberGuide is the same for members that are no hubs: the next hub takes
+	// over first, and has a round and a message to tell them.
+	memberGuide = 1300 * time.Millisecond
+)
 
-// Guided reports whether a watcher that the platform answers was heard so
-// lately that it may be left to bring what changes.
-func (p *Peers) Guided(now time.Time, within time.Duration) bool {
+// Guided reports whether others bring what changes on the platform, so that it
+// need not be followed: calls are counted there. Of the hubs of a failure domain
+// the first one follows it, the next one when that falls silent, and members
+// only when no hub does. An entry VM that has just started leaves it to those
+// who were there before, or to whoever turns out to be a hub.
+func (p *Peers) Guided(now time.Time) bool {
 	l := p.Hubs(now)
-	l = l[:min(watchers, len(l))]
-	if slices.Contains(l, p.self.Address) {
+	switch i := slices.Index(l, p.self.Address); {
+	case now.Sub(p.began) < settle:
+		return true
+	case i < 0 && now.Sub(p.began) < settle+hubGuide:
+		// The hubs have settled just now as well, and are about to tell.
+		return true
+	case i == 0:
 		return false
+	case i > 0:
+		x := p.peers[l[0]]
+		return now.Sub(x.led) < hubGuide && !x.Away && !x.Follows
 	}
-	for _, a := range l {
-		x := p.peers[a]
-		if !x.heard.IsZero() && now.Sub(x.heard) < within && !x.Away && !x.Follows {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(l, func(a string) bool { return now.Sub(p.peers[a].led) < memberGuide })
 }
 
-// Patient reports whether this entry VM is no hub and hears one, which asks the
-// platform for it also while the platform does not answer.
-func (p *Peers) Patient(now time.Time) bool {
+// Patient reports whether this entry VM waits long after so many failed calls
+// of the platform in a row: it hears a hub that comes before it, which asks as
+// well and would tell. A hub tries once more at first, since the platform may
+// turn the other one away alone.
+func (p *Peers) Patient(now time.Time, failures int) bool {
 	l := p.Hubs(now)
-	if slices.Contains(l, p.self.Address) {
+	if slices.Contains(l, p.self.Address) && failures < 2 {
 		return false
 	}
-	return slices.ContainsFunc(l, func(a string) bool { return p.alive(now, p.peers[a]) })
+	for _, a := range l {
+		if a == p.self.Address {
+			return false
+		}
+		if p.alive(now, p.peers[a]) {
+			return true
+		}
+	}
+	return false
 }
 
 // Live lists the members heard lately in order of address.
--- a/internal/decide/gossip/gossip_test.go
+++ b/internal/decide/gossip/gossip_test.go
@@ -80,7 +80,7 @@
 func (f *fleet) word(now time.Time, a string) gossip.Word {
 	m := f.self[a]
 	m.Hub = f.peers[a].Hub(now)
-	return gossip.Word{Member: m, VM: api.VMName(a), Others: f.peers[a].Live(now), Follows: !m.Hub}
+	return gossip.Word{Member: m, VM: api.VMName(a), Others: f.peers[a].Live(now), Follows: f.peers[a].Guided(now)}
 }
 
 // exchanges counts the exchanges from one time to another.
@@ -97,6 +97,7 @@
 // run plays rounds of 250 ms from one time to another.
 func (f *fleet) run(from, to int) {
 	for ms := from; ms < to; ms += 250 {
+		f.tell(ms)
 		for a, p := range f.peers {
 			if f.dead[a] {
 				continue
@@ -114,6 +115,21 @@
 	}
 }
 
+// tell lets those that have just begun to follow the platform tell all who hear
+// of changes from peers alone.
+func (f *fleet) tell(ms int) {
+	for a, p := range f.peers {
+		if f.dead[a] || p.Guided(at(ms)) || !p.Guided(at(ms-250)) {
+			continue
+		}
+		for _, b := range p.Blind(at(ms)) {
+			if !f.dead[b] {
+				f.peers[b].Heard(at(ms+1), f.word(at(ms), a))
+			}
+		}
+	}
+}
+
 func (f *fleet) hubs(now time.Time) []string {
 	var l []string
 	for a, p := range f.peers {
@@ -133,10 +149,10 @@
 		t.Errorf("hubs: got %v, want %v", got, want)
 	}
 	for a, p := range f.peers {
-		if first := a[len(a)-5:] == "000:1"; first == p.Guided(at(6000), time.Second) {
+		if first := a[len(a)-5:] == "000:1"; first == p.Guided(at(6000)) {
 			t.Errorf("%s is guided: got %v, want it for all but the first of a domain", a, !first)
 		}
-		if !p.Hub(at(6000)) && !p.Guided(at(6000), time.Second) {
+		if !p.Hub(at(6000)) && !p.Guided(at(6000)) {
 			t.Errorf("%s: got no hub heard within a second, want one", a)
 		}
 	}
@@ -160,15 +176,48 @@
 	f := newFleet(3, 10, 2)
 	f.run(0, 6000)
 	for a, p := range f.peers {
-		if got, want := p.Patient(at(6000)), !p.Hub(at(6000)); got != want {
+		if got, want := p.Patient(at(6000), 2), a[len(a)-5:] != "000:1"; got != want {
 			t.Errorf("%s: got patient %v, want %v", a, got, want)
 		}
-		if p.Patient(at(12000)) {
+		if got, want := p.Patient(at(6000), 1), !p.Hub(at(6000)); got != want {
+			t.Errorf("%s after one failure: got patient %v, want %v", a, got, want)
+		}
+		if p.Patient(at(12000), 2) {
 			t.Errorf("%s after 6 s without a word: got patient, want it to ask itself", a)
 		}
 	}
 }
 
+// When the hub that follows the platform dies, the next hub takes over, and no
+// other member has to ask the platform meanwhile.
+func TestNextHubTakesOverForAll(t *testing.T) {
+	f := newFleet(3, 10, 2)
+	f.run(0, 6000)
+	f.dead[address(1, 0)] = true
+	for ms := 6000; ms < 12000; ms += 250 {
+		f.run(ms, ms+250)
+		for a, p := range f.peers {
+			if !f.dead[a] && !p.Hub(at(ms)) && !p.Guided(at(ms)) {
+				t.Fatalf("%s at %d ms: got it to ask the platform itself, want the next hub to", a, ms)
+			}
+		}
+	}
+	if f.peers[address(1, 1)].Guided(at(12000)) {
+		t.Error("the next hub: got it guided, want it to follow the platform")
+	}
+}
+
+// An entry VM that starts leaves the platform to others until it knows them.
+func TestStartLeavesThePlatformToOthers(t *testing.T) {
+	p := gossip.New(at(0), gossip.Member{Address: "a:1", Domain: "d"}, nil, 2)
+	if !p.Guided(at(1000)) {
+		t.Error("a second after the start: got false, want guided")
+	}
+	if p.Guided(at(2600)) {
+		t.Error("without peers: got guided, want it to follow the platform")
+	}
+}
+
 func TestHubsThatDieAreReplaced(t *testing.T) {
 	f := newFleet(3, 10, 2)
 	f.run(0, 6000)
@@ -179,7 +228,7 @@
 		t.Errorf("hubs: got %v, want the next two of domain 1", got)
 	}
 	for a, p := range f.peers {
-		if !f.dead[a] && !p.Hub(at(12000)) && !p.Guided(at(12000), time.Second) {
+		if !f.dead[a] && !p.Hub(at(12000)) && !p.Guided(at(12000)) {
 			t.Errorf("%s: got no hub heard within a second, want one", a)
 		}
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -24,9 +24,6 @@
 const (
 	// callTime bounds one call to a peer.
 	callTime = 600 * time.Millisecond
-	// guideTime is how lately a hub has to be heard to be followed: two rounds
-	// and a lost message's repeat.
-	guideTime = 800 * time.Millisecond
 	// memberRounds is the number of rounds between lists of members.
 	memberRounds = 4
 )
@@ -146,14 +143,14 @@
 func (m *Mesh) Guided() bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.peers.Guided(time.Now(), guideTime)
+	return m.peers.Guided(time.Now())
 }
 
 // Patient reports whether a hub asks the platform for this entry VM.
-func (m *Mesh) Patient() bool {
+func (m *Mesh) Patient(failures int) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.peers.Patient(time.Now())
+	return m.peers.Patient(time.Now(), failures)
 }
 
 func (m *Mesh) exchange(ctx context.Context, address string) {
@@ -194,7 +191,7 @@
 	now := time.Now()
 	e.Self = message(m.Self)
 	e.Self.Hub = m.peers.Hub(now)
-	e.Follows = m.peers.Guided(now, guideTime)
+	e.Follows = m.peers.Guided(now)
 	if m.rounds%memberRounds == 0 || vm == "" {
 		for _, x := range m.peers.Live(now) {
 			e.Peers = append(e.Peers, message(x))
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -29,8 +29,9 @@
 // within some ms, and each answer to a watch is a call.
 const gatherTime = 40 * time.Millisecond
 
-// patientTime is the pause after a failed call while others ask as well.
-const patientTime = 2 * time.Second
+// patientTime is the pause after a failed call while others ask as well: they
+// tell of the platform's return, and long outages are what calls add up in.
+const patientTime = 5 * time.Second
 
 // guidedTime is the pause between looks whether peers still bring changes.
 const guidedTime = 250 * time.Millisecond
@@ -58,8 +59,9 @@
 	// Guided reports whether a peer that follows the platform brings what
 	// changes, so that it need not be asked.
 	Guided func() bool
-	// Patient reports whether others ask the platform as well, and would tell.
-	Patient func() bool
+	// Patient reports whether others ask the platform as well, and would tell, so
+	// that after so many failed calls in a row a long pause does.
+	Patient func(failures int) bool
 	// Away is told when the platform is lost and when it is back.
 	Away func(away bool)
 }
@@ -87,7 +89,7 @@
 func (m *Mirror[T]) Run(ctx context.Context) error {
 	list, failures, forgotten := true, 0, 0
 	for ctx.Err() == nil {
-		if m.Guided() && !m.refresh.Swap(false) {
+		if m.At() > 0 && m.Guided() && !m.refresh.Swap(false) {
 			list = true
 			m.reached()
 			duty.Sleep(ctx, guidedTime)
@@ -127,7 +129,7 @@
 
 // pause is the wait after failed calls.
 func (m *Mirror[T]) pause(failures int) time.Duration {
-	if failures > 1 && m.Patient() {
+	if m.Patient(failures) {
 		return patientTime/2 + rand.N(patientTime/2)
 	}
 	return backoff(failures)
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -98,7 +98,7 @@
 			defer b.mutex.Unlock()
 			b.taken = append(b.taken, s.Items[0].Value)
 		},
-		Patient: func() bool { return false },
+		Patient: func(int) bool { return false },
 		Away:    func(bool) {},
 	})
 	g, end := duty.New(context.Background())
@@ -221,3 +221,24 @@
 		}
 	})
 }
+
+// A mirror that knows nothing asks the platform, whoever may guide it later.
+func TestGuidedMirrorThatKnowsNothingAsks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		b.mutex.Lock()
+		b.guided = true
+		b.mutex.Unlock()
+		b.store.mutex.Lock()
+		b.store.down = true
+		b.store.mutex.Unlock()
+		time.Sleep(time.Second)
+		b.store.mutex.Lock()
+		b.store.down = false
+		b.store.mutex.Unlock()
+		time.Sleep(time.Second)
+		if got := b.last(); got != "v1" {
+			t.Errorf("a second after the platform is back: got %q, want v1", got)
+		}
+	})
+}
--- a/internal/node/hosted_start.go
+++ b/internal/node/hosted_start.go
@@ -94,8 +94,8 @@
 }
 
 // patient reports whether a hub asks the platform as well.
-func (h *Hosted) patient() bool {
-	return h.mesh.Patient()
+func (h *Hosted) patient(failures int) bool {
+	return h.mesh.Patient(failures)
 }
 
 // configure takes a configuration, and tells peers that hear of it from here.
