feat: a fault soak of our own over stand-ins of the hosting platform

A seed decides faults from outside them: signals that kill, stop, pause and reload, a loopback proxy that delays, resets, silences or cuts one way, a store that is busy, throttled, reset, slow, silent or forgets, servers that crash and leave, configurations and keys that change; in series and overlapping. The judge goes by what callers and backend servers saw.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -69,6 +69,8 @@
 	StandInStarted      ID = 901
 	StandInFault        ID = 902
 	StandInOrderApplied ID = 903
+	SoakFault           ID = 904
+	SoakPlayed          ID = 905
 )
 
 // Kind describes one event in the catalogue.
@@ -132,6 +134,8 @@
 	{PeerSilent, "peer_silent", zapcore.DebugLevel, "A peer did not give what it knows."},
 	{StandInStarted, "stand_in_started", zapcore.InfoLevel, "A stand-in serves."},
 	{StandInFault, "stand_in_fault", zapcore.InfoLevel, "A stand-in injected a fault."},
+	{SoakFault, "soak_fault", zapcore.InfoLevel, "A soak brings a fault about."},
+	{SoakPlayed, "soak_played", zapcore.InfoLevel, "A soak has played the plan of a seed."},
 	{StandInOrderApplied, "stand_in_order_applied", zapcore.InfoLevel, "A stand-in engine carried an order out."},
 }
 
--- /dev/null
+++ b/internal/soak/proxy.go
@@ -0,0 +1,200 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/duty"
+)
+
+// Mode is what a proxy does to the bytes that pass it.
+type Mode string
+
+// Modes of proxies.
+const (
+	// Pass passes bytes on.
+	Pass Mode = ""
+	// Delay passes bytes on late.
+	Delay Mode = "delay"
+	// Reset resets every connection, and each new one.
+	Reset Mode = "reset"
+	// Silent holds bytes of both directions.
+	Silent Mode = "silent"
+	// Deaf holds what clients send; Mute holds what they are answered.
+	Deaf Mode = "deaf"
+	Mute Mode = "mute"
+)
+
+// modes are the faults of links.
+var modes = []Mode{Delay, Reset, Silent, Deaf, Mute}
+
+const (
+	// delayTime is how late delayed bytes are: more than a pause between events
+	// may be, less than callers wait.
+	delayTime = 150 * time.Millisecond
+	// holdEvery is the pause between looks whether held bytes may go on.
+	holdEvery = 20 * time.Millisecond
+	// chunk is the most bytes that are passed on at once.
+	chunk = 16 << 10
+)
+
+// proxy passes connections on to one address.
+type proxy struct {
+	listener net.Listener
+	target   string
+	group    *duty.Group
+
+	mutex sync.Mutex
+	mode  Mode
+	conns map[*net.TCPConn]bool
+}
+
+// newProxy listens on a loopback port; the clean-up cuts what is open.
+func newProxy(l net.Listener, target string) (*proxy, func()) {
+	g, end := duty.New(context.Background())
+	p := &proxy{listener: l, target: target, group: g, conns: map[*net.TCPConn]bool{}}
+	g.Go(p.accept)
+	return p, func() {
+		_ = l.Close()
+		p.cut()
+		end()
+	}
+}
+
+func (p *proxy) address() string {
+	return p.listener.Addr().String()
+}
+
+// set changes the mode.
+func (p *proxy) set(m Mode) {
+	p.mutex.Lock()
+	p.mode = m
+	p.mutex.Unlock()
+	if m == Reset {
+		p.cut()
+	}
+}
+
+func (p *proxy) current() Mode {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.mode
+}
+
+// cut resets every open connection.
+func (p *proxy) cut() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for c := range p.conns {
+		reset(c)
+	}
+}
+
+// reset closes a connection so that its peer sees a reset.
+func reset(c *net.TCPConn) {
+	// Both fail only on connections that are closed already.
+	_ = c.SetLinger(0)
+	_ = c.Close()
+}
+
+// keep notes an open connection, or resets it where the proxy does so.
+func (p *proxy) keep(c *net.TCPConn) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.mode == Reset {
+		reset(c)
+		return false
+	}
+	p.conns[c] = true
+	return true
+}
+
+func (p *proxy) forget(c *net.TCPConn) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	delete(p.conns, c)
+}
+
+func (p *proxy) accept(ctx context.Context) error {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			// The listener is closed at the end.
+			return err
+		}
+		p.group.Go(func(context.Context) error {
+			p.serve(ctx, c.(*net.TCPConn))
+			return nil
+		})
+	}
+}
+
+// serve joins a connection to a new one to the target.
+func (p *proxy) serve(ctx context.Context, a *net.TCPConn) {
+	if !p.keep(a) {
+		return
+	}
+	defer p.forget(a)
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", p.target)
+	if err != nil {
+		reset(a)
+		return
+	}
+	b := c.(*net.TCPConn)
+	if !p.keep(b) {
+		reset(a)
+		return
+	}
+	defer p.forget(b)
+	g, end := duty.New(ctx)
+	defer end()
+	g.Go(func(ctx context.Context) error { return p.pass(ctx, a, b, Deaf) })
+	g.Go(func(ctx context.Context) error { return p.pass(ctx, b, a, Mute) })
+	// Each direction ends with its connection, which ends the other one unless it
+	// was closed in order.
+	_ = g.Wait()
+	_ = a.Close()
+	_ = b.Close()
+}
+
+// pass copies one direction, which a mode of its own holds.
+func (p *proxy) pass(ctx context.Context, from, to *net.TCPConn, own Mode) error {
+	b := make([]byte, chunk)
+	for {
+		n, err := from.Read(b)
+		if !p.hold(ctx, own) {
+			return ctx.Err()
+		}
+		if _, w := to.Write(b[:n]); w != nil {
+			reset(from)
+			return w
+		}
+		if errors.Is(err, io.EOF) {
+			// The peer may be gone already; the other direction goes on.
+			_ = to.CloseWrite()
+			return nil
+		}
+		if err != nil {
+			reset(to)
+			return err
+		}
+	}
+}
+
+// hold waits while bytes are delayed or held; it reports false at the end.
+func (p *proxy) hold(ctx context.Context, own Mode) bool {
+	if p.current() == Delay && !duty.Sleep(ctx, delayTime) {
+		return false
+	}
+	for m := p.current(); m == Silent || m == own; m = p.current() {
+		if !duty.Sleep(ctx, holdEvery) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/soak/proxy_test.go
@@ -0,0 +1,120 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/duty"
+)
+
+// echo answers each line with the same line.
+func echo(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g, end := duty.New(context.Background())
+	t.Cleanup(func() {
+		_ = l.Close()
+		end()
+	})
+	g.Go(func(context.Context) error {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return err
+			}
+			g.Go(func(context.Context) error {
+				defer func() { _ = c.Close() }()
+				_, _ = io.Copy(c, c)
+				return nil
+			})
+		}
+	})
+	return l.Addr().String()
+}
+
+// line is one connection through a proxy to an echo.
+type line struct {
+	*proxy
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func newLine(t *testing.T) *line {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, closer := newProxy(l, echo(t))
+	t.Cleanup(closer)
+	c, err := net.Dial("tcp", p.address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	x := &line{proxy: p, conn: c, reader: bufio.NewReader(c)}
+	x.send(t, "one\n")
+	if got, err := x.reader.ReadString('\n'); got != "one\n" {
+		t.Fatalf("passing: got %q, %v, want the line", got, err)
+	}
+	return x
+}
+
+func (x *line) send(t *testing.T, s string) {
+	t.Helper()
+	if _, err := io.WriteString(x.conn, s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestProxyHoldsAndPassesOn(t *testing.T) {
+	for _, m := range []Mode{Silent, Deaf, Mute} {
+		x := newLine(t)
+		x.set(m)
+		x.send(t, "two\n")
+		_ = x.conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+		var e net.Error
+		if got, err := x.reader.ReadString('\n'); !errors.As(err, &e) || !e.Timeout() {
+			t.Errorf("%s: got %q, %v, want nothing yet", m, got, err)
+		}
+		x.set(Pass)
+		_ = x.conn.SetReadDeadline(time.Time{})
+		if got, err := x.reader.ReadString('\n'); got != "two\n" {
+			t.Errorf("%s, then passing: got %q, %v, want the line", m, got, err)
+		}
+	}
+}
+
+func TestProxyDelays(t *testing.T) {
+	x := newLine(t)
+	x.set(Delay)
+	began := time.Now()
+	x.send(t, "two\n")
+	if got, err := x.reader.ReadString('\n'); got != "two\n" || time.Since(began) < 2*delayTime {
+		t.Errorf("got %q, %v after %s, want the line after two delays", got, err, time.Since(began))
+	}
+}
+
+func TestProxyResets(t *testing.T) {
+	x := newLine(t)
+	x.set(Reset)
+	if got, err := x.reader.ReadString('\n'); err == nil || errors.Is(err, io.EOF) {
+		t.Errorf("open connection: got %q, %v, want a reset", got, err)
+	}
+	c, err := net.Dial("tcp", x.address())
+	if err != nil {
+		return
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := c.Read(make([]byte, 1)); err == nil || errors.Is(err, io.EOF) {
+		t.Errorf("new connection: got %v, want a reset", err)
+	}
+}
--- /dev/null
+++ b/internal/soak/record.go
@@ -0,0 +1,103 @@
+package soak
+
+import (
+	"sync"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/directory"
+	"github.com/wardridge/wardridge/platform/standin"
+)
+
+// Sent is one call with what its caller saw.
+type Sent struct {
+	standin.Call
+	standin.Reply
+	Kind      directory.Kind
+	Workspace api.WorkspaceName
+	// VM is the place of the entry VM that it went to.
+	VM   int
+	At   time.Time
+	Done time.Time
+}
+
+// Probe is one look at which configuration an entry VM serves by: a request on
+// a route that some versions have.
+type Probe struct {
+	VM int
+	// Life counts the starts of the VM's process.
+	Life int
+	At   time.Time
+	// From and Until are the versions that answer so: from the first up to, but
+	// not with, the last; Until is zero for no end.
+	From, Until int64
+}
+
+// Span is the time in which something held.
+type Span struct {
+	From, Until time.Time
+}
+
+// overlaps reports whether a span shares time with another.
+func (s Span) overlaps(o Span) bool {
+	return s.From.Before(o.Until) && o.From.Before(s.Until)
+}
+
+// Trouble is a fault as it was brought about.
+type Trouble struct {
+	Fault
+	Span
+	// VM and Server name whom it met; VM is All for each of them and -2 for none.
+	VM     int
+	Server api.ServerName
+}
+
+// noVM is the VM of a trouble that meets none.
+const noVM = -2
+
+// Leave is the acknowledgement that a server is leaving.
+type Leave struct {
+	Server api.ServerName
+	At     time.Time
+}
+
+// Record is all that a judge may go by.
+type Record struct {
+	Sent     []Sent
+	Probes   []Probe
+	Arrivals []standin.Arrival
+	Runs     []standin.Run
+	Troubles []Trouble
+	Leaves   []Leave
+	// Configs tells when each version of the configuration was acknowledged.
+	Configs map[int64]time.Time
+	// Services are the services that some version sends a path's requests to.
+	Services map[string][]api.ServiceName
+	// Servers tells the service of each server.
+	Servers map[api.ServerName]api.ServiceName
+	// Died are the VMs whose processes ended by themselves or wrote that they
+	// are broken.
+	Died []string
+	// Calm begins once the last fault is over.
+	Calm time.Time
+	End  time.Time
+}
+
+// recorder collects a record.
+type recorder struct {
+	mutex  sync.Mutex
+	record Record
+}
+
+func newRecorder() *recorder {
+	return &recorder{record: Record{
+		Configs: map[int64]time.Time{}, Services: map[string][]api.ServiceName{}, Servers: map[api.ServerName]api.ServiceName{},
+	}}
+}
+
+// note changes the record.
+func (r *recorder) note(f func(r *Record)) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	f(&r.record)
+}
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,308 @@
+package soak
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/platform/standin"
+)
+
+// Options are what a soak works with.
+type Options struct {
+	// Program is the path of the entry VM's program.
+	Program string
+	// Dir takes settings, logs and the plan.
+	Dir string
+	Log *event.Log
+}
+
+// Result is what one plan showed.
+type Result struct {
+	Plan       Plan        `json:"plan"`
+	Requests   int         `json:"requests"`
+	Served     int         `json:"served"`
+	Runs       int         `json:"runs"`
+	Resumed    int         `json:"resumed"`
+	Probes     int         `json:"probes"`
+	Violations []Violation `json:"violations"`
+}
+
+// Run plays a plan to its end and judges it.
+func Run(ctx context.Context, o Options, p Plan) (Result, error) {
+	if err := os.MkdirAll(o.Dir, dirMode); err != nil {
+		return Result{}, fault.Wrap(fault.UnreadableFile, err, "making a folder for logs")
+	}
+	if err := p.Save(filepath.Join(o.Dir, "plan.json")); err != nil {
+		return Result{}, err
+	}
+	b, closer, err := newBed(ctx, o, p.Size)
+	if err != nil {
+		return Result{}, err
+	}
+	defer closer()
+	b.play(ctx, p)
+	r := b.end()
+	return result(p, r), ctx.Err()
+}
+
+// startTime is how long a system may take until it serves.
+const startTime = 20 * time.Second
+
+// play sends traffic and brings the faults about, each at its time.
+func (b *bed) play(ctx context.Context, p Plan) {
+	looks, stopLooks := duty.New(ctx)
+	defer stopLooks()
+	looks.Go(b.balance)
+	b.awaitReady(ctx)
+	began := time.Now()
+	calls, stopCalls := duty.New(ctx)
+	for i := range p.Size.Callers {
+		calls.Go(func(ctx context.Context) error {
+			b.call(ctx, i, p.Seed)
+			return nil
+		})
+	}
+	for _, v := range b.vms {
+		calls.Go(func(ctx context.Context) error {
+			b.probe(ctx, v)
+			return nil
+		})
+	}
+	faults, stopFaults := duty.New(ctx)
+	for _, f := range p.Faults {
+		faults.Go(func(ctx context.Context) error {
+			if duty.Sleep(ctx, time.Until(began.Add(f.At.Duration()))) {
+				b.bring(ctx, f)
+			}
+			return nil
+		})
+	}
+	// Faults end by themselves and never fail.
+	_ = faults.Wait()
+	stopFaults()
+	calm := time.Now()
+	b.recorder.note(func(r *Record) { r.Calm = calm })
+	duty.Sleep(ctx, max(calmLast, time.Until(began.Add(p.Length.Duration()))))
+	stopCalls()
+}
+
+// awaitReady waits until every entry VM takes callers.
+func (b *bed) awaitReady(ctx context.Context) {
+	end := time.Now().Add(startTime)
+	for time.Now().Before(end) && ctx.Err() == nil {
+		n := 0
+		for _, v := range b.vms {
+			v.mutex.Lock()
+			if v.accepts {
+				n++
+			}
+			v.mutex.Unlock()
+		}
+		if n == len(b.vms) {
+			return
+		}
+		duty.Sleep(ctx, holdEvery)
+	}
+}
+
+// end closes the record.
+func (b *bed) end() Record {
+	for _, v := range b.vms {
+		if v.current().died() {
+			b.recorder.note(func(r *Record) { r.Died = append(r.Died, v.log+": the process ended by itself") })
+		}
+		v.kill()
+		if broken(v.log) {
+			b.recorder.note(func(r *Record) { r.Died = append(r.Died, v.log+": the program tells that it is broken") })
+		}
+	}
+	b.recorder.mutex.Lock()
+	defer b.recorder.mutex.Unlock()
+	r := b.recorder.record
+	r.Arrivals, r.Runs = b.fleet.Journal.Read()
+	r.End = time.Now()
+	return r
+}
+
+func result(p Plan, r Record) Result {
+	x := Result{Plan: p, Requests: len(r.Sent), Runs: len(r.Runs), Probes: len(r.Probes), Violations: Judge(r)}
+	for _, s := range r.Sent {
+		if s.Whole {
+			x.Served++
+		}
+	}
+	for _, a := range r.Arrivals {
+		if a.Resumed {
+			x.Resumed++
+		}
+	}
+	return x
+}
+
+// bring brings one fault about and ends it.
+func (b *bed) bring(ctx context.Context, f Fault) {
+	v := b.vms[max(0, f.Target)%len(b.vms)]
+	s := b.servers[max(0, f.Target)%len(b.servers)]
+	// It is noted before it begins and, with its end, again after it.
+	i := b.trouble(f, v, s)
+	b.Log.Emit(event.SoakFault, zap.String("kind", string(f.Kind)), zap.Int("target", f.Target), zap.Duration("for", f.For.Duration()), zap.String("mode", string(f.Mode)))
+	switch f.Kind {
+	case KillVM, StopVM, PauseVM, ReloadVM:
+		b.signal(ctx, f, v)
+	case CallerLink:
+		b.link(ctx, v.callers, f)
+	case ServerLink:
+		_, p := s.current()
+		b.link(ctx, p, f)
+	case CrashServer:
+		b.crash(ctx, s, f.For.Duration())
+	case LeaveServer:
+		b.leave(ctx, s, f.For.Duration())
+	case StoreForget:
+		b.store.Forget()
+	case ChangeRoute:
+		b.changeRoute()
+	case RevokeKey:
+		b.changeKey()
+	default:
+		b.storeFault(ctx, f, v)
+	}
+	b.recorder.note(func(r *Record) { r.Troubles[i].Until = time.Now() })
+}
+
+// signal sends a fault's signals to an entry VM's process.
+func (b *bed) signal(ctx context.Context, f Fault, v *vm) {
+	p := v.current()
+	switch f.Kind {
+	case KillVM:
+		p.kill()
+		duty.Sleep(ctx, f.For.Duration())
+		b.again(v, p)
+	case StopVM:
+		p.stop(grace + time.Second)
+		b.again(v, p)
+	case PauseVM:
+		p.signal(syscall.SIGSTOP)
+		duty.Sleep(ctx, f.For.Duration())
+		p.signal(syscall.SIGCONT)
+	default:
+		p.signal(syscall.SIGHUP)
+	}
+}
+
+// trouble notes a fault that is about to begin and gives its place.
+func (b *bed) trouble(f Fault, v *vm, s *server) int {
+	t := Trouble{Fault: f, VM: noVM}
+	switch f.Kind {
+	case CrashServer, ServerLink, LeaveServer:
+		x, _ := s.current()
+		t.Server = x.Name
+	case ChangeRoute, RevokeKey, StoreForget:
+	default:
+		t.VM = v.place
+		if f.Target == All {
+			t.VM = All
+		}
+	}
+	// Until its end is known it lasts beyond any judged span.
+	now := time.Now()
+	t.Span = Span{From: now, Until: now.Add(time.Hour)}
+	i := 0
+	b.recorder.note(func(r *Record) {
+		i = len(r.Troubles)
+		r.Troubles = append(r.Troubles, t)
+	})
+	return i
+}
+
+// again starts a VM whose process has ended, unless another fault has done so.
+func (b *bed) again(v *vm, ended *process) {
+	b.failed(b.boot(v, ended))
+}
+
+// failed notes that the soak itself could not do something.
+func (b *bed) failed(err error) {
+	if err != nil {
+		b.recorder.note(func(r *Record) { r.Died = append(r.Died, err.Error()) })
+	}
+}
+
+// link makes a link fail for a time.
+func (b *bed) link(ctx context.Context, p *proxy, f Fault) {
+	p.set(f.Mode)
+	duty.Sleep(ctx, f.For.Duration())
+	p.set(Pass)
+}
+
+// lapseTime is how long the entry of a server that crashed stays.
+const lapseTime = 1500 * time.Millisecond
+
+// crash ends a server without notice; another one takes its place.
+func (b *bed) crash(ctx context.Context, s *server, d time.Duration) {
+	x, _ := s.current()
+	x.Crash()
+	duty.Sleep(ctx, lapseTime)
+	x.Unregister()
+	duty.Sleep(ctx, d)
+	b.failed(b.begin(s, x))
+}
+
+// leave ends a server after its notice; another one takes its place.
+func (b *bed) leave(ctx context.Context, s *server, d time.Duration) {
+	x, _ := s.current()
+	notice := noticeLeast + d
+	b.failed(x.Leave(notice))
+	at := time.Now()
+	b.recorder.note(func(r *Record) { r.Leaves = append(r.Leaves, Leave{Server: x.Name, At: at}) })
+	duty.Sleep(ctx, notice)
+	x.Unregister()
+	x.Crash()
+	b.failed(b.begin(s, x))
+}
+
+// noticeLeast is the least time between a notice and the end: as on the users'
+// platform.
+const noticeLeast = 1500 * time.Millisecond
+
+// slowTime is what a slow store holds its answers back by.
+const slowTime = 200 * time.Millisecond
+
+// storeFault makes the store fail for one VM or for all.
+func (b *bed) storeFault(ctx context.Context, f Fault, v *vm) {
+	l := []*vm{v}
+	if f.Target == All {
+		l = b.vms
+	}
+	for _, v := range l {
+		v.meet(f.Kind)
+	}
+	duty.Sleep(ctx, f.For.Duration())
+	for _, v := range l {
+		v.door.Set(standin.Serving, 0)
+		v.store.set(Pass)
+	}
+}
+
+// meet makes the store fail for a VM.
+func (v *vm) meet(k Kind) {
+	switch k {
+	case StoreBusy:
+		v.door.Set(standin.Busy, 0)
+	case StoreLimit:
+		v.door.Set(standin.Throttled, 0)
+	case StoreReset:
+		v.door.Set(standin.Resetting, 0)
+	case StoreSlow:
+		v.door.Set(standin.Serving, slowTime)
+	default:
+		v.store.set(Silent)
+	}
+}
--- /dev/null
+++ b/internal/soak/traffic.go
@@ -0,0 +1,175 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/directory"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/upstream"
+	"github.com/wardridge/wardridge/platform/standin"
+)
+
+const (
+	// callerPause is the mean pause between a caller's requests.
+	callerPause = 60 * time.Millisecond
+	// stayCalls is how many requests a caller sends to one entry VM before it
+	// looks for another: callers keep their connections.
+	stayCalls = 20
+	// chatWait and callWait are how long callers wait.
+	chatWait = 15 * time.Second
+	callWait = 3 * time.Second
+	// answerMost bounds a stream, in events: below the grace of a stop.
+	answerMost = 220
+	// leaveChance is how often a caller leaves a stream.
+	leaveChance = 0.1
+	// probeEvery is the pause between looks at an entry VM's configuration.
+	probeEvery = 150 * time.Millisecond
+	// lookEvery is the pause between looks at an entry VM's readiness, as a
+	// balancer makes them.
+	lookEvery = 300 * time.Millisecond
+)
+
+// balance is the duty that asks each entry VM whether it takes callers.
+func (b *bed) balance(ctx context.Context) error {
+	return duty.Loop(ctx, func() time.Duration { return lookEvery }, func(ctx context.Context) {
+		for _, v := range b.vms {
+			c, cancel := context.WithTimeout(ctx, lookEvery)
+			ok := standin.Ready(c, b.http, v.ready)
+			cancel()
+			v.mutex.Lock()
+			v.accepts = ok
+			v.mutex.Unlock()
+		}
+	})
+}
+
+// choose gives an entry VM that takes callers, or any where none does.
+func (b *bed) choose(r *rand.Rand) *vm {
+	var l []*vm
+	for _, v := range b.vms {
+		v.mutex.Lock()
+		if v.accepts {
+			l = append(l, v)
+		}
+		v.mutex.Unlock()
+	}
+	if len(l) == 0 {
+		l = b.vms
+	}
+	return l[r.IntN(len(l))]
+}
+
+// call is the duty of one caller, which sends one request after the other.
+func (b *bed) call(ctx context.Context, place int, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, uint64(place)+2))
+	d := &net.Dialer{Timeout: time.Second}
+	p, closer := upstream.New(d.DialContext)
+	defer closer()
+	c := standin.NewCaller(p)
+	v := b.choose(r)
+	for n := 0; ctx.Err() == nil; n++ {
+		if n%stayCalls == 0 {
+			v = b.choose(r)
+		}
+		s := b.next(r, fmt.Sprintf("c%d-%d", place, n))
+		s.VM = v.place
+		s.At = time.Now()
+		s.Reply = c.Do(context.WithoutCancel(ctx), v.callers.address(), s.Call)
+		s.Done = time.Now()
+		b.recorder.note(func(x *Record) { x.Sent = append(x.Sent, s) })
+		if s.Fault != nil {
+			// What broke off is not asked for again at once, and elsewhere.
+			v = b.choose(r)
+		}
+		duty.Sleep(ctx, time.Duration(r.ExpFloat64()*float64(callerPause)))
+	}
+}
+
+// next draws a caller's next request.
+func (b *bed) next(r *rand.Rand, id string) Sent {
+	s := Sent{Workspace: mainWorkspace, Call: standin.Call{
+		ID: api.RequestID(id), Method: http.MethodPost, Host: host, Key: mainKey, Wait: callWait, Body: "body of " + id,
+	}}
+	switch x := r.Float64(); {
+	case x < 0.4:
+		s.Kind, s.Target = directory.Stream, "/"+pathChat+"/"+id
+		s.Wait = chatWait
+		s.Tokens = api.Tokens(standin.Stride * (1 + r.IntN(answerMost)))
+		if r.Float64() < leaveChance {
+			s.Leave = 1 + r.IntN(int(s.Tokens)/standin.Stride)
+		}
+	case x < 0.7:
+		s.Kind, s.Target = directory.Unsafe, "/"+pathOrders+"/"+id+"?x=%2F"
+	default:
+		s.Kind, s.Target = directory.Safe, "/"+pathParts+"/"+id
+		s.Method, s.Call.Body = http.MethodGet, ""
+	}
+	return s
+}
+
+// probe is the duty that looks which configuration an entry VM serves by.
+func (b *bed) probe(ctx context.Context, v *vm) {
+	d := &net.Dialer{Timeout: time.Second}
+	p, closer := upstream.New(d.DialContext)
+	defer closer()
+	c := standin.NewCaller(p)
+	for n := 0; ctx.Err() == nil; n++ {
+		b.look(ctx, v, c, n)
+		duty.Sleep(ctx, probeEvery)
+	}
+}
+
+// look sends one request on an extra route.
+func (b *bed) look(ctx context.Context, v *vm, c *standin.Caller, n int) {
+	b.mutex.Lock()
+	if len(b.extras) == 0 {
+		b.mutex.Unlock()
+		return
+	}
+	// The newest routes tell most.
+	const newest = 4
+	place := len(b.extras) - 1 - n%min(newest, len(b.extras))
+	x := b.extras[place]
+	b.mutex.Unlock()
+	v.mutex.Lock()
+	life := v.life
+	v.mutex.Unlock()
+	id := api.RequestID(fmt.Sprintf("p%d-%d", v.place, n))
+	s := Sent{VM: v.place, Kind: directory.Safe, Workspace: mainWorkspace, At: time.Now(), Call: standin.Call{
+		ID: id, Method: http.MethodGet, Host: host, Target: "/" + x.path + "/" + string(id), Key: mainKey, Wait: callWait,
+	}}
+	s.Reply = c.Do(ctx, v.callers.address(), s.Call)
+	s.Done = time.Now()
+	b.mutex.Lock()
+	// The route may have been removed meanwhile.
+	x = b.extras[place]
+	b.mutex.Unlock()
+	w := Probe{VM: v.place, Life: life, At: s.At}
+	b.recorder.note(func(r *Record) {
+		r.Sent = append(r.Sent, s)
+		if w.seen(s.Status, x) {
+			r.Probes = append(r.Probes, w)
+		}
+	})
+}
+
+// seen takes which versions answer a request on an extra route so. A success
+// comes from the versions that have the route; an unknown path from those before
+// or after it, which tells something only while the route stands.
+func (p *Probe) seen(status int, x extra) bool {
+	switch {
+	case status == http.StatusOK:
+		p.From, p.Until = x.from, x.until
+	case status == http.StatusNotFound && x.until == 0:
+		p.Until = x.from
+	default:
+		return false
+	}
+	return true
+}
