--- a/internal/soak/bed.go
+++ b/internal/soak/bed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -164,11 +165,16 @@
 	return nil
 }
 
-// freeAddress finds a loopback port that is free now.
+// freeAddress finds a free port on a loopback address of this process's own. A
+// VM has to find its ports free again when it restarts, while connections of
+// all processes take ports of 127.0.0.1 as they come.
 func freeAddress() (string, error) {
-	l, err := standin.Listen()
+	n := os.Getpid()
+	ip := net.IPv4(127, byte(1+n>>16), byte(n>>8), byte(n))
+	var c net.ListenConfig
+	l, err := c.Listen(context.Background(), "tcp", net.JoinHostPort(ip.String(), "0"))
 	if err != nil {
-		return "", err
+		return "", fault.Wrap(fault.ListenFailed, err, "finding a free port")
 	}
 	a := l.Addr().String()
 	return a, l.Close()
