feat: servers are asked at once when the platform falls silent, and leaves travel between VMs

Entry VMs ask servers only once nobody has word from the platform; VMs that leave it to hubs, and a second hub that had just taken over, passed for having word, until 20.0 to 21.9 s.

Ruled out: the servers' reports (they tell within 0.6 s), the moves themselves.

Change: a VM says that it follows the platform only after the platform itself answered it; watches of servers last a quarter of the bound in place of half, so that silence shows sooner; a VM that loses the platform asks its streams' servers at once; what one was told goes with the exchange.

--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -414,9 +414,14 @@
 	// Version at which the configuration last changed.
 	ConfigAt Version `json:"config_at"`
 
-	// Whether the sender leaves the platform to hubs.
+	// Whether the sender has no word from the platform itself and leaves it to
+	// others.
 	Follows bool `json:"follows,omitempty,omitzero"`
 
+	// Backend servers that told the sender or its peers themselves that they are
+	// leaving.
+	Leaving []ServerName `json:"leaving,omitempty,omitzero"`
+
 	// Loads by backend server that the sender reports to the receiver.
 	Loads map[string]ServerLoad `json:"loads,omitempty,omitzero"`
 
--- a/internal/decide/gossip/gossip.go
+++ b/internal/decide/gossip/gossip.go
@@ -289,10 +289,11 @@
 	return l
 }
 
-// Alone reports whether no live peer has word from the platform.
+// Alone reports whether no live peer has word from the platform: those that
+// leave it to hubs have none of their own.
 func (p *Peers) Alone(now time.Time) bool {
 	for _, x := range p.peers {
-		if p.alive(now, x) && !x.Away {
+		if p.alive(now, x) && !x.Away && !x.Follows {
 			return false
 		}
 	}
--- a/internal/decide/gossip/gossip_test.go
+++ b/internal/decide/gossip/gossip_test.go
@@ -329,11 +329,15 @@
 	if !p.Alone(at(10)) {
 		t.Error("peer without the platform: got false, want alone")
 	}
+	p.Heard(at(0), gossip.Word{Member: gossip.Member{Address: "d:1"}, Follows: true})
+	if !p.Alone(at(10)) {
+		t.Error("peer that leaves the platform to hubs: got false, want alone")
+	}
 	p.Heard(at(0), gossip.Word{Member: gossip.Member{Address: "c:1"}})
 	if p.Alone(at(10)) {
 		t.Error("peer with the platform: got alone, want false")
 	}
-	if got, want := p.Blind(at(10)), []string{"b:1"}; !slices.Equal(got, want) {
+	if got, want := p.Blind(at(10)), []string{"b:1", "d:1"}; !slices.Equal(got, want) {
 		t.Errorf("blind: got %v, want %v", got, want)
 	}
 }
--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -181,6 +181,18 @@
 	return *m, true
 }
 
+// Said lists the servers that themselves said that they are leaving, in order.
+func (r *Roster) Said() []api.ServerName {
+	var l []api.ServerName
+	for n, m := range r.members {
+		if m.said {
+			l = append(l, n)
+		}
+	}
+	slices.Sort(l)
+	return l
+}
+
 // Find gives one server.
 func (r *Roster) Find(n api.ServerName) (Member, bool) {
 	m, ok := r.members[n]
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/roster"
 	"github.com/wardridge/wardridge/internal/event"
 )
@@ -45,13 +46,27 @@
 		g.Log.Emit(event.ServerUnreachable, zap.String("server", string(s.Name)), zap.Error(err))
 		return
 	}
-	if !leaving {
-		return
+	if leaving {
+		g.Left([]api.ServerName{s.Name})
 	}
+}
+
+// Left takes servers that told this entry VM or a peer that they are leaving.
+func (g *Gateway) Left(l []api.ServerName) {
+	var c []roster.Member
 	g.mutex.Lock()
-	m, ok := g.roster.Leave(time.Now(), s.Name)
-	g.mutex.Unlock()
-	if ok {
-		g.changed([]roster.Member{m})
+	for _, n := range l {
+		if m, ok := g.roster.Leave(time.Now(), n); ok {
+			c = append(c, m)
+		}
 	}
+	g.mutex.Unlock()
+	g.changed(c)
+}
+
+// Leavers lists the servers that told themselves that they are leaving.
+func (g *Gateway) Leavers() []api.ServerName {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.roster.Said()
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/placement"
 	"github.com/wardridge/wardridge/internal/fault"
 	"github.com/wardridge/wardridge/internal/gateway"
@@ -203,6 +204,29 @@
 	})
 }
 
+// What one entry VM was told by a server moves the runs of all.
+func TestLeaveTravelsBetweenVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		f.total = 60
+		a, b := newBed(t, newFake(), 10), newBed(t, f, 10)
+		var c caller
+		done := make(chan struct{})
+		b.Group.Go(func(context.Context) error {
+			defer close(done)
+			b.Handle(context.Background(), request("/stream/1"), &c)
+			return nil
+		})
+		time.Sleep(10 * eventGap)
+		a.Left([]api.ServerName{api.ServerName(f.sends[0]), "unknown"})
+		b.Left(a.Leavers())
+		<-done
+		if !c.whole(60) || len(f.sends) != 2 {
+			t.Errorf("events: got %d, sends %v, want 60 and a move", len(c.ids), f.sends)
+		}
+	})
+}
+
 func TestCalls(t *testing.T) {
 	refused := fault.New(fault.ServerRefused, "full")
 	lost := fault.New(fault.OutcomeUnknown, "lost")
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -34,6 +34,10 @@
 	Tell(vm api.VMName, r placement.Relation) placement.Report
 	// Told takes a peer's report.
 	Told(vm api.VMName, r placement.Relation, x placement.Report)
+	// Leavers lists the servers that told themselves that they are leaving.
+	Leavers() []api.ServerName
+	// Left takes such a list of a peer.
+	Left(l []api.ServerName)
 }
 
 // Parts are what the mesh works with.
@@ -179,6 +183,7 @@
 	e := api.Exchange{
 		Protocol: member.Protocol, VM: m.VM, ConfigAt: m.Config.Changed(), ServersAt: m.Servers.Changed(),
 		Away: m.Servers.Lost() || m.Config.Lost(), Relation: relations[r], Members: x.Members,
+		Leaving: m.Loads.Leavers(),
 	}
 	if len(x.Loads) > 0 {
 		e.Loads = make(map[string]api.ServerLoad, len(x.Loads))
@@ -191,7 +196,7 @@
 	now := time.Now()
 	e.Self = message(m.Self)
 	e.Self.Hub = m.peers.Hub(now)
-	e.Follows = m.peers.Guided(now)
+	e.Follows = !m.Servers.Direct()
 	if m.rounds%memberRounds == 0 || vm == "" {
 		for _, x := range m.peers.Live(now) {
 			e.Peers = append(e.Peers, message(x))
@@ -234,6 +239,7 @@
 		x.Loads[api.ServerName(n)] = l
 	}
 	m.Loads.Told(e.VM, r, x)
+	m.Loads.Left(e.Leaving)
 	catchUp(m, e.Self.Address, PathConfig, e.ConfigAt, m.Config)
 	catchUp(m, e.Self.Address, PathServers, e.ServersAt, m.Servers)
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -70,6 +70,8 @@
 type Mirror[T any] struct {
 	Parts[T]
 
+	// direct is set while the platform itself answers, unset while a peer guides.
+	direct atomic.Bool
 	// refresh asks for a list of the platform although a peer guides.
 	refresh atomic.Bool
 
@@ -91,6 +93,7 @@
 	for ctx.Err() == nil {
 		if m.At() > 0 && m.Guided() && !m.refresh.Swap(false) {
 			list = true
+			m.direct.Store(false)
 			m.reached()
 			duty.Sleep(ctx, guidedTime)
 			continue
@@ -106,9 +109,11 @@
 				forgotten = 0
 			}
 			list, failures = false, 0
+			m.direct.Store(true)
 			m.reached()
 			continue
 		}
+		m.direct.Store(false)
 		// After any failure the history may be lost without a word.
 		list = true
 		if fault.Has(err, fault.WatchTooOld) {
@@ -222,6 +227,12 @@
 	return m.away
 }
 
+// Direct reports whether the platform itself has answered last: neither is it
+// lost, nor is it left to a peer.
+func (m *Mirror[T]) Direct() bool {
+	return m.direct.Load()
+}
+
 // settleTime is how long the platform has to have answered before what is
 // missing counts as gone: entries that lapsed in an outage are back within two
 // seconds.
--- a/internal/node/hosted_start.go
+++ b/internal/node/hosted_start.go
@@ -53,10 +53,13 @@
 
 func (hostedDecisions) String() string { return "decisions" }
 
-// mirrorShare is the share of the time in which a change has to be in force
-// that one watch may wait; mirrorSlack is what its answer may take beyond.
+// Shares of the time in which a change has to be in force: what one watch of
+// the configuration and of the servers may wait, and what its answer may take
+// beyond. A silent platform is noticed when a watch does not end; servers leave
+// on short notice, so that theirs is shorter.
 const (
-	mirrorShare = 0.5
+	configShare = 0.5
+	serverShare = 0.25
 	mirrorSlack = 0.2
 )
 
@@ -67,17 +70,16 @@
 		Retries: retry.NewWindow(seconds(s.RetryWindowS), s.RetryRatio, s.RetrySlack),
 	})
 	apply := s.ApplyMS.Duration()
-	t := mirror.Timing{
-		Wait:  time.Duration(mirrorShare * float64(apply)),
-		Slack: time.Duration(mirrorSlack * float64(apply)),
+	timing := func(share float64) mirror.Timing {
+		return mirror.Timing{Wait: time.Duration(share * float64(apply)), Slack: time.Duration(mirrorSlack * float64(apply))}
 	}
 	h.config = mirror.New(mirror.Parts[directory.Config]{
-		Name: "config", Source: h.adapter.Config, Log: h.Log, Metrics: h.Metrics, Timing: t,
+		Name: "config", Source: h.adapter.Config, Log: h.Log, Metrics: h.Metrics, Timing: timing(configShare),
 		Take: h.configure, Guided: h.guided, Patient: h.patient, Away: func(bool) {},
 	})
 	h.servers = mirror.New(mirror.Parts[roster.Server]{
-		Name: "servers", Source: h.adapter.Servers, Log: h.Log, Metrics: h.Metrics, Timing: t,
-		Take: h.serve, Guided: h.guided, Patient: h.patient, Away: h.gateway.Away,
+		Name: "servers", Source: h.adapter.Servers, Log: h.Log, Metrics: h.Metrics, Timing: timing(serverShare),
+		Take: h.serve, Guided: h.guided, Patient: h.patient, Away: h.away,
 	})
 	h.mesh = mesh.New(mesh.Parts{
 		VM: h.Settings.Node.Name, Hubs: s.Hubs, Seeds: split(s.Seeds),
@@ -112,6 +114,16 @@
 	h.tell()
 }
 
+// away notes whether the platform is lost. Notices of servers may be missed from
+// the first moment on, before it is known whether peers still hear of them, so
+// that the servers are asked at once.
+func (h *Hosted) away(lost bool) {
+	h.gateway.Away(lost)
+	if lost {
+		h.gateway.Ask(context.WithoutCancel(h.Context))
+	}
+}
+
 // tellTime is how long changes are gathered before peers are told: servers
 // that leave together say so within a few ms.
 const tellTime = 15 * time.Millisecond
@@ -198,13 +210,19 @@
 	return nil
 }
 
+// dark reports whether nobody heard of has word from the platform, so that only
+// the servers themselves tell that they are leaving.
+func (h *Hosted) dark() bool {
+	return !h.servers.Direct() && h.mesh.Alone()
+}
+
 // tick is one round of the small duties.
 func (h *Hosted) tick(ctx context.Context) {
 	h.rounds++
 	h.mesh.Round()
 	h.gateway.Step()
 	h.Metrics.Put(metric.RequestsInFlight, int64(h.gateway.InFlight()))
-	if h.servers.Lost() && h.mesh.Alone() {
+	if h.dark() {
 		h.gateway.Ask(ctx)
 	}
 	if h.rounds%sweepRounds == 0 {
