--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -144,7 +144,8 @@
 	s := Sent{VM: v.place, Kind: directory.Safe, Workspace: mainWorkspace, At: time.Now(), Call: standin.Call{
 		ID: id, Method: http.MethodGet, Host: host, Target: "/" + x.path + "/" + string(id), Key: mainKey, Wait: callWait,
 	}}
-	s.Reply = c.Do(ctx, v.callers.address(), s.Call)
+	// What was sent is waited for, also once the soak is over.
+	s.Reply = c.Do(context.WithoutCancel(ctx), v.callers.address(), s.Call)
 	s.Done = time.Now()
 	b.mutex.Lock()
 	// The route may have been removed meanwhile.
