--- a/internal/catalogue/pages.go
+++ b/internal/catalogue/pages.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 
 	"github.com/wardridge/wardridge/internal/event"
@@ -63,7 +64,7 @@
 	var b strings.Builder
 	b.WriteString("# Metrics\n\nEach entry VM shows its `expvar` variables at `/debug/vars` of its control address.\n" + note)
 	table(&b, "variable", "unit", "meaning")
-	for _, k := range metric.Catalogue {
+	for _, k := range slices.Concat(metric.Catalogue, metric.Groups) {
 		row(&b, "`"+string(k.Name)+"`", k.Unit, k.Help)
 	}
 	return b.String()
--- a/internal/decide/placement/health.go
+++ b/internal/decide/placement/health.go
@@ -21,6 +21,11 @@
 	Lost
 )
 
+// String names the outcome for metrics.
+func (o Outcome) String() string {
+	return [...]string{"served", "full", "failed", "lost"}[o]
+}
+
 const (
 	// restFirst and restLast bound the time that a server which loses requests
 	// is left alone; it doubles with each loss in a row.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -136,7 +136,10 @@
 		return
 	}
 	began := time.Now()
-	defer func() { g.Metrics.Observe(string(q.route.Kind), q.outcome, time.Since(began)) }()
+	defer func() {
+		g.Metrics.Observe(string(q.route.Kind), q.outcome, time.Since(began))
+		g.Metrics.Count(metric.ByWorkspace, string(q.workspace.Name), q.outcome)
+	}()
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
 	g.mutex.Lock()
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -11,6 +11,7 @@
 	"github.com/wardridge/wardridge/internal/decide/replica"
 	"github.com/wardridge/wardridge/internal/decide/roster"
 	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/metric"
 )
 
 // Serve takes the backend servers as the platform has them.
@@ -37,10 +38,12 @@
 	now := time.Now()
 	g.mutex.Lock()
 	c := g.roster.Step(now)
-	g.picker.Health.Forget(func(n api.ServerName) bool {
+	known := func(n api.ServerName) bool {
 		_, ok := g.roster.Find(n)
 		return ok
-	})
+	}
+	g.picker.Health.Forget(known)
+	g.Metrics.Retain(metric.ByServer, func(n string) bool { return known(api.ServerName(n)) })
 	g.Retries.Members(g.picker.Book.Members(now))
 	g.mutex.Unlock()
 	g.changed(c)
@@ -165,6 +168,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.picker.Health.Note(time.Now(), n, o)
+	g.Metrics.Count(metric.ByServer, string(n), o.String())
 }
 
 // Tell gives the report on loads for a peer.
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -98,16 +98,31 @@
 	{SlowReaders, "requests", "Requests ended because the caller read too slowly."},
 }
 
+// latency is the name of the histograms.
+const latency = "latency_ms"
+
+// Groups lists the variables that hold more than one figure; each is bounded,
+// and what is beyond the bound counts as "other".
+var Groups = []Kind{
+	{latency, "ms", "Times of requests by kind and outcome: count, p50, p95, p99, max."},
+	{Name(ByWorkspace), "requests", "Requests by workspace and outcome."},
+	{Name(ByServer), "attempts", "Attempts by backend server and what they met: served, full, failed, lost."},
+}
+
 // Set is the variables of one entry VM.
 type Set struct {
-	vars  expvar.Map
-	times *times
+	vars    expvar.Map
+	times   *times
+	tallies map[Label]*tally
 }
 
 // New makes a set with every variable at 0.
 func New() *Set {
-	s := &Set{times: newTimes()}
-	s.vars.Set("latency_ms", s.times)
+	s := &Set{times: newTimes(), tallies: map[Label]*tally{ByWorkspace: newTally(), ByServer: newTally()}}
+	s.vars.Set(latency, s.times)
+	for l, t := range s.tallies {
+		s.vars.Set(string(l), t)
+	}
 	for _, k := range Catalogue {
 		s.vars.Add(string(k.Name), 0)
 	}
@@ -124,6 +139,17 @@
 	s.times.observe(kind+"/"+outcome, d)
 }
 
+// Count counts an outcome of a name under a label; names beyond a bound count
+// together.
+func (s *Set) Count(l Label, name, outcome string) {
+	s.tallies[l].count(name, outcome)
+}
+
+// Retain drops the names under a label that are not to be kept.
+func (s *Set) Retain(l Label, keep func(name string) bool) {
+	s.tallies[l].retain(keep)
+}
+
 // Put sets a variable.
 func (s *Set) Put(n Name, v int64) {
 	if i, ok := s.vars.Get(string(n)).(*expvar.Int); ok {
--- /dev/null
+++ b/internal/metric/tally.go
@@ -0,0 +1,64 @@
+package metric
+
+import (
+	"encoding/json"
+	"sync"
+)
+
+// Label is what a tally counts by.
+type Label string
+
+// Labels.
+const (
+	// ByWorkspace counts requests by workspace and outcome.
+	ByWorkspace Label = "requests_by_workspace"
+	// ByServer counts attempts by backend server and outcome.
+	ByServer Label = "attempts_by_server"
+)
+
+// tally counts outcomes by name.
+type tally struct {
+	mutex sync.Mutex
+	all   map[string]map[string]int64
+}
+
+func newTally() *tally {
+	return &tally{all: map[string]map[string]int64{}}
+}
+
+func (t *tally) count(name, outcome string) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	m, ok := t.all[name]
+	if !ok && len(t.all) >= namesMost {
+		name = otherNames
+		m, ok = t.all[name]
+	}
+	if !ok {
+		m = map[string]int64{}
+		t.all[name] = m
+	}
+	m[outcome]++
+}
+
+// retain drops the names that are not to be kept.
+func (t *tally) retain(keep func(name string) bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	for n := range t.all {
+		if n != otherNames && !keep(n) {
+			delete(t.all, n)
+		}
+	}
+}
+
+// String gives all counts as JSON, as expvar wants it.
+func (t *tally) String() string {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	b, err := json.Marshal(t.all)
+	if err != nil {
+		return "{}"
+	}
+	return string(b)
+}
