feat: servers that have just started take work last while others have room

They say how long they are still slow; nobody read it. Priced as a quarter of a server's capacity, a choice (no site at hand has servers that are slower when cold, so it is not measured).

--- a/internal/decide/placement/pick.go
+++ b/internal/decide/placement/pick.go
@@ -49,6 +49,9 @@
 	// spread is the part of a score that is drawn: entry VMs that know the same
 	// must not all choose the same server until they hear of each other.
 	spread = 0.15
+	// cold is the price of a server that has just started and is still slow: it
+	// takes work before one that is a quarter fuller.
+	cold = 0.25
 	// avoid puts servers that rest, fail or lapsed behind all others.
 	avoid = 10.0
 	// memoryBound is the share of an engine's memory that may be promised; the
@@ -142,6 +145,9 @@
 	if m.Domain != l.Domain {
 		s += l.Away
 	}
+	if now.Before(m.Warm) {
+		s += cold
+	}
 	if m.State == roster.Lapsed {
 		s += avoid
 	}
--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -17,6 +17,13 @@
 	return roster.Member{Server: roster.Server{Name: api.ServerName(n), Domain: d, Slots: 24}, State: s}
 }
 
+// coldMember is a server that is warm in so many seconds.
+func coldMember(n string, s int) roster.Member {
+	m := member(n, "x", roster.Ready)
+	m.Warm = begin.Add(time.Duration(s) * time.Second)
+	return m
+}
+
 func load(tokens, unread api.Tokens) api.ServerLoad {
 	return api.ServerLoad{Requests: 1, Tokens: tokens, Unread: unread}
 }
@@ -50,6 +57,15 @@
 		{"copies stay in a fuller domain", []roster.Member{member("a", "y", roster.Ready), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
 			p.Book.Add("b", load(9000, 0))
 		}, placement.AwayCopy, nil, "b"},
+		{"cold servers wait until others are fuller", []roster.Member{coldMember("a", 1), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
+			p.Book.Add("b", load(3000, 0))
+		}, 0.03, nil, "b"},
+		{"cold servers help out full ones", []roster.Member{coldMember("a", 1), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
+			p.Book.Add("b", load(20000, 0))
+		}, 0.03, nil, "a"},
+		{"warm servers are as good as others", []roster.Member{coldMember("a", -1), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
+			p.Book.Add("b", load(9000, 0))
+		}, 0.03, nil, "a"},
 		{"leaving servers take nothing", []roster.Member{member("a", "x", roster.Leaving)}, func(*placement.Picker) {}, 0.03, nil, ""},
 		{"lapsed servers come last", []roster.Member{member("a", "x", roster.Lapsed), member("b", "y", roster.Ready)}, func(p *placement.Picker) {
 			p.Book.Add("b", load(20000, 0))
--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -17,6 +17,8 @@
 	Slots   int
 	// Draining is set by a server that is about to end.
 	Draining bool
+	// Cold is how much longer the server was slow when it wrote its entry.
+	Cold time.Duration
 }
 
 // State tells what a server may be used for.
@@ -45,6 +47,9 @@
 	// Since is when the state was first seen.
 	Since time.Time
 
+	// Warm is when the server is no longer slow after its start.
+	Warm time.Time
+
 	// said is set when the server itself told that it is leaving, which a late
 	// entry does not take back.
 	said bool
@@ -146,6 +151,9 @@
 	if changed {
 		m.Since = now
 	}
+	if m.Server != s {
+		m.Warm = now.Add(s.Cold)
+	}
 	m.Server = s
 	m.State = t
 	return changed
