--- /dev/null
+++ b/internal/decide/gossip/hubs.go
@@ -0,0 +1,120 @@
+package gossip
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/decide/placement"
+)
+
+// Hubs lists the addresses of the hubs of the own failure domain in order, the
+// strongest first; the own one may be among them.
+func (p *Peers) Hubs(now time.Time) []string {
+	l := []Member{p.self}
+	for _, x := range p.peers {
+		if x.Domain == p.self.Domain && p.near(now, x) {
+			l = append(l, x.Member)
+		}
+	}
+	slices.SortFunc(l, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.Address, b.Address))
+	})
+	var h []string
+	for _, m := range l[:min(p.hubs, len(l))] {
+		h = append(h, m.Address)
+	}
+	return h
+}
+
+// settle is how long an entry VM that has just started listens before it may
+// be a hub: where all start together, each would take itself for one.
+const settle = 1500 * time.Millisecond
+
+// Hub reports whether this entry VM is a hub.
+func (p *Peers) Hub(now time.Time) bool {
+	return now.Sub(p.began) >= settle && slices.Contains(p.Hubs(now), p.self.Address)
+}
+
+// Primary is the hub that carries this entry VM's load: the first one heard,
+// or none for a hub.
+func (p *Peers) Primary(now time.Time) string {
+	l := p.Hubs(now)
+	if slices.Contains(l, p.self.Address) {
+		return ""
+	}
+	for _, a := range l {
+		if p.alive(now, p.peers[a]) {
+			return a
+		}
+	}
+	return l[0]
+}
+
+// Relation is what the peer at an address is to this entry VM in the exchange
+// of loads.
+func (p *Peers) Relation(now time.Time, address string) placement.Relation {
+	x, ok := p.peers[address]
+	hub := p.Hub(now)
+	switch {
+	case !ok:
+		return placement.Stranger
+	case hub && x.Hub && p.alive(now, x):
+		return placement.Hub
+	case !hub && address == p.Primary(now):
+		return placement.Primary
+	default:
+		return placement.Stranger
+	}
+}
+
+const (
+	// hubGuide is how lately the first hub has to be heard to be left to follow
+	// the platform alone: two rounds and a lost message's repeat.
+	hubGuide = 800 * time.Millisecond
+	// memberGuide is the same for members that are no hubs: the next hub takes
+	// over first, and has a round and a message to tell them.
+	memberGuide = 1300 * time.Millisecond
+)
+
+// Guided reports whether others bring what changes on the platform, so that it
+// need not be followed: calls are counted there. Of the hubs of a failure domain
+// the first one follows it, the next one when that falls silent, and members
+// only when no hub does. An entry VM that has just started leaves it to those
+// who were there before, or to whoever turns out to be a hub.
+func (p *Peers) Guided(now time.Time) bool {
+	l := p.Hubs(now)
+	switch i := slices.Index(l, p.self.Address); {
+	case now.Sub(p.began) < settle:
+		return true
+	case i < 0 && now.Sub(p.began) < settle+hubGuide:
+		// The hubs have settled just now as well, and are about to tell.
+		return true
+	case i == 0:
+		return false
+	case i > 0:
+		x := p.peers[l[0]]
+		return now.Sub(x.led) < hubGuide && !x.Away && !x.Follows
+	}
+	return slices.ContainsFunc(l, func(a string) bool { return now.Sub(p.peers[a].led) < memberGuide })
+}
+
+// Patient reports whether this entry VM waits long after so many failed calls
+// of the platform in a row: it hears a hub that comes before it, which asks as
+// well and would tell. A hub tries once more at first, since the platform may
+// turn the other one away alone.
+func (p *Peers) Patient(now time.Time, failures int) bool {
+	l := p.Hubs(now)
+	if slices.Contains(l, p.self.Address) && failures < 2 {
+		return false
+	}
+	for _, a := range l {
+		if a == p.self.Address {
+			return false
+		}
+		if p.alive(now, p.peers[a]) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -211,14 +211,8 @@
 		f.total = 60
 		a, b := newBed(t, newFake(), 10), newBed(t, f, 10)
 		var c caller
-		done := make(chan struct{})
-		b.Group.Go(func(context.Context) error {
-			defer close(done)
-			b.Handle(context.Background(), request("/stream/1"), &c)
-			return nil
-		})
-		time.Sleep(10 * eventGap)
-		a.Left([]api.ServerName{api.ServerName(f.sends[0]), "unknown"})
+		done, s := streamed(t, b, &c, 5)
+		a.Left([]api.ServerName{api.ServerName(s), "unknown"})
 		b.Left(a.Leavers())
 		<-done
 		if !c.whole(60) || len(f.sends) != 2 {
--- a/internal/metric/tally.go
+++ b/internal/metric/tally.go
@@ -19,35 +19,26 @@
 // tally counts outcomes by name.
 type tally struct {
 	mutex sync.Mutex
-	all   map[string]map[string]int64
+	names bounded[map[string]int64]
 }
 
 func newTally() *tally {
-	return &tally{all: map[string]map[string]int64{}}
+	return &tally{names: newBounded(func() map[string]int64 { return map[string]int64{} })}
 }
 
 func (t *tally) count(name, outcome string) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	m, ok := t.all[name]
-	if !ok && len(t.all) >= namesMost {
-		name = otherNames
-		m, ok = t.all[name]
-	}
-	if !ok {
-		m = map[string]int64{}
-		t.all[name] = m
-	}
-	m[outcome]++
+	t.names.get(name)[outcome]++
 }
 
 // retain drops the names that are not to be kept.
 func (t *tally) retain(keep func(name string) bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	for n := range t.all {
+	for n := range t.names.all {
 		if n != otherNames && !keep(n) {
-			delete(t.all, n)
+			delete(t.names.all, n)
 		}
 	}
 }
@@ -56,7 +47,7 @@
 func (t *tally) String() string {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	b, err := json.Marshal(t.all)
+	b, err := json.Marshal(t.names.all)
 	if err != nil {
 		return "{}"
 	}
--- a/internal/metric/times.go
+++ b/internal/metric/times.go
@@ -14,36 +14,25 @@
 	timesLeast = 1
 	timesMost  = 600_000
 	digits     = 2
-	// namesMost bounds the histograms; further names count together.
-	namesMost = 64
-	// otherNames is their name.
-	otherNames = "other"
 )
 
 // times are latency histograms by name.
 type times struct {
 	mutex sync.Mutex
-	all   map[string]*hdrhistogram.Histogram
+	names bounded[*hdrhistogram.Histogram]
 }
 
 func newTimes() *times {
-	return &times{all: map[string]*hdrhistogram.Histogram{}}
+	return &times{names: newBounded(func() *hdrhistogram.Histogram {
+		return hdrhistogram.New(timesLeast, timesMost, digits)
+	})}
 }
 
 func (t *times) observe(name string, d time.Duration) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	h, ok := t.all[name]
-	if !ok && len(t.all) >= namesMost {
-		name = otherNames
-		h, ok = t.all[name]
-	}
-	if !ok {
-		h = hdrhistogram.New(timesLeast, timesMost, digits)
-		t.all[name] = h
-	}
 	// What is beyond the bounds counts as the bound.
-	_ = h.RecordValue(min(max(d.Milliseconds(), timesLeast), timesMost))
+	_ = t.names.get(name).RecordValue(min(max(d.Milliseconds(), timesLeast), timesMost))
 }
 
 // summary is one histogram as it is shown.
@@ -59,8 +48,8 @@
 func (t *times) String() string {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	m := make(map[string]summary, len(t.all))
-	for n, h := range t.all {
+	m := make(map[string]summary, len(t.names.all))
+	for n, h := range t.names.all {
 		m[n] = summary{Count: h.TotalCount(), P50: h.ValueAtQuantile(50), P95: h.ValueAtQuantile(95), P99: h.ValueAtQuantile(99), Max: h.Max()}
 	}
 	b, err := json.Marshal(m)
