fix: a VM that waits long for the platform notices at once that a hub has it again

The first form of this spun without a pause where nothing was known yet and a hub guided; the test of that case hung, and what is asked of the platform then still waits.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -91,7 +91,7 @@
 func (m *Mirror[T]) Run(ctx context.Context) error {
 	list, failures, forgotten := true, 0, 0
 	for ctx.Err() == nil {
-		if m.At() > 0 && m.Guided() && !m.refresh.Swap(false) {
+		if m.led() && !m.refresh.Swap(false) {
 			list = true
 			m.direct.Store(false)
 			m.reached()
@@ -127,11 +127,27 @@
 		}
 		failures++
 		m.failed(ctx, err)
-		duty.Sleep(ctx, m.pause(failures))
+		m.rest(ctx, m.pause(failures))
 	}
 	return nil
 }
 
+// led reports whether a peer brings what changes; who knows nothing yet asks the
+// platform whatever others do.
+func (m *Mirror[T]) led() bool {
+	return m.At() > 0 && m.Guided()
+}
+
+// rest waits, but no longer than until a peer guides: what it brings is taken
+// as that of a platform that is back.
+func (m *Mirror[T]) rest(ctx context.Context, d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end) && !m.led(); {
+		if !duty.Sleep(ctx, min(guidedTime, time.Until(end))) {
+			return
+		}
+	}
+}
+
 // pause is the wait after failed calls.
 func (m *Mirror[T]) pause(failures int) time.Duration {
 	if m.Patient(failures) {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -80,6 +80,8 @@
 	mutex  sync.Mutex
 	taken  []string
 	guided bool
+	// patient makes it wait long after a failed call.
+	patient bool
 }
 
 func newBed(t *testing.T) *bed {
@@ -98,8 +100,12 @@
 			defer b.mutex.Unlock()
 			b.taken = append(b.taken, s.Items[0].Value)
 		},
-		Patient: func(int) bool { return false },
-		Away:    func(bool) {},
+		Patient: func(int) bool {
+			b.mutex.Lock()
+			defer b.mutex.Unlock()
+			return b.patient
+		},
+		Away: func(bool) {},
 	})
 	g, end := duty.New(context.Background())
 	t.Cleanup(end)
@@ -242,3 +248,28 @@
 		}
 	})
 }
+
+// A mirror that waits long notices at once that a peer has the platform again.
+func TestPatienceEndsWithAGuide(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t)
+		time.Sleep(100 * time.Millisecond)
+		b.mutex.Lock()
+		b.patient = true
+		b.mutex.Unlock()
+		b.store.mutex.Lock()
+		b.store.down = true
+		b.store.mutex.Unlock()
+		time.Sleep(1500 * time.Millisecond)
+		if !b.Lost() {
+			t.Fatal("in an outage: got the platform, want it lost")
+		}
+		b.mutex.Lock()
+		b.guided = true
+		b.mutex.Unlock()
+		time.Sleep(600 * time.Millisecond)
+		if b.Lost() {
+			t.Error("0.6 s after a peer guides: got the platform lost, want it back")
+		}
+	})
+}
