--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -31,6 +31,7 @@
 	StoreForget Kind = "store-forget"
 	CrashServer Kind = "crash-server"
 	LeaveServer Kind = "leave-server"
+	LoseAnswers Kind = "lose-answers"
 	ServerLink  Kind = "server-link"
 	ChangeRoute Kind = "change-route"
 	RevokeKey   Kind = "revoke-key"
@@ -42,7 +43,7 @@
 
 // unplanned are all others.
 var unplanned = []Kind{
-	KillVM, PauseVM, CallerLink, StoreBusy, StoreLimit, StoreReset, StoreSlow, StoreSilent, StoreForget, CrashServer, ServerLink,
+	KillVM, PauseVM, CallerLink, StoreBusy, StoreLimit, StoreReset, StoreSlow, StoreSilent, StoreForget, CrashServer, ServerLink, LoseAnswers,
 }
 
 // Planned reports whether operators bring the fault about.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -166,6 +166,8 @@
 		b.crash(ctx, s, f.For.Duration())
 	case LeaveServer:
 		b.leave(ctx, s, f.For.Duration())
+	case LoseAnswers:
+		b.lose(ctx, s, f.For.Duration())
 	case StoreForget:
 		b.store.Forget()
 	case ChangeRoute:
@@ -202,7 +204,7 @@
 func (b *bed) trouble(f Fault, v *vm, s *server) int {
 	t := Trouble{Fault: f, VM: noVM}
 	switch f.Kind {
-	case CrashServer, ServerLink, LeaveServer:
+	case CrashServer, ServerLink, LeaveServer, LoseAnswers:
 		x, _ := s.current()
 		t.Server = x.Name
 	case ChangeRoute, RevokeKey, StoreForget:
@@ -268,6 +270,14 @@
 	b.failed(b.begin(s, x))
 }
 
+// lose makes a server lose answers to plain requests that it has run.
+func (b *bed) lose(ctx context.Context, s *server, d time.Duration) {
+	x, _ := s.current()
+	x.Lose(true)
+	duty.Sleep(ctx, d)
+	x.Lose(false)
+}
+
 // noticeLeast is the least time between a notice and the end: as on the users'
 // platform.
 const noticeLeast = 1500 * time.Millisecond
