fix: tests that start processes give no address twice

Ruled out: a process left over (the address is entry-2's, started 0.1 s before). internal/loopback gives each address once, on a loopback address of the process's own; the soak uses it too.

--- a/e2e/system_test.go
+++ b/e2e/system_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -18,6 +17,7 @@
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/load"
+	"github.com/wardridge/wardridge/internal/loopback"
 	"github.com/wardridge/wardridge/internal/peer"
 	"github.com/wardridge/wardridge/internal/sample"
 )
@@ -71,15 +71,17 @@
 	extra    string
 }
 
-// address finds a free port.
+// ports gives addresses to the processes of all tests here.
+var ports = loopback.New()
+
+// address finds an address that nobody else is given.
 func address(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := ports.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return a
 }
 
 // lockedBuffer takes a process's log.
--- a/internal/soak/bed.go
+++ b/internal/soak/bed.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -16,6 +15,7 @@
 	"github.com/wardridge/wardridge/internal/decide/roster"
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/loopback"
 	"github.com/wardridge/wardridge/internal/wire"
 	"github.com/wardridge/wardridge/platform/standin"
 )
@@ -145,9 +145,10 @@
 	}
 	var seeds []string
 	addresses := make([][3]string, s.VMs)
+	free := loopback.New()
 	for i := range addresses {
 		for k := range addresses[i] {
-			a, err := freeAddress()
+			a, err := free.Free()
 			if err != nil {
 				return err
 			}
@@ -165,21 +166,6 @@
 	return nil
 }
 
-// freeAddress finds a free port on a loopback address of this process's own. A
-// VM has to find its ports free again when it restarts, while connections of
-// all processes take ports of 127.0.0.1 as they come.
-func freeAddress() (string, error) {
-	n := os.Getpid()
-	ip := net.IPv4(127, byte(1+n>>16), byte(n>>8), byte(n))
-	var c net.ListenConfig
-	l, err := c.Listen(context.Background(), "tcp", net.JoinHostPort(ip.String(), "0"))
-	if err != nil {
-		return "", fault.Wrap(fault.ListenFailed, err, "finding a free port")
-	}
-	a := l.Addr().String()
-	return a, l.Close()
-}
-
 // domains are the failure domains that VMs and servers are spread over.
 var domains = []api.DomainName{"hall-a", "hall-b", "hall-c"}
 
