--- a/internal/soak/bed.go
+++ b/internal/soak/bed.go
@@ -34,9 +34,9 @@
 
 // Workspaces of the bed.
 const (
-	mainWorkspace api.WorkspaceName = "main"
-	mainKey                         = "main-key"
-	spareName     api.WorkspaceName = "spare"
+	mainWorkspace  api.WorkspaceName = "main"
+	mainKey                          = "main-key"
+	spareWorkspace api.WorkspaceName = "spare"
 )
 
 const (
@@ -94,15 +94,17 @@
 	cleanups []func()
 
 	mutex sync.Mutex
-	// config is the newest configuration, extras the routes that come and go.
+	// config is the newest configuration; extras are the paths of routes that
+	// come and go, keys those of the spare workspace.
 	config directory.Config
-	extras []extra
-	keys   int
+	extras []passing
+	keys   []passing
 }
 
-// extra is a route that some versions have.
-type extra struct {
-	path        string
+// passing is a path or key that some versions have: from one on, and up to but
+// not with another, which is zero while there is none.
+type passing struct {
+	name        string
 	from, until int64
 }
 
@@ -313,14 +315,18 @@
 	}
 	for _, x := range b.extras {
 		if x.until == 0 {
-			c.Routes = append(c.Routes, newRoute(x.path, directory.Safe, plain))
+			c.Routes = append(c.Routes, newRoute(x.name, directory.Safe, plain))
 		}
 	}
-	c.Workspaces = []directory.Workspace{
-		{Name: mainWorkspace, Keys: []string{mainKey}},
-		{Name: spareName, Keys: []string{fmt.Sprint("spare-key-", b.keys)}},
+	spare := directory.Workspace{Name: spareWorkspace}
+	for _, x := range b.keys {
+		if x.until == 0 {
+			spare.Keys = append(spare.Keys, x.name)
+		}
 	}
+	c.Workspaces = []directory.Workspace{{Name: mainWorkspace, Keys: []string{mainKey}}, spare}
 	if _, err := b.store.Configure(c); err != nil {
+		b.failed(err)
 		return
 	}
 	b.config = c
@@ -369,7 +375,7 @@
 			}
 		}
 	}
-	b.extras = append(b.extras, extra{path: fmt.Sprint(pathExtra, len(b.extras)), from: v})
+	b.extras = append(b.extras, passing{name: fmt.Sprint(pathExtra, len(b.extras)), from: v})
 	b.write()
 }
 
@@ -377,6 +383,10 @@
 func (b *bed) changeKey() {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	b.keys++
+	v := b.config.Version + 1
+	if n := len(b.keys); n > 0 {
+		b.keys[n-1].until = v
+	}
+	b.keys = append(b.keys, passing{name: fmt.Sprint("spare-key-", len(b.keys)), from: v})
 	b.write()
 }
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -47,7 +47,7 @@
 type Trouble struct {
 	Fault
 	Span
-	// VM and Server name whom it met; VM is All for each of them and -2 for none.
+	// VM and Server name whom it met; VM is All for each of them and noVM for none.
 	VM     int
 	Server api.ServerName
 }
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -125,49 +125,72 @@
 	}
 }
 
-// look sends one request on an extra route.
+// newest is how many of the paths or keys that come and go are looked at: the
+// newest ones tell most.
+const newest = 4
+
+// pick gives the place of the path or key that a look is about, or false where
+// there is none yet; the mutex is held.
+func pick(l []passing, n int) (int, bool) {
+	if len(l) == 0 {
+		return 0, false
+	}
+	return len(l) - 1 - n%min(newest, len(l)), true
+}
+
+// look sends one request by a path or, every other time, a key that comes and
+// goes.
 func (b *bed) look(ctx context.Context, v *vm, c *standin.Caller, n int) {
+	s := Sent{VM: v.place, Kind: directory.Safe, Workspace: mainWorkspace, Call: standin.Call{
+		ID: api.RequestID(fmt.Sprintf("p%d-%d", v.place, n)), Method: http.MethodGet, Host: host, Key: mainKey, Wait: callWait,
+	}}
+	l, path, unknown := &b.extras, "", http.StatusNotFound
+	if n%2 == 1 {
+		l, path, unknown = &b.keys, pathParts, http.StatusUnauthorized
+	}
 	b.mutex.Lock()
-	if len(b.extras) == 0 {
+	place, ok := pick(*l, n/2)
+	if !ok {
 		b.mutex.Unlock()
 		return
 	}
-	// The newest routes tell most.
-	const newest = 4
-	place := len(b.extras) - 1 - n%min(newest, len(b.extras))
-	x := b.extras[place]
+	x := (*l)[place]
 	b.mutex.Unlock()
+	if path == "" {
+		path = x.name
+	} else {
+		s.Key, s.Workspace = x.name, spareWorkspace
+	}
+	s.Target = "/" + path + "/" + string(s.ID)
 	v.mutex.Lock()
 	life := v.life
 	v.mutex.Unlock()
-	id := api.RequestID(fmt.Sprintf("p%d-%d", v.place, n))
-	s := Sent{VM: v.place, Kind: directory.Safe, Workspace: mainWorkspace, At: time.Now(), Call: standin.Call{
-		ID: id, Method: http.MethodGet, Host: host, Target: "/" + x.path + "/" + string(id), Key: mainKey, Wait: callWait,
-	}}
+	s.At = time.Now()
 	// What was sent is waited for, also once the soak is over.
 	s.Reply = c.Do(context.WithoutCancel(ctx), v.callers.address(), s.Call)
 	s.Done = time.Now()
 	b.mutex.Lock()
-	// The route may have been removed meanwhile.
-	x = b.extras[place]
+	// It may have been removed meanwhile.
+	x = (*l)[place]
 	b.mutex.Unlock()
 	w := Probe{VM: v.place, Life: life, At: s.At}
 	b.recorder.note(func(r *Record) {
 		r.Sent = append(r.Sent, s)
-		if w.seen(s.Status, x) {
+		if w.seen(s.Status, unknown, x) {
 			r.Probes = append(r.Probes, w)
 		}
 	})
 }
 
-// seen takes which versions answer a request on an extra route so. A success
-// comes from the versions that have the route; an unknown path from those before
-// or after it, which tells something only while the route stands.
-func (p *Probe) seen(status int, x extra) bool {
+// seen takes which versions answer so to a request by a path or key that comes
+// and goes. A success comes from the versions that have it; the status of what
+// is unknown from those before or after it, which tells something only while
+// it stands.
+func (p *Probe) seen(status, unknown int, x passing) bool {
 	switch {
 	case status == http.StatusOK:
 		p.From, p.Until = x.from, x.until
-	case status == http.StatusNotFound && x.until == 0:
+	case status == unknown && x.until == 0:
 		p.Until = x.from
 	default:
 		return false
