--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -117,11 +117,11 @@
 func (b *bed) end() Record {
 	for _, v := range b.vms {
 		if v.current().died() {
-			b.recorder.note(func(r *Record) { r.Died = append(r.Died, v.log+": the process ended by itself") })
+			b.died(v.log + ": the process ended by itself")
 		}
 		v.kill()
 		if broken(v.log) {
-			b.recorder.note(func(r *Record) { r.Died = append(r.Died, v.log+": the program tells that it is broken") })
+			b.died(v.log + ": the program tells that it is broken")
 		}
 	}
 	b.recorder.mutex.Lock()
@@ -233,10 +233,14 @@
 // failed notes that the soak itself could not do something.
 func (b *bed) failed(err error) {
 	if err != nil {
-		b.recorder.note(func(r *Record) { r.Died = append(r.Died, err.Error()) })
+		b.died(err.Error())
 	}
 }
 
+func (b *bed) died(what string) {
+	b.recorder.note(func(r *Record) { r.Died = append(r.Died, what) })
+}
+
 // link makes a link fail for a time.
 func (b *bed) link(ctx context.Context, p *proxy, f Fault) {
 	p.set(f.Mode)
