--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -16,9 +16,9 @@
 
 // Ask asks the servers that run own streams whether they are leaving. It is
 // for an entry VM that hears neither from the platform nor from peers that do.
-func (g *Gateway) Ask(ctx context.Context) {
+func (g *Gateway) Ask() {
 	for _, s := range g.busy() {
-		g.Group.Go(func(context.Context) error {
+		g.Group.Go(func(ctx context.Context) error {
 			g.ask(ctx, s)
 			return nil
 		})
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -196,7 +196,7 @@
 		f.mutex.Lock()
 		f.leaves[s] = true
 		f.mutex.Unlock()
-		b.Ask(context.Background())
+		b.Ask()
 		<-done
 		if !c.whole(60) || len(f.sends) != 2 {
 			t.Errorf("events: got %d, sends %v, want 60 and a move", len(c.ids), f.sends)
--- a/internal/node/hosted_start.go
+++ b/internal/node/hosted_start.go
@@ -120,7 +120,7 @@
 func (h *Hosted) away(lost bool) {
 	h.gateway.Away(lost)
 	if lost {
-		h.gateway.Ask(context.WithoutCancel(h.Context))
+		h.gateway.Ask()
 	}
 }
 
@@ -217,13 +217,13 @@
 }
 
 // tick is one round of the small duties.
-func (h *Hosted) tick(ctx context.Context) {
+func (h *Hosted) tick(context.Context) {
 	h.rounds++
 	h.mesh.Round()
 	h.gateway.Step()
 	h.Metrics.Put(metric.RequestsInFlight, int64(h.gateway.InFlight()))
 	if h.dark() {
-		h.gateway.Ask(ctx)
+		h.gateway.Ask()
 	}
 	if h.rounds%sweepRounds == 0 {
 		h.pool.Sweep()
--- a/internal/node/hosted_test.go
+++ b/internal/node/hosted_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -58,6 +59,12 @@
 `
 
 func newBed(t *testing.T) *bed {
+	t.Helper()
+	return newBedOver(t, adapt)
+}
+
+// newBedOver is newBed with a wire of its own.
+func newBedOver(t *testing.T, adapt func(l node.Links) node.Adapter) *bed {
 	t.Helper()
 	listeners := map[string]net.Listener{}
 	for _, a := range []string{"10.0.0.1:1", "10.0.0.1:2", "10.0.0.1:3"} {
@@ -155,3 +162,39 @@
 		t.Errorf("stop: got %v, want no failure", err)
 	}
 }
+
+// failing is a kind whose platform is lost after the first list.
+type failing struct {
+	source[roster.Server]
+	listed *atomic.Int64
+}
+
+func (f failing) List(ctx context.Context) (replica.Snapshot[roster.Server], error) {
+	if f.listed.Add(1) > 1 {
+		return replica.Snapshot[roster.Server]{}, fault.New(fault.PlatformDown, "down")
+	}
+	return f.source.List(ctx)
+}
+
+func (failing) Watch(context.Context, api.Version, time.Duration) (replica.Changes[roster.Server], error) {
+	return replica.Changes[roster.Server]{}, fault.New(fault.PlatformDown, "down")
+}
+
+// A planned stop while the platform is being lost ends in order; the race
+// detector sees whether duties share anything with the stop (soak, seeds 500 and
+// 501).
+func TestStopWhileThePlatformIsLost(t *testing.T) {
+	var listed atomic.Int64
+	b := newBedOver(t, func(l node.Links) node.Adapter {
+		a := adapt(l)
+		a.Servers = failing{source[roster.Server]{replica.Snapshot[roster.Server]{At: 1}}, &listed}
+		return a
+	})
+	for listed.Load() < 2 {
+		time.Sleep(5 * time.Millisecond)
+	}
+	b.stop()
+	if err := <-b.done; err != nil {
+		t.Errorf("stop: got %v, want no error", err)
+	}
+}
