refactor: stand-ins of the hosting platform out of platform/, which only translates

Read as a newcomer: platform/standin held state, timers and decisions of the stand-ins, in the folder that is to hold none. They lie in internal/standin/hosted now and know no name of the wire; a hosted.Wire, which platform/standin implements without state, translates. The soak imports nothing of platform/ any more. Its words are those of the field (property, check, inject, endpoint) in place of promise, judge, bring and door; an unreadable log and an entry that could not be removed are said.

--- a/cmd/dev.go
+++ b/cmd/dev.go
@@ -19,7 +19,7 @@
 	Service  serviceCommand  `cmd:"" help:"Run a stand-in of a plain service."`
 	Load     loadCommand     `cmd:"" help:"Send a user's mix of work and report what callers see."`
 	Measure  measureCommand  `cmd:"" help:"Measure the decisions in virtual time."`
-	Soak     soakCommand     `cmd:"" help:"Run entry VMs as processes under faults and judge what callers and servers see."`
+	Soak     soakCommand     `cmd:"" help:"Run entry VMs as processes under faults and check what callers and servers see."`
 }
 
 // process is what every stand-in process takes.
--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -11,6 +11,7 @@
 	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/fault"
 	"github.com/wardridge/wardridge/internal/soak"
+	"github.com/wardridge/wardridge/platform/standin"
 )
 
 // soakCommand plays plans of faults.
@@ -28,7 +29,7 @@
 	Callers int           `help:"Callers at once." default:"24"`
 }
 
-// Run plays plans until the time is over, and fails if one broke a promise.
+// Run plays plans until the time is over, and fails if one broke a property.
 func (c *soakCommand) Run(e *environment) error {
 	l, flush, err := logs()
 	if err != nil {
@@ -57,7 +58,7 @@
 		}
 	}
 	if failed > 0 {
-		return fault.New(fault.CheckFailed, fmt.Sprintf("%d plans broke a promise", failed))
+		return fault.New(fault.CheckFailed, fmt.Sprintf("%d plans broke a property", failed))
 	}
 	return nil
 }
@@ -71,7 +72,7 @@
 			return false, err
 		}
 	}
-	o := soak.Options{Program: c.Program, Dir: filepath.Join(c.Dir, fmt.Sprint("seed-", p.Seed)), Log: l}
+	o := soak.Options{Program: c.Program, Wire: standin.Wire{}, Dir: filepath.Join(c.Dir, fmt.Sprint("seed-", p.Seed)), Log: l}
 	r, err := soak.Run(e, o, p)
 	if err != nil {
 		return false, err
@@ -84,7 +85,7 @@
 		return true, os.RemoveAll(o.Dir)
 	}
 	if c.Shorten {
-		return false, soak.Shorten(e, o, p, r.Violations[0].Promise)
+		return false, soak.Shorten(e, o, p, r.Violations[0].Property)
 	}
 	return false, nil
 }
@@ -98,7 +99,7 @@
 		return err
 	}
 	for _, v := range r.Violations {
-		if err := e.print("  %s %s %s: %s\n", v.At.Format(time.TimeOnly), v.Promise, v.Request, v.What); err != nil {
+		if err := e.print("  %s %s %s: %s\n", v.At.Format(time.TimeOnly), v.Property, v.Request, v.What); err != nil {
 			return err
 		}
 	}
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -7,17 +7,18 @@
 
 	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/soak"
+	"github.com/wardridge/wardridge/platform/standin"
 )
 
 // soakSeeds are played in each run of the tests: one with every kind of fault and
 // one with planned work alone.
 var soakSeeds = []uint64{2, 9}
 
-// The real programs under a seed's faults keep every promise that can be judged
-// without a clock; `wardctl dev soak` judges the others as well.
+// The real programs under a seed's faults keep every property that can be checked
+// without a clock; `wardctl dev soak` checks the others as well.
 func TestShortSoak(t *testing.T) {
 	for _, seed := range soakSeeds {
-		o := soak.Options{Program: filepath.Join(bin, "wardridge"), Dir: t.TempDir(), Log: event.Discard()}
+		o := soak.Options{Program: filepath.Join(bin, "wardridge"), Wire: standin.Wire{}, Dir: t.TempDir(), Log: event.Discard()}
 		r, err := soak.Run(t.Context(), o, soak.New(seed, soak.Usual(), 16*time.Second))
 		if err != nil {
 			t.Fatal(err)
@@ -26,11 +27,11 @@
 			t.Errorf("seed %d: got no request served, want some", seed)
 		}
 		for _, v := range r.Violations {
-			if v.Promise.Timed() {
-				t.Logf("seed %d, judged by the clock: %s %s: %s", seed, v.Promise, v.Request, v.What)
+			if v.Property.Timed() {
+				t.Logf("seed %d, by the clock: %s %s: %s", seed, v.Property, v.Request, v.What)
 				continue
 			}
-			t.Errorf("seed %d: got %s broken for %q, want it kept: %s", seed, v.Promise, v.Request, v.What)
+			t.Errorf("seed %d: got %s broken for %q, want it kept: %s", seed, v.Property, v.Request, v.What)
 		}
 	}
 }
--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -43,13 +43,30 @@
 	return "", fault.New(fault.ListenFailed, "every free port was given before")
 }
 
-func free() (string, error) {
+// Host is a loopback address of this process's own.
+func Host() string {
 	n := os.Getpid()
-	ip := net.IPv4(127, byte(1+n>>16), byte(n>>8), byte(n))
-	var c net.ListenConfig
-	l, err := c.Listen(context.Background(), "tcp", net.JoinHostPort(ip.String(), "0"))
+	return net.IPv4(127, byte(1+n>>16), byte(n>>8), byte(n)).String()
+}
+
+func free() (string, error) {
+	l, err := listen(Host())
 	if err != nil {
-		return "", fault.Wrap(fault.ListenFailed, err, "finding a free port")
+		return "", err
 	}
 	return l.Addr().String(), l.Close()
 }
+
+// Listen opens a port for this process itself.
+func Listen() (net.Listener, error) {
+	return listen("127.0.0.1")
+}
+
+func listen(host string) (net.Listener, error) {
+	var c net.ListenConfig
+	l, err := c.Listen(context.Background(), "tcp", net.JoinHostPort(host, "0"))
+	if err != nil {
+		return nil, fault.Wrap(fault.ListenFailed, err, "opening a loopback port")
+	}
+	return l, nil
+}
--- a/internal/soak/bed.go
+++ b/internal/soak/bed.go
@@ -16,8 +16,8 @@
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/fault"
 	"github.com/wardridge/wardridge/internal/loopback"
+	"github.com/wardridge/wardridge/internal/standin/hosted"
 	"github.com/wardridge/wardridge/internal/wire"
-	"github.com/wardridge/wardridge/platform/standin"
 )
 
 // Services of the bed, and the paths that lead to them.
@@ -57,10 +57,10 @@
 	settings string
 	log      string
 	// callers is the proxy before it, store the one before the platform.
-	callers *proxy
-	store   *proxy
-	door    *standin.Door
-	ready   string
+	callers  *proxy
+	store    *proxy
+	endpoint *hosted.Endpoint
+	ready    string
 
 	mutex   sync.Mutex
 	process *process
@@ -75,7 +75,7 @@
 	place   int
 
 	mutex sync.Mutex
-	live  *standin.Server
+	live  *hosted.Server
 	proxy *proxy
 	stop  func()
 	lives int
@@ -86,8 +86,8 @@
 	Options
 	group    *duty.Group
 	http     *http.Client
-	store    *standin.Store
-	fleet    *standin.Fleet
+	store    *hosted.Store
+	fleet    *hosted.Fleet
 	vms      []*vm
 	servers  []*server
 	recorder *recorder
@@ -97,13 +97,13 @@
 	// config is the newest configuration; extras are the paths of routes that
 	// come and go, keys those of the spare workspace.
 	config directory.Config
-	extras []passing
-	keys   []passing
+	extras []versioned
+	keys   []versioned
 }
 
-// passing is a path or key that some versions have: from one on, and up to but
+// versioned is a path or key that some versions have: from one on, and up to but
 // not with another, which is zero while there is none.
-type passing struct {
+type versioned struct {
 	name        string
 	from, until int64
 }
@@ -112,10 +112,10 @@
 func newBed(ctx context.Context, o Options, s Size) (*bed, func(), error) {
 	g, end := duty.New(context.WithoutCancel(ctx))
 	c, closer := wire.NewClient(time.Second, false)
-	store := standin.NewStore()
+	store := hosted.NewStore(o.Wire)
 	b := &bed{
 		Options: o, group: g, http: c, store: store, recorder: newRecorder(),
-		fleet: standin.NewFleet(store, standin.Pace{Work: pauseWork, Event: pauseEvent, Copy: pauseCopy}),
+		fleet: hosted.NewFleet(store, hosted.Pace{Work: pauseWork, Event: pauseEvent, Copy: pauseCopy}),
 	}
 	b.cleanups = []func(){end, closer}
 	if err := b.build(s); err != nil {
@@ -177,14 +177,14 @@
 
 // addVM starts an entry VM behind its proxies.
 func (b *bed) addVM(i int, a [3]string, seeds []string) error {
-	v := &vm{place: i, door: b.store.NewDoor(), ready: a[2]}
+	v := &vm{place: i, endpoint: b.store.NewEndpoint(), ready: a[2]}
 	name := fmt.Sprintf("vm-%d", i+1)
 	v.settings, v.log = filepath.Join(b.Dir, name+".ini"), filepath.Join(b.Dir, name+".log")
-	l, err := standin.Listen()
+	l, err := loopback.Listen()
 	if err != nil {
 		return err
 	}
-	s := &http.Server{Handler: v.door.Handler(), ReadHeaderTimeout: time.Second}
+	s := &http.Server{Handler: b.Wire.Store(v.endpoint), ReadHeaderTimeout: time.Second}
 	b.group.Go(func(context.Context) error {
 		// It ends when the server is closed.
 		_ = s.Serve(l)
@@ -209,7 +209,7 @@
 
 // proxy makes a proxy before an address.
 func (b *bed) proxy(target string) (*proxy, error) {
-	l, err := standin.Listen()
+	l, err := loopback.Listen()
 	if err != nil {
 		return nil, err
 	}
@@ -250,7 +250,7 @@
 
 // begin starts the next life of a server, on an address of its own, unless
 // another one has followed the one that ended.
-func (b *bed) begin(s *server, ended *standin.Server) error {
+func (b *bed) begin(s *server, ended *hosted.Server) error {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.live != ended {
@@ -259,11 +259,11 @@
 	if s.stop != nil {
 		s.stop()
 	}
-	in, err := standin.Listen()
+	in, err := loopback.Listen()
 	if err != nil {
 		return err
 	}
-	out, err := standin.Listen()
+	out, err := loopback.Listen()
 	if err != nil {
 		return err
 	}
@@ -290,7 +290,7 @@
 	s.stop()
 }
 
-func (s *server) current() (*standin.Server, *proxy) {
+func (s *server) current() (*hosted.Server, *proxy) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return s.live, s.proxy
@@ -307,7 +307,7 @@
 func (b *bed) write() {
 	v := b.config.Version + 1
 	c := directory.Config{Version: v, Services: []directory.Service{
-		{Name: engines, MaxConnections: 1 << 10, Engine: &directory.Engine{Slots: slots, Memory: memory, Moves: true, Backups: true, Stride: standin.Stride}},
+		{Name: engines, MaxConnections: 1 << 10, Engine: &directory.Engine{Slots: slots, Memory: memory, Moves: true, Backups: true, Stride: hosted.Stride}},
 		{Name: plain, MaxConnections: 1 << 10},
 	}}
 	c.Routes = []directory.Route{
@@ -325,7 +325,7 @@
 		}
 	}
 	c.Workspaces = []directory.Workspace{{Name: mainWorkspace, Keys: []string{mainKey}}, spare}
-	if _, err := b.store.Configure(c); err != nil {
+	if err := b.store.Configure(c); err != nil {
 		b.failed(err)
 		return
 	}
@@ -375,7 +375,7 @@
 			}
 		}
 	}
-	b.extras = append(b.extras, passing{name: fmt.Sprint(pathExtra, len(b.extras)), from: v})
+	b.extras = append(b.extras, versioned{name: fmt.Sprint(pathExtra, len(b.extras)), from: v})
 	b.write()
 }
 
@@ -387,6 +387,6 @@
 	if n := len(b.keys); n > 0 {
 		b.keys[n-1].until = v
 	}
-	b.keys = append(b.keys, passing{name: fmt.Sprint("spare-key-", len(b.keys)), from: v})
+	b.keys = append(b.keys, versioned{name: fmt.Sprint("spare-key-", len(b.keys)), from: v})
 	b.write()
 }
--- /dev/null
+++ b/internal/soak/check.go
@@ -0,0 +1,298 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/directory"
+	"github.com/wardridge/wardridge/internal/standin/hosted"
+)
+
+// Property is one of the properties that are checked.
+type Property string
+
+// Properties.
+const (
+	Once     Property = "once"
+	NotRun   Property = "not-run"
+	Whole    Property = "whole"
+	Asked    Property = "asked"
+	Leaving  Property = "leaving"
+	Gone     Property = "gone"
+	Stop     Property = "planned-stop"
+	InForce  Property = "in-force"
+	NoRevert Property = "no-revert"
+	Recovery Property = "recovery"
+	Alive    Property = "alive"
+)
+
+// Timed reports whether checking the property compares times, which a machine
+// that is shared may stretch.
+func (p Property) Timed() bool {
+	switch p {
+	case Leaving, Gone, InForce, Recovery, Stop:
+		return true
+	}
+	return false
+}
+
+// Violation is a property that was broken.
+type Violation struct {
+	Property Property      `json:"property"`
+	Request  api.RequestID `json:"request,omitempty"`
+	At       time.Time     `json:"at"`
+	What     string        `json:"what"`
+}
+
+const (
+	// settleTime is how long after a fault an entry VM has to be itself again:
+	// the operators allow 3 s.
+	settleTime = 3 * time.Second
+	// leaveTime is how long after its notice a server may still get new requests:
+	// the operators allow 2 s, and machines that are shared are given as much
+	// again.
+	leaveTime = 4 * time.Second
+	// forceTime is the same for a configuration: 2 s are allowed.
+	forceTime = 4 * time.Second
+	// goneTime is how long a server may work on for a caller that has left.
+	goneTime = 2 * time.Second
+	// twoTime is how long two servers may be at work on one run.
+	twoTime = 400 * time.Millisecond
+	// recoverShare is the share of requests that is served once all is calm.
+	recoverShare = 0.9
+)
+
+// checker holds what checking looks things up in.
+type checker struct {
+	Record
+	sent  map[api.RequestID]*Sent
+	runs  map[api.RequestID][]hosted.Run
+	found []Violation
+}
+
+// Check gives the properties that a record shows broken.
+func Check(r Record) []Violation {
+	c := &checker{Record: r, sent: map[api.RequestID]*Sent{}, runs: map[api.RequestID][]hosted.Run{}}
+	for i := range r.Sent {
+		c.sent[r.Sent[i].ID] = &r.Sent[i]
+	}
+	for _, x := range r.Runs {
+		c.runs[x.Request] = append(c.runs[x.Request], x)
+	}
+	for _, a := range r.Arrivals {
+		c.arrival(a)
+	}
+	for i := range r.Sent {
+		c.reply(&r.Sent[i])
+	}
+	c.versions()
+	c.recovery()
+	for _, d := range r.Failures {
+		c.add(Alive, "", r.End, d)
+	}
+	return c.found
+}
+
+func (c *checker) add(p Property, id api.RequestID, at time.Time, what string) {
+	c.found = append(c.found, Violation{Property: p, Request: id, At: at, What: what})
+}
+
+// disturbed reports whether an unplanned fault met an entry VM or a server in a
+// span or shortly before it.
+func (c *checker) disturbed(s Span, vm int, server api.ServerName) bool {
+	s.From = s.From.Add(-settleTime)
+	return slices.ContainsFunc(c.Injected, func(t Injection) bool {
+		met := t.VM == All || t.VM == vm || t.Server != "" && (server == "" || t.Server == server)
+		return met && !t.Kind.Planned() && t.overlaps(s)
+	})
+}
+
+// stopped reports whether an entry VM was stopped or started in a span or
+// shortly before it.
+func (c *checker) stopped(s Span, vm int) bool {
+	s.From = s.From.Add(-settleTime)
+	return slices.ContainsFunc(c.Injected, func(t Injection) bool {
+		return t.VM == vm && t.Kind == StopVM && t.overlaps(s)
+	})
+}
+
+// arrival checks what came to a server.
+func (c *checker) arrival(a hosted.Arrival) {
+	s, ok := c.sent[a.Request]
+	if !ok {
+		c.add(Asked, a.Request, a.At, "a server got a request that no caller sent")
+		return
+	}
+	if a.Method != s.Method || a.Target != s.Target || a.Body != s.Call.Body || a.Workspace != s.Workspace {
+		c.add(Asked, a.Request, a.At, "a request was changed on its way, or came for another workspace")
+	}
+	if !slices.Contains(c.Services[route(s.Target)], c.Servers[a.By]) {
+		c.add(Asked, a.Request, a.At, "no configuration sends the request to the service of "+string(a.By))
+	}
+	if a.Refused || a.Copy != "" {
+		return
+	}
+	for _, l := range c.Leaves {
+		if l.Server == a.By && a.At.Sub(l.At) > leaveTime && !c.disturbed(Span{l.At, a.At}, s.VM, "") {
+			c.add(Leaving, a.Request, a.At, fmt.Sprintf("server %s got a new request %s after its notice", a.By, a.At.Sub(l.At)))
+		}
+	}
+}
+
+// route is the first part of a path, which tells its route.
+func route(target string) string {
+	p, _, _ := strings.Cut(strings.TrimPrefix(target, "/"), "/")
+	return p
+}
+
+// reply checks what a caller saw.
+func (c *checker) reply(s *Sent) {
+	r := c.runs[s.ID]
+	if s.Kind != directory.Safe {
+		c.once(s, r)
+	}
+	if len(r) > 0 && s.Kind != directory.Safe && !s.Signed && promisesNotRun(s.Status) {
+		c.add(NotRun, s.ID, s.Done, "refused by "+strconv.Itoa(s.Status)+", although a server ran it")
+	}
+	if s.Status == http.StatusOK {
+		c.whole(s, r)
+	}
+	c.gone(s, r)
+	c.cut(s, r)
+}
+
+// promisesNotRun reports whether a status says that a request never runs.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	}
+	return false
+}
+
+// once checks that a request ran as one generation, at one server at a time.
+func (c *checker) once(s *Sent, r []hosted.Run) {
+	for i, a := range r {
+		for _, b := range r[i+1:] {
+			if a.Generation != b.Generation {
+				c.add(Once, s.ID, b.Began, fmt.Sprintf("ran at %s and again at %s", a.Server, b.Server))
+			}
+			both := Span{later(a.Began, b.Began), earlier(c.ended(a), c.ended(b))}
+			if both.Until.Sub(both.From) > twoTime && !c.disturbed(both, s.VM, "") {
+				c.add(Once, s.ID, b.Began, fmt.Sprintf("%s and %s worked on it together", a.Server, b.Server))
+			}
+		}
+	}
+}
+
+func (c *checker) ended(r hosted.Run) time.Time {
+	if r.Ended.IsZero() {
+		return c.End
+	}
+	return r.Ended
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// whole checks the answer of a backend server.
+func (c *checker) whole(s *Sent, r []hosted.Run) {
+	if !s.Signed || len(r) == 0 {
+		c.add(Whole, s.ID, s.Done, "a success that no server gave")
+		return
+	}
+	if s.Kind == directory.Stream {
+		c.events(s, r)
+		return
+	}
+	if !s.Whole {
+		return
+	}
+	if !slices.ContainsFunc(r, func(x hosted.Run) bool { return s.Reply.Body == hosted.Body(s.ID, x.Server) }) {
+		c.add(Whole, s.ID, s.Done, "the answer is not whole, or of another request")
+	}
+}
+
+// events checks a stream: every event once, in order, of one generation.
+func (c *checker) events(s *Sent, r []hosted.Run) {
+	for i, e := range s.Events {
+		if want := fmt.Sprintf("%s %d %d", s.ID, r[0].Generation, i+1); e != want {
+			c.add(Whole, s.ID, s.Done, fmt.Sprintf("event %q at the place of %q", e, want))
+			return
+		}
+	}
+	if want := int(s.Tokens) / hosted.Stride; s.Whole && len(s.Events) != want {
+		c.add(Whole, s.ID, s.Done, fmt.Sprintf("ended after %d of %d events", len(s.Events), want))
+	}
+}
+
+// gone checks that servers stop their work for callers that left.
+func (c *checker) gone(s *Sent, r []hosted.Run) {
+	if !s.Left {
+		return
+	}
+	for _, x := range r {
+		if e := c.ended(x); e.Sub(s.Done) > goneTime && !c.disturbed(Span{s.Done, e}, s.VM, x.Server) {
+			c.add(Gone, s.ID, e, fmt.Sprintf("%s worked on for %s", x.Server, e.Sub(s.Done)))
+		}
+	}
+}
+
+// cut checks that planned work cuts no request off.
+func (c *checker) cut(s *Sent, r []hosted.Run) {
+	served := s.Left || s.Whole && (s.Status == http.StatusOK || promisesNotRun(s.Status))
+	if served || len(r) == 0 || c.disturbed(Span{s.At, s.Done}, s.VM, "") {
+		return
+	}
+	c.add(Stop, s.ID, s.Done, fmt.Sprintf("answered by %d and cut off with nothing but planned work: %v", s.Status, s.Fault))
+}
+
+// versions checks what entry VMs served by.
+func (c *checker) versions() {
+	type life struct{ vm, life int }
+	least := map[life]int64{}
+	for _, p := range c.Probes {
+		k := life{p.VM, p.Life}
+		if p.Until > 0 && p.Until <= least[k] {
+			c.add(NoRevert, "", p.At, fmt.Sprintf("VM %d served by a version before %d, after it had served by %d", p.VM, p.Until, least[k]))
+		}
+		least[k] = max(least[k], p.From)
+		at, ok := c.Configs[p.Until]
+		if ok && p.At.Sub(at) > forceTime && !c.disturbed(Span{at, p.At}, p.VM, "") && !c.stopped(Span{at, p.At}, p.VM) {
+			c.add(InForce, "", p.At, fmt.Sprintf("VM %d served by a version before %d, %s after it was accepted", p.VM, p.Until, p.At.Sub(at)))
+		}
+	}
+}
+
+// recovery checks that requests are served once all is calm.
+func (c *checker) recovery() {
+	n, whole := 0, 0
+	for _, s := range c.Sent {
+		if s.At.Sub(c.Calm) < settleTime {
+			continue
+		}
+		n++
+		if s.Whole || s.Left {
+			whole++
+		}
+	}
+	if float64(whole) < recoverShare*float64(n) || n == 0 {
+		c.add(Recovery, "", c.End, fmt.Sprintf("%d of %d requests were served once all was calm", whole, n))
+	}
+}
--- a/internal/soak/judge_test.go
+++ b/internal/soak/check_test.go
@@ -7,7 +7,7 @@
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/directory"
 	"github.com/wardridge/wardridge/internal/soak"
-	"github.com/wardridge/wardridge/platform/standin"
+	"github.com/wardridge/wardridge/internal/standin/hosted"
 )
 
 var begin = time.Unix(1000, 0)
@@ -17,27 +17,27 @@
 }
 
 // good is a record of one order, one stream that moved, and one look, in which
-// every promise was kept.
+// every property was kept.
 func good() soak.Record {
 	order := soak.Sent{
-		Call:  standin.Call{ID: "o", Method: "POST", Target: "/orders/o", Body: "b"},
-		Reply: standin.Reply{Status: 200, Signed: true, Whole: true, Body: standin.Body("o", "p1")},
+		Call:  hosted.Call{ID: "o", Method: "POST", Target: "/orders/o", Body: "b"},
+		Reply: hosted.Reply{Head: hosted.Head{Status: 200, Signed: true}, Whole: true, Body: hosted.Body("o", "p1")},
 		Kind:  directory.Unsafe, Workspace: "main", At: at(10000), Done: at(10050),
 	}
 	chat := soak.Sent{
-		Call:  standin.Call{ID: "c", Method: "POST", Target: "/chat/c", Tokens: 2 * standin.Stride},
-		Reply: standin.Reply{Status: 200, Signed: true, Whole: true, Events: []string{"c 2 1", "c 2 2"}},
+		Call:  hosted.Call{ID: "c", Method: "POST", Target: "/chat/c", Tokens: 2 * hosted.Stride},
+		Reply: hosted.Reply{Head: hosted.Head{Status: 200, Signed: true}, Whole: true, Events: []string{"c 2 1", "c 2 2"}},
 		Kind:  directory.Stream, Workspace: "main", At: at(10000), Done: at(10900),
 	}
 	return soak.Record{
 		Sent:   []soak.Sent{order, chat},
 		Probes: []soak.Probe{{VM: 0, Life: 1, At: at(9000), From: 1, Until: 2}, {VM: 0, Life: 1, At: at(10000), From: 2}},
-		Arrivals: []standin.Arrival{
-			{At: at(10010), Request: "o", Server: "p1", Method: "POST", Target: "/orders/o", Body: "b", Workspace: "main"},
-			{At: at(10010), Request: "c", Server: "e1", Method: "POST", Target: "/chat/c", Workspace: "main"},
-			{At: at(10500), Request: "c", Server: "e2", Method: "POST", Target: "/chat/c", Workspace: "main", Resumed: true},
+		Arrivals: []hosted.Arrival{
+			{At: at(10010), By: "p1", Asked: hosted.Asked{Request: "o", Method: "POST", Target: "/orders/o", Body: "b", Workspace: "main"}},
+			{At: at(10010), By: "e1", Asked: hosted.Asked{Request: "c", Method: "POST", Target: "/chat/c", Workspace: "main"}},
+			{At: at(10500), By: "e2", Asked: hosted.Asked{Request: "c", Method: "POST", Target: "/chat/c", Workspace: "main", Copy: "c-c"}},
 		},
-		Runs: []standin.Run{
+		Runs: []hosted.Run{
 			{Request: "o", Server: "p1", Generation: 1, Began: at(10010), Ended: at(10040)},
 			{Request: "c", Server: "e1", Generation: 2, Began: at(10010), Ended: at(10480)},
 			{Request: "c", Server: "e2", Generation: 2, Began: at(10500), Ended: at(10890)},
@@ -54,27 +54,27 @@
 		r.Sent[1].Whole, r.Sent[1].Events = false, r.Sent[1].Events[:1]
 		for range 20 {
 			// Enough others are served for the recovery not to be in doubt.
-			r.Sent = append(r.Sent, soak.Sent{Call: standin.Call{ID: "l"}, Reply: standin.Reply{Left: true}, Kind: directory.Safe, At: at(12000), Done: at(12001)})
+			r.Sent = append(r.Sent, soak.Sent{Call: hosted.Call{ID: "l"}, Reply: hosted.Reply{Left: true}, Kind: directory.Safe, At: at(12000), Done: at(12001)})
 		}
 	}
-	trouble := func(k soak.Kind, vm int) soak.Trouble {
-		return soak.Trouble{Fault: soak.Fault{Kind: k}, VM: vm, Span: soak.Span{From: at(9500), Until: at(9900)}}
+	trouble := func(k soak.Kind, vm int) soak.Injection {
+		return soak.Injection{Fault: soak.Fault{Kind: k}, VM: vm, Span: soak.Span{From: at(9500), Until: at(9900)}}
 	}
 	tests := []struct {
 		name   string
 		change func(r *soak.Record)
-		want   soak.Promise
+		want   soak.Property
 	}{
 		{"all kept", func(*soak.Record) {}, ""},
 		{"ran twice", func(r *soak.Record) {
-			r.Runs = append(r.Runs, standin.Run{Request: "o", Server: "p1", Generation: 9, Began: at(10045), Ended: at(10050)})
+			r.Runs = append(r.Runs, hosted.Run{Request: "o", Server: "p1", Generation: 9, Began: at(10045), Ended: at(10050)})
 		}, soak.Once},
 		{"two servers at work", func(r *soak.Record) { r.Runs[1].Ended = at(11100); r.Runs[2].Ended = at(11200) }, soak.Once},
 		{"refused although it ran", func(r *soak.Record) { r.Sent[0].Status, r.Sent[0].Signed = 503, false }, soak.NotRun},
 		{"refused and not run", func(r *soak.Record) {
 			r.Sent[0].Status, r.Sent[0].Signed, r.Runs, r.Arrivals = 503, false, r.Runs[1:], r.Arrivals[1:]
 		}, ""},
-		{"another request's answer", func(r *soak.Record) { r.Sent[0].Reply.Body = standin.Body("x", "p1") }, soak.Whole},
+		{"another request's answer", func(r *soak.Record) { r.Sent[0].Reply.Body = hosted.Body("x", "p1") }, soak.Whole},
 		{"answer cut short", func(r *soak.Record) { r.Sent[0].Reply.Body = "o by" }, soak.Whole},
 		{"success that no server gave", func(r *soak.Record) { r.Sent[0].Signed = false }, soak.Whole},
 		{"event missing", func(r *soak.Record) { r.Sent[1].Events = []string{"c 2 2"} }, soak.Whole},
@@ -84,7 +84,7 @@
 		{"request of nobody", func(r *soak.Record) { r.Arrivals[0].Request = "x" }, soak.Asked},
 		{"changed body", func(r *soak.Record) { r.Arrivals[0].Body = "x" }, soak.Asked},
 		{"another workspace", func(r *soak.Record) { r.Arrivals[0].Workspace = "x" }, soak.Asked},
-		{"another service", func(r *soak.Record) { r.Arrivals[0].Server = "e1" }, soak.Asked},
+		{"another service", func(r *soak.Record) { r.Arrivals[0].By = "e1" }, soak.Asked},
 		{"new work long after the notice", func(r *soak.Record) { r.Leaves = []soak.Leave{{Server: "p1", At: at(4000)}} }, soak.Leaving},
 		{"new work just after the notice", func(r *soak.Record) { r.Leaves = []soak.Leave{{Server: "p1", At: at(9000)}} }, ""},
 		{"a run that goes on elsewhere is no new work", func(r *soak.Record) { r.Leaves = []soak.Leave{{Server: "e2", At: at(4000)}} }, ""},
@@ -93,15 +93,15 @@
 		}, soak.Gone},
 		{"cut off by nothing but planned work", func(r *soak.Record) {
 			cut(r)
-			r.Troubles = []soak.Trouble{trouble(soak.StopVM, 0)}
+			r.Injected = []soak.Injection{trouble(soak.StopVM, 0)}
 		}, soak.Stop},
 		{"cut off by a kill", func(r *soak.Record) {
 			cut(r)
-			r.Troubles = []soak.Trouble{trouble(soak.KillVM, 0)}
+			r.Injected = []soak.Injection{trouble(soak.KillVM, 0)}
 		}, ""},
 		{"a kill of another VM is no reason", func(r *soak.Record) {
 			cut(r)
-			r.Troubles = []soak.Trouble{trouble(soak.KillVM, 1)}
+			r.Injected = []soak.Injection{trouble(soak.KillVM, 1)}
 		}, soak.Stop},
 		{"an older version after a newer one", func(r *soak.Record) { r.Probes[0], r.Probes[1] = r.Probes[1], r.Probes[0] }, soak.NoRevert},
 		{"an older version in another life", func(r *soak.Record) {
@@ -111,20 +111,20 @@
 		{"an old version for long", func(r *soak.Record) { r.Probes[0].At = at(13000); r.Probes[1].At = at(13500) }, soak.InForce},
 		{"not served once calm", func(r *soak.Record) {
 			r.Sent[0].Whole, r.Sent[1].Whole = false, false
-			r.Troubles = []soak.Trouble{trouble(soak.KillVM, 0)}
+			r.Injected = []soak.Injection{trouble(soak.KillVM, 0)}
 		}, soak.Recovery},
-		{"a process that ended by itself", func(r *soak.Record) { r.Died = []string{"vm-1"} }, soak.Alive},
+		{"a process that ended by itself", func(r *soak.Record) { r.Failures = []string{"vm-1"} }, soak.Alive},
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
 			r := good()
 			c.change(&r)
-			var got soak.Promise
-			for _, v := range soak.Judge(r) {
-				got = v.Promise
+			var got soak.Property
+			for _, v := range soak.Check(r) {
+				got = v.Property
 			}
 			if got != c.want {
-				t.Errorf("got %q, want %q: %v", got, c.want, soak.Judge(r))
+				t.Errorf("got %q, want %q: %v", got, c.want, soak.Check(r))
 			}
 		})
 	}
--- a/internal/soak/probe_test.go
+++ b/internal/soak/probe_test.go
@@ -4,11 +4,11 @@
 
 func TestProbeTellsWhichVersionsAnswerSo(t *testing.T) {
 	const unknown = 401
-	stands, gone := passing{from: 5}, passing{from: 5, until: 9}
+	stands, gone := versioned{from: 5}, versioned{from: 5, until: 9}
 	tests := []struct {
 		name        string
 		status      int
-		x           passing
+		x           versioned
 		ok          bool
 		from, until int64
 	}{
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -5,6 +5,7 @@
 	"context"
 	"os"
 	"os/exec"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -39,7 +40,7 @@
 	p := &process{command: c, done: make(chan struct{})}
 	g.Go(func(context.Context) error {
 		defer close(p.done)
-		// How it ended is judged by whether the soak asked for it.
+		// How it ended is told by whether the soak asked for it.
 		_ = c.Wait()
 		return f.Close()
 	})
@@ -93,16 +94,10 @@
 var marks = [][]byte{[]byte("WARNING: DATA RACE"), []byte("panic: "), []byte("fatal error: ")}
 
 // broken reports whether a log holds such a mark.
-func broken(log string) bool {
+func broken(log string) (bool, error) {
 	b, err := os.ReadFile(log)
 	if err != nil {
-		// A program that never wrote anything has no log.
-		return false
-	}
-	for _, m := range marks {
-		if bytes.Contains(b, m) {
-			return true
-		}
+		return false, fault.Wrap(fault.UnreadableFile, err, "reading a log")
 	}
-	return false
+	return slices.ContainsFunc(marks, func(m []byte) bool { return bytes.Contains(b, m) }), nil
 }
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -63,7 +63,7 @@
 	x := &line{proxy: p, conn: c, reader: bufio.NewReader(c)}
 	x.send(t, "one\n")
 	if got, err := x.reader.ReadString('\n'); got != "one\n" {
-		t.Fatalf("passing: got %q, %v, want the line", got, err)
+		t.Fatalf("versioned: got %q, %v, want the line", got, err)
 	}
 	return x
 }
@@ -88,7 +88,7 @@
 		x.set(Pass)
 		_ = x.conn.SetReadDeadline(time.Time{})
 		if got, err := x.reader.ReadString('\n'); got != "two\n" {
-			t.Errorf("%s, then passing: got %q, %v, want the line", m, got, err)
+			t.Errorf("%s, then versioned: got %q, %v, want the line", m, got, err)
 		}
 	}
 }
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -6,13 +6,13 @@
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/directory"
-	"github.com/wardridge/wardridge/platform/standin"
+	"github.com/wardridge/wardridge/internal/standin/hosted"
 )
 
 // Sent is one call with what its caller saw.
 type Sent struct {
-	standin.Call
-	standin.Reply
+	hosted.Call
+	hosted.Reply
 	Kind      directory.Kind
 	Workspace api.WorkspaceName
 	// VM is the place of the entry VM that it went to.
@@ -43,8 +43,8 @@
 	return s.From.Before(o.Until) && o.From.Before(s.Until)
 }
 
-// Trouble is a fault as it was brought about.
-type Trouble struct {
+// Injection is a fault as it was brought about.
+type Injection struct {
 	Fault
 	Span
 	// VM and Server name whom it met; VM is All for each of them and noVM for none.
@@ -61,13 +61,13 @@
 	At     time.Time
 }
 
-// Record is all that a judge may go by.
+// Record is all that a checker may go by.
 type Record struct {
 	Sent     []Sent
 	Probes   []Probe
-	Arrivals []standin.Arrival
-	Runs     []standin.Run
-	Troubles []Trouble
+	Arrivals []hosted.Arrival
+	Runs     []hosted.Run
+	Injected []Injection
 	Leaves   []Leave
 	// Configs tells when each version of the configuration was acknowledged.
 	Configs map[int64]time.Time
@@ -75,9 +75,9 @@
 	Services map[string][]api.ServiceName
 	// Servers tells the service of each server.
 	Servers map[api.ServerName]api.ServiceName
-	// Died are the VMs whose processes ended by themselves or wrote that they
+	// Failures are the VMs whose processes ended by themselves or wrote that they
 	// are broken.
-	Died []string
+	Failures []string
 	// Calm begins once the last fault is over.
 	Calm time.Time
 	End  time.Time
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -12,13 +12,15 @@
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/fault"
-	"github.com/wardridge/wardridge/platform/standin"
+	"github.com/wardridge/wardridge/internal/standin/hosted"
 )
 
 // Options are what a soak works with.
 type Options struct {
 	// Program is the path of the entry VM's program.
 	Program string
+	// Wire is what it speaks.
+	Wire hosted.Wire
 	// Dir takes settings, logs and the plan.
 	Dir string
 	Log *event.Log
@@ -35,7 +37,7 @@
 	Violations []Violation `json:"violations"`
 }
 
-// Run plays a plan to its end and judges it.
+// Run plays a plan to its end and checks what it showed.
 func Run(ctx context.Context, o Options, p Plan) (Result, error) {
 	if err := os.MkdirAll(o.Dir, dirMode); err != nil {
 		return Result{}, fault.Wrap(fault.UnreadableFile, err, "making a folder for logs")
@@ -80,7 +82,7 @@
 	for _, f := range p.Faults {
 		faults.Go(func(ctx context.Context) error {
 			if duty.Sleep(ctx, time.Until(began.Add(f.At.Duration()))) {
-				b.bring(ctx, f)
+				b.inject(ctx, f)
 			}
 			return nil
 		})
@@ -117,11 +119,13 @@
 func (b *bed) end() Record {
 	for _, v := range b.vms {
 		if v.current().died() {
-			b.died(v.log + ": the process ended by itself")
+			b.fail(v.log + ": the process ended by itself")
 		}
 		v.kill()
-		if broken(v.log) {
-			b.died(v.log + ": the program tells that it is broken")
+		is, err := broken(v.log)
+		b.failed(err)
+		if is {
+			b.fail(v.log + ": the program tells that it is broken")
 		}
 	}
 	b.recorder.mutex.Lock()
@@ -133,26 +137,26 @@
 }
 
 func result(p Plan, r Record) Result {
-	x := Result{Plan: p, Requests: len(r.Sent), Runs: len(r.Runs), Probes: len(r.Probes), Violations: Judge(r)}
+	x := Result{Plan: p, Requests: len(r.Sent), Runs: len(r.Runs), Probes: len(r.Probes), Violations: Check(r)}
 	for _, s := range r.Sent {
 		if s.Whole {
 			x.Served++
 		}
 	}
 	for _, a := range r.Arrivals {
-		if a.Resumed {
+		if a.Copy != "" {
 			x.Resumed++
 		}
 	}
 	return x
 }
 
-// bring brings one fault about and ends it.
-func (b *bed) bring(ctx context.Context, f Fault) {
+// inject brings one fault about and ends it.
+func (b *bed) inject(ctx context.Context, f Fault) {
 	v := b.vms[max(0, f.Target)%len(b.vms)]
 	s := b.servers[max(0, f.Target)%len(b.servers)]
 	// It is noted before it begins and, with its end, again after it.
-	i := b.trouble(f, v, s)
+	i := b.begins(f, v, s)
 	b.Log.Emit(event.SoakFault, zap.String("kind", string(f.Kind)), zap.Int("target", f.Target), zap.Duration("for", f.For.Duration()), zap.String("mode", string(f.Mode)))
 	switch f.Kind {
 	case KillVM, StopVM, PauseVM, ReloadVM:
@@ -177,7 +181,7 @@
 	default:
 		b.storeFault(ctx, f, v)
 	}
-	b.recorder.note(func(r *Record) { r.Troubles[i].Until = time.Now() })
+	b.recorder.note(func(r *Record) { r.Injected[i].Until = time.Now() })
 }
 
 // signal sends a fault's signals to an entry VM's process.
@@ -187,10 +191,10 @@
 	case KillVM:
 		p.kill()
 		duty.Sleep(ctx, f.For.Duration())
-		b.again(v, p)
+		b.restart(v, p)
 	case StopVM:
 		p.stop(grace + time.Second)
-		b.again(v, p)
+		b.restart(v, p)
 	case PauseVM:
 		p.signal(syscall.SIGSTOP)
 		duty.Sleep(ctx, f.For.Duration())
@@ -200,9 +204,9 @@
 	}
 }
 
-// trouble notes a fault that is about to begin and gives its place.
-func (b *bed) trouble(f Fault, v *vm, s *server) int {
-	t := Trouble{Fault: f, VM: noVM}
+// begins records that a fault is about to begin and gives its place.
+func (b *bed) begins(f Fault, v *vm, s *server) int {
+	t := Injection{Fault: f, VM: noVM}
 	switch f.Kind {
 	case CrashServer, ServerLink, LeaveServer, LoseAnswers:
 		x, _ := s.current()
@@ -214,31 +218,31 @@
 			t.VM = All
 		}
 	}
-	// Until its end is known it lasts beyond any judged span.
+	// Until its end is known it lasts beyond any span that is checked.
 	now := time.Now()
 	t.Span = Span{From: now, Until: now.Add(time.Hour)}
 	i := 0
 	b.recorder.note(func(r *Record) {
-		i = len(r.Troubles)
-		r.Troubles = append(r.Troubles, t)
+		i = len(r.Injected)
+		r.Injected = append(r.Injected, t)
 	})
 	return i
 }
 
-// again starts a VM whose process has ended, unless another fault has done so.
-func (b *bed) again(v *vm, ended *process) {
+// restart starts a VM whose process has ended, unless another fault has done so.
+func (b *bed) restart(v *vm, ended *process) {
 	b.failed(b.boot(v, ended))
 }
 
 // failed notes that the soak itself could not do something.
 func (b *bed) failed(err error) {
 	if err != nil {
-		b.died(err.Error())
+		b.fail(err.Error())
 	}
 }
 
-func (b *bed) died(what string) {
-	b.recorder.note(func(r *Record) { r.Died = append(r.Died, what) })
+func (b *bed) fail(what string) {
+	b.recorder.note(func(r *Record) { r.Failures = append(r.Failures, what) })
 }
 
 // link makes a link fail for a time.
@@ -256,7 +260,7 @@
 	x, _ := s.current()
 	x.Crash()
 	duty.Sleep(ctx, lapseTime)
-	x.Unregister()
+	b.failed(x.Unregister())
 	duty.Sleep(ctx, d)
 	b.failed(b.begin(s, x))
 }
@@ -269,7 +273,7 @@
 	at := time.Now()
 	b.recorder.note(func(r *Record) { r.Leaves = append(r.Leaves, Leave{Server: x.Name, At: at}) })
 	duty.Sleep(ctx, notice)
-	x.Unregister()
+	b.failed(x.Unregister())
 	x.Crash()
 	b.failed(b.begin(s, x))
 }
@@ -300,7 +304,7 @@
 	}
 	duty.Sleep(ctx, f.For.Duration())
 	for _, v := range l {
-		v.door.Set(standin.Serving, 0)
+		v.endpoint.Set(hosted.Answered, 0)
 		v.store.set(Pass)
 	}
 }
@@ -309,13 +313,13 @@
 func (v *vm) meet(k Kind) {
 	switch k {
 	case StoreBusy:
-		v.door.Set(standin.Busy, 0)
+		v.endpoint.Set(hosted.Busy, 0)
 	case StoreLimit:
-		v.door.Set(standin.Throttled, 0)
+		v.endpoint.Set(hosted.Throttled, 0)
 	case StoreReset:
-		v.door.Set(standin.Resetting, 0)
+		v.endpoint.Set(hosted.Cut, 0)
 	case StoreSlow:
-		v.door.Set(standin.Serving, slowTime)
+		v.endpoint.Set(hosted.Answered, slowTime)
 	default:
 		v.store.set(Silent)
 	}
--- a/internal/soak/shorten.go
+++ b/internal/soak/shorten.go
@@ -11,9 +11,9 @@
 // fails once in two plays is still found out mostly.
 const shortenTries = 2
 
-// Shorten looks for a plan with fewer faults that breaks a promise as well, and
+// Shorten looks for a plan with fewer faults that breaks a property as well, and
 // leaves it in the folder of the whole one.
-func Shorten(ctx context.Context, o Options, p Plan, k Promise) error {
+func Shorten(ctx context.Context, o Options, p Plan, k Property) error {
 	for n := max(1, len(p.Faults)/2); n > 0; n /= 2 {
 		for at := 0; at < len(p.Faults); {
 			q := p
@@ -37,14 +37,14 @@
 	return nil
 }
 
-// fails reports whether a plan breaks a promise in a few plays.
-func fails(ctx context.Context, o Options, p Plan, k Promise) (bool, error) {
+// fails reports whether a plan breaks a property in a few plays.
+func fails(ctx context.Context, o Options, p Plan, k Property) (bool, error) {
 	for range shortenTries {
 		r, err := Run(ctx, o, p)
 		if err != nil {
 			return false, err
 		}
-		if slices.ContainsFunc(r.Violations, func(v Violation) bool { return v.Promise == k }) {
+		if slices.ContainsFunc(r.Violations, func(v Violation) bool { return v.Property == k }) {
 			return true, nil
 		}
 	}
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -11,8 +11,8 @@
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/directory"
 	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/standin/hosted"
 	"github.com/wardridge/wardridge/internal/upstream"
-	"github.com/wardridge/wardridge/platform/standin"
 )
 
 const (
@@ -40,7 +40,7 @@
 	return duty.Loop(ctx, func() time.Duration { return lookEvery }, func(ctx context.Context) {
 		for _, v := range b.vms {
 			c, cancel := context.WithTimeout(ctx, lookEvery)
-			ok := standin.Ready(c, b.http, v.ready)
+			ok := hosted.Ready(c, b.Wire, b.http, v.ready)
 			cancel()
 			v.mutex.Lock()
 			v.accepts = ok
@@ -71,7 +71,7 @@
 	d := &net.Dialer{Timeout: time.Second}
 	p, closer := upstream.New(d.DialContext)
 	defer closer()
-	c := standin.NewCaller(p)
+	c := hosted.NewCaller(b.Wire, p)
 	v := b.choose(r)
 	for n := 0; ctx.Err() == nil; n++ {
 		if n%stayCalls == 0 {
@@ -93,16 +93,16 @@
 
 // next draws a caller's next request.
 func (b *bed) next(r *rand.Rand, id string) Sent {
-	s := Sent{Workspace: mainWorkspace, Call: standin.Call{
+	s := Sent{Workspace: mainWorkspace, Call: hosted.Call{
 		ID: api.RequestID(id), Method: http.MethodPost, Host: host, Key: mainKey, Wait: callWait, Body: "body of " + id,
 	}}
 	switch x := r.Float64(); {
 	case x < 0.4:
 		s.Kind, s.Target = directory.Stream, "/"+pathChat+"/"+id
 		s.Wait = chatWait
-		s.Tokens = api.Tokens(standin.Stride * (1 + r.IntN(answerMost)))
+		s.Tokens = api.Tokens(hosted.Stride * (1 + r.IntN(answerMost)))
 		if r.Float64() < leaveChance {
-			s.Leave = 1 + r.IntN(int(s.Tokens)/standin.Stride)
+			s.Leave = 1 + r.IntN(int(s.Tokens)/hosted.Stride)
 		}
 	case x < 0.7:
 		s.Kind, s.Target = directory.Unsafe, "/"+pathOrders+"/"+id+"?x=%2F"
@@ -118,9 +118,9 @@
 	d := &net.Dialer{Timeout: time.Second}
 	p, closer := upstream.New(d.DialContext)
 	defer closer()
-	c := standin.NewCaller(p)
+	c := hosted.NewCaller(b.Wire, p)
 	for n := 0; ctx.Err() == nil; n++ {
-		b.look(ctx, v, c, n)
+		b.probeOnce(ctx, v, c, n)
 		duty.Sleep(ctx, probeEvery)
 	}
 }
@@ -131,17 +131,17 @@
 
 // pick gives the place of the path or key that a look is about, or false where
 // there is none yet; the mutex is held.
-func pick(l []passing, n int) (int, bool) {
+func pick(l []versioned, n int) (int, bool) {
 	if len(l) == 0 {
 		return 0, false
 	}
 	return len(l) - 1 - n%min(newest, len(l)), true
 }
 
-// look sends one request by a path or, every other time, a key that comes and
+// probeOnce sends one request by a path or, every other time, a key that comes and
 // goes.
-func (b *bed) look(ctx context.Context, v *vm, c *standin.Caller, n int) {
-	s := Sent{VM: v.place, Kind: directory.Safe, Workspace: mainWorkspace, Call: standin.Call{
+func (b *bed) probeOnce(ctx context.Context, v *vm, c *hosted.Caller, n int) {
+	s := Sent{VM: v.place, Kind: directory.Safe, Workspace: mainWorkspace, Call: hosted.Call{
 		ID: api.RequestID(fmt.Sprintf("p%d-%d", v.place, n)), Method: http.MethodGet, Host: host, Key: mainKey, Wait: callWait,
 	}}
 	l, path, unknown := &b.extras, "", http.StatusNotFound
@@ -186,7 +186,7 @@
 // and goes. A success comes from the versions that have it; the status of what
 // is unknown from those before or after it, which tells something only while
 // it stands.
-func (p *Probe) seen(status, unknown int, x passing) bool {
+func (p *Probe) seen(status, unknown int, x versioned) bool {
 	switch {
 	case status == http.StatusOK:
 		p.From, p.Until = x.from, x.until
--- a/platform/standin/journal.go
+++ b/internal/standin/hosted/journal.go
@@ -1,4 +1,4 @@
-package standin
+package hosted
 
 import (
 	"sync"
@@ -7,18 +7,33 @@
 	"github.com/wardridge/wardridge/internal/api"
 )
 
-// Arrival is one request as it came to a backend server.
-type Arrival struct {
-	At        time.Time
+// Asked is a request as it comes to a backend server.
+type Asked struct {
 	Request   api.RequestID
-	Server    api.ServerName
 	Method    string
 	Target    string
 	Body      string
 	Workspace api.WorkspaceName
-	// Resumed is set where a copy of a run's memory came with it.
-	Resumed bool
-	// Refused is set where the server said that it did not run it.
+	// Server is the one that is meant; empty for whoever has the address.
+	Server api.ServerName
+	// Copy names the copy of a run's memory to go on from; empty for a new run.
+	Copy string
+	// After is the last event that the caller has, zero for none.
+	After int
+	// Tokens is the length of the answer that a stream asks for.
+	Tokens api.Tokens
+	// Protect is the address of the server that is to keep a copy as the run
+	// grows; empty for none.
+	Protect string
+}
+
+// Arrival is one request with the server that it came to.
+type Arrival struct {
+	Asked
+	At time.Time
+	// By is the server that took it.
+	By api.ServerName
+	// Refused is set where that said that it did not run it.
 	Refused bool
 }
 
--- /dev/null
+++ b/internal/standin/hosted/store.go
@@ -0,0 +1,160 @@
+package hosted
+
+import (
+	"slices"
+	"sync"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/directory"
+	"github.com/wardridge/wardridge/internal/decide/replica"
+	"github.com/wardridge/wardridge/internal/decide/roster"
+)
+
+// pageSize is the number of objects in one page of a list; it is small, so that
+// lists are read page by page.
+const pageSize = 8
+
+// Object, Change and Changes hold contents as the wire has them.
+type (
+	Object  = replica.Object[[]byte]
+	Change  = replica.Change[[]byte]
+	Changes = replica.Changes[[]byte]
+)
+
+// Page is one page of a list.
+type Page struct {
+	Items []Object
+	At    api.Version
+	More  bool
+}
+
+// change is one write with the kind that it was of.
+type change struct {
+	kind string
+	Change
+}
+
+// Store keeps objects by kind and name, with the changes since a version.
+type Store struct {
+	wire Wire
+
+	mutex   sync.Mutex
+	at      api.Version
+	floor   api.Version
+	objects map[string]map[string]Object
+	changes []change
+	wake    chan struct{}
+}
+
+// NewStore makes an empty store that is written over a wire.
+func NewStore(w Wire) *Store {
+	return &Store{wire: w, at: 1, objects: map[string]map[string]Object{}, wake: make(chan struct{})}
+}
+
+// Configure writes a configuration, which is its acknowledgement.
+func (s *Store) Configure(c directory.Config) error {
+	e, err := s.wire.Config(c)
+	if err != nil {
+		return err
+	}
+	s.put(e)
+	return nil
+}
+
+// register writes the entry of a server.
+func (s *Store) register(x roster.Server) error {
+	e, err := s.wire.Server(x)
+	if err != nil {
+		return err
+	}
+	s.put(e)
+	return nil
+}
+
+// unregister removes the entry of a server, if it is there.
+func (s *Store) unregister(x roster.Server) error {
+	e, err := s.wire.Server(x)
+	if err != nil {
+		return err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	o, ok := s.objects[e.Kind][e.Name]
+	if !ok {
+		return nil
+	}
+	delete(s.objects[e.Kind], e.Name)
+	s.note(e.Kind, Change{Object: o, Gone: true})
+	return nil
+}
+
+// put writes an object.
+func (s *Store) put(e Entry) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	o := Object{Name: e.Name, Value: e.Spec}
+	if s.objects[e.Kind] == nil {
+		s.objects[e.Kind] = map[string]Object{}
+	}
+	s.objects[e.Kind][e.Name] = s.note(e.Kind, Change{Object: o})
+}
+
+// note gives a change the next version, keeps it and wakes who waits; the mutex
+// is held.
+func (s *Store) note(kind string, c Change) Object {
+	s.at++
+	c.Version = s.at
+	s.changes = append(s.changes, change{kind: kind, Change: c})
+	s.wakeAll()
+	return c.Object
+}
+
+// wakeAll wakes who waits for a change; the mutex is held.
+func (s *Store) wakeAll() {
+	close(s.wake)
+	s.wake = make(chan struct{})
+}
+
+// Forget drops the history: watches from before fail.
+func (s *Store) Forget() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.changes = nil
+	s.floor = s.at
+	s.wakeAll()
+}
+
+// list gives a page of a kind behind a name.
+func (s *Store) list(kind, after string) Page {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var names []string
+	for n := range s.objects[kind] {
+		if n > after {
+			names = append(names, n)
+		}
+	}
+	slices.Sort(names)
+	p := Page{At: s.at, More: len(names) > pageSize}
+	for _, n := range names[:min(len(names), pageSize)] {
+		p.Items = append(p.Items, s.objects[kind][n])
+	}
+	return p
+}
+
+// since gives the changes of a kind after a version, or false where they are
+// forgotten, and what is closed at the next change.
+func (s *Store) since(kind string, from api.Version) (Changes, <-chan struct{}, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	c := Changes{At: s.at}
+	if from < s.floor {
+		return c, nil, false
+	}
+	for _, x := range s.changes {
+		if x.kind == kind && x.Version > from {
+			c.Items = append(c.Items, x.Change)
+		}
+	}
+	return c, s.wake, true
+}
