refactor: one word for who hears the platform itself, notices apart from loads

Read as a newcomer: an exchange said away and follows, which every reader joined to the same question, whether the platform itself answers the sender; it says direct now, and the exchange has a version of its own (2), so that a peer that says the old words is refused clearly. Notices of servers went through the interface of the loads; they have their own. mirror.led and gossip's led were two things. Tests of the gateway and the mirror share their scenes; where they counted sends they name the servers now.

--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -408,15 +408,11 @@
 
 // Exchange is what two entry VMs tell each other several times a second.
 type Exchange struct {
-	// Whether the platform does not answer the sender.
-	Away bool `json:"away,omitempty,omitzero"`
-
 	// Version at which the configuration last changed.
 	ConfigAt Version `json:"config_at"`
 
-	// Whether the sender has no word from the platform itself and leaves it to
-	// others.
-	Follows bool `json:"follows,omitempty,omitzero"`
+	// Whether the platform itself answers the sender.
+	Direct bool `json:"direct,omitempty,omitzero"`
 
 	// Backend servers that told the sender or its peers themselves that they are
 	// leaving.
--- a/internal/decide/gossip/gossip_test.go
+++ b/internal/decide/gossip/gossip_test.go
@@ -80,7 +80,7 @@
 func (f *fleet) word(now time.Time, a string) gossip.Word {
 	m := f.self[a]
 	m.Hub = f.peers[a].Hub(now)
-	return gossip.Word{Member: m, VM: api.VMName(a), Others: f.peers[a].Live(now), Follows: f.peers[a].Guided(now)}
+	return gossip.Word{Member: m, VM: api.VMName(a), Others: f.peers[a].Live(now), Direct: !f.peers[a].Guided(now)}
 }
 
 // exchanges counts the exchanges from one time to another.
@@ -325,17 +325,14 @@
 	if !p.Alone(at(0)) {
 		t.Error("without peers: got false, want alone")
 	}
-	p.Heard(at(0), gossip.Word{Member: gossip.Member{Address: "b:1"}, Away: true})
+	p.Heard(at(0), gossip.Word{Member: gossip.Member{Address: "b:1"}})
+	p.Heard(at(0), gossip.Word{Member: gossip.Member{Address: "d:1"}})
 	if !p.Alone(at(10)) {
-		t.Error("peer without the platform: got false, want alone")
+		t.Error("peers that the platform does not answer: got false, want alone")
 	}
-	p.Heard(at(0), gossip.Word{Member: gossip.Member{Address: "d:1"}, Follows: true})
-	if !p.Alone(at(10)) {
-		t.Error("peer that leaves the platform to hubs: got false, want alone")
-	}
-	p.Heard(at(0), gossip.Word{Member: gossip.Member{Address: "c:1"}})
+	p.Heard(at(0), gossip.Word{Member: gossip.Member{Address: "c:1"}, Direct: true})
 	if p.Alone(at(10)) {
-		t.Error("peer with the platform: got alone, want false")
+		t.Error("peer that the platform answers: got alone, want false")
 	}
 	if got, want := p.Blind(at(10)), []string{"b:1", "d:1"}; !slices.Equal(got, want) {
 		t.Errorf("blind: got %v, want %v", got, want)
--- a/internal/decide/gossip/hubs.go
+++ b/internal/decide/gossip/hubs.go
@@ -94,9 +94,9 @@
 		return false
 	case i > 0:
 		x := p.peers[l[0]]
-		return now.Sub(x.led) < hubGuide && !x.Away && !x.Follows
+		return x.Direct && now.Sub(x.heard) < hubGuide
 	}
-	return slices.ContainsFunc(l, func(a string) bool { return now.Sub(p.peers[a].led) < memberGuide })
+	return slices.ContainsFunc(l, func(a string) bool { return now.Sub(p.peers[a].answered) < memberGuide })
 }
 
 // Patient reports whether this entry VM waits long after so many failed calls
--- a/internal/decide/gossip/peers.go
+++ b/internal/decide/gossip/peers.go
@@ -25,6 +25,10 @@
 	revisit = 5 * time.Second
 )
 
+// Protocol is the version of the exchange between entry VMs; those of another
+// one are refused.
+const Protocol = 2
+
 // Member is an entry VM as peers pass it on.
 type Member struct {
 	Address string
@@ -54,10 +58,9 @@
 	VM api.VMName
 	// Others are the members that answer the peer.
 	Others []Member
-	// Away is set while the platform does not answer the peer, Follows while it
-	// leaves the platform to hubs. Both hear of changes from peers alone.
-	Away    bool
-	Follows bool
+	// Direct is set while the platform itself answers the peer; others hear of
+	// changes from peers alone.
+	Direct bool
 }
 
 // peer is one address and what is known of it.
@@ -67,8 +70,8 @@
 	seed  bool
 	added time.Time
 	heard time.Time
-	// led is when the peer last said that it follows the platform itself.
-	led time.Time
+	// answered is when the peer last said that the platform answers it.
+	answered time.Time
 	// told is when another peer last passed the address on.
 	told  time.Time
 	tried time.Time
@@ -124,8 +127,8 @@
 	x.Word = w
 	x.Others = nil
 	x.heard = now
-	if !w.Away && !w.Follows {
-		x.led = now
+	if w.Direct {
+		x.answered = now
 	}
 	for _, m := range w.Others {
 		p.learn(now, m)
@@ -169,7 +172,7 @@
 func (p *Peers) Blind(now time.Time) []string {
 	var l []string
 	for a, x := range p.peers {
-		if p.alive(now, x) && (x.Away || x.Follows) {
+		if p.alive(now, x) && !x.Direct {
 			l = append(l, a)
 		}
 	}
@@ -177,11 +180,10 @@
 	return l
 }
 
-// Alone reports whether no live peer has word from the platform: those that
-// leave it to hubs have none of their own.
+// Alone reports whether no live peer has word from the platform itself.
 func (p *Peers) Alone(now time.Time) bool {
 	for _, x := range p.peers {
-		if p.alive(now, x) && !x.Away && !x.Follows {
+		if p.alive(now, x) && x.Direct {
 			return false
 		}
 	}
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -47,12 +47,13 @@
 		return
 	}
 	if leaving {
-		g.Left([]api.ServerName{s.Name})
+		g.NoteLeaving([]api.ServerName{s.Name})
 	}
 }
 
-// Left takes servers that told this entry VM or a peer that they are leaving.
-func (g *Gateway) Left(l []api.ServerName) {
+// NoteLeaving takes servers that told this entry VM or a peer that they are
+// leaving.
+func (g *Gateway) NoteLeaving(l []api.ServerName) {
 	var c []roster.Member
 	g.mutex.Lock()
 	for _, n := range l {
@@ -64,8 +65,8 @@
 	g.changed(c)
 }
 
-// Leavers lists the servers that told themselves that they are leaving.
-func (g *Gateway) Leavers() []api.ServerName {
+// Leaving lists the servers that said themselves that they are leaving.
+func (g *Gateway) Leaving() []api.ServerName {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	return g.roster.Said()
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -224,6 +224,13 @@
 	return nil
 }
 
+// leave makes the caller go away before its next event.
+func (c *caller) leave() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.gone = true
+}
+
 func (c *caller) count() int {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -22,71 +22,78 @@
 	return "e1"
 }
 
-// streamed starts a stream and waits until the caller has so many events.
-func streamed(t *testing.T, b *bed, c *caller, events int) (done chan struct{}, server string) {
+// scene is one stream through a gateway.
+type scene struct {
+	*bed
+	*caller
+	// server runs the stream at first.
+	server string
+	done   chan struct{}
+}
+
+// play starts a stream of so many events and waits until its caller has some.
+func play(t *testing.T, f *fake, total, events int) *scene {
 	t.Helper()
-	done = make(chan struct{})
-	b.Group.Go(func(ctx context.Context) error {
-		defer close(done)
-		b.Handle(ctx, request("/stream/1"), c)
+	f.total = total
+	s := &scene{bed: newBed(t, f, 0), caller: &caller{}, done: make(chan struct{})}
+	s.Group.Go(func(ctx context.Context) error {
+		defer close(s.done)
+		s.Handle(ctx, request("/stream/1"), s.caller)
 		return nil
 	})
-	for c.count() < events {
+	for s.count() < events {
 		time.Sleep(eventGap)
 	}
-	return done, b.fake.sends[0]
+	s.server = f.sends[0]
+	return s
+}
+
+// set changes what the fake servers do.
+func (s *scene) set(change func(f *fake)) {
+	s.fake.mutex.Lock()
+	defer s.fake.mutex.Unlock()
+	change(s.fake)
+}
+
+// whole waits for the end and checks that the caller has every event, from
+// these servers in turn.
+func (s *scene) whole(t *testing.T, servers ...string) {
+	t.Helper()
+	<-s.done
+	if !s.caller.whole(s.fake.total) {
+		t.Errorf("events: got %v ended %v, want 1 to %d and an end", s.ids, s.ended, s.fake.total)
+	}
+	if got := s.fake.sends; !slices.Equal(got, servers) {
+		t.Errorf("sends: got %v, want %v", got, servers)
+	}
 }
 
 func TestStreamIsMovedOffLeavingServer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFake()
-		f.total = 40
-		b := newBed(t, f, 0)
-		var c caller
-		done, s := streamed(t, b, &c, 5)
-		b.notice(s)
-		<-done
-		if !c.whole(40) {
-			t.Errorf("events: got %v ended %v, want 1 to 40 and an end", c.ids, c.ended)
-		}
-		if got, want := f.sends, []string{s, other(s)}; !slices.Equal(got, want) {
-			t.Errorf("sends: got %v, want %v", got, want)
-		}
+		s := play(t, newFake(), 40, 5)
+		s.notice(s.server)
+		s.whole(t, s.server, other(s.server))
 	})
 }
 
 func TestStreamGoesOnFromCopyInHand(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFake()
-		f.total = 40
-		b := newBed(t, f, 0)
-		var c caller
-		done, s := streamed(t, b, &c, 5)
-		b.notice(s)
+		s := play(t, newFake(), 40, 5)
+		s.notice(s.server)
 		// The first copy has just ended; the server dies before it is stopped.
 		time.Sleep(copyTime + time.Millisecond)
-		f.mutex.Lock()
-		f.dead[s] = true
-		f.mutex.Unlock()
-		<-done
-		if !c.whole(40) {
-			t.Errorf("events: got %v ended %v, want 1 to 40 and an end", c.ids, c.ended)
-		}
+		s.set(func(f *fake) { f.dead[s.server] = true })
+		s.whole(t, s.server, other(s.server))
 	})
 }
 
 func TestStreamWithoutCopyIsBrokenOff(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFake()
-		b := newBed(t, f, 0)
-		var c caller
-		done, s := streamed(t, b, &c, 5)
-		f.mutex.Lock()
-		f.dead[s] = true
-		f.mutex.Unlock()
-		<-done
-		if !c.aborted || c.ended {
-			t.Errorf("got aborted %v ended %v, want it aborted and not ended", c.aborted, c.ended)
+		s := play(t, newFake(), 20, 5)
+		s.set(func(f *fake) { f.dead[s.server] = true })
+		<-s.done
+		if !s.aborted || s.ended {
+			t.Errorf("got aborted %v ended %v, want it aborted and not ended", s.aborted, s.ended)
 		}
 	})
 }
@@ -94,36 +101,20 @@
 func TestMoveWaitsForRunToBegin(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFake()
-		f.total, f.missing = 60, 5
-		b := newBed(t, f, 0)
-		var c caller
-		done, s := streamed(t, b, &c, 1)
-		b.notice(s)
-		<-done
-		if !c.whole(60) || len(f.sends) != 2 {
-			t.Errorf("events: got %d, sends %v, want 60 and a move", len(c.ids), f.sends)
-		}
+		f.missing = 5
+		s := play(t, f, 60, 1)
+		s.notice(s.server)
+		s.whole(t, s.server, other(s.server))
 	})
 }
 
 func TestMoveTakesAnotherTargetWhereOneIsFull(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFake()
-		f.total = 60
-		b := newBed(t, f, 0)
-		var c caller
-		done, s := streamed(t, b, &c, 5)
-		f.mutex.Lock()
-		f.full[other(s)] = true
-		f.mutex.Unlock()
-		b.servers(map[string]bool{s: true, other(s): false, "e3": false})
-		<-done
-		if !c.whole(60) {
-			t.Errorf("events: got %v, want 1 to 60", c.ids)
-		}
-		if got := f.sends[len(f.sends)-1]; got != "e3" {
-			t.Errorf("went on at %s, want e3", got)
-		}
+		s := play(t, newFake(), 60, 5)
+		o := other(s.server)
+		s.set(func(f *fake) { f.full[o] = true })
+		s.servers(map[string]bool{s.server: true, o: false, "e3": false})
+		s.whole(t, s.server, "e3")
 	})
 }
 
@@ -131,56 +122,36 @@
 // being moved again.
 func TestRunIsMovedAgainBesideAHangingCopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFake()
-		f.total = 100
-		b := newBed(t, f, 0)
-		var c caller
-		done, s := streamed(t, b, &c, 5)
-		o := other(s)
-		b.servers(map[string]bool{s: true, o: false})
+		s := play(t, newFake(), 100, 5)
+		o := other(s.server)
+		s.notice(s.server)
 		time.Sleep(copyTime + time.Millisecond)
-		f.mutex.Lock()
-		f.hang = true
-		f.mutex.Unlock()
+		s.set(func(f *fake) { f.hang = true })
 		time.Sleep(2 * eventGap)
-		f.mutex.Lock()
-		f.dead[s], f.hang = true, false
-		f.mutex.Unlock()
+		s.set(func(f *fake) { f.dead[s.server], f.hang = true, false })
 		time.Sleep(5 * eventGap)
-		b.servers(map[string]bool{o: true, "e3": false})
-		<-done
-		if !c.whole(100) {
-			t.Errorf("events: got %d ended %v, want 100 and an end", len(c.ids), c.ended)
-		}
-		if got, want := f.sends, []string{s, o, "e3"}; !slices.Equal(got, want) {
-			t.Errorf("sends: got %v, want %v", got, want)
-		}
+		s.servers(map[string]bool{o: true, "e3": false})
+		s.whole(t, s.server, o, "e3")
 	})
 }
 
 func TestCopyIsFreedWhenCallerLeaves(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFake()
-		f.total = 100
-		b := newBed(t, f, 0)
-		var c caller
-		done, s := streamed(t, b, &c, 5)
-		b.notice(s)
+		s := play(t, newFake(), 100, 5)
+		s.notice(s.server)
 		time.Sleep(copyTime + time.Millisecond)
-		c.mutex.Lock()
-		c.gone = true
-		c.mutex.Unlock()
-		<-done
+		s.leave()
+		<-s.done
 		time.Sleep(time.Second)
-		f.mutex.Lock()
-		defer f.mutex.Unlock()
-		if len(f.released) == 0 {
-			t.Error("copies freed: got none, want one")
-		}
-		if f.closed == 0 {
-			t.Error("streams closed: got none, want the server's")
-		}
-		if l := b.Tell("peer", placement.Primary).Loads; len(l) != 0 {
+		s.set(func(f *fake) {
+			if len(f.released) == 0 {
+				t.Error("copies freed: got none, want one")
+			}
+			if f.closed == 0 {
+				t.Error("streams closed: got none, want the server's")
+			}
+		})
+		if l := s.Tell("peer", placement.Primary).Loads; len(l) != 0 {
 			t.Errorf("loads at the end: got %v, want none", l)
 		}
 	})
@@ -188,36 +159,21 @@
 
 func TestServerIsAskedWhereNobodyTells(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFake()
-		f.total = 60
-		b := newBed(t, f, 0)
-		var c caller
-		done, s := streamed(t, b, &c, 5)
-		f.mutex.Lock()
-		f.leaves[s] = true
-		f.mutex.Unlock()
-		b.Ask()
-		<-done
-		if !c.whole(60) || len(f.sends) != 2 {
-			t.Errorf("events: got %d, sends %v, want 60 and a move", len(c.ids), f.sends)
-		}
+		s := play(t, newFake(), 60, 5)
+		s.set(func(f *fake) { f.leaves[s.server] = true })
+		s.Ask()
+		s.whole(t, s.server, other(s.server))
 	})
 }
 
 // What one entry VM was told by a server moves the runs of all.
-func TestLeaveTravelsBetweenVMs(t *testing.T) {
+func TestNoticeTravelsBetweenVMs(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		f := newFake()
-		f.total = 60
-		a, b := newBed(t, newFake(), 10), newBed(t, f, 10)
-		var c caller
-		done, s := streamed(t, b, &c, 5)
-		a.Left([]api.ServerName{api.ServerName(s), "unknown"})
-		b.Left(a.Leavers())
-		<-done
-		if !c.whole(60) || len(f.sends) != 2 {
-			t.Errorf("events: got %d, sends %v, want 60 and a move", len(c.ids), f.sends)
-		}
+		a := newBed(t, newFake(), 0)
+		s := play(t, newFake(), 60, 5)
+		a.NoteLeaving([]api.ServerName{api.ServerName(s.server), "unknown"})
+		s.NoteLeaving(a.Leaving())
+		s.whole(t, s.server, other(s.server))
 	})
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -11,7 +11,6 @@
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/directory"
 	"github.com/wardridge/wardridge/internal/decide/gossip"
-	"github.com/wardridge/wardridge/internal/decide/member"
 	"github.com/wardridge/wardridge/internal/decide/placement"
 	"github.com/wardridge/wardridge/internal/decide/roster"
 	"github.com/wardridge/wardridge/internal/duty"
@@ -28,16 +27,20 @@
 	memberRounds = 4
 )
 
+// Notices is where servers are known that said themselves that they are leaving.
+type Notices interface {
+	// Leaving lists them.
+	Leaving() []api.ServerName
+	// NoteLeaving takes those that a peer knows.
+	NoteLeaving(l []api.ServerName)
+}
+
 // Loads is where reports on loads come from and go to.
 type Loads interface {
 	// Tell gives the report for a peer.
 	Tell(vm api.VMName, r placement.Relation) placement.Report
 	// Told takes a peer's report.
 	Told(vm api.VMName, r placement.Relation, x placement.Report)
-	// Leavers lists the servers that told themselves that they are leaving.
-	Leavers() []api.ServerName
-	// Left takes such a list of a peer.
-	Left(l []api.ServerName)
 }
 
 // Parts are what the mesh works with.
@@ -53,6 +56,7 @@
 	Config  *mirror.Mirror[directory.Config]
 	Servers *mirror.Mirror[roster.Server]
 	Loads   Loads
+	Notices Notices
 }
 
 // Mesh is one entry VM's side of the exchange.
@@ -181,9 +185,9 @@
 func (m *Mesh) own(vm api.VMName, r placement.Relation) api.Exchange {
 	x := m.Loads.Tell(vm, r)
 	e := api.Exchange{
-		Protocol: member.Protocol, VM: m.VM, ConfigAt: m.Config.Changed(), ServersAt: m.Servers.Changed(),
-		Away: m.Servers.Lost() || m.Config.Lost(), Relation: relations[r], Members: x.Members,
-		Leaving: m.Loads.Leavers(),
+		Protocol: gossip.Protocol, VM: m.VM, ConfigAt: m.Config.Changed(), ServersAt: m.Servers.Changed(),
+		Direct: m.Servers.Direct() && m.Config.Direct(), Relation: relations[r], Members: x.Members,
+		Leaving: m.Notices.Leaving(),
 	}
 	if len(x.Loads) > 0 {
 		e.Loads = make(map[string]api.ServerLoad, len(x.Loads))
@@ -196,7 +200,6 @@
 	now := time.Now()
 	e.Self = message(m.Self)
 	e.Self.Hub = m.peers.Hub(now)
-	e.Follows = !m.Servers.Direct()
 	if m.rounds%memberRounds == 0 || vm == "" {
 		for _, x := range m.peers.Live(now) {
 			e.Peers = append(e.Peers, message(x))
@@ -223,11 +226,11 @@
 
 // heard takes the message of a peer that has a relation to this entry VM.
 func (m *Mesh) heard(e api.Exchange, r placement.Relation) {
-	if e.Protocol != member.Protocol {
+	if e.Protocol != gossip.Protocol {
 		m.Log.Emit(event.PeerRefused, zap.String("vm", string(e.VM)), zap.Int("protocol", e.Protocol))
 		return
 	}
-	w := gossip.Word{Member: fromMessage(e.Self), VM: e.VM, Away: e.Away, Follows: e.Follows}
+	w := gossip.Word{Member: fromMessage(e.Self), VM: e.VM, Direct: e.Direct}
 	for _, x := range e.Peers {
 		w.Others = append(w.Others, fromMessage(x))
 	}
@@ -239,7 +242,7 @@
 		x.Loads[api.ServerName(n)] = l
 	}
 	m.Loads.Told(e.VM, r, x)
-	m.Loads.Left(e.Leaving)
+	m.Notices.NoteLeaving(e.Leaving)
 	catchUp(m, e.Self.Address, PathConfig, e.ConfigAt, m.Config)
 	catchUp(m, e.Self.Address, PathServers, e.ServersAt, m.Servers)
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -52,7 +52,7 @@
 	v.servers = mirror.New(mirror.Parts[roster.Server]{Take: func(replica.Snapshot[roster.Server]) {}, Metrics: metric.New(), Log: event.Discard()})
 	v.Mesh = mesh.New(mesh.Parts{
 		VM: api.VMName(name), Self: gossip.Member{Address: v.address, Domain: "d"}, Seeds: seeds, Hubs: 2,
-		Client: c, Group: g, Log: event.Discard(), Metrics: metric.New(), Config: v.config, Servers: v.servers, Loads: v.book,
+		Client: c, Group: g, Log: event.Discard(), Metrics: metric.New(), Config: v.config, Servers: v.servers, Loads: v.book, Notices: v.book,
 	})
 	v.Routes(r)
 	return v
@@ -151,7 +151,7 @@
 	if packed*4 > plain {
 		t.Errorf("compressed: got %d of %d bytes, want at most a quarter", packed, plain)
 	}
-	p, closer := wire.NewPackedClientOver((&net.Dialer{}).DialContext)
+	p, closer := wire.NewCompressedClientOver((&net.Dialer{}).DialContext)
 	defer closer()
 	for _, v := range []api.Version{7, 8} {
 		var d replica.Delta[directory.Config]
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -91,7 +91,7 @@
 func (m *Mirror[T]) Run(ctx context.Context) error {
 	list, failures, forgotten := true, 0, 0
 	for ctx.Err() == nil {
-		if m.led() && !m.refresh.Swap(false) {
+		if m.guided() && !m.refresh.Swap(false) {
 			list = true
 			m.direct.Store(false)
 			m.reached()
@@ -132,16 +132,16 @@
 	return nil
 }
 
-// led reports whether a peer brings what changes; who knows nothing yet asks the
+// guided reports whether a peer brings what changes; who knows nothing yet asks the
 // platform whatever others do.
-func (m *Mirror[T]) led() bool {
+func (m *Mirror[T]) guided() bool {
 	return m.At() > 0 && m.Guided()
 }
 
 // rest waits, but no longer than until a peer guides: what it brings is taken
 // as that of a platform that is back.
 func (m *Mirror[T]) rest(ctx context.Context, d time.Duration) {
-	for end := time.Now().Add(d); time.Now().Before(end) && !m.led(); {
+	for end := time.Now().Add(d); time.Now().Before(end) && !m.guided(); {
 		if !duty.Sleep(ctx, min(guidedTime, time.Until(end))) {
 			return
 		}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -34,6 +34,13 @@
 	s.value = v
 }
 
+// fail makes every call fail, or answers again.
+func (s *store) fail(on bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.down = on
+}
+
 func (s *store) object() replica.Object[string] {
 	return replica.Object[string]{Name: "a", Version: s.at, Value: s.value}
 }
@@ -113,6 +120,13 @@
 	return b
 }
 
+// guide makes a peer guide, or no longer.
+func (b *bed) guide(on bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.guided = on
+}
+
 func (b *bed) last() string {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
@@ -158,9 +172,7 @@
 		if b.Lost() {
 			t.Error("lost while all is well: got true, want false")
 		}
-		b.store.mutex.Lock()
-		b.store.down = true
-		b.store.mutex.Unlock()
+		b.store.fail(true)
 		time.Sleep(2 * time.Second)
 		if !b.Lost() {
 			t.Error("lost in an outage: got false, want true")
@@ -169,9 +181,7 @@
 		if got := b.last(); got != "v9" {
 			t.Errorf("after a peer's word: got %q, want v9", got)
 		}
-		b.store.mutex.Lock()
-		b.store.down = false
-		b.store.mutex.Unlock()
+		b.store.fail(false)
 		time.Sleep(2 * time.Second)
 		if got := b.last(); got != "v9" {
 			t.Errorf("after an older list: got %q, want v9", got)
@@ -186,9 +196,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t)
 		time.Sleep(100 * time.Millisecond)
-		b.mutex.Lock()
-		b.guided = true
-		b.mutex.Unlock()
+		b.guide(true)
 		time.Sleep(2 * time.Second)
 		b.store.mutex.Lock()
 		before := b.store.lists + b.store.watches
@@ -201,9 +209,7 @@
 		if got != before {
 			t.Errorf("calls while guided: got %d, want none", got-before)
 		}
-		b.mutex.Lock()
-		b.guided = false
-		b.mutex.Unlock()
+		b.guide(false)
 		time.Sleep(400 * time.Millisecond)
 		if got := b.last(); got != "v2" {
 			t.Errorf("0.4 s after the guide was lost: got %q, want v2", got)
@@ -215,9 +221,7 @@
 func TestGuidedMirrorRefreshes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t)
-		b.mutex.Lock()
-		b.guided = true
-		b.mutex.Unlock()
+		b.guide(true)
 		time.Sleep(3 * time.Second)
 		b.store.write("v2")
 		b.Refresh()
@@ -232,16 +236,10 @@
 func TestGuidedMirrorThatKnowsNothingAsks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t)
-		b.mutex.Lock()
-		b.guided = true
-		b.mutex.Unlock()
-		b.store.mutex.Lock()
-		b.store.down = true
-		b.store.mutex.Unlock()
+		b.guide(true)
+		b.store.fail(true)
 		time.Sleep(time.Second)
-		b.store.mutex.Lock()
-		b.store.down = false
-		b.store.mutex.Unlock()
+		b.store.fail(false)
 		time.Sleep(time.Second)
 		if got := b.last(); got != "v1" {
 			t.Errorf("a second after the platform is back: got %q, want v1", got)
@@ -257,16 +255,12 @@
 		b.mutex.Lock()
 		b.patient = true
 		b.mutex.Unlock()
-		b.store.mutex.Lock()
-		b.store.down = true
-		b.store.mutex.Unlock()
+		b.store.fail(true)
 		time.Sleep(1500 * time.Millisecond)
 		if !b.Lost() {
 			t.Fatal("in an outage: got the platform, want it lost")
 		}
-		b.mutex.Lock()
-		b.guided = true
-		b.mutex.Unlock()
+		b.guide(true)
 		time.Sleep(600 * time.Millisecond)
 		if b.Lost() {
 			t.Error("0.6 s after a peer guides: got the platform lost, want it back")
--- a/internal/node/hosted_start.go
+++ b/internal/node/hosted_start.go
@@ -38,7 +38,7 @@
 	h.grace.Store(int64(seconds(h.Settings.Gateway.GraceS)))
 	h.group, closer = duty.New(context.WithoutCancel(h.Context))
 	h.cleanups.add(closer)
-	h.peers, closer = wire.NewPackedClientOver(h.Machine.Dial)
+	h.peers, closer = wire.NewCompressedClientOver(h.Machine.Dial)
 	h.cleanups.add(closer)
 	p, closer := wire.NewClientOver(h.Machine.Dial, true)
 	h.cleanups.add(closer)
@@ -87,7 +87,7 @@
 			Address: h.Settings.Node.Control, Domain: h.Settings.Node.Domain, Capacity: gossip.Capacity(s.CpuShare, s.LinkMbps),
 		},
 		Client: h.peers, Group: h.group, Log: h.Log, Metrics: h.Metrics,
-		Config: h.config, Servers: h.servers, Loads: h.gateway,
+		Config: h.config, Servers: h.servers, Loads: h.gateway, Notices: h.gateway,
 	})
 	return nil
 }
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -55,9 +55,9 @@
 	return clientOver(transportOver(d, reuse))
 }
 
-// NewPackedClientOver makes a client as NewClientOver does, which takes answers
+// NewCompressedClientOver makes a client as NewClientOver does, which takes answers
 // that are compressed.
-func NewPackedClientOver(d Dial) (*http.Client, func()) {
+func NewCompressedClientOver(d Dial) (*http.Client, func()) {
 	t := transportOver(d, true)
 	t.DisableCompression = false
 	return clientOver(t)
