--- a/cmd/dev.go
+++ b/cmd/dev.go
@@ -52,7 +52,9 @@
 }
 
 // upCommand runs a small system.
-type upCommand struct{}
+type upCommand struct {
+	Host string `help:"IP address to listen on." default:"127.0.0.1"`
+}
 
 // Run runs it until it is stopped.
 func (c *upCommand) Run(e *environment) error {
@@ -61,7 +63,7 @@
 		return err
 	}
 	defer flush()
-	return dev.Up(e, l, e.out)
+	return dev.Up(e, c.Host, l, e.out)
 }
 
 // platformCommand runs a platform.
--- a/internal/dev/up.go
+++ b/internal/dev/up.go
@@ -1,6 +1,7 @@
 package dev
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -18,83 +19,90 @@
 	"github.com/wardridge/wardridge/internal/standin/platform"
 )
 
-// Addresses of the small system; the sample resources name the same ones.
-const (
-	platformAddress = "127.0.0.1:7000"
-	serviceAddress  = "127.0.0.1:7021"
-	serviceName     = "orders-1"
-)
+// Host is where the small system listens unless it is told another IP address;
+// the sample resources name it.
+const Host = "127.0.0.1"
+
+// serviceName is the plain service of the sample resources.
+const serviceName = "orders-1"
 
 // small is a process of the small system.
 type small struct {
 	name, listen, control string
 }
 
-var entries = []small{
-	{"entry-1", "127.0.0.1:7001", "127.0.0.1:7101"},
-	{"entry-2", "127.0.0.1:7002", "127.0.0.1:7102"},
+// system is the small system at one IP address; the sample resources name the
+// same ports.
+type system struct {
+	host              string
+	platform, service string
+	entries, engines  []small
 }
 
-var engines = []small{
-	{"engine-1", "127.0.0.1:7011", ""},
-	{"engine-2", "127.0.0.1:7012", ""},
+func at(host string) system {
+	return system{
+		host: host, platform: host + ":7000", service: host + ":7021",
+		entries: []small{{"entry-1", host + ":7001", host + ":7101"}, {"entry-2", host + ":7002", host + ":7102"}},
+		engines: []small{{"engine-1", host + ":7011", ""}, {"engine-2", host + ":7012", ""}},
+	}
 }
 
 // Calls are the rates that the platform's stand-in allows by default.
 var Calls = platform.Options{WritesPerSecond: 100, ReadsPerSecond: 2000, ListLag: time.Second}
 
-// Up runs a whole small system in this process until the context ends, and
-// writes to out how to use it.
-func Up(ctx context.Context, l *event.Log, out io.Writer) error {
+// Up runs a whole small system at an IP address in this process until the
+// context ends, and writes to out how to use it.
+func Up(ctx context.Context, host string, l *event.Log, out io.Writer) error {
+	y := at(host)
 	// The stand-ins end after the entry VMs, so that a stop cuts nothing off.
 	outer, end := duty.New(context.WithoutCancel(ctx))
 	defer end()
 	p := platform.New(platform.NewStore(), Calls)
-	outer.Go(func(ctx context.Context) error { return Platform(ctx, platformAddress, p, l) })
-	for _, e := range engines {
+	outer.Go(func(ctx context.Context) error { return Platform(ctx, y.platform, p, l) })
+	for _, e := range y.engines {
 		o := engine.Defaults()
 		o.Name = api.ServerName(e.name)
 		outer.Go(func(ctx context.Context) error { return Engine(ctx, e.listen, o, l) })
 	}
-	outer.Go(func(ctx context.Context) error { return Service(ctx, serviceAddress, serviceName, l) })
-	for _, e := range entries {
+	outer.Go(func(ctx context.Context) error { return Service(ctx, y.service, serviceName, l) })
+	for _, e := range y.entries {
 		p.SetVM(api.VM{Name: e.name, Role: api.VMRoleEntry, State: api.VMStateLive, Address: e.control, Domain: domain})
 	}
-	if err := declare(ctx); err != nil {
+	if err := declare(ctx, y); err != nil {
 		return err
 	}
 	g, stop := duty.New(context.WithoutCancel(ctx))
 	defer stop()
 	x, cancel := context.WithCancel(ctx)
 	defer cancel()
-	for _, e := range entries {
-		s, err := settings.Parse(e.name, ini(e))
+	for _, e := range y.entries {
+		s, err := settings.Parse(e.name, y.ini(e))
 		if err != nil {
 			return err
 		}
 		g.Go(func(context.Context) error { return node.Run(x, node.Real(), s, l) })
 	}
-	if err := wait(ctx, entries); err != nil {
+	if err := wait(ctx, y.entries); err != nil {
 		return g.Wait()
 	}
-	welcome(out)
+	y.welcome(out)
 	return g.Wait()
 }
 
 // domain is the failure domain of the small system.
 const domain = "hall-a"
 
-func ini(e small) []byte {
-	return fmt.Appendf(nil, "[node]\nname = %s\ndomain = %s\nlisten = %s\ncontrol = %s\n[platform]\naddress = %s\n", e.name, domain, e.listen, e.control, platformAddress)
+func (y system) ini(e small) []byte {
+	return fmt.Appendf(nil, "[node]\nname = %s\ndomain = %s\nlisten = %s\ncontrol = %s\n[platform]\naddress = %s\n", e.name, domain, e.listen, e.control, y.platform)
 }
 
 // declare applies the sample resources once the platform answers.
-func declare(ctx context.Context) error {
-	l, err := resource.Parse("sample", sample.Resources)
+func declare(ctx context.Context, y system) error {
+	l, err := resource.Parse("sample", bytes.ReplaceAll(sample.Resources, []byte(Host), []byte(y.host)))
 	if err != nil {
 		return err
 	}
-	c, closer := client.New(platformAddress, time.Second)
+	c, closer := client.New(y.platform, time.Second)
 	defer closer()
 	for _, o := range l {
 		if err := patient(ctx, c, o); err != nil {
@@ -119,7 +127,7 @@
 	return err
 }
 
-func welcome(out io.Writer) {
+func (y system) welcome(out io.Writer) {
 	// A reader that is gone needs no welcome.
 	_, _ = fmt.Fprintf(out, `A small system is ready: two entry VMs, two engines, one plain service.
 Ask through either entry VM:
@@ -129,5 +137,5 @@
 
 Look on with: wardctl status, wardctl get backend-server, wardctl dev load
 Stop with Ctrl-C.
-`, entries[0].listen, sample.KeyDispatch)
+`, y.entries[0].listen, sample.KeyDispatch)
 }
--- a/internal/dev/up_test.go
+++ b/internal/dev/up_test.go
@@ -13,6 +13,7 @@
 	"github.com/wardridge/wardridge/internal/dev"
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/loopback"
 	"github.com/wardridge/wardridge/internal/sample"
 )
 
@@ -34,14 +35,16 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s := &signal{done: make(chan struct{})}
-	g.Go(func(context.Context) error { return dev.Up(ctx, event.Discard(), s) })
+	// Another small system may run on this machine.
+	host := loopback.Host()
+	g.Go(func(context.Context) error { return dev.Up(ctx, host, event.Discard(), s) })
 	select {
 	case <-s.done:
 	case <-time.After(time.Minute):
 		t.Fatal("ready: got no word in a minute")
 	}
 	body := `{"model":"desk","messages":[{"role":"user","content":"Can I have a skip on Friday?"}]}`
-	for _, a := range []string{"127.0.0.1:7001", "127.0.0.1:7002"} {
+	for _, a := range []string{host + ":7001", host + ":7002"} {
 		r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+a+"/v1/chat/completions", strings.NewReader(body))
 		if err != nil {
 			t.Fatal(err)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -156,7 +156,7 @@
 	if s.Kind != directory.Safe {
 		c.once(s, r)
 	}
-	if len(r) > 0 && s.Kind != directory.Safe && !s.Signed && promisesNotRun(s.Status) {
+	if len(r) > 0 && s.Kind != directory.Safe && !s.Signed && saysNotRun(s.Status) {
 		c.add(NotRun, s.ID, s.Done, "refused by "+strconv.Itoa(s.Status)+", although a server ran it")
 	}
 	if s.Status == http.StatusOK {
@@ -166,8 +166,8 @@
 	c.cut(s, r)
 }
 
-// promisesNotRun reports whether a status says that a request never runs.
-func promisesNotRun(status int) bool {
+// saysNotRun reports whether a status says that a request never runs.
+func saysNotRun(status int) bool {
 	switch status {
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 		return true
@@ -256,7 +256,7 @@
 
 // cut checks that planned work cuts no request off.
 func (c *checker) cut(s *Sent, r []hosted.Run) {
-	served := s.Left || s.Whole && (s.Status == http.StatusOK || promisesNotRun(s.Status))
+	served := s.Left || s.Whole && (s.Status == http.StatusOK || saysNotRun(s.Status))
 	if served || len(r) == 0 || c.disturbed(Span{s.At, s.Done}, s.VM, "") {
 		return
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -49,7 +49,7 @@
 	}
 }
 
-func TestJudge(t *testing.T) {
+func TestCheck(t *testing.T) {
 	cut := func(r *soak.Record) {
 		r.Sent[1].Whole, r.Sent[1].Events = false, r.Sent[1].Events[:1]
 		for range 20 {
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -125,58 +125,68 @@
 	}
 }
 
-// newest is how many of the paths or keys that come and go are looked at: the
+// newest is how many of the paths or keys that come and go are asked about: the
 // newest ones tell most.
 const newest = 4
 
-// pick gives the place of the path or key that a look is about, or false where
-// there is none yet; the mutex is held.
-func pick(l []versioned, n int) (int, bool) {
+// question asks an entry VM about one path or key that comes and goes.
+type question struct {
+	// list holds it, at a place.
+	list      *[]versioned
+	place     int
+	path, key string
+	workspace api.WorkspaceName
+	// unknown is the status of versions that don't have it.
+	unknown int
+}
+
+// question gives the n-th question, about paths and keys by turns, or false
+// where there is nothing to ask about yet.
+func (b *bed) question(n int) (question, bool) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	q := question{list: &b.extras, key: mainKey, workspace: mainWorkspace, unknown: http.StatusNotFound}
+	if n%2 == 1 {
+		q = question{list: &b.keys, path: pathParts, workspace: spareWorkspace, unknown: http.StatusUnauthorized}
+	}
+	l := *q.list
 	if len(l) == 0 {
-		return 0, false
+		return q, false
+	}
+	q.place = len(l) - 1 - n/2%min(newest, len(l))
+	if q.path == "" {
+		q.path = l[q.place].name
+	} else {
+		q.key = l[q.place].name
 	}
-	return len(l) - 1 - n%min(newest, len(l)), true
+	return q, true
 }
 
-// probeOnce sends one request by a path or, every other time, a key that comes and
-// goes.
+// probeOnce sends one request by a path or key that comes and goes.
 func (b *bed) probeOnce(ctx context.Context, v *vm, c *hosted.Caller, n int) {
-	s := Sent{VM: v.place, Kind: directory.Safe, Workspace: mainWorkspace, Call: hosted.Call{
-		ID: api.RequestID(fmt.Sprintf("p%d-%d", v.place, n)), Method: http.MethodGet, Host: host, Key: mainKey, Wait: callWait,
-	}}
-	l, path, unknown := &b.extras, "", http.StatusNotFound
-	if n%2 == 1 {
-		l, path, unknown = &b.keys, pathParts, http.StatusUnauthorized
-	}
-	b.mutex.Lock()
-	place, ok := pick(*l, n/2)
+	q, ok := b.question(n)
 	if !ok {
-		b.mutex.Unlock()
 		return
 	}
-	x := (*l)[place]
-	b.mutex.Unlock()
-	if path == "" {
-		path = x.name
-	} else {
-		s.Key, s.Workspace = x.name, spareWorkspace
-	}
-	s.Target = "/" + path + "/" + string(s.ID)
+	id := api.RequestID(fmt.Sprintf("p%d-%d", v.place, n))
+	s := Sent{VM: v.place, Kind: directory.Safe, Workspace: q.workspace, Call: hosted.Call{
+		ID: id, Method: http.MethodGet, Host: host, Target: "/" + q.path + "/" + string(id), Key: q.key, Wait: callWait,
+	}}
 	v.mutex.Lock()
-	life := v.life
+	w := Probe{VM: v.place, Life: v.life}
 	v.mutex.Unlock()
 	s.At = time.Now()
+	w.At = s.At
 	// What was sent is waited for, also once the soak is over.
 	s.Reply = c.Do(context.WithoutCancel(ctx), v.callers.address(), s.Call)
 	s.Done = time.Now()
 	b.mutex.Lock()
 	// It may have been removed meanwhile.
-	x = (*l)[place]
+	x := (*q.list)[q.place]
 	b.mutex.Unlock()
-	w := Probe{VM: v.place, Life: life, At: s.At}
 	b.recorder.note(func(r *Record) {
 		r.Sent = append(r.Sent, s)
-		if w.seen(s.Status, unknown, x) {
+		if w.seen(s.Status, q.unknown, x) {
 			r.Probes = append(r.Probes, w)
 		}
 	})
--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -14,12 +14,14 @@
 // lists are read page by page.
 const pageSize = 8
 
-// Object, Change and Changes hold contents as the wire has them.
-type (
-	Object  = replica.Object[[]byte]
-	Change  = replica.Change[[]byte]
-	Changes = replica.Changes[[]byte]
-)
+// Object is one object with its contents as the wire has them.
+type Object = replica.Object[[]byte]
+
+// Change is one object that was written or removed.
+type Change = replica.Change[[]byte]
+
+// Changes are what happened up to a version.
+type Changes = replica.Changes[[]byte]
 
 // Page is one page of a list.
 type Page struct {
