fix: entry VMs of the contract tests listen where no connection takes their port

Cause: the harness chose a port of 127.0.0.1 by opening and closing a listener. Until the entry VM listens there, any outgoing connection of the tests may take that port, as they all come from 127.0.0.1. Ruled out: two VMs given one port (the test starts one), a VM before it that had not ended (its port was another).

The new test holds the chosen port on 127.0.0.1 and listens: it fails with the harness before ("address already in use") and passes now.

--- /dev/null
+++ b/contract/address_test.go
@@ -0,0 +1,25 @@
+package contract
+
+import (
+	"net"
+	"testing"
+)
+
+// A connection of any test may take a port of 127.0.0.1 between the moment at
+// which an entry VM's address is chosen and the one at which it listens there.
+func TestEntryVMsListenWhereNoConnectionIs(t *testing.T) {
+	a := free(t)
+	_, p, err := net.SplitHostPort(a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if l, err := net.Listen("tcp", "127.0.0.1:"+p); err == nil {
+		// Else a connection has it already, which is the same.
+		defer func() { _ = l.Close() }()
+	}
+	l, err := net.Listen("tcp", a)
+	if err != nil {
+		t.Fatalf("with port %s taken on 127.0.0.1: got %v, want %s free", p, err, a)
+	}
+	_ = l.Close()
+}
--- a/contract/harness_test.go
+++ b/contract/harness_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -17,6 +16,7 @@
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/entry"
 	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/loopback"
 	"github.com/wardridge/wardridge/internal/metric"
 	"github.com/wardridge/wardridge/internal/node"
 	client "github.com/wardridge/wardridge/internal/objectapi"
@@ -69,14 +69,18 @@
 	return host(s)
 }
 
+// addresses gives addresses to the entry VMs of all tests here.
+var addresses = loopback.New()
+
+// free finds an address that nobody else is given and that no connection
+// takes: an entry VM listens on it later.
 func free(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	a, err := addresses.Free()
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return a
 }
 
 // newBed starts a platform that holds the models, workspaces and the service
