feat: a stream whose server falls silent goes on from its copy, within the pause that callers allow

Cause: a server that crashes without a word, or a link that is cut, leaves connections open. Nothing watched a stream for silence, so that it hung until its caller gave up after 7 s, although another server kept a copy of its run; new work went to that server meanwhile, and connecting to it took up to a second.

Change: decide/silence (pure). After half of a route's longest good pause the server is asked for its report over new connections, two of them, once for all of its streams. No answer within a quarter of that pause and a copy elsewhere: the stream is closed and the run goes on from the copy. An answer that tells of events which have not arrived for 0.6 s: the run is stopped at its server, copied and fetched. Else it waits, and asks less and less often; nothing is concluded while own timers are late. Connecting to a server takes a quarter of the route's aim at most (100 ms to 1 s), as others can be tried then; a resume is sent up to three times while no connection is made.

Tests: TestRunGoesOnFromItsKeptCopyWhereItsServerIsSilent, TestRunIsFetchedWhereItsConnectionIsSilent (both never ended without the watch), TestSilentRunWithoutACopyIsWaitedFor, TestSlowStreamIsLeftAlone, tables in decide/silence.

--- a/internal/decide/evacuate/evacuate.go
+++ b/internal/decide/evacuate/evacuate.go
@@ -90,8 +90,17 @@
 	return &Move{began: now, targets: 1}
 }
 
+// NewFetch begins a move of a run whose events don't arrive from its source:
+// nothing is gained by letting it go on there.
+func NewFetch(now time.Time) *Move {
+	return &Move{began: now, targets: 1, stopped: true}
+}
+
 // First is the first step.
 func (m *Move) First() Action {
+	if m.stopped {
+		return Action{Kind: Stop, Elsewhere: true}
+	}
 	return Action{Kind: Copy, Elsewhere: true}
 }
 
--- /dev/null
+++ b/internal/decide/silence/silence_test.go
@@ -0,0 +1,97 @@
+package silence_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/silence"
+)
+
+const gap = 180 * time.Millisecond
+
+func TestWait(t *testing.T) {
+	w := silence.NewWatch(gap)
+	if got, want := w.Wait(), gap/2; got != want {
+		t.Errorf("at first: got %v, want %v", got, want)
+	}
+	if got := w.Wait() + w.Bound(); got >= gap {
+		t.Errorf("until the answer is due: got %v, want time left to go on within %v", got, gap)
+	}
+	w.Asked()
+	if got, want := w.Wait(), gap; got != want {
+		t.Errorf("after a question: got %v, want %v", got, want)
+	}
+	for range 100 {
+		w.Asked()
+	}
+	if got, want := w.Wait(), 2*time.Second; got != want {
+		t.Errorf("after a hundred questions: got %v, want %v", got, want)
+	}
+	w.Heard()
+	if got, want := w.Wait(), gap/2; got != want {
+		t.Errorf("after an event: got %v, want %v", got, want)
+	}
+	if got := silence.NewWatch(0).Wait(); got <= 0 || got > time.Second {
+		t.Errorf("without an aim: got %v, want a time that readers notice", got)
+	}
+}
+
+func TestJudge(t *testing.T) {
+	made := func(n int) silence.Answer {
+		return silence.Answer{Reached: true, Made: map[api.RequestID]int{"r": n}}
+	}
+	none := silence.Answer{}
+	stream := silence.Stream{Request: "r", Events: 10, Silent: time.Second, Copy: true}
+	with := func(change func(s *silence.Stream)) silence.Stream {
+		s := stream
+		change(&s)
+		return s
+	}
+	for _, c := range []struct {
+		name   string
+		stream silence.Stream
+		answer silence.Answer
+		want   silence.Verdict
+	}{
+		{"no answer, a copy elsewhere", stream, none, silence.Abandon},
+		{"no answer, no copy", with(func(s *silence.Stream) { s.Copy = false }), none, silence.Wait},
+		{"own timers late", with(func(s *silence.Stream) { s.Late = time.Second }), none, silence.Wait},
+		{"the question ran over its time", stream, silence.Answer{Late: time.Second}, silence.Wait},
+		{"the server is slow", stream, made(10), silence.Wait},
+		{"one event on its way", stream, made(11), silence.Wait},
+		{"events are made and don't arrive", stream, made(30), silence.Fetch},
+		{"the same, not for long", with(func(s *silence.Stream) { s.Silent = gap }), made(30), silence.Wait},
+		{"the run is not told of", stream, silence.Answer{Reached: true}, silence.Wait},
+	} {
+		if got := silence.Judge(c.stream, c.answer); got != c.want {
+			t.Errorf("%s: got %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+func TestAnswersStandForAWhile(t *testing.T) {
+	now := time.Now()
+	k := silence.NewAnswers()
+	k.Note("up", silence.Answer{At: now, Reached: true})
+	k.Note("down", silence.Answer{At: now})
+	for _, c := range []struct {
+		server api.ServerName
+		after  time.Duration
+		want   bool
+	}{
+		{"up", 200 * time.Millisecond, true},
+		{"up", time.Second, false},
+		{"down", 50 * time.Millisecond, true},
+		{"down", 200 * time.Millisecond, false},
+		{"unknown", 0, false},
+	} {
+		if _, got := k.Recent(now.Add(c.after), c.server); got != c.want {
+			t.Errorf("%s after %v: got %v, want %v", c.server, c.after, got, c.want)
+		}
+	}
+	k.Forget(func(n api.ServerName) bool { return n == "down" })
+	if _, got := k.Recent(now, "up"); got {
+		t.Error("a server that is gone: got its answer, want none")
+	}
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -46,6 +46,7 @@
 	CopyKept            ID = 311
 	ServerChosen        ID = 312
 	RequestLate         ID = 313
+	StreamSilent        ID = 314
 	ServerReady         ID = 401
 	ServerUnreachable   ID = 402
 	ServerLeaving       ID = 403
@@ -111,6 +112,7 @@
 	{MoveStep, "move_step", zapcore.InfoLevel, "A step of the move of a running generation ended."},
 	{ServerChosen, "server_chosen", zapcore.InfoLevel, "A backend server was chosen; the figures are what was in flight there, at all entry VMs heard of."},
 	{RequestLate, "request_late", zapcore.InfoLevel, "A request was answered whole, but later than its route aims for."},
+	{StreamSilent, "stream_silent", zapcore.InfoLevel, "No event came for longer than usual, and the server was asked; the verdict says whether the run goes on elsewhere."},
 	{CopyKept, "copy_kept", zapcore.InfoLevel, "A copy of a generation that nobody uses could not be freed and will lapse."},
 	{ServerReady, "server_ready", zapcore.InfoLevel, "A backend server takes work."},
 	{ServerUnreachable, "server_unreachable", zapcore.WarnLevel, "A backend server stopped reporting."},
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -41,12 +41,12 @@
 func (g *Gateway) ask(ctx context.Context, s roster.Server) {
 	c, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
-	leaving, err := g.Backends.Leaving(c, s)
+	p, err := g.Backends.Report(c, s, false)
 	if err != nil {
 		g.Log.Emit(event.ServerUnreachable, zap.String("server", string(s.Name)), zap.Error(err))
 		return
 	}
-	if leaving {
+	if p.Leaving {
 		g.NoteLeaving([]api.ServerName{s.Name})
 	}
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -155,7 +155,7 @@
 	}
 	a := port.Attempt{
 		Request: q.Request, Server: s, Workspace: q.workspace.Name, Left: left,
-		Stream: q.route.Kind == directory.Stream,
+		Connect: connectTime(q.route.Aim), Stream: q.route.Kind == directory.Stream,
 	}
 	if b != nil {
 		a.Protect = b.at.Address
@@ -163,6 +163,24 @@
 	return g.Backends.Send(ctx, a)
 }
 
+const (
+	// connectShare is the part of a request's aim in which a server has to take
+	// a connection, so that others can be tried in time: nothing was sent yet.
+	connectShare = 0.25
+	// connectLeast is several times what a connection within a region takes, also
+	// on a loaded VM, and connectMost what the connections allow anyway.
+	connectLeast = 100 * time.Millisecond
+	connectMost  = time.Second
+)
+
+// connectTime bounds the time to connect for a request; zero without an aim.
+func connectTime(aim time.Duration) time.Duration {
+	if aim <= 0 {
+		return 0
+	}
+	return min(max(time.Duration(connectShare*float64(aim)), connectLeast), connectMost)
+}
+
 // outcome types an attempt's failure for the decision on another one.
 func outcome(err error) call.Outcome {
 	if fault.Has(err, fault.NotStarted) || fault.Has(err, fault.ServerRefused) {
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -25,6 +25,9 @@
 // eventGap is the time between two events of a fake engine.
 const eventGap = 30 * time.Millisecond
 
+// gapAim is the longest good pause of a stream.
+const gapAim = 180 * time.Millisecond
+
 // copyTime is what the first copy of a run takes, and restTime a later one.
 const (
 	copyTime = 300 * time.Millisecond
@@ -58,12 +61,23 @@
 	closed   int
 	total    int
 	leaves   map[string]bool
+	// dark servers say nothing, while their connections stay open; mute ones go
+	// on and are asked in vain over the connections that are open, which lack the
+	// newest events, ahead of them.
+	dark  map[string]bool
+	mute  map[string]bool
+	ahead int
+	// gap is the time between two events, reports counts the questions.
+	gap     time.Duration
+	reports int
+	// backups lets servers keep copies of runs as they grow.
+	backups bool
 }
 
 func newFake() *fake {
 	return &fake{
 		answers: map[string][]any{}, runs: map[string]*fakeRun{}, dead: map[string]bool{},
-		full: map[string]bool{}, handles: map[string]string{}, leaves: map[string]bool{}, total: 20,
+		full: map[string]bool{}, handles: map[string]string{}, leaves: map[string]bool{}, dark: map[string]bool{}, mute: map[string]bool{}, gap: eventGap, total: 20,
 	}
 }
 
@@ -101,6 +115,9 @@
 		f.runs[id] = r
 	}
 	r.server = n
+	if a.Protect != "" {
+		f.handles[id] = a.Protect
+	}
 	s := &fakeStream{fake: f, run: r, server: n, next: after + 1, closed: make(chan struct{})}
 	h := http.Header{"Content-Type": {"text/event-stream"}}
 	return port.Answer{Head: port.Head{Status: http.StatusOK, Header: h}, Stream: s}, ctx.Err()
@@ -116,13 +133,17 @@
 }
 
 func (s *fakeStream) Next() (port.Event, error) {
-	t := time.NewTimer(eventGap)
+	t := time.NewTimer(s.fake.gap)
 	defer t.Stop()
 	select {
 	case <-t.C:
 	case <-s.closed:
 		return port.Event{}, fault.New(fault.GenerationLost, "closed")
 	}
+	if s.silent() {
+		<-s.closed
+		return port.Event{}, fault.New(fault.GenerationLost, "closed")
+	}
 	s.fake.mutex.Lock()
 	defer s.fake.mutex.Unlock()
 	switch {
@@ -137,6 +158,13 @@
 	return port.Event{ID: id, Bytes: []byte("id: " + id + "\n\n")}, nil
 }
 
+// silent reports whether nothing comes over this connection any more.
+func (s *fakeStream) silent() bool {
+	s.fake.mutex.Lock()
+	defer s.fake.mutex.Unlock()
+	return s.fake.dark[s.server] || s.fake.mute[s.server]
+}
+
 func (s *fakeStream) Close() {
 	s.once.Do(func() {
 		close(s.closed)
@@ -182,10 +210,25 @@
 	return port.Copy{Handle: h}, nil
 }
 
-func (f *fake) Leaving(_ context.Context, s roster.Server) (bool, error) {
+func (f *fake) Report(ctx context.Context, s roster.Server, _ bool) (port.Report, error) {
+	n := string(s.Name)
+	f.mutex.Lock()
+	dark := f.dark[n]
+	f.reports++
+	f.mutex.Unlock()
+	if dark {
+		<-ctx.Done()
+		return port.Report{}, fault.Wrap(fault.NotStarted, ctx.Err(), "dark")
+	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.leaves[string(s.Name)], nil
+	p := port.Report{Leaving: f.leaves[n], Made: map[api.RequestID]int{}}
+	for id, r := range f.runs {
+		if r.server == n {
+			p.Made[api.RequestID(id)] = r.made + f.ahead
+		}
+	}
+	return p, nil
 }
 
 func (f *fake) Release(_ context.Context, _ roster.Server, handle string) error {
@@ -267,9 +310,9 @@
 		Domain: "x", Backends: f, Group: g, Log: event.Discard(), Metrics: metric.New(),
 		Retries: retry.NewWindow(10*time.Second, 0, slack),
 	})}
-	e := &directory.Engine{Slots: 24, Memory: 34000, Moves: true, Stride: 4}
+	e := &directory.Engine{Slots: 24, Memory: 34000, Moves: true, Backups: f.backups, Stride: 4}
 	route := func(p string, k directory.Kind, s api.ServiceName) directory.Route {
-		return directory.Route{Host: "h", Prefix: p, Kind: k, Timeout: 30 * time.Second, Aim: 100 * time.Millisecond, MaxServers: 2, Targets: []directory.Target{{Service: s, Weight: 1}}}
+		return directory.Route{Host: "h", Prefix: p, Kind: k, Timeout: 30 * time.Second, Aim: 100 * time.Millisecond, GapAim: gapAim, MaxServers: 2, Targets: []directory.Target{{Service: s, Weight: 1}}}
 	}
 	timeless := route("/timeless/", directory.Unsafe, "plain")
 	timeless.Timeout = 0
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/directory"
@@ -16,6 +17,7 @@
 	"github.com/wardridge/wardridge/internal/decide/replica"
 	"github.com/wardridge/wardridge/internal/decide/retry"
 	"github.com/wardridge/wardridge/internal/decide/roster"
+	"github.com/wardridge/wardridge/internal/decide/silence"
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/ending"
 	"github.com/wardridge/wardridge/internal/event"
@@ -53,13 +55,17 @@
 	roster *roster.Roster
 	picker *placement.Picker
 	runs   map[api.ServerName]map[*run]bool
+	// answers are what servers of silent streams said; inquiries lets one
+	// question serve all streams of a server.
+	answers   *silence.Answers
+	inquiries singleflight.Group
 }
 
 // New makes a gateway that knows no configuration.
 func New(p Parts) *Gateway {
 	return &Gateway{
 		Parts: p, roster: roster.New(), picker: placement.NewPicker(rand.NewPCG(p.Seed, 0)),
-		runs: map[api.ServerName]map[*run]bool{},
+		runs: map[api.ServerName]map[*run]bool{}, answers: silence.NewAnswers(),
 	}
 }
 
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -38,7 +38,13 @@
 	if r.over || r.backup != nil || r.mover != nil && r.mover.source.Name == r.server.Name {
 		return
 	}
-	m := &mover{gateway: g, run: r, move: evacuate.New(time.Now()), source: r.server}
+	g.begin(r, evacuate.New(time.Now()))
+}
+
+// begin starts the steps of a move; the run's mutex is held. The channel is
+// closed at their end.
+func (g *Gateway) begin(r *run, e *evacuate.Move) <-chan struct{} {
+	m := &mover{gateway: g, run: r, move: e, source: r.server}
 	done := make(chan struct{})
 	r.mover, r.moved = m, done
 	g.Group.Go(func(ctx context.Context) error {
@@ -46,6 +52,33 @@
 		m.steps(ctx)
 		return nil
 	})
+	return done
+}
+
+// fetch stops a run at a server whose events don't arrive any more, and copies
+// it to another one. It reports whether the run was stopped.
+func (g *Gateway) fetch(ctx context.Context, r *run, s roster.Server) bool {
+	e := r.request.service.Engine
+	if e == nil || !e.Moves {
+		return false
+	}
+	r.mutex.Lock()
+	if r.over || r.server.Name != s.Name {
+		r.mutex.Unlock()
+		return false
+	}
+	done := r.moved
+	if r.mover == nil {
+		done = g.begin(r, evacuate.NewFetch(time.Now()))
+	}
+	r.mutex.Unlock()
+	select {
+	case <-done:
+	case <-ctx.Done():
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.stopped && r.server.Name == s.Name
 }
 
 // mover takes one run off one server.
@@ -227,13 +260,11 @@
 		case <-ctx.Done():
 		}
 	}
-	r.mutex.Lock()
-	c := r.hold()
-	from := r.server
-	r.mutex.Unlock()
+	from := r.at()
 	if !stopped {
 		g.note(from.Name, placement.Lost)
 	}
+	c := r.hold()
 	if c == nil {
 		g.lost(r, from, broke)
 		return nil, false
@@ -256,12 +287,13 @@
 	x.After, _ = r.progress()
 	b := g.protect(q, c.at)
 	t := port.Attempt{
-		Request: q.Request, Server: c.at, Workspace: q.workspace.Name, Left: time.Until(q.deadline), Stream: true, Resume: &x,
+		Request: q.Request, Server: c.at, Workspace: q.workspace.Name, Left: time.Until(q.deadline),
+		Connect: connectTime(q.route.GapAim), Stream: true, Resume: &x,
 	}
 	if b != nil {
 		t.Protect = b.at.Address
 	}
-	a, err := g.Backends.Send(ctx, t)
+	a, err := g.sendUntilTaken(ctx, t)
 	if err != nil {
 		b.end()
 		return nil, err
@@ -275,9 +307,26 @@
 	return a.Stream, nil
 }
 
+// resumeTries bounds the connections that are tried to the only server that can
+// go on with a run: one lost packet must not lose the run.
+const resumeTries = 3
+
+// sendUntilTaken sends to one server, again while no connection is made.
+func (g *Gateway) sendUntilTaken(ctx context.Context, t port.Attempt) (port.Answer, error) {
+	for n := 1; ; n++ {
+		a, err := g.Backends.Send(ctx, t)
+		if !fault.Has(err, fault.NotStarted) || n == resumeTries || ctx.Err() != nil {
+			return a, err
+		}
+		g.Log.Emit(event.AttemptFailed, zap.String("request", string(t.Request.ID)), zap.String("server", string(t.Server.Name)), zap.Error(err))
+	}
+}
+
 // hold takes the copy to go on from: the newest one made on order, or else
-// that of the server which kept one as the run grew; the mutex is held.
+// that of the server which kept one as the run grew.
 func (r *run) hold() *held {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
 	c, b := r.copied, r.backup
 	r.copied = nil
 	if c != nil || b == nil {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -46,7 +46,7 @@
 	// mover takes the run off its server, nil for none; moved is closed at its
 	// end.
 	mover *mover
-	moved chan struct{}
+	moved <-chan struct{}
 	// stopped is set once the source was told to stop the run.
 	stopped bool
 	// copied is the newest copy of the run's memory, nil for none.
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -43,6 +43,7 @@
 		return ok
 	}
 	g.picker.Health.Forget(known)
+	g.answers.Forget(known)
 	g.Metrics.Retain(metric.ByServer, func(n string) bool { return known(api.ServerName(n)) })
 	g.Retries.Members(g.picker.Book.Members(now))
 	g.mutex.Unlock()
--- /dev/null
+++ b/internal/gateway/silence_test.go
@@ -0,0 +1,81 @@
+package gateway_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/decide/placement"
+)
+
+// A server that crashes without a word leaves its connections open: only its
+// silence shows it.
+func TestRunGoesOnFromItsKeptCopyWhereItsServerIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		f.backups = true
+		s := play(t, f, 40, 5)
+		s.set(func(f *fake) { f.dark[s.server] = true })
+		began := time.Now()
+		s.whole(t, s.server, other(s.server))
+		if got, want := time.Since(began), 35*eventGap+gapAim; got > want {
+			t.Errorf("the rest took %v, want no pause above %v", got, gapAim)
+		}
+	})
+}
+
+// Without a copy nothing else can go on with the run; its server may come back.
+func TestSilentRunWithoutACopyIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := play(t, newFake(), 40, 5)
+		s.set(func(f *fake) { f.dark[s.server] = true })
+		time.Sleep(5 * time.Second)
+		select {
+		case <-s.done:
+			t.Fatal("a silent stream: got its end, want it waited for")
+		default:
+		}
+		if c := s.choose(t); c != other(s.server) {
+			t.Errorf("while it is silent: got new work at %s, want it at %s", c, other(s.server))
+		}
+		s.set(func(f *fake) {
+			// Each question goes out over two connections.
+			if n := f.reports; n > 2*8 {
+				t.Errorf("questions in 5 s: got %d, want fewer and fewer", n)
+			}
+		})
+	})
+}
+
+// Connections may go silent for good while new ones work.
+func TestRunIsFetchedWhereItsConnectionIsSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := play(t, newFake(), 40, 5)
+		s.set(func(f *fake) { f.mute[s.server], f.ahead = true, 5 })
+		s.whole(t, s.server, other(s.server))
+		if l := s.Tell("peer", placement.Primary).Loads; len(l) != 0 {
+			t.Errorf("loads at the end: got %v, want none", l)
+		}
+	})
+}
+
+// A slow server answers and makes no more events than arrive.
+func TestSlowStreamIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		f.backups, f.gap = true, 2*time.Second
+		s := play(t, f, 6, 2)
+		s.whole(t, s.server)
+	})
+}
+
+// choose gives the server that a new stream would go to.
+func (s *scene) choose(t *testing.T) string {
+	t.Helper()
+	c := &caller{}
+	s.set(func(f *fake) { f.total = 1 })
+	r := request("/stream/2")
+	r.ID = "r2"
+	s.Handle(t.Context(), r, c)
+	return s.fake.sends[len(s.fake.sends)-1]
+}
--- a/internal/port/backend.go
+++ b/internal/port/backend.go
@@ -15,6 +15,8 @@
 	Workspace api.WorkspaceName
 	// Left is the time the server is given.
 	Left time.Duration
+	// Connect bounds the time to connect; zero leaves it to the connections.
+	Connect time.Duration
 	// Stream asks for the answer event by event, over a connection that nothing
 	// was sent on before; other answers are read whole.
 	Stream bool
@@ -49,6 +51,15 @@
 	Handle string
 }
 
+// Report is what a backend server tells of itself.
+type Report struct {
+	// Leaving is set where it is about to end.
+	Leaving bool
+	// Made is the number of events that each of its runs had made some hundred
+	// ms before.
+	Made map[api.RequestID]int
+}
+
 // Backends sends to backend servers. Failures are faults: NotStarted and
 // ServerRefused say that the request did not run, all others that it may have.
 type Backends interface {
@@ -58,8 +69,9 @@
 	// such run, VersionConflict when a copy is under way, and ServerRefused when
 	// there is no room or no way; the handle may be known then too.
 	Copy(ctx context.Context, o CopyOrder) (Copy, error)
-	// Leaving asks a server whether it is about to end.
-	Leaving(ctx context.Context, s roster.Server) (bool, error)
+	// Report asks a server about itself; fresh asks over a connection that
+	// nothing was sent on before, since one in use may have gone silent.
+	Report(ctx context.Context, s roster.Server, fresh bool) (Report, error)
 	// Release frees a copy that nothing will use.
 	Release(ctx context.Context, s roster.Server, handle string) error
 }
--- a/internal/standin/hosted/generation.go
+++ b/internal/standin/hosted/generation.go
@@ -128,6 +128,17 @@
 	}
 }
 
+// Made gives the number of events that each run has made.
+func (s *Server) Made() map[api.RequestID]int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	m := make(map[api.RequestID]int, len(s.runs))
+	for id, g := range s.runs {
+		m[id] = g.memory(false).made
+	}
+	return m
+}
+
 // protect keeps a copy of a run as it grows at another server, under the
 // request's id.
 func (s *Server) protect(address string, g *generation) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -33,6 +33,9 @@
 	Request *http.Request
 	// Fresh asks for a new connection.
 	Fresh bool
+	// Connect bounds the time to make a new connection; zero leaves it to the
+	// context and the way to connect.
+	Connect time.Duration
 	// Mine tells the answer of this request from late ones of others; nil takes
 	// the first.
 	Mine func(h http.Header) bool
@@ -46,7 +49,7 @@
 	if err := c.Request.Write(&b); err != nil {
 		return nil, fault.Wrap(fault.NotStarted, err, "encoding the request")
 	}
-	n, err := p.get(ctx, c.Address, c.Fresh)
+	n, err := p.get(ctx, c)
 	if err != nil {
 		return nil, fault.Wrap(fault.NotStarted, err, "connecting to "+c.Address)
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -51,23 +51,28 @@
 }
 
 // get gives an idle connection that is still whole, or a new one.
-func (p *Pool) get(ctx context.Context, address string, fresh bool) (*conn, error) {
-	for !fresh {
-		c := p.take(address)
-		if c == nil {
+func (p *Pool) get(ctx context.Context, c Call) (*conn, error) {
+	for !c.Fresh {
+		n := p.take(c.Address)
+		if n == nil {
 			break
 		}
-		if time.Now().Before(c.until) && quiet(c.Conn) {
-			c.reused = true
-			return c, nil
+		if time.Now().Before(n.until) && quiet(n.Conn) {
+			n.reused = true
+			return n, nil
 		}
-		_ = c.Close()
+		_ = n.Close()
+	}
+	if c.Connect > 0 {
+		bounded, cancel := context.WithTimeout(ctx, c.Connect)
+		defer cancel()
+		ctx = bounded
 	}
-	n, err := p.dial(ctx, "tcp", address)
+	n, err := p.dial(ctx, "tcp", c.Address)
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: n, reader: bufio.NewReaderSize(n, readBuffer), address: address}, nil
+	return &conn{Conn: n, reader: bufio.NewReaderSize(n, readBuffer), address: c.Address}, nil
 }
 
 // take removes the connection that was used last, which the server is least
