feat: the soak knows servers that go dark and connections that go silent for good

Two kinds of trouble that callers of the hosting platform meet had no fault: a server that crashes and leaves its connections open (dark-server), and open connections that carry nothing any more while new ones work (mode stale of caller-link and server-link, store-stale). Routes of streams have a longest good pause, so that silence is looked into.

Tests: TestProxyHoldsOpenConnectionsForGood, the plan test's count of kinds.

--- a/internal/soak/bed.go
+++ b/internal/soak/bed.go
@@ -344,11 +344,14 @@
 const (
 	routeTime = 20 * time.Second
 	routeAim  = 500 * time.Millisecond
+	// routeGap is the longest good pause of a stream: many times the pace of the
+	// servers, as the machine may be shared.
+	routeGap = 400 * time.Millisecond
 )
 
 func newRoute(path string, k directory.Kind, s api.ServiceName) directory.Route {
 	return directory.Route{
-		Name: path, Host: host, Prefix: "/" + path + "/", Kind: k, Timeout: routeTime, Aim: routeAim, MaxServers: 2,
+		Name: path, Host: host, Prefix: "/" + path + "/", Kind: k, Timeout: routeTime, Aim: routeAim, GapAim: routeGap, MaxServers: 2,
 		Targets: []directory.Target{{Service: s, Weight: 1}},
 	}
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -29,7 +29,10 @@
 	StoreSlow   Kind = "store-slow"
 	StoreSilent Kind = "store-silent"
 	StoreForget Kind = "store-forget"
+	StoreStale  Kind = "store-stale"
+	// CrashServer resets the connections of a server, DarkServer leaves them open.
 	CrashServer Kind = "crash-server"
+	DarkServer  Kind = "dark-server"
 	LeaveServer Kind = "leave-server"
 	LoseAnswers Kind = "lose-answers"
 	ServerLink  Kind = "server-link"
@@ -43,7 +46,7 @@
 
 // unplanned are all others.
 var unplanned = []Kind{
-	KillVM, PauseVM, CallerLink, StoreBusy, StoreLimit, StoreReset, StoreSlow, StoreSilent, StoreForget, CrashServer, ServerLink, LoseAnswers,
+	KillVM, PauseVM, CallerLink, StoreBusy, StoreLimit, StoreReset, StoreSlow, StoreSilent, StoreForget, StoreStale, CrashServer, DarkServer, ServerLink, LoseAnswers,
 }
 
 // Planned reports whether operators bring the fault about.
@@ -136,7 +139,7 @@
 }
 
 // storeKinds are the faults that may be met by all entry VMs at once.
-var storeKinds = map[Kind]bool{StoreBusy: true, StoreLimit: true, StoreReset: true, StoreSlow: true, StoreSilent: true}
+var storeKinds = map[Kind]bool{StoreBusy: true, StoreLimit: true, StoreReset: true, StoreSlow: true, StoreSilent: true, StoreStale: true}
 
 // series repeats a fault twice at the next places.
 func series(f Fault, last time.Duration) []Fault {
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -39,7 +39,7 @@
 			planned++
 		}
 	}
-	if got, want := len(kinds), 17; got != want {
+	if got, want := len(kinds), 19; got != want {
 		t.Errorf("kinds: got %d, want %d", got, want)
 	}
 	if planned == 0 || planned == seeds {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -27,10 +27,13 @@
 	// Deaf holds what clients send; Mute holds what they are answered.
 	Deaf Mode = "deaf"
 	Mute Mode = "mute"
+	// Stale holds the bytes of the connections that are open, for good, and passes
+	// those of new ones on.
+	Stale Mode = "stale"
 )
 
 // modes are the faults of links.
-var modes = []Mode{Delay, Reset, Silent, Deaf, Mute}
+var modes = []Mode{Delay, Reset, Silent, Deaf, Mute, Stale}
 
 const (
 	// delayTime is how late delayed bytes are: more than a pause between events
@@ -51,12 +54,14 @@
 	mutex sync.Mutex
 	mode  Mode
 	conns map[*net.TCPConn]bool
+	// stale connections carry nothing any more.
+	stale map[*net.TCPConn]bool
 }
 
 // newProxy listens on a loopback port; the clean-up cuts what is open.
 func newProxy(l net.Listener, target string) (*proxy, func()) {
 	g, end := duty.New(context.Background())
-	p := &proxy{listener: l, target: target, group: g, conns: map[*net.TCPConn]bool{}}
+	p := &proxy{listener: l, target: target, group: g, conns: map[*net.TCPConn]bool{}, stale: map[*net.TCPConn]bool{}}
 	g.Go(p.accept)
 	return p, func() {
 		_ = l.Close()
@@ -73,16 +78,30 @@
 func (p *proxy) set(m Mode) {
 	p.mutex.Lock()
 	p.mode = m
+	if m == Stale {
+		for c := range p.conns {
+			p.stale[c] = true
+		}
+	}
 	p.mutex.Unlock()
 	if m == Reset {
 		p.cut()
 	}
 }
 
-func (p *proxy) current() Mode {
+// modeOf is what happens to a connection's bytes at present.
+func (p *proxy) modeOf(c *net.TCPConn) Mode {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	return p.mode
+	switch {
+	case p.stale[c]:
+		return Silent
+	case p.mode == Stale:
+		// Only connections that were open at its beginning are met.
+		return Pass
+	default:
+		return p.mode
+	}
 }
 
 // cut resets every open connection.
@@ -117,6 +136,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	delete(p.conns, c)
+	delete(p.stale, c)
 }
 
 func (p *proxy) accept(ctx context.Context) error {
@@ -167,7 +187,7 @@
 	b := make([]byte, chunk)
 	for {
 		n, err := from.Read(b)
-		if !p.hold(ctx, own) {
+		if !p.hold(ctx, from, own) {
 			return ctx.Err()
 		}
 		if _, w := to.Write(b[:n]); w != nil {
@@ -187,11 +207,11 @@
 }
 
 // hold waits while bytes are delayed or held; it reports false at the end.
-func (p *proxy) hold(ctx context.Context, own Mode) bool {
-	if p.current() == Delay && !duty.Sleep(ctx, delayTime) {
+func (p *proxy) hold(ctx context.Context, from *net.TCPConn, own Mode) bool {
+	if p.modeOf(from) == Delay && !duty.Sleep(ctx, delayTime) {
 		return false
 	}
-	for m := p.current(); m == Silent || m == own; m = p.current() {
+	for m := p.modeOf(from); m == Silent || m == own; m = p.modeOf(from) {
 		if !duty.Sleep(ctx, holdEvery) {
 			return false
 		}
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -75,6 +75,29 @@
 	}
 }
 
+func TestProxyHoldsOpenConnectionsForGood(t *testing.T) {
+	x := newLine(t)
+	x.set(Stale)
+	x.set(Pass)
+	x.send(t, "two\n")
+	_ = x.conn.SetReadDeadline(time.Now().Add(100 * time.Millisecond))
+	var e net.Error
+	if got, err := x.reader.ReadString('\n'); !errors.As(err, &e) || !e.Timeout() {
+		t.Errorf("a connection that was open: got %q, %v, want nothing any more", got, err)
+	}
+	c, err := net.Dial("tcp", x.address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := io.WriteString(c, "three\n"); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := bufio.NewReader(c).ReadString('\n'); got != "three\n" {
+		t.Errorf("a new connection: got %q, %v, want the line", got, err)
+	}
+}
+
 func TestProxyHoldsAndPassesOn(t *testing.T) {
 	for _, m := range []Mode{Silent, Deaf, Mute} {
 		x := newLine(t)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -166,6 +166,10 @@
 	case ServerLink:
 		_, p := s.current()
 		b.link(ctx, p, f)
+	case DarkServer:
+		_, p := s.current()
+		p.set(Silent)
+		b.crash(ctx, s, f.For.Duration())
 	case CrashServer:
 		b.crash(ctx, s, f.For.Duration())
 	case LeaveServer:
@@ -181,7 +185,13 @@
 	default:
 		b.storeFault(ctx, f, v)
 	}
-	b.recorder.note(func(r *Record) { r.Injected[i].Until = time.Now() })
+	until := time.Now()
+	if f.Mode == Stale {
+		// What is sent over the connections that were open is met for as long as it
+		// may take.
+		until = until.Add(routeTime)
+	}
+	b.recorder.note(func(r *Record) { r.Injected[i].Until = until })
 }
 
 // signal sends a fault's signals to an entry VM's process.
@@ -208,7 +218,7 @@
 func (b *bed) begins(f Fault, v *vm, s *server) int {
 	t := Injection{Fault: f, VM: noVM}
 	switch f.Kind {
-	case CrashServer, ServerLink, LeaveServer, LoseAnswers:
+	case CrashServer, DarkServer, ServerLink, LeaveServer, LoseAnswers:
 		x, _ := s.current()
 		t.Server = x.Name
 	case ChangeRoute, RevokeKey, StoreForget:
@@ -320,6 +330,8 @@
 		v.endpoint.Set(hosted.Cut, 0)
 	case StoreSlow:
 		v.endpoint.Set(hosted.Answered, slowTime)
+	case StoreStale:
+		v.store.set(Stale)
 	default:
 		v.store.set(Silent)
 	}
