perf: copies of runs leave a failure domain only where none of its servers has room

Where the queues were long, most copies went to another domain, where each takes the link twice as long: the price of leaving the domain (0.4 of a server's capacity) was less than the differences in load there.

Change: Pool.Stay in place of the price: a copy goes to a server of the source's domain while one has room and neither rests nor fails. The sample of servers that are compared is drawn from those, which a price would not have done where 60 entry VMs compare two of 45 servers.

--- a/internal/decide/placement/pick.go
+++ b/internal/decide/placement/pick.go
@@ -27,20 +27,12 @@
 	// Domain is the failure domain to stay in: that of this entry VM, or of the
 	// server that a run is copied from.
 	Domain api.DomainName
-	// Away is the price of leaving the domain, as a share of a server's capacity.
-	Away float64
+	// Stay leaves the domain only where none of its servers has room. It is for
+	// copies of a run's memory, which take twice as long between domains, while
+	// notices are hardly long enough within one (docs/design/011).
+	Stay bool
 }
 
-// Prices of leaving a failure domain.
-const (
-	// AwayCall breaks ties between servers, since a request moves a few KB and
-	// takes a ms more.
-	AwayCall = 0.03
-	// AwayCopy is for copies of a run's memory, which take twice as long between
-	// domains, while notices are hardly long enough within one.
-	AwayCopy = 0.4
-)
-
 // Scores are in units of a server's whole capacity.
 const (
 	// unreadScale is the prompt tokens whose reading holds an engine up for
@@ -49,6 +41,9 @@
 	// spread is the part of a score that is drawn: entry VMs that know the same
 	// must not all choose the same server until they hear of each other.
 	spread = 0.15
+	// away is the price of leaving the failure domain. It breaks ties, since a
+	// request moves a few KB and takes a ms more.
+	away = 0.03
 	// cold is the price of a server that has just started and is still slow: it
 	// takes work before one that is a quarter fuller.
 	cold = 0.25
@@ -86,6 +81,9 @@
 // or false when no server may take it.
 func (p *Picker) Pick(now time.Time, l Pool, n Need, tried []api.ServerName) (Choice, bool) {
 	all := p.rate(now, l, n, tried)
+	if l.Stay {
+		all = l.near(all)
+	}
 	if len(all) == 0 {
 		return Choice{}, false
 	}
@@ -95,6 +93,16 @@
 	return best, true
 }
 
+// near gives those of some servers that are in the domain, or all where none of
+// them is to be had there.
+func (l Pool) near(all []Choice) []Choice {
+	n := slices.DeleteFunc(slices.Clone(all), func(c Choice) bool { return c.Domain != l.Domain || c.Score >= avoid })
+	if len(n) == 0 {
+		return all
+	}
+	return n
+}
+
 // rate gives the servers that may take a need with their scores.
 func (p *Picker) rate(now time.Time, l Pool, n Need, tried []api.ServerName) []Choice {
 	var all []Choice
@@ -143,7 +151,7 @@
 	}
 	s += spread * p.random.Float64()
 	if m.Domain != l.Domain {
-		s += l.Away
+		s += away
 	}
 	if now.Before(m.Warm) {
 		s += cold
--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -33,56 +33,62 @@
 		name    string
 		members []roster.Member
 		prepare func(p *placement.Picker)
-		away    float64
+		stay    bool
 		tried   []api.ServerName
 		want    api.ServerName
 	}{
 		{"least memory promised", []roster.Member{member("a", "x", roster.Ready), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
 			p.Book.Add("a", load(9000, 0))
 			p.Book.Add("b", load(3000, 0))
-		}, 0.03, nil, "b"},
+		}, false, nil, "b"},
 		{"peers' loads count", []roster.Member{member("a", "x", roster.Ready), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
 			p.Book.Told(begin, "vm", placement.Hub, placement.Report{Loads: placement.Loads{"b": load(9000, 0)}})
 			p.Book.Add("a", load(3000, 0))
-		}, 0.03, nil, "a"},
+		}, false, nil, "a"},
 		{"a peer unheard for long does not", []roster.Member{member("a", "x", roster.Ready), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
 			p.Book.Told(begin.Add(-10*time.Second), "vm", placement.Hub, placement.Report{Loads: placement.Loads{"b": load(9000, 0)}})
 			p.Book.Add("a", load(3000, 0))
-		}, 0.03, nil, "b"},
+		}, false, nil, "b"},
 		{"prompts to be read hold up", []roster.Member{member("a", "x", roster.Ready), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
 			p.Book.Add("a", load(3000, 3000))
 			p.Book.Add("b", load(6000, 0))
-		}, 0.03, nil, "b"},
-		{"own domain on a tie", []roster.Member{member("a", "y", roster.Ready), member("b", "x", roster.Ready)}, func(*placement.Picker) {}, 0.03, nil, "b"},
+		}, false, nil, "b"},
+		{"own domain on a tie", []roster.Member{member("a", "y", roster.Ready), member("b", "x", roster.Ready)}, func(*placement.Picker) {}, false, nil, "b"},
 		{"copies stay in a fuller domain", []roster.Member{member("a", "y", roster.Ready), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
-			p.Book.Add("b", load(9000, 0))
-		}, placement.AwayCopy, nil, "b"},
+			p.Book.Add("b", load(25000, 0))
+		}, true, nil, "b"},
+		{"copies leave a domain without room", []roster.Member{member("a", "y", roster.Ready), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
+			p.Book.Add("b", load(32000, 0))
+		}, true, nil, "a"},
+		{"copies leave a domain whose server rests", []roster.Member{member("a", "y", roster.Ready), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
+			p.Health.Note(begin, "b", placement.Lost)
+		}, true, nil, "a"},
 		{"cold servers wait until others are fuller", []roster.Member{coldMember("a", 1), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
 			p.Book.Add("b", load(3000, 0))
-		}, 0.03, nil, "b"},
+		}, false, nil, "b"},
 		{"cold servers help out full ones", []roster.Member{coldMember("a", 1), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
 			p.Book.Add("b", load(20000, 0))
-		}, 0.03, nil, "a"},
+		}, false, nil, "a"},
 		{"warm servers are as good as others", []roster.Member{coldMember("a", -1), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
 			p.Book.Add("b", load(9000, 0))
-		}, 0.03, nil, "a"},
-		{"leaving servers take nothing", []roster.Member{member("a", "x", roster.Leaving)}, func(*placement.Picker) {}, 0.03, nil, ""},
+		}, false, nil, "a"},
+		{"leaving servers take nothing", []roster.Member{member("a", "x", roster.Leaving)}, func(*placement.Picker) {}, false, nil, ""},
 		{"lapsed servers come last", []roster.Member{member("a", "x", roster.Lapsed), member("b", "y", roster.Ready)}, func(p *placement.Picker) {
 			p.Book.Add("b", load(20000, 0))
-		}, 0.03, nil, "b"},
-		{"lapsed servers serve where no other does", []roster.Member{member("a", "x", roster.Lapsed)}, func(*placement.Picker) {}, 0.03, nil, "a"},
+		}, false, nil, "b"},
+		{"lapsed servers serve where no other does", []roster.Member{member("a", "x", roster.Lapsed)}, func(*placement.Picker) {}, false, nil, "a"},
 		{"servers that lost a request rest", []roster.Member{member("a", "x", roster.Ready), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
 			p.Health.Note(begin, "a", placement.Lost)
 			p.Book.Add("b", load(9000, 0))
-		}, 0.03, nil, "b"},
-		{"tried servers are left out", []roster.Member{member("a", "x", roster.Ready)}, func(*placement.Picker) {}, 0.03, []api.ServerName{"a"}, ""},
-		{"no room", []roster.Member{member("a", "x", roster.Ready)}, func(p *placement.Picker) { p.Book.Add("a", load(33000, 0)) }, 0.03, nil, ""},
+		}, false, nil, "b"},
+		{"tried servers are left out", []roster.Member{member("a", "x", roster.Ready)}, func(*placement.Picker) {}, false, []api.ServerName{"a"}, ""},
+		{"no room", []roster.Member{member("a", "x", roster.Ready)}, func(p *placement.Picker) { p.Book.Add("a", load(33000, 0)) }, false, nil, ""},
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
 			p := placement.NewPicker(rand.NewPCG(1, 2))
 			c.prepare(p)
-			l := placement.Pool{Members: c.members, Memory: 34000, Domain: "x", Away: c.away}
+			l := placement.Pool{Members: c.members, Memory: 34000, Domain: "x", Stay: c.stay}
 			got, _ := p.Pick(begin, l, placement.Need{Tokens: 4000, Unread: 3000}, c.tried)
 			if got.Name != c.want {
 				t.Errorf("got %q, want %q", got.Name, c.want)
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -160,7 +160,7 @@
 	_, n := m.run.progress()
 	x := q.service.Engine
 	k := placement.Need{Tokens: need(q).Tokens + api.Tokens(n*x.Stride/2)}
-	s, l, ok := m.gateway.pickNear(q.service, k, append(m.tried, m.source.Name), m.source.Domain, placement.AwayCopy)
+	s, l, ok := m.gateway.pickNear(q.service, k, append(m.tried, m.source.Name), m.source.Domain)
 	if !ok {
 		m.tried = nil
 		return false
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -89,24 +89,32 @@
 
 // pick chooses a server of a service for a need and reserves the load there.
 func (g *Gateway) pick(s *directory.Service, n placement.Need, tried []api.ServerName) (placement.Choice, *reservation, bool) {
-	return g.pickNear(s, n, tried, g.Domain, placement.AwayCall)
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.pickFrom(g.pool(s, g.Domain), n, tried)
 }
 
-// pickNear is pick with a failure domain to stay in, and the price of leaving
-// it.
-func (g *Gateway) pickNear(s *directory.Service, n placement.Need, tried []api.ServerName, d api.DomainName, away float64) (placement.Choice, *reservation, bool) {
+// pickNear is pick for a copy of a run's memory, near the server it comes from.
+func (g *Gateway) pickNear(s *directory.Service, n placement.Need, tried []api.ServerName, d api.DomainName) (placement.Choice, *reservation, bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	x, ok := g.picker.Pick(time.Now(), g.pool(s, d, away), n, tried)
+	l := g.pool(s, d)
+	l.Stay = true
+	return g.pickFrom(l, n, tried)
+}
+
+// pickFrom is pick with what to choose from; the mutex is held.
+func (g *Gateway) pickFrom(l placement.Pool, n placement.Need, tried []api.ServerName) (placement.Choice, *reservation, bool) {
+	x, ok := g.picker.Pick(time.Now(), l, n, tried)
 	if !ok {
 		return x, nil, false
 	}
 	return x, g.reserve(x.Name, api.ServerLoad{Requests: 1, Tokens: n.Tokens, Unread: n.Unread}), true
 }
 
-// pool is the servers of a service; the mutex is held.
-func (g *Gateway) pool(s *directory.Service, d api.DomainName, away float64) placement.Pool {
-	p := placement.Pool{Members: g.roster.Service(s.Name), Domain: d, Away: away}
+// pool is the servers of a service, seen from a domain; the mutex is held.
+func (g *Gateway) pool(s *directory.Service, d api.DomainName) placement.Pool {
+	p := placement.Pool{Members: g.roster.Service(s.Name), Domain: d}
 	if s.Engine != nil {
 		p.Memory = s.Engine.Memory
 	}
@@ -131,7 +139,7 @@
 	n.Unread = 0
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	s, ok := g.picker.Protect(time.Now(), g.pool(q.service, source.Domain, placement.AwayCall), n, q.expected(), source.Name)
+	s, ok := g.picker.Protect(time.Now(), g.pool(q.service, source.Domain), n, q.expected(), source.Name)
 	if !ok {
 		return nil
 	}
