refactor: resuming a run in a file of its own, one accept loop for tests and proxies; silent streams are counted

The loop that accepts connections stood three times in the soak, its tests and those of wire: loopback.Accept serves all. streams_silent_total counts streams that were silent for longer than usual. No change of behaviour; tests unchanged but for the loop.

--- /dev/null
+++ b/internal/gateway/resume.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/decide/placement"
+	"github.com/wardridge/wardridge/internal/decide/roster"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/metric"
+	"github.com/wardridge/wardridge/internal/port"
+)
+
+const (
+	// moveWait is how long a stream that ended waits for the move that ended it.
+	moveWait = 1500 * time.Millisecond
+	// resumeTries bounds the connections that are tried to the only server that
+	// can go on with a run: one lost packet must not lose the run.
+	resumeTries = 3
+)
+
+// goOn resumes a run whose stream broke from the copy of its memory.
+func (g *Gateway) goOn(ctx context.Context, r *run, broke error) (port.Stream, bool) {
+	began := time.Now()
+	r.mutex.Lock()
+	stopped, done := r.stopped, r.moved
+	r.mutex.Unlock()
+	if stopped && done != nil {
+		select {
+		case <-done:
+		case <-time.After(moveWait):
+		case <-ctx.Done():
+		}
+	}
+	from := r.at()
+	if !stopped {
+		g.note(from.Name, placement.Lost)
+	}
+	c := r.hold()
+	if c == nil {
+		g.lost(r, from, broke)
+		return nil, false
+	}
+	s, err := g.resume(ctx, r, c)
+	if err != nil {
+		c.reservation.end()
+		g.lost(r, from, err)
+		return nil, false
+	}
+	g.Metrics.Add(metric.Resumes, 1)
+	g.Log.Emit(event.GenerationResumed, zap.String("request", string(r.request.ID)), zap.String("from", string(from.Name)), zap.String("to", string(c.at.Name)), zap.Bool("stopped", stopped), zap.Bool("kept", c.kept), zap.Duration("took", time.Since(began)))
+	return s, true
+}
+
+// resume asks the holder of a copy to go on.
+func (g *Gateway) resume(ctx context.Context, r *run, c *held) (port.Stream, error) {
+	q := r.request
+	x := c.resume
+	x.After, _ = r.progress()
+	b := g.protect(q, c.at)
+	t := port.Attempt{
+		Request: q.Request, Server: c.at, Workspace: q.workspace.Name, Left: time.Until(q.deadline),
+		Connect: connectTime(q.route.GapAim), Stream: true, Resume: &x,
+	}
+	if b != nil {
+		t.Protect = b.at.Address
+	}
+	a, err := g.sendUntilTaken(ctx, t)
+	if err != nil {
+		b.end()
+		return nil, err
+	}
+	if a.Stream == nil {
+		b.end()
+		return nil, fault.New(fault.BadAnswer, "a resumed run was not answered by a stream")
+	}
+	g.detach(r)
+	g.attach(r, c.at, c.reservation, b)
+	return a.Stream, nil
+}
+
+// sendUntilTaken sends to one server, again while no connection is made.
+func (g *Gateway) sendUntilTaken(ctx context.Context, t port.Attempt) (port.Answer, error) {
+	for n := 1; ; n++ {
+		a, err := g.Backends.Send(ctx, t)
+		if !fault.Has(err, fault.NotStarted) || n == resumeTries || ctx.Err() != nil {
+			return a, err
+		}
+		g.Log.Emit(event.AttemptFailed, zap.String("request", string(t.Request.ID)), zap.String("server", string(t.Server.Name)), zap.Error(err))
+	}
+}
+
+// hold takes the copy to go on from: the newest one made on order, or else
+// that of the server which kept one as the run grew.
+func (r *run) hold() *held {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	c, b := r.copied, r.backup
+	r.copied = nil
+	if c != nil || b == nil {
+		return c
+	}
+	r.backup = nil
+	return &held{at: b.at, reservation: b.reservation, resume: port.Resume{Source: b.at.Address, Handle: string(r.request.ID)}, kept: true}
+}
+
+// lost logs a generation that can't go on.
+func (g *Gateway) lost(r *run, from roster.Server, err error) {
+	_, n := r.progress()
+	r.request.outcome = "generation_lost"
+	g.tell(r.request)
+	g.Metrics.Add(metric.RequestsFailed, 1)
+	g.Log.Emit(event.GenerationLost, zap.String("request", string(r.request.ID)), zap.String("server", string(from.Name)), zap.Int("events", n), zap.Error(err))
+}
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -13,6 +13,7 @@
 	"github.com/wardridge/wardridge/internal/decide/silence"
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/metric"
 	"github.com/wardridge/wardridge/internal/port"
 )
 
@@ -96,6 +97,7 @@
 		return
 	}
 	v := silence.Judge(s, a)
+	l.gateway.Metrics.Add(metric.SilentStreams, 1)
 	l.gateway.Log.Emit(event.StreamSilent, zap.String("request", string(s.Request)), zap.String("server", string(l.server.Name)), zap.Int("events", s.Events), zap.Duration("silent", s.Silent), zap.Bool("reached", a.Reached), zap.Int("made", a.Made[s.Request]), zap.String("verdict", v.String()))
 	if v == silence.Abandon || v == silence.Fetch && l.gateway.fetch(ctx, l.run, l.server) {
 		l.stream.Close()
--- /dev/null
+++ b/internal/loopback/accept.go
@@ -0,0 +1,26 @@
+package loopback
+
+import (
+	"context"
+	"net"
+
+	"github.com/wardridge/wardridge/internal/duty"
+)
+
+// Accept serves each connection to a listener in the group, until the listener
+// is closed.
+func Accept(g *duty.Group, l net.Listener, serve func(ctx context.Context, c net.Conn)) {
+	g.Go(func(context.Context) error {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				// The listener is closed at the end.
+				return err
+			}
+			g.Go(func(ctx context.Context) error {
+				serve(ctx, c)
+				return nil
+			})
+		}
+	})
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -23,6 +23,7 @@
 	StallMS          Name = "stall_ms_total"
 	Preemptions      Name = "preemptions_seen_total"
 	Resumes          Name = "stream_resumes_total"
+	SilentStreams    Name = "streams_silent_total"
 	MovesBegun       Name = "moves_begun_total"
 	MovesDone        Name = "moves_done_total"
 	Retries          Name = "retries_total"
@@ -71,6 +72,7 @@
 	{StallMS, "ms", "Sum of the gaps between tokens beyond 200 ms."},
 	{Preemptions, "preemptions", "Preemptions that engines told of finished generations."},
 	{Resumes, "resumes", "Streams resumed on their engine."},
+	{SilentStreams, "streams", "Times that a stream was silent for longer than usual, so that its server was asked."},
 	{MovesBegun, "moves", "Moves of running generations that were begun."},
 	{MovesDone, "moves", "Moves of running generations that were done."},
 	{Retries, "attempts", "Attempts started again elsewhere."},
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/loopback"
 )
 
 // Mode is what a proxy does to the bytes that pass it.
@@ -49,7 +50,6 @@
 type proxy struct {
 	listener net.Listener
 	target   string
-	group    *duty.Group
 
 	mutex sync.Mutex
 	mode  Mode
@@ -61,8 +61,8 @@
 // newProxy listens on a loopback port; the clean-up cuts what is open.
 func newProxy(l net.Listener, target string) (*proxy, func()) {
 	g, end := duty.New(context.Background())
-	p := &proxy{listener: l, target: target, group: g, conns: map[*net.TCPConn]bool{}, stale: map[*net.TCPConn]bool{}}
-	g.Go(p.accept)
+	p := &proxy{listener: l, target: target, conns: map[*net.TCPConn]bool{}, stale: map[*net.TCPConn]bool{}}
+	loopback.Accept(g, l, func(ctx context.Context, c net.Conn) { p.serve(ctx, c.(*net.TCPConn)) })
 	return p, func() {
 		_ = l.Close()
 		p.cut()
@@ -139,20 +139,6 @@
 	delete(p.stale, c)
 }
 
-func (p *proxy) accept(ctx context.Context) error {
-	for {
-		c, err := p.listener.Accept()
-		if err != nil {
-			// The listener is closed at the end.
-			return err
-		}
-		p.group.Go(func(context.Context) error {
-			p.serve(ctx, c.(*net.TCPConn))
-			return nil
-		})
-	}
-}
-
 // serve joins a connection to a new one to the target.
 func (p *proxy) serve(ctx context.Context, a *net.TCPConn) {
 	if !p.keep(a) {
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/loopback"
 )
 
 // echo answers each line with the same line.
@@ -24,18 +25,9 @@
 		_ = l.Close()
 		end()
 	})
-	g.Go(func(context.Context) error {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return err
-			}
-			g.Go(func(context.Context) error {
-				defer func() { _ = c.Close() }()
-				_, _ = io.Copy(c, c)
-				return nil
-			})
-		}
+	loopback.Accept(g, l, func(_ context.Context, c net.Conn) {
+		defer func() { _ = c.Close() }()
+		_, _ = io.Copy(c, c)
 	})
 	return l.Addr().String()
 }
--- a/internal/wire/stale_test.go
+++ b/internal/wire/stale_test.go
@@ -10,18 +10,19 @@
 	"time"
 
 	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/loopback"
 	"github.com/wardridge/wardridge/internal/wire"
 )
 
-// silencing serves two requests on each of the first connections and then
-// nothing any more, without closing them, once it is told to.
+// silencing answers requests on its connections until these are made silent,
+// without being closed.
 type silencing struct {
 	mutex  sync.Mutex
 	silent map[net.Conn]bool
 	conns  []net.Conn
 }
 
-func (s *silencing) serve(c net.Conn) {
+func (s *silencing) serve(_ context.Context, c net.Conn) {
 	s.mutex.Lock()
 	s.conns = append(s.conns, c)
 	s.mutex.Unlock()
@@ -62,18 +63,7 @@
 		}
 		end()
 	})
-	g.Go(func(context.Context) error {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return err
-			}
-			g.Go(func(context.Context) error {
-				s.serve(c)
-				return nil
-			})
-		}
-	})
+	loopback.Accept(g, l, s.serve)
 	c, closer := wire.NewHostClientOver((&net.Dialer{}).DialContext)
 	t.Cleanup(closer)
 	get := func(path string, wait time.Duration) error {
