--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -6,31 +6,14 @@
 	"strings"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/entry"
+	"github.com/wardridge/wardridge/internal/quantile"
 )
 
 // StallBound is the gap between tokens beyond which it counts as a stall.
 const StallBound = entry.StallBound
 
-// Bounds of the histograms, in microseconds.
-const (
-	histogramMost   = 3_600_000_000
-	histogramDigits = 3
-)
-
-// Quantiles of a distribution, in ms.
-type Quantiles struct {
-	Count int64   `json:"count"`
-	P50   float64 `json:"p50_ms"`
-	P95   float64 `json:"p95_ms"`
-	P99   float64 `json:"p99_ms"`
-	P999  float64 `json:"p999_ms"`
-	Max   float64 `json:"max_ms"`
-}
-
 // ErrorCount is how often one type of error came.
 type ErrorCount struct {
 	Type  string  `json:"type"`
@@ -40,13 +23,13 @@
 
 // ClassReport is what the callers of one class saw.
 type ClassReport struct {
-	Class    string    `json:"class"`
-	Requests int       `json:"requests"`
-	Whole    int       `json:"whole"`
-	First    Quantiles `json:"first_token"`
-	Gaps     Quantiles `json:"token_gaps"`
-	Stalls   Quantiles `json:"stall_per_stream"`
-	StallSum float64   `json:"stall_total_ms"`
+	Class    string           `json:"class"`
+	Requests int              `json:"requests"`
+	Whole    int              `json:"whole"`
+	First    quantile.Summary `json:"first_token"`
+	Gaps     quantile.Summary `json:"token_gaps"`
+	Stalls   quantile.Summary `json:"stall_per_stream"`
+	StallSum float64          `json:"stall_total_ms"`
 }
 
 // Report is what the callers of a run saw.
@@ -68,13 +51,12 @@
 
 type class struct {
 	requests, whole     int
-	first, gaps, stalls *hdrhistogram.Histogram
+	first, gaps, stalls *quantile.Times
 	stall               time.Duration
 }
 
 func newClass() *class {
-	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, histogramMost, histogramDigits) }
-	return &class{first: h(), gaps: h(), stalls: h()}
+	return &class{first: quantile.New(), gaps: quantile.New(), stalls: quantile.New()}
 }
 
 type summary struct {
@@ -112,35 +94,24 @@
 		c.whole++
 	}
 	if r.first > 0 {
-		record(c.first, r.first)
+		c.first.Record(r.first)
 	}
 	if !r.class.Chat || r.tokens == 0 {
 		return
 	}
 	stall := time.Duration(0)
 	for _, g := range r.gaps {
-		record(c.gaps, g)
+		c.gaps.Record(g)
 		stall += max(0, g-StallBound)
 	}
-	record(c.stalls, stall)
+	c.stalls.Record(stall)
 	c.stall += stall
 }
 
-func record(h *hdrhistogram.Histogram, d time.Duration) {
-	// A value beyond the histogram counts as its largest.
-	_ = h.RecordValue(min(d.Microseconds(), histogramMost))
-}
-
-func quantiles(h *hdrhistogram.Histogram) Quantiles {
-	const milli = 1000.0
-	at := func(q float64) float64 { return float64(h.ValueAtQuantile(q)) / milli }
-	return Quantiles{Count: h.TotalCount(), P50: at(50), P95: at(95), P99: at(99), P999: at(99.9), Max: float64(h.Max()) / milli}
-}
-
 func (c *class) report(name string) ClassReport {
 	return ClassReport{
 		Class: name, Requests: c.requests, Whole: c.whole,
-		First: quantiles(c.first), Gaps: quantiles(c.gaps), Stalls: quantiles(c.stalls),
+		First: c.first.Summary(), Gaps: c.gaps.Summary(), Stalls: c.stalls.Summary(),
 		StallSum: float64(c.stall.Milliseconds()),
 	}
 }
--- a/internal/measure/result.go
+++ b/internal/measure/result.go
@@ -5,10 +5,9 @@
 	"strings"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/load"
+	"github.com/wardridge/wardridge/internal/quantile"
 )
 
 // Result is what callers saw in the measured span of one run.
@@ -19,36 +18,29 @@
 	GoodTokens float64
 	// StallTotal is the sum of stalls over all streams.
 	StallTotal time.Duration
-	gaps       *hdrhistogram.Histogram
-	stalls     *hdrhistogram.Histogram
-	firsts     *hdrhistogram.Histogram
+	gaps       *quantile.Times
+	stalls     *quantile.Times
+	firsts     *quantile.Times
 	// onLine are the first tokens of callers on the line.
-	onLine  *hdrhistogram.Histogram
+	onLine  *quantile.Times
 	good    int
 	classes map[string]*share
 }
 
-// Bounds of the histograms, in microseconds.
-const (
-	most   = 3_600_000_000
-	digits = 3
-)
-
 func newResult() *Result {
-	h := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, most, digits) }
-	return &Result{gaps: h(), stalls: h(), firsts: h(), onLine: h(), classes: map[string]*share{}}
+	return &Result{gaps: quantile.New(), stalls: quantile.New(), firsts: quantile.New(), onLine: quantile.New(), classes: map[string]*share{}}
 }
 
 // share is what one class of requests got.
 type share struct {
 	asked, whole int
-	firsts       *hdrhistogram.Histogram
+	firsts       *quantile.Times
 }
 
 func (r *Result) of(q *request) *share {
 	s, ok := r.classes[q.class.Name]
 	if !ok {
-		s = &share{firsts: hdrhistogram.New(1, most, digits)}
+		s = &share{firsts: quantile.New()}
 		r.classes[q.class.Name] = s
 	}
 	return s
@@ -100,14 +92,14 @@
 		return
 	}
 	if q.made == 1 {
-		record(r.firsts, b.now.Sub(q.came))
-		record(r.of(q).firsts, b.now.Sub(q.came))
+		r.firsts.Record(b.now.Sub(q.came))
+		r.of(q).firsts.Record(b.now.Sub(q.came))
 		if q.work.Priority == api.PriorityInteractive {
-			record(r.onLine, b.now.Sub(q.came))
+			r.onLine.Record(b.now.Sub(q.came))
 		}
 		return
 	}
-	record(r.gaps, d)
+	r.gaps.Record(d)
 	q.stall += max(0, d-load.StallBound)
 }
 
@@ -121,23 +113,13 @@
 	r.Whole++
 	r.of(q).whole++
 	r.StallTotal += q.stall
-	record(r.stalls, q.stall)
+	r.stalls.Record(q.stall)
 }
 
 func (r *Result) close(span time.Duration) {
 	r.GoodTokens = float64(r.good) / span.Seconds()
 }
 
-func record(h *hdrhistogram.Histogram, d time.Duration) {
-	// A value beyond the histogram counts as its largest.
-	_ = h.RecordValue(min(d.Microseconds(), most))
-}
-
-func ms(h *hdrhistogram.Histogram, q float64) float64 {
-	const milli = 1000
-	return float64(h.ValueAtQuantile(q)) / milli
-}
-
 // Figures are the figures of one run.
 type Figures struct {
 	StallP50, StallP99, StallTotal float64
@@ -156,10 +138,10 @@
 	n := float64(max(r.Asked, 1))
 	taken := float64(max(r.Asked-r.Refused, 1))
 	return Figures{
-		StallP50: ms(r.stalls, 50), StallP99: ms(r.stalls, 99), StallTotal: r.StallTotal.Seconds(),
+		StallP50: r.stalls.At(50), StallP99: r.stalls.At(99), StallTotal: r.StallTotal.Seconds(),
 		Preemptions: 1000 * float64(r.Preempted) / n,
-		GapP95:      ms(r.gaps, 95), GapP99: ms(r.gaps, 99), GapP999: ms(r.gaps, 99.9),
-		FirstP95: ms(r.firsts, 95), OnLineP95: ms(r.onLine, 95), Good: r.GoodTokens,
+		GapP95:      r.gaps.At(95), GapP99: r.gaps.At(99), GapP999: r.gaps.At(99.9),
+		FirstP95: r.firsts.At(95), OnLineP95: r.onLine.At(95), Good: r.GoodTokens,
 		Refused: 100 * float64(r.Refused) / n, Lost: 100 * float64(r.Lost) / n,
 		SentPerAsked: float64(r.Sent) / taken,
 	}
--- /dev/null
+++ b/internal/quantile/doc.go
@@ -0,0 +1,2 @@
+// Package quantile keeps distributions of times.
+package quantile
--- /dev/null
+++ b/internal/quantile/quantile.go
@@ -0,0 +1,58 @@
+package quantile
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Bounds of the histograms, in microseconds: an hour, to three digits.
+const (
+	least  = 1
+	most   = 3_600_000_000
+	digits = 3
+)
+
+// Times is a distribution of times.
+type Times struct {
+	histogram *hdrhistogram.Histogram
+}
+
+// New makes an empty distribution.
+func New() *Times {
+	return &Times{histogram: hdrhistogram.New(least, most, digits)}
+}
+
+// Record adds a time; one beyond an hour counts as an hour.
+func (t *Times) Record(d time.Duration) {
+	// It fails only beyond the bounds.
+	_ = t.histogram.RecordValue(min(d.Microseconds(), most))
+}
+
+// At gives the time in ms below which so many in 100 are.
+func (t *Times) At(percent float64) float64 {
+	return milliseconds(t.histogram.ValueAtQuantile(percent))
+}
+
+// Summary is a distribution in figures, in ms.
+type Summary struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50_ms"`
+	P95   float64 `json:"p95_ms"`
+	P99   float64 `json:"p99_ms"`
+	P999  float64 `json:"p999_ms"`
+	Max   float64 `json:"max_ms"`
+}
+
+// Summary gives the usual quantiles.
+func (t *Times) Summary() Summary {
+	return Summary{
+		Count: t.histogram.TotalCount(), P50: t.At(50), P95: t.At(95), P99: t.At(99), P999: t.At(99.9),
+		Max: milliseconds(t.histogram.Max()),
+	}
+}
+
+func milliseconds(micros int64) float64 {
+	const milli = 1000
+	return float64(micros) / milli
+}
