feat: wardctl summary tells from logs how requests ended, what became of moves, and why streams were lost

The same question is an operator's: of all lines of several entry VMs, how did requests end, how long were pauses, which step did moves end with, and what was known of the server of each lost generation. internal/story sums lines up; wardctl summary LOG... shows it as text or JSON.

--- a/cmd/control.go
+++ b/cmd/control.go
@@ -29,6 +29,7 @@
 	Watch      watchCommand                 `cmd:"" help:"Follow changes of resources and status objects."`
 	Status     statusCommand                `cmd:"" help:"Show the system as an entry VM sees it."`
 	Explain    explainCommand               `cmd:"" help:"Tell what was decided for a request and why."`
+	Summary    summaryCommand               `cmd:"" help:"Sum up logs: how requests ended, moves, pauses, and why streams were lost."`
 	Drain      drainCommand                 `cmd:"" help:"Take a backend server out of work, or back in."`
 	Check      checkCommand                 `cmd:"" help:"Check a settings file (.ini) or a resources file."`
 	Dev        devCommand                   `cmd:"" help:"Stand-ins and the load tool."`
--- a/cmd/explain.go
+++ b/cmd/explain.go
@@ -47,13 +47,9 @@
 
 // read tells the story of a request from logs.
 func (c *explainCommand) read(e *environment) error {
-	var all []story.Line
-	for _, n := range c.Logs {
-		l, err := readLog(n)
-		if err != nil {
-			return err
-		}
-		all = append(all, l...)
+	all, err := readLogs(c.Logs)
+	if err != nil {
+		return err
 	}
 	l := story.Tell(all, c.Request)
 	if len(l) == 0 {
@@ -70,6 +66,19 @@
 	return nil
 }
 
+// readLogs reads the lines of several logs.
+func readLogs(names []string) ([]story.Line, error) {
+	var all []story.Line
+	for _, n := range names {
+		l, err := readLog(n)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, l...)
+	}
+	return all, nil
+}
+
 func readLog(name string) ([]story.Line, error) {
 	if name == standardInput {
 		return story.Read("standard input", os.Stdin)
--- /dev/null
+++ b/cmd/summary.go
@@ -0,0 +1,22 @@
+package cmd
+
+import "github.com/wardridge/wardridge/internal/story"
+
+// summaryCommand sums up logs.
+type summaryCommand struct {
+	Logs []string `arg:"" help:"Log files of entry VMs; - is standard input." type:"path"`
+}
+
+// Run reads logs and shows how requests ended, what became of moves, and why
+// generations were lost.
+func (c *summaryCommand) Run(e *environment) error {
+	all, err := readLogs(c.Logs)
+	if err != nil {
+		return err
+	}
+	s := story.Sum(all)
+	if e.json() {
+		return e.write(s)
+	}
+	return e.print("%s", s.Text())
+}
