--- a/internal/story/summary.go
+++ b/internal/story/summary.go
@@ -69,8 +69,8 @@
 // sums gathers a summary.
 type sums struct {
 	ends, silent counts
-	first, pause       *quantile.Times
-	resumes            map[string]*quantile.Times
+	first, pause *quantile.Times
+	resumes      map[string]*quantile.Times
 	// moves are the last steps by request and source, leaving the servers that an
 	// entry VM knew to leave.
 	moves   map[place]string
