fix: a run that its server no longer knows is waited for, not given up

Found in reading: where events had not arrived for 0.6 s the run is to be stopped at its server and fetched; if the server answered that it knows no such run, the stream was closed all the same and the generation counted as lost. Such a run has ended well at its server, and what it sent may still come, as after packets lost several times.

Change: the stream is closed only once a copy is in hand; else the run does not count as stopped, and is waited for.

Test: TestRunThatCannotBeFetchedIsWaitedFor, which failed before.

--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -140,9 +140,12 @@
 	case <-s.closed:
 		return port.Event{}, fault.New(fault.GenerationLost, "closed")
 	}
-	if s.silent() {
-		<-s.closed
-		return port.Event{}, fault.New(fault.GenerationLost, "closed")
+	for s.silent() {
+		select {
+		case <-time.After(eventGap):
+		case <-s.closed:
+			return port.Event{}, fault.New(fault.GenerationLost, "closed")
+		}
 	}
 	s.fake.mutex.Lock()
 	defer s.fake.mutex.Unlock()
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -58,7 +58,9 @@
 }
 
 // fetch stops a run at a server whose events don't arrive any more, and copies
-// it to another one. It reports whether the run was stopped.
+// it to another one. It reports whether the run was stopped and a copy of it is
+// in hand; a run that its server no longer knows has ended there, and what it
+// sent may still arrive.
 func (g *Gateway) fetch(ctx context.Context, r *run, s roster.Server) bool {
 	e := r.request.service.Engine
 	if e == nil || !e.Moves {
@@ -69,8 +71,8 @@
 		r.mutex.Unlock()
 		return false
 	}
-	done := r.moved
-	if r.mover == nil {
+	done, own := r.moved, r.mover == nil
+	if own {
 		done = g.begin(r, evacuate.NewFetch(time.Now()))
 	}
 	r.mutex.Unlock()
@@ -80,7 +82,13 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.stopped && r.server.Name == s.Name
+	if r.server.Name != s.Name {
+		return false
+	}
+	if own && r.copied == nil {
+		r.stopped = false
+	}
+	return r.stopped && r.copied != nil
 }
 
 // mover takes one run off one server.
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -79,6 +79,18 @@
 	})
 }
 
+// A run that its server no longer knows has ended there: what it sent may still
+// come, as after lost packets.
+func TestRunThatCannotBeFetchedIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := play(t, newFake(), 40, 5)
+		s.set(func(f *fake) { f.mute[s.server], f.ahead, f.missing = true, 5, 100 })
+		time.Sleep(3 * time.Second)
+		s.set(func(f *fake) { f.mute[s.server] = false })
+		s.whole(t, s.server)
+	})
+}
+
 // A slow server answers and makes no more events than arrive.
 func TestSlowStreamIsLeftAlone(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
