--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -169,10 +169,11 @@
 
 // New makes a log on standard output; the clean-up flushes it.
 func New(s api.LogSettings) (*Log, func(), error) {
-	return newLog(s, os.Stdout)
+	return Over(s, os.Stdout)
 }
 
-func newLog(s api.LogSettings, out io.Writer) (*Log, func(), error) {
+// Over makes a log on any output; the clean-up flushes it.
+func Over(s api.LogSettings, out io.Writer) (*Log, func(), error) {
 	v, err := zapcore.ParseLevel(string(s.Level))
 	if err != nil {
 		return nil, nil, err
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -34,7 +34,7 @@
 
 func testLog(t *testing.T, o *output) (*Log, func()) {
 	t.Helper()
-	l, closer, err := newLog(api.LogSettings{Level: api.LogSettingsLevelInfo, Format: api.LogSettingsFormatJson}, o)
+	l, closer, err := Over(api.LogSettings{Level: api.LogSettingsLevelInfo, Format: api.LogSettingsFormatJson}, o)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -70,6 +70,8 @@
 	// gap is the time between two events, reports counts the questions.
 	gap     time.Duration
 	reports int
+	// log takes the gateway's lines.
+	log *event.Log
 	// backups lets servers keep copies of runs as they grow.
 	backups bool
 }
@@ -77,7 +79,7 @@
 func newFake() *fake {
 	return &fake{
 		answers: map[string][]any{}, runs: map[string]*fakeRun{}, dead: map[string]bool{},
-		full: map[string]bool{}, handles: map[string]string{}, leaves: map[string]bool{}, dark: map[string]bool{}, mute: map[string]bool{}, gap: eventGap, total: 20,
+		full: map[string]bool{}, handles: map[string]string{}, leaves: map[string]bool{}, dark: map[string]bool{}, mute: map[string]bool{}, gap: eventGap, total: 20, log: event.Discard(),
 	}
 }
 
@@ -310,12 +312,12 @@
 	g, closer := duty.New(context.Background())
 	t.Cleanup(closer)
 	b := &bed{fake: f, Gateway: gateway.New(gateway.Parts{
-		Domain: "x", Backends: f, Group: g, Log: event.Discard(), Metrics: metric.New(),
+		Domain: "x", Backends: f, Group: g, Log: f.log, Metrics: metric.New(),
 		Retries: retry.NewWindow(10*time.Second, 0, slack),
 	})}
 	e := &directory.Engine{Slots: 24, Memory: 34000, Moves: true, Backups: f.backups, Stride: 4}
 	route := func(p string, k directory.Kind, s api.ServiceName) directory.Route {
-		return directory.Route{Host: "h", Prefix: p, Kind: k, Timeout: 30 * time.Second, Aim: 100 * time.Millisecond, GapAim: gapAim, MaxServers: 2, Targets: []directory.Target{{Service: s, Weight: 1}}}
+		return directory.Route{Name: p, Host: "h", Prefix: p, Kind: k, Timeout: 30 * time.Second, Aim: 100 * time.Millisecond, GapAim: gapAim, MaxServers: 2, Targets: []directory.Target{{Service: s, Weight: 1}}}
 	}
 	timeless := route("/timeless/", directory.Unsafe, "plain")
 	timeless.Timeout = 0
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -228,7 +228,7 @@
 func (g *Gateway) fail(q *request, f *fault.Error) {
 	q.outcome = f.Code.Kind().Type
 	g.tell(q)
-	g.refuse(q.Request, q.sink, f)
+	g.refuse(q.Request, q.sink, f, zap.String("route", q.route.Name), zap.Duration("took", time.Since(q.Arrived)), zap.Duration("allowed", q.deadline.Sub(q.Arrived)))
 }
 
 // tell writes what was held back of a request that did not go well.
@@ -238,11 +238,13 @@
 	}
 }
 
-// refuse answers a request that no server answered.
-func (g *Gateway) refuse(r *port.Request, s port.Sink, f *fault.Error) {
+// refuse answers a request that no server answered, and logs what more is known
+// of it.
+func (g *Gateway) refuse(r *port.Request, s port.Sink, f *fault.Error, known ...zap.Field) {
 	e, m := ending.Of(f)
 	g.Metrics.Add(m, 1)
-	g.Log.Emit(e, zap.String("request", string(r.ID)), zap.String("type", f.Code.Kind().Type), zap.String("ran", string(f.Ran)), zap.Error(f))
+	l := []zap.Field{zap.String("request", string(r.ID)), zap.String("type", f.Code.Kind().Type), zap.String("ran", string(f.Ran)), zap.Error(f)}
+	g.Log.Emit(e, append(l, known...)...)
 	s.Refuse(f)
 }
 
