--- a/internal/decide/silence/silence.go
+++ b/internal/decide/silence/silence.go
@@ -98,7 +98,7 @@
 // Dark reports whether the server did not answer in time, and not because this
 // process did not run.
 func (a Answer) Dark() bool {
-	return !a.Reached && a.Late <= lateMost
+	return !a.Reached && !Late(a.Late)
 }
 
 // Stream is what is known here of a silent stream.
@@ -107,8 +107,6 @@
 	// Events is how many were passed on, and Silent how long none came.
 	Events int
 	Silent time.Duration
-	// Late is by how much the question came after its time.
-	Late time.Duration
 	// Copy is set where a copy of the run is held by a server that answers at
 	// once. If that one is silent too, it is this process, its links or all
 	// servers that are slow, and a run that is alive must not be given up.
@@ -147,10 +145,16 @@
 	lateMost = 20 * time.Millisecond
 )
 
+// Late reports whether own timers are so late that this process hardly runs, and
+// what they tell is not trusted.
+func Late(d time.Duration) bool {
+	return d > lateMost
+}
+
 // Judge decides on a silent stream by its server's answer.
 func Judge(s Stream, a Answer) Verdict {
 	switch {
-	case s.Late > lateMost || a.Late > lateMost:
+	case Late(a.Late):
 		return Wait
 	case a.Dark() && s.Copy:
 		return Abandon
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -167,9 +167,10 @@
 	// connectShare is the part of a request's aim in which a server has to take
 	// a connection, so that others can be tried in time: nothing was sent yet.
 	connectShare = 0.25
-	// connectLeast is several times what a connection within a region takes, also
-	// on a loaded VM, and connectMost what the connections allow anyway.
-	connectLeast = 100 * time.Millisecond
+	// connectLeast is what a connection within a region takes on a VM that is
+	// twenty times slower than it should be (with 100 ms such VMs took servers for
+	// lost), and connectMost what the connections allow anyway.
+	connectLeast = 250 * time.Millisecond
 	connectMost  = time.Second
 )
 
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -70,6 +70,8 @@
 	// gap is the time between two events, reports counts the questions.
 	gap     time.Duration
 	reports int
+	// waiting lets bytes wait on connections that nothing is read from.
+	waiting bool
 	// log takes the gateway's lines.
 	log *event.Log
 	// backups lets servers keep copies of runs as they grow.
@@ -163,6 +165,12 @@
 	return port.Event{ID: id, Bytes: []byte("id: " + id + "\n\n")}, nil
 }
 
+func (s *fakeStream) Waiting() bool {
+	s.fake.mutex.Lock()
+	defer s.fake.mutex.Unlock()
+	return s.fake.waiting
+}
+
 // silent reports whether nothing comes over this connection any more.
 func (s *fakeStream) silent() bool {
 	s.fake.mutex.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -59,6 +59,7 @@
 	// question serve all streams of a server.
 	answers   *silence.Answers
 	inquiries singleflight.Group
+	sentry    *sentry
 }
 
 // New makes a gateway that knows no configuration.
@@ -66,6 +67,7 @@
 	return &Gateway{
 		Parts: p, roster: roster.New(), picker: placement.NewPicker(rand.NewPCG(p.Seed, 0)),
 		runs: map[api.ServerName]map[*run]bool{}, answers: silence.NewAnswers(),
+		sentry: newSentry(),
 	}
 }
 
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -47,6 +47,7 @@
 	g.Metrics.Retain(metric.ByServer, func(n string) bool { return known(api.ServerName(n)) })
 	g.Retries.Members(g.picker.Book.Members(now))
 	g.mutex.Unlock()
+	g.sentry.sweep()
 	g.changed(c)
 }
 
--- a/internal/gateway/silence.go
+++ b/internal/gateway/silence.go
@@ -24,7 +24,6 @@
 	run     *run
 	stream  port.Stream
 	server  roster.Server
-	timer   *time.Timer
 
 	mutex sync.Mutex
 	watch *silence.Watch
@@ -35,12 +34,15 @@
 	waiting bool
 	since   time.Time
 	due     time.Time
+	// looked is set while it is looked into.
+	looked bool
 }
 
 // listen begins to watch a run's stream; the clean-up ends it.
 func (g *Gateway) listen(r *run, s port.Stream) (*listener, func()) {
 	l := &listener{gateway: g, run: r, stream: s, server: r.at(), watch: silence.NewWatch(r.request.route.GapAim)}
-	return l, l.heard
+	g.sentry.add(l)
+	return l, func() { g.sentry.remove(l) }
 }
 
 // wait begins a wait for an event.
@@ -50,18 +52,7 @@
 	l.waits++
 	l.waiting = true
 	l.since = time.Now()
-	l.arm(l.since)
-}
-
-// arm sets the timer; the mutex is held.
-func (l *listener) arm(now time.Time) {
-	d := l.watch.Wait()
-	l.due = now.Add(d)
-	if l.timer == nil {
-		l.timer = time.AfterFunc(d, l.silent)
-		return
-	}
-	l.timer.Reset(d)
+	l.due = l.since.Add(l.watch.Wait())
 }
 
 // heard ends a wait.
@@ -70,30 +61,153 @@
 	defer l.mutex.Unlock()
 	l.waiting = false
 	l.watch.Heard()
-	l.timer.Stop()
 }
 
-// silent begins to look into a wait that has become long.
-func (l *listener) silent() {
+// left is the time until the stream is to be looked into; it is taken as looked
+// into where that has come.
+func (l *listener) left(now time.Time) time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if !l.waiting || l.looked {
+		return l.watch.Wait()
+	}
+	d := l.due.Sub(now)
+	l.looked = d <= 0
+	return d
+}
+
+// sentry looks after all streams: as events arrive, when the process runs
+// anyway, with the gateway's clock, and with a timer only while there are few
+// streams. Each wake-up costs processor time: a timer for all streams took 7%
+// of what an entry VM needs, and made slow VMs slower (docs/design/014).
+type sentry struct {
+	mutex     sync.Mutex
+	listeners map[*listener]bool
+	timer     *time.Timer
+	armed     bool
+	swept     time.Time
+}
+
+const (
+	// sweepLeast is the least time between two sweeps: a fraction of the pause
+	// after which a server is asked.
+	sweepLeast = 20 * time.Millisecond
+	// fewStreams is the number of streams up to which there is a timer; the events
+	// of more come often enough, each some 20 times a second.
+	fewStreams = 3
+	// roundLeast bounds the timer from below.
+	roundLeast = 5 * time.Millisecond
+	// sweepMost is what a sweep may be late where the process runs as it should:
+	// the pause of the gateway's clock and a little more.
+	sweepMost = 300 * time.Millisecond
+)
+
+func newSentry() *sentry {
+	return &sentry{listeners: map[*listener]bool{}}
+}
+
+func (s *sentry) add(l *listener) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.listeners[l] = true
+	s.arm(l.pause())
+}
+
+func (s *sentry) remove(l *listener) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.listeners, l)
+	s.arm(l.pause())
+}
+
+// arm sets the timer where it is needed; the mutex is held.
+func (s *sentry) arm(d time.Duration) {
+	if n := len(s.listeners); s.armed || n == 0 || n > fewStreams {
+		return
+	}
+	s.armed = true
+	if s.timer == nil {
+		s.timer = time.AfterFunc(d, s.round)
+		return
+	}
+	s.timer.Reset(d)
+}
+
+// round is the timer's sweep.
+func (s *sentry) round() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.armed = false
+	s.arm(max(s.look(time.Now()), roundLeast))
+}
+
+// sweep looks after all streams, unless that was done just before.
+func (s *sentry) sweep() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if now := time.Now(); now.Sub(s.swept) >= sweepLeast {
+		s.look(now)
+	}
+}
+
+// look begins to look into the streams whose time has come, and gives the time
+// until the next one's; the mutex is held.
+func (s *sentry) look(now time.Time) time.Duration {
+	s.swept = now
+	var next time.Duration
+	for l := range s.listeners {
+		d := l.left(now)
+		if d <= 0 {
+			l.begin(-d)
+			d = l.pause()
+		}
+		if next == 0 || d < next {
+			next = d
+		}
+	}
+	return next
+}
+
+// pause is the time that an event may take.
+func (l *listener) pause() time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.watch.Wait()
+}
+
+// begin looks into a wait that has become long.
+func (l *listener) begin(late time.Duration) {
 	l.gateway.Group.Go(func(ctx context.Context) error {
-		l.look(ctx)
+		defer l.end()
+		l.look(ctx, late)
 		return nil
 	})
 }
 
+func (l *listener) end() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.looked = false
+}
+
 // look asks the server and acts on the verdict, unless the stream is heard
 // meanwhile.
-func (l *listener) look(ctx context.Context) {
+func (l *listener) look(ctx context.Context, late time.Duration) {
 	l.mutex.Lock()
-	wait, bound, late := l.waits, l.watch.Bound(), time.Since(l.due)
+	wait, bound := l.waits, l.watch.Bound()
 	waiting := l.waiting
 	l.mutex.Unlock()
 	if !waiting {
 		return
 	}
+	if late > sweepMost || l.stream.Waiting() {
+		// This VM is behind itself: questions would make it slower.
+		l.again(wait)
+		return
+	}
 	a := l.gateway.inquire(ctx, l.server, bound)
 	copied := a.Dark() && l.holderAnswers(ctx)
-	s, ok := l.state(wait, late)
+	s, ok := l.state(wait)
 	if !ok {
 		return
 	}
@@ -125,9 +239,9 @@
 }
 
 // state describes the stream in a wait; it reports false once that is over.
-func (l *listener) state(wait int, late time.Duration) (silence.Stream, bool) {
+func (l *listener) state(wait int) (silence.Stream, bool) {
 	_, n := l.run.progress()
-	s := silence.Stream{Request: l.run.request.ID, Events: n, Late: late}
+	s := silence.Stream{Request: l.run.request.ID, Events: n}
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	s.Silent = time.Since(l.since)
@@ -140,7 +254,7 @@
 	defer l.mutex.Unlock()
 	if l.waiting && l.waits == wait {
 		l.watch.Asked()
-		l.arm(time.Now())
+		l.due = time.Now().Add(l.watch.Wait())
 	}
 }
 
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -44,6 +44,24 @@
 	})
 }
 
+// A VM that is slow itself, or wakes up, has not read what has arrived.
+func TestServerIsNotAskedWhileItsBytesWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		f.backups = true
+		s := play(t, f, 40, 5)
+		s.set(func(f *fake) { f.mute[s.server], f.ahead, f.waiting = true, 5, true })
+		time.Sleep(3 * time.Second)
+		s.set(func(f *fake) {
+			if f.reports != 0 {
+				t.Errorf("questions: got %d, want none", f.reports)
+			}
+			f.mute[s.server] = false
+		})
+		s.whole(t, s.server)
+	})
+}
+
 // Without a copy nothing else can go on with the run; its server may come back.
 func TestSilentRunWithoutACopyIsWaitedFor(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -153,6 +153,11 @@
 	return n, err
 }
 
+// Waiting reports whether bytes have arrived that were not read yet.
+func (b *body) Waiting() bool {
+	return arrived(b.conn.Conn)
+}
+
 // Close keeps the connection of a whole answer and cuts any other, so that the
 // server stops its work.
 func (b *body) Close() error {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/loopback"
 	"github.com/wardridge/wardridge/internal/upstream"
 )
 
@@ -105,3 +106,51 @@
 		}
 	})
 }
+
+// What has arrived is seen while another goroutine waits for it, or reads slowly.
+func TestWaitingBytesAreSeen(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g, end := duty.New(t.Context())
+	t.Cleanup(func() {
+		_ = l.Close()
+		end()
+	})
+	more := make(chan bool)
+	loopback.Accept(g, l, func(_ context.Context, c net.Conn) {
+		defer func() { _ = c.Close() }()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\none")
+		<-more
+		_, _ = io.WriteString(c, "two")
+		<-more
+	})
+	p, closer := upstream.New((&net.Dialer{}).DialContext)
+	t.Cleanup(closer)
+	a := l.Addr().String()
+	r, err := p.Do(t.Context(), upstream.Call{Address: a, Request: &http.Request{Method: http.MethodGet, Host: a, URL: &url.URL{Path: "/"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = r.Body.Close() }()
+	b := make([]byte, 3)
+	if _, err := io.ReadFull(r.Body, b); err != nil {
+		t.Fatal(err)
+	}
+	w := r.Body.(interface{ Waiting() bool })
+	if w.Waiting() {
+		t.Error("all was read: got bytes waiting, want none")
+	}
+	more <- true
+	for !w.Waiting() {
+		time.Sleep(time.Millisecond)
+	}
+	if _, err := io.ReadFull(r.Body, b); err != nil || string(b) != "two" {
+		t.Errorf("got %q, %v, want the rest", b, err)
+	}
+	more <- true
+}
--- a/internal/upstream/quiet.go
+++ b/internal/upstream/quiet.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"errors"
 	"net"
 	"syscall"
 
@@ -10,20 +11,34 @@
 // quiet reports whether an idle connection is open and nothing has arrived on
 // it: bytes that nobody asked for belong to no request.
 func quiet(c net.Conn) bool {
+	n, err := peek(c)
+	return n == 0 && errors.Is(err, unix.EAGAIN)
+}
+
+// arrived reports whether bytes wait on a connection that may be read from at
+// the same time.
+func arrived(c net.Conn) bool {
+	n, _ := peek(c)
+	return n > 0
+}
+
+// peek looks for a byte that has arrived; the failure is EAGAIN where none has
+// and the connection is open. What is no socket has none.
+func peek(c net.Conn) (int, error) {
 	s, ok := c.(syscall.Conn)
 	if !ok {
-		return true
+		return 0, unix.EAGAIN
 	}
 	r, err := s.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	open := false
-	err = r.Read(func(f uintptr) bool {
+	var n int
+	var failed error
+	// Unlike Read, Control does not wait for a reader that waits itself.
+	err = r.Control(func(f uintptr) {
 		var b [1]byte
-		_, _, e := unix.Recvfrom(int(f), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = e == unix.EAGAIN || e == unix.EWOULDBLOCK
-		return true
+		n, _, failed = unix.Recvfrom(int(f), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	})
-	return err == nil && open
+	return max(0, n), errors.Join(err, failed)
 }
