--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -107,7 +107,8 @@
 	})
 }
 
-// What has arrived is seen while another goroutine waits for it, or reads slowly.
+// What has arrived is seen, and looking for it does not wait for another
+// goroutine that reads: this test would not end.
 func TestWaitingBytesAreSeen(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -152,5 +153,18 @@
 	if _, err := io.ReadFull(r.Body, b); err != nil || string(b) != "two" {
 		t.Errorf("got %q, %v, want the rest", b, err)
 	}
+	read := make(chan error)
+	g.Go(func(context.Context) error {
+		_, err := r.Body.Read(b)
+		read <- err
+		return nil
+	})
+	// The reader may wait by now or not.
+	if w.Waiting() {
+		t.Error("while the end is waited for: got bytes waiting, want none")
+	}
 	more <- true
+	if err := <-read; err == nil {
+		t.Error("got more bytes, want an end")
+	}
 }
