test: looking for waiting bytes beside a reader that waits

The announced length is more than is sent now, and the reader waits: with RawConn.Read the test times out (seen), with Control it passes.

--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -125,7 +125,7 @@
 		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
 			return
 		}
-		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\none")
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\none")
 		<-more
 		_, _ = io.WriteString(c, "two")
 		<-more
@@ -159,7 +159,9 @@
 		read <- err
 		return nil
 	})
-	// The reader may wait by now or not.
+	// The reader waits by then, or soon; with it waiting, a look that waits for
+	// readers would not end.
+	time.Sleep(50 * time.Millisecond)
 	if w.Waiting() {
 		t.Error("while the end is waited for: got bytes waiting, want none")
 	}
