--- /dev/null
+++ b/internal/gateway/inquiry.go
@@ -0,0 +1,86 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/placement"
+	"github.com/wardridge/wardridge/internal/decide/roster"
+	"github.com/wardridge/wardridge/internal/decide/silence"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/port"
+)
+
+// inquire asks a server about its runs, once for all streams that are silent at
+// the same time.
+func (g *Gateway) inquire(ctx context.Context, s roster.Server, bound time.Duration) silence.Answer {
+	x, _, _ := g.inquiries.Do(string(s.Name), func() (any, error) {
+		g.mutex.Lock()
+		a, ok := g.answers.Recent(time.Now(), s.Name)
+		g.mutex.Unlock()
+		if ok {
+			return a, nil
+		}
+		return g.question(ctx, s, bound), nil
+	})
+	return x.(silence.Answer)
+}
+
+// question is inquire without an answer in hand.
+func (g *Gateway) question(ctx context.Context, s roster.Server, bound time.Duration) silence.Answer {
+	began := time.Now()
+	p, err := g.report(ctx, s, bound)
+	if err != nil {
+		g.Log.Emit(event.ServerUnreachable, zap.String("server", string(s.Name)), zap.Error(err))
+	}
+	now := time.Now()
+	a := silence.Answer{At: now, Reached: err == nil, Late: now.Sub(began) - bound, Made: p.Made}
+	g.mutex.Lock()
+	g.answers.Note(s.Name, a)
+	g.mutex.Unlock()
+	if a.Dark() {
+		g.note(s.Name, placement.Lost)
+	}
+	if p.Leaving {
+		g.NoteLeaving([]api.ServerName{s.Name})
+	}
+	return a
+}
+
+// report asks a server for its report over two new connections, the second a
+// little later: one lost packet must not make a server pass for silent.
+func (g *Gateway) report(ctx context.Context, s roster.Server, bound time.Duration) (port.Report, error) {
+	c, cancel := context.WithTimeout(ctx, bound)
+	defer cancel()
+	replies := make(chan reply, 2)
+	for _, after := range []time.Duration{0, silence.Hedge(bound)} {
+		g.Group.Go(func(context.Context) error {
+			replies <- g.reportAfter(c, s, after)
+			return nil
+		})
+	}
+	r := <-replies
+	if r.err != nil {
+		r = <-replies
+	}
+	return r.report, r.err
+}
+
+// reply is what became of one question.
+type reply struct {
+	report port.Report
+	err    error
+}
+
+// reportAfter asks a server over a new connection after a time.
+func (g *Gateway) reportAfter(ctx context.Context, s roster.Server, after time.Duration) reply {
+	if after > 0 && !duty.Sleep(ctx, after) {
+		return reply{err: ctx.Err()}
+	}
+	p, err := g.Backends.Report(ctx, s, true)
+	return reply{p, err}
+}
--- a/internal/gateway/silence.go
+++ b/internal/gateway/listener.go
@@ -7,11 +7,8 @@
 
 	"go.uber.org/zap"
 
-	"github.com/wardridge/wardridge/internal/api"
-	"github.com/wardridge/wardridge/internal/decide/placement"
 	"github.com/wardridge/wardridge/internal/decide/roster"
 	"github.com/wardridge/wardridge/internal/decide/silence"
-	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/metric"
 	"github.com/wardridge/wardridge/internal/port"
@@ -76,98 +73,6 @@
 	return d
 }
 
-// sentry looks after all streams: as events arrive, when the process runs
-// anyway, with the gateway's clock, and with a timer only while there are few
-// streams. Each wake-up costs processor time: a timer for all streams took 7%
-// of what an entry VM needs, and made slow VMs slower (docs/design/014).
-type sentry struct {
-	mutex     sync.Mutex
-	listeners map[*listener]bool
-	timer     *time.Timer
-	armed     bool
-	swept     time.Time
-}
-
-const (
-	// sweepLeast is the least time between two sweeps: a fraction of the pause
-	// after which a server is asked.
-	sweepLeast = 20 * time.Millisecond
-	// fewStreams is the number of streams up to which there is a timer; the events
-	// of more come often enough, each some 20 times a second.
-	fewStreams = 3
-	// roundLeast bounds the timer from below.
-	roundLeast = 5 * time.Millisecond
-	// sweepMost is what a sweep may be late where the process runs as it should:
-	// the pause of the gateway's clock and a little more.
-	sweepMost = 300 * time.Millisecond
-)
-
-func newSentry() *sentry {
-	return &sentry{listeners: map[*listener]bool{}}
-}
-
-func (s *sentry) add(l *listener) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.listeners[l] = true
-	s.arm(l.pause())
-}
-
-func (s *sentry) remove(l *listener) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	delete(s.listeners, l)
-	s.arm(l.pause())
-}
-
-// arm sets the timer where it is needed; the mutex is held.
-func (s *sentry) arm(d time.Duration) {
-	if n := len(s.listeners); s.armed || n == 0 || n > fewStreams {
-		return
-	}
-	s.armed = true
-	if s.timer == nil {
-		s.timer = time.AfterFunc(d, s.round)
-		return
-	}
-	s.timer.Reset(d)
-}
-
-// round is the timer's sweep.
-func (s *sentry) round() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.armed = false
-	s.arm(max(s.look(time.Now()), roundLeast))
-}
-
-// sweep looks after all streams, unless that was done just before.
-func (s *sentry) sweep() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if now := time.Now(); now.Sub(s.swept) >= sweepLeast {
-		s.look(now)
-	}
-}
-
-// look begins to look into the streams whose time has come, and gives the time
-// until the next one's; the mutex is held.
-func (s *sentry) look(now time.Time) time.Duration {
-	s.swept = now
-	var next time.Duration
-	for l := range s.listeners {
-		d := l.left(now)
-		if d <= 0 {
-			l.begin(-d)
-			d = l.pause()
-		}
-		if next == 0 || d < next {
-			next = d
-		}
-	}
-	return next
-}
-
 // pause is the time that an event may take.
 func (l *listener) pause() time.Duration {
 	l.mutex.Lock()
@@ -271,69 +176,3 @@
 		return roster.Server{}, false
 	}
 }
-
-// inquire asks a server about its runs, once for all streams that are silent at
-// the same time.
-func (g *Gateway) inquire(ctx context.Context, s roster.Server, bound time.Duration) silence.Answer {
-	x, _, _ := g.inquiries.Do(string(s.Name), func() (any, error) {
-		g.mutex.Lock()
-		a, ok := g.answers.Recent(time.Now(), s.Name)
-		g.mutex.Unlock()
-		if ok {
-			return a, nil
-		}
-		return g.question(ctx, s, bound), nil
-	})
-	return x.(silence.Answer)
-}
-
-// question is inquire without an answer in hand.
-func (g *Gateway) question(ctx context.Context, s roster.Server, bound time.Duration) silence.Answer {
-	began := time.Now()
-	p, err := g.report(ctx, s, bound)
-	if err != nil {
-		g.Log.Emit(event.ServerUnreachable, zap.String("server", string(s.Name)), zap.Error(err))
-	}
-	now := time.Now()
-	a := silence.Answer{At: now, Reached: err == nil, Late: now.Sub(began) - bound, Made: p.Made}
-	g.mutex.Lock()
-	g.answers.Note(s.Name, a)
-	g.mutex.Unlock()
-	if a.Dark() {
-		g.note(s.Name, placement.Lost)
-	}
-	if p.Leaving {
-		g.NoteLeaving([]api.ServerName{s.Name})
-	}
-	return a
-}
-
-// report asks a server for its report over two new connections, the second a
-// little later: one lost packet must not make a server pass for silent.
-func (g *Gateway) report(ctx context.Context, s roster.Server, bound time.Duration) (port.Report, error) {
-	c, cancel := context.WithTimeout(ctx, bound)
-	defer cancel()
-	type reply struct {
-		report port.Report
-		err    error
-	}
-	replies := make(chan reply, 2)
-	ask := func(after time.Duration) {
-		g.Group.Go(func(context.Context) error {
-			if !duty.Sleep(c, after) {
-				replies <- reply{err: c.Err()}
-				return nil
-			}
-			p, err := g.Backends.Report(c, s, true)
-			replies <- reply{p, err}
-			return nil
-		})
-	}
-	ask(0)
-	ask(silence.Hedge(bound))
-	r := <-replies
-	if r.err != nil {
-		r = <-replies
-	}
-	return r.report, r.err
-}
--- /dev/null
+++ b/internal/gateway/sentry.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"sync"
+	"time"
+)
+
+// sentry looks after all streams: as events arrive, when the process runs
+// anyway, with the gateway's clock, and with a timer only while there are few
+// streams. Each wake-up costs processor time: a timer for all streams took 7%
+// of what an entry VM needs, and made slow VMs slower (docs/design/014).
+type sentry struct {
+	mutex     sync.Mutex
+	listeners map[*listener]bool
+	timer     *time.Timer
+	armed     bool
+	swept     time.Time
+}
+
+const (
+	// sweepLeast is the least time between two sweeps: a fraction of the pause
+	// after which a server is asked.
+	sweepLeast = 20 * time.Millisecond
+	// fewStreams is the number of streams up to which there is a timer; the events
+	// of more come often enough, each some 20 times a second.
+	fewStreams = 3
+	// roundLeast bounds the timer from below.
+	roundLeast = 5 * time.Millisecond
+	// sweepMost is what a sweep may be late where the process runs as it should:
+	// the pause of the gateway's clock and a little more.
+	sweepMost = 300 * time.Millisecond
+)
+
+func newSentry() *sentry {
+	return &sentry{listeners: map[*listener]bool{}}
+}
+
+func (s *sentry) add(l *listener) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.listeners[l] = true
+	s.arm(l.pause())
+}
+
+func (s *sentry) remove(l *listener) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.listeners, l)
+	s.arm(l.pause())
+}
+
+// arm sets the timer where it is needed; the mutex is held.
+func (s *sentry) arm(d time.Duration) {
+	if n := len(s.listeners); s.armed || n == 0 || n > fewStreams {
+		return
+	}
+	s.armed = true
+	if s.timer == nil {
+		s.timer = time.AfterFunc(d, s.round)
+		return
+	}
+	s.timer.Reset(d)
+}
+
+// round is the timer's sweep.
+func (s *sentry) round() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.armed = false
+	s.arm(max(s.look(time.Now()), roundLeast))
+}
+
+// sweep looks after all streams, unless that was done just before.
+func (s *sentry) sweep() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if now := time.Now(); now.Sub(s.swept) >= sweepLeast {
+		s.look(now)
+	}
+}
+
+// look begins to look into the streams whose time has come, and gives the time
+// until the next one's; the mutex is held.
+func (s *sentry) look(now time.Time) time.Duration {
+	s.swept = now
+	var next time.Duration
+	for l := range s.listeners {
+		d := l.left(now)
+		if d <= 0 {
+			l.begin(-d)
+			d = l.pause()
+		}
+		if next == 0 || d < next {
+			next = d
+		}
+	}
+	return next
+}
