refactor: what a last read as a newcomer found

Whether a VM is behind itself is decide/silence.Behind, with a table. - left() of a stream's listener changed what it reported on; it only reports now, and begin() marks. Two functions named look are inspect (a stream) and check (all streams), looked is inspecting. - What a server's report tells was taken in two places (notices, silent streams): told() serves both. An attempt was put together in two places: request.attempt.

--- a/internal/decide/silence/silence.go
+++ b/internal/decide/silence/silence.go
@@ -151,6 +151,18 @@
 	return d > lateMost
 }
 
+// sweepMost is how late a stream may be looked into where this process runs as
+// it should: the pause of the clock that does so at the latest, 250 ms, and a
+// little more.
+const sweepMost = 300 * time.Millisecond
+
+// Behind reports whether it is this process that is behind, so that a question
+// would only make it slower: a stream is looked into long after its time, or
+// bytes wait unread on its connection.
+func Behind(late time.Duration, waiting bool) bool {
+	return late > sweepMost || waiting
+}
+
 // Judge decides on a silent stream by its server's answer.
 func Judge(s Stream, a Answer) Verdict {
 	switch {
--- a/internal/decide/silence/silence_test.go
+++ b/internal/decide/silence/silence_test.go
@@ -77,6 +77,23 @@
 	}
 }
 
+func TestBehind(t *testing.T) {
+	for _, c := range []struct {
+		late    time.Duration
+		waiting bool
+		want    bool
+	}{
+		{0, false, false},
+		{250 * time.Millisecond, false, false},
+		{time.Second, false, true},
+		{0, true, true},
+	} {
+		if got := silence.Behind(c.late, c.waiting); got != c.want {
+			t.Errorf("late %v, bytes waiting %v: got %v, want %v", c.late, c.waiting, got, c.want)
+		}
+	}
+}
+
 func TestAnswersStandForAWhile(t *testing.T) {
 	now := time.Now()
 	k := silence.NewAnswers()
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -9,6 +9,7 @@
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/roster"
 	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/port"
 )
 
 // askTime bounds one question to a server: the pause between questions.
@@ -42,6 +43,11 @@
 	c, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
 	p, err := g.Backends.Report(c, s, false)
+	g.told(s, p, err)
+}
+
+// told takes what a server tells of itself, or that it told nothing.
+func (g *Gateway) told(s roster.Server, p port.Report, err error) {
 	if err != nil {
 		g.Log.Emit(event.ServerUnreachable, zap.String("server", string(s.Name)), zap.Error(err))
 		return
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -153,33 +153,22 @@
 	if left <= 0 {
 		return port.Answer{}, fault.New(fault.NotStarted, "the deadline passed before the send")
 	}
+	a := q.attempt(s, b)
+	a.Left, a.Connect = left, call.ConnectTime(q.route.Aim)
+	return g.Backends.Send(ctx, a)
+}
+
+// attempt is the request on its way to a server, whose run another one may
+// protect, with all the time that is left.
+func (q *request) attempt(s roster.Server, b *backup) port.Attempt {
 	a := port.Attempt{
-		Request: q.Request, Server: s, Workspace: q.workspace.Name, Left: left,
-		Connect: connectTime(q.route.Aim), Stream: q.route.Kind == directory.Stream,
+		Request: q.Request, Server: s, Workspace: q.workspace.Name, Left: time.Until(q.deadline),
+		Stream: q.route.Kind == directory.Stream,
 	}
 	if b != nil {
 		a.Protect = b.at.Address
 	}
-	return g.Backends.Send(ctx, a)
-}
-
-const (
-	// connectShare is the part of a request's aim in which a server has to take
-	// a connection, so that others can be tried in time: nothing was sent yet.
-	connectShare = 0.25
-	// connectLeast is what a connection within a region takes on a VM that is
-	// twenty times slower than it should be (with 100 ms such VMs took servers for
-	// lost), and connectMost what the connections allow anyway.
-	connectLeast = 250 * time.Millisecond
-	connectMost  = time.Second
-)
-
-// connectTime bounds the time to connect for a request; zero without an aim.
-func connectTime(aim time.Duration) time.Duration {
-	if aim <= 0 {
-		return 0
-	}
-	return min(max(time.Duration(connectShare*float64(aim)), connectLeast), connectMost)
+	return a
 }
 
 // outcome types an attempt's failure for the decision on another one.
--- a/internal/gateway/inquiry.go
+++ b/internal/gateway/inquiry.go
@@ -4,14 +4,10 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
-	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/placement"
 	"github.com/wardridge/wardridge/internal/decide/roster"
 	"github.com/wardridge/wardridge/internal/decide/silence"
 	"github.com/wardridge/wardridge/internal/duty"
-	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/port"
 )
 
@@ -34,9 +30,6 @@
 func (g *Gateway) question(ctx context.Context, s roster.Server, bound time.Duration) silence.Answer {
 	began := time.Now()
 	p, err := g.report(ctx, s, bound)
-	if err != nil {
-		g.Log.Emit(event.ServerUnreachable, zap.String("server", string(s.Name)), zap.Error(err))
-	}
 	now := time.Now()
 	a := silence.Answer{At: now, Reached: err == nil, Late: now.Sub(began) - bound, Made: p.Made}
 	g.mutex.Lock()
@@ -45,9 +38,7 @@
 	if a.Dark() {
 		g.note(s.Name, placement.Lost)
 	}
-	if p.Leaving {
-		g.NoteLeaving([]api.ServerName{s.Name})
-	}
+	g.told(s, p, err)
 	return a
 }
 
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -31,8 +31,8 @@
 	waiting bool
 	since   time.Time
 	due     time.Time
-	// looked is set while it is looked into.
-	looked bool
+	// inspecting is set while it is looked into.
+	inspecting bool
 }
 
 // listen begins to watch a run's stream; the clean-up ends it.
@@ -60,17 +60,14 @@
 	l.watch.Heard()
 }
 
-// left is the time until the stream is to be looked into; it is taken as looked
-// into where that has come.
+// left is the time until the stream is to be looked into.
 func (l *listener) left(now time.Time) time.Duration {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if !l.waiting || l.looked {
+	if !l.waiting || l.inspecting {
 		return l.watch.Wait()
 	}
-	d := l.due.Sub(now)
-	l.looked = d <= 0
-	return d
+	return l.due.Sub(now)
 }
 
 // pause is the time that an event may take.
@@ -82,22 +79,23 @@
 
 // begin looks into a wait that has become long.
 func (l *listener) begin(late time.Duration) {
+	l.mark(true)
 	l.gateway.Group.Go(func(ctx context.Context) error {
-		defer l.end()
-		l.look(ctx, late)
+		defer l.mark(false)
+		l.inspect(ctx, late)
 		return nil
 	})
 }
 
-func (l *listener) end() {
+func (l *listener) mark(inspecting bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.looked = false
+	l.inspecting = inspecting
 }
 
-// look asks the server and acts on the verdict, unless the stream is heard
+// inspect asks the server and acts on the verdict, unless the stream is heard
 // meanwhile.
-func (l *listener) look(ctx context.Context, late time.Duration) {
+func (l *listener) inspect(ctx context.Context, late time.Duration) {
 	l.mutex.Lock()
 	wait, bound := l.waits, l.watch.Bound()
 	waiting := l.waiting
@@ -105,8 +103,7 @@
 	if !waiting {
 		return
 	}
-	if late > sweepMost || l.stream.Waiting() {
-		// This VM is behind itself: questions would make it slower.
+	if silence.Behind(late, l.stream.Waiting()) {
 		l.again(wait)
 		return
 	}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/wardridge/wardridge/internal/decide/call"
 	"github.com/wardridge/wardridge/internal/decide/placement"
 	"github.com/wardridge/wardridge/internal/decide/roster"
 	"github.com/wardridge/wardridge/internal/event"
@@ -61,13 +62,8 @@
 	x := c.resume
 	x.After, _ = r.progress()
 	b := g.protect(q, c.at)
-	t := port.Attempt{
-		Request: q.Request, Server: c.at, Workspace: q.workspace.Name, Left: time.Until(q.deadline),
-		Connect: connectTime(q.route.GapAim), Stream: true, Resume: &x,
-	}
-	if b != nil {
-		t.Protect = b.at.Address
-	}
+	t := q.attempt(c.at, b)
+	t.Connect, t.Resume = call.ConnectTime(q.route.GapAim), &x
 	a, err := g.sendUntilTaken(ctx, t)
 	if err != nil {
 		b.end()
--- a/internal/gateway/sentry.go
+++ b/internal/gateway/sentry.go
@@ -26,9 +26,6 @@
 	fewStreams = 3
 	// roundLeast bounds the timer from below.
 	roundLeast = 5 * time.Millisecond
-	// sweepMost is what a sweep may be late where the process runs as it should:
-	// the pause of the gateway's clock and a little more.
-	sweepMost = 300 * time.Millisecond
 )
 
 func newSentry() *sentry {
@@ -67,7 +64,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.armed = false
-	s.arm(max(s.look(time.Now()), roundLeast))
+	s.arm(max(s.check(time.Now()), roundLeast))
 }
 
 // sweep looks after all streams, unless that was done just before.
@@ -75,13 +72,13 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if now := time.Now(); now.Sub(s.swept) >= sweepLeast {
-		s.look(now)
+		s.check(now)
 	}
 }
 
-// look begins to look into the streams whose time has come, and gives the time
+// check begins to inspect the streams whose time has come, and gives the time
 // until the next one's; the mutex is held.
-func (s *sentry) look(now time.Time) time.Duration {
+func (s *sentry) check(now time.Time) time.Duration {
 	s.swept = now
 	var next time.Duration
 	for l := range s.listeners {
