refactor: the queue orders ranks of any wire

Cause: the queue of waiting requests knew the three priorities of the own wire; the hosted wire ranks workspaces and routes. It takes a rank now, and counts who goes ahead of a new request. No behaviour changes.

--- a/internal/decide/dispatch/place.go
+++ b/internal/decide/dispatch/place.go
@@ -133,7 +133,7 @@
 	}
 	g := d.generation(now, w)
 	out, full := q.Push(queue.Item[Work]{
-		Workspace: w.Workspace, Weight: w.Weight, Priority: w.Priority,
+		Workspace: w.Workspace, Weight: w.Weight, Rank: w.Priority.Rank(),
 		Cost:  float64(w.Prompt) + g.Curve.Mean(0, w.Max),
 		Since: now, Until: until, Value: w,
 	})
--- a/internal/decide/queue/queue.go
+++ b/internal/decide/queue/queue.go
@@ -7,18 +7,19 @@
 	"github.com/wardridge/wardridge/internal/api"
 )
 
-// classes is the number of priorities.
-const classes = 3
+// Ranks is the number of ranks that are told apart; 0 goes first, and what is
+// beyond the last counts as the last.
+const Ranks = 8
 
-// Yield is how often a priority's turn goes to the lowest first: one request
-// in so many, so that none starves behind callers on the line.
+// Yield is how often a rank's turn goes to the lowest first: one request in so
+// many, so that none starves behind callers on the line.
 const Yield = 8
 
 // Item is one request that waits.
 type Item[T any] struct {
 	Workspace api.WorkspaceName
 	Weight    int
-	Priority  api.Priority
+	Rank      int
 	Cost      float64
 	Since     time.Time
 	Until     time.Time
@@ -28,13 +29,13 @@
 	seq   uint64
 }
 
-// Queue holds waiting requests; within a priority it serves workspaces by
+// Queue holds waiting requests; within a rank it serves workspaces by
 // start-time fair queueing on their weights.
 type Queue[T any] struct {
 	limit   int
-	items   [classes][]*Item[T]
-	finish  [classes]map[api.WorkspaceName]float64
-	virtual [classes]float64
+	items   [Ranks][]*Item[T]
+	finish  [Ranks]map[api.WorkspaceName]float64
+	virtual [Ranks]float64
 	seq     uint64
 	turn    int
 }
@@ -57,19 +58,29 @@
 	return n
 }
 
+// Ahead counts the requests that go before a new one of a rank.
+func (q *Queue[T]) Ahead(rank int) int {
+	n := 0
+	for _, l := range q.items[:min(max(rank, 0), Ranks-1)+1] {
+		n += len(l)
+	}
+	return n
+}
+
 // Push adds a request. When the queue is full it returns the request that has
-// to be refused: the latest of a lower priority, or else the new one itself.
+// to be refused: the latest of a lower rank, or else the new one itself.
 func (q *Queue[T]) Push(i Item[T]) (Item[T], bool) {
 	var out Item[T]
 	full := q.Len() >= q.limit
+	c := min(max(i.Rank, 0), Ranks-1)
 	if full {
-		v, ok := q.evict(i.Priority.Rank())
+		v, ok := q.evict(c)
 		if !ok {
 			return i, true
 		}
 		out = v
 	}
-	q.charge(i.Priority.Rank(), &i)
+	q.charge(c, &i)
 	return out, full
 }
 
@@ -99,9 +110,9 @@
 	return a.seq < b.seq
 }
 
-// evict takes the latest request of the lowest priority below rank.
+// evict takes the latest request of the lowest rank below one.
 func (q *Queue[T]) evict(rank int) (Item[T], bool) {
-	for c := classes - 1; c > rank; c-- {
+	for c := Ranks - 1; c > rank; c-- {
 		if n := len(q.items[c]); n > 0 {
 			i := q.items[c][n-1]
 			q.items[c] = q.items[c][:n-1]
@@ -112,7 +123,7 @@
 	return z, false
 }
 
-// lookahead is how many requests of a priority may be tried behind one that
+// lookahead is how many requests of a rank may be tried behind one that
 // does not fit anywhere yet.
 const lookahead = 8
 
@@ -120,16 +131,16 @@
 const patience = 300 * time.Millisecond
 
 // Pop takes the first request that fits. A request that has waited long is not
-// passed by others of its priority or a lower one; a higher one passes it.
+// passed by others of its rank or a lower one; a higher one passes it.
 func (q *Queue[T]) Pop(now time.Time, fits func(T) bool) (T, bool) {
 	if q.turn%Yield == Yield-1 {
-		for c := classes - 1; c > 0; c-- {
+		for c := Ranks - 1; c > 0; c-- {
 			if v, ok, _ := q.pop(now, c, fits); ok {
 				return v, true
 			}
 		}
 	}
-	for c := range classes {
+	for c := range Ranks {
 		v, ok, wait := q.pop(now, c, fits)
 		if ok || wait {
 			return v, ok
@@ -139,7 +150,7 @@
 	return z, false
 }
 
-// pop takes the first request of a priority that fits.
+// pop takes the first request of a rank that fits.
 func (q *Queue[T]) pop(now time.Time, c int, fits func(T) bool) (v T, ok, wait bool) {
 	n, wait := q.first(now, c, fits)
 	if n < 0 {
@@ -151,7 +162,7 @@
 	return v, true, false
 }
 
-// first finds the first request of a priority that fits, and reports whether
+// first finds the first request of a rank that fits, and reports whether
 // one that does not has waited so long that nothing may pass it.
 func (q *Queue[T]) first(now time.Time, c int, fits func(T) bool) (int, bool) {
 	for n, i := range q.items[c] {
--- a/internal/decide/queue/queue_test.go
+++ b/internal/decide/queue/queue_test.go
@@ -11,7 +11,7 @@
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func item(w api.WorkspaceName, p api.Priority, v string) queue.Item[string] {
-	return queue.Item[string]{Workspace: w, Weight: 1, Priority: p, Cost: 1, Since: epoch, Until: epoch.Add(time.Minute), Value: v}
+	return queue.Item[string]{Workspace: w, Weight: 1, Rank: p.Rank(), Cost: 1, Since: epoch, Until: epoch.Add(time.Minute), Value: v}
 }
 
 func all(string) bool { return true }
