perf: a short wait before engines, and refusals by forecast, in place of piles in engines

Cause: the hosted gateway sent at once whatever memory allowed. Change: an engine takes no new prompt that it can't read in 0.65 of the aim at the pace that was observed; of its memory as much is kept free as was observed to leave at once; a request that finds no room waits a tenth of its aim at most, by rank and by workspaces' shares, and is refused at once where the forecast says that it won't be let in by then. All ranks are refused by the same backlog. A refused caller comes back after about a third of its time, or the overload's age. One that comes back too late for its aim waits behind those that can be in time. Loads are exchanged each 60 ms while engines are pressed.

--- /dev/null
+++ b/internal/decide/backlog/backlog.go
@@ -0,0 +1,124 @@
+package backlog
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/queue"
+)
+
+// waitingMost bounds the requests that wait at one entry VM, whatever their
+// forecasts say: each holds its body in memory.
+const waitingMost = 512
+
+// Ask is a request that found no room.
+type Ask struct {
+	Workspace api.WorkspaceName
+	// Rank orders requests; 0 goes first.
+	Rank int
+	// Cost is what the request takes of a server, in any unit: workspaces share
+	// by it.
+	Cost float64
+	// Patience is how long it may wait and still be answered in its aim.
+	Patience time.Duration
+}
+
+// Forecast is what decided whether a request may wait.
+type Forecast struct {
+	// Waiting is the number of requests that waited already.
+	Waiting int
+	// Wait is the time after which the request would be let in, Bound the longest
+	// that it may be.
+	Wait, Bound time.Duration
+}
+
+// Allows reports whether the request may wait.
+func (f Forecast) Allows() bool {
+	return f.Wait <= f.Bound
+}
+
+// Backlog holds the requests of one service that wait for a server.
+type Backlog[T any] struct {
+	queue    *queue.Queue[T]
+	pace     pace
+	overload overload
+	// patience is the longest that a request of each rank was lately allowed.
+	patience [queue.Ranks]time.Duration
+	random   *rand.Rand
+}
+
+// New makes an empty backlog that draws from a source.
+func New[T any](s rand.Source) *Backlog[T] {
+	return &Backlog[T]{queue: queue.New[T](waitingMost), random: rand.New(s)}
+}
+
+// Len counts the requests that wait.
+func (b *Backlog[T]) Len() int {
+	return b.queue.Len()
+}
+
+// Ahead reports whether a request waits that goes before a new one of a rank.
+func (b *Backlog[T]) Ahead(rank int) bool {
+	return b.queue.Ahead(rank) > 0
+}
+
+// Forecast tells how long a request would wait. All ranks are refused by the
+// same backlog, so that in a lasting overload each gets the same share of what
+// it asks for; ranks only order those that wait. A bound by rank would let the
+// most urgent one take everything.
+func (b *Backlog[T]) Forecast(now time.Time, a Ask) Forecast {
+	rank := min(max(a.Rank, 0), queue.Ranks-1)
+	b.patience[rank] = a.Patience
+	f := Forecast{Waiting: b.Len(), Bound: a.Patience}
+	for _, p := range b.patience[rank:] {
+		// A less urgent request that may wait longer must not be served more often.
+		f.Bound = max(f.Bound, p)
+	}
+	f.Wait = time.Duration(f.Waiting+1) * b.pace.interval(now, f.Waiting > 0)
+	return f
+}
+
+// Push lets a request wait. Where too many wait it gives the one that has to be
+// refused in its place.
+func (b *Backlog[T]) Push(now time.Time, a Ask, v T) (T, bool) {
+	if b.Len() == 0 {
+		b.pace.begin(now)
+	}
+	out, full := b.queue.Push(queue.Item[T]{
+		Workspace: a.Workspace, Weight: 1, Rank: a.Rank, Cost: a.Cost, Since: now, Value: v,
+	})
+	return out.Value, full
+}
+
+// Pop takes the first request that fits.
+func (b *Backlog[T]) Pop(now time.Time, fits func(T) bool) (T, bool) {
+	v, ok := b.queue.Pop(now, fits)
+	if ok {
+		b.pace.note(now)
+	}
+	return v, ok
+}
+
+// Remove takes out the requests that match.
+func (b *Backlog[T]) Remove(match func(T) bool) {
+	b.queue.Remove(func(i queue.Item[T]) bool { return match(i.Value) })
+}
+
+const (
+	// returnFrom and returnTo bound the part of its remaining time after which a
+	// refused caller is told to come back. It has missed its aim, so that coming
+	// back early gains it nothing, while one that comes back into the same overload
+	// is refused again and adds to it; two thirds of its time are left for the
+	// answer. Callers are spread between the two (docs/LOAD.md).
+	returnFrom = 0.30
+	returnTo   = 0.33
+)
+
+// Refuse notes a refusal and tells when its caller, which has so much time left,
+// may come back. An overload of unknown length is expected to last as long again
+// as it has lasted.
+func (b *Backlog[T]) Refuse(now time.Time, left time.Duration) time.Duration {
+	share := returnFrom + (returnTo-returnFrom)*b.random.Float64()
+	return max(b.overload.note(now), time.Duration(share*float64(left)))
+}
--- /dev/null
+++ b/internal/decide/backlog/backlog_test.go
@@ -0,0 +1,172 @@
+package backlog_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/backlog"
+)
+
+var begin = time.Unix(100, 0)
+
+func at(ms int) time.Time {
+	return begin.Add(time.Duration(ms) * time.Millisecond)
+}
+
+func newBacklog() *backlog.Backlog[string] {
+	return backlog.New[string](rand.NewPCG(1, 2))
+}
+
+func ask(w api.WorkspaceName, rank int) backlog.Ask {
+	return backlog.Ask{Workspace: w, Rank: rank, Cost: 1, Patience: 200 * time.Millisecond}
+}
+
+func all(string) bool { return true }
+
+// let lets a request in each gap ms, so that the pace is known.
+func let(b *backlog.Backlog[string], gap, n int) int {
+	ms := 0
+	for range n {
+		b.Push(at(ms), ask("w", 0), "x")
+		ms += gap
+		b.Pop(at(ms), all)
+	}
+	return ms
+}
+
+func TestForecast(t *testing.T) {
+	tests := []struct {
+		name    string
+		gap     int
+		waiting int
+		want    bool
+	}{
+		{"nothing known, nobody waits", 0, 0, true},
+		{"a fast pace, nobody waits", 50, 0, true},
+		{"a fast pace, some wait", 50, 2, true},
+		{"a fast pace, too many wait", 50, 4, false},
+		{"a slow pace, nobody waits", 400, 0, false},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			b := newBacklog()
+			ms := 0
+			if c.gap > 0 {
+				ms = let(b, c.gap, 20)
+			}
+			for range c.waiting {
+				b.Push(at(ms), ask("w", 0), "x")
+			}
+			f := b.Forecast(at(ms), ask("w", 0))
+			if got := f.Allows(); got != c.want {
+				t.Errorf("forecast %+v: got %v, want %v", f, got, c.want)
+			}
+		})
+	}
+}
+
+// While nothing is let in, the forecast grows, whatever the pace was before.
+func TestForecastGrowsWhileNothingIsLetIn(t *testing.T) {
+	b := newBacklog()
+	ms := let(b, 20, 20)
+	b.Push(at(ms), ask("w", 0), "x")
+	if f := b.Forecast(at(ms), ask("w", 0)); !f.Allows() {
+		t.Errorf("at once: got a refusal by %+v, want a wait", f)
+	}
+	if f := b.Forecast(at(ms+500), ask("w", 0)); f.Allows() {
+		t.Errorf("after 500 ms in which nothing was let in: got a wait by %+v, want a refusal", f)
+	}
+}
+
+// A less urgent request that may wait longer must not be served more often.
+func TestUrgentRequestsAreBoundNoCloserThanOthers(t *testing.T) {
+	b := newBacklog()
+	patient := ask("w", 3)
+	patient.Patience = time.Second
+	b.Forecast(begin, patient)
+	if got, want := b.Forecast(begin, ask("w", 0)).Bound, time.Second; got != want {
+		t.Errorf("bound of the urgent one: got %v, want %v", got, want)
+	}
+	urgent := ask("w", 0)
+	urgent.Patience = 2 * time.Second
+	b.Forecast(begin, urgent)
+	if got, want := b.Forecast(begin, patient).Bound, time.Second; got != want {
+		t.Errorf("bound of the patient one: got %v, want %v", got, want)
+	}
+}
+
+func TestRanksGoFirst(t *testing.T) {
+	b := newBacklog()
+	b.Push(begin, ask("w", 1), "late")
+	b.Push(begin, ask("w", 0), "urgent")
+	if !b.Ahead(1) || !b.Ahead(0) {
+		t.Error("ahead of both ranks: got nobody, want a request")
+	}
+	if got, _ := b.Pop(at(1), all); got != "urgent" {
+		t.Errorf("let in first: got %q, want the urgent one", got)
+	}
+	if b.Ahead(0) {
+		t.Error("ahead of the urgent rank: got a request, want nobody")
+	}
+	b.Remove(func(v string) bool { return v == "late" })
+	if got := b.Len(); got != 0 {
+		t.Errorf("after the other left: got %d waiting, want none", got)
+	}
+}
+
+func TestRefuse(t *testing.T) {
+	b := newBacklog()
+	const left = 30 * time.Second
+	seen := map[time.Duration]bool{}
+	for n := range 100 {
+		d := b.Refuse(at(n), left)
+		if d < left*3/10 || d > left/3 {
+			t.Errorf("came back after: got %v, want about a third of %v", d, left)
+		}
+		seen[d] = true
+	}
+	if len(seen) < 90 {
+		t.Errorf("times to come back: got %d different ones of 100, want them spread", len(seen))
+	}
+	// An overload of a minute is expected to last another one.
+	for n := range 60 {
+		b.Refuse(at(1000*n), left)
+	}
+	if got := b.Refuse(at(60_000), left); got < time.Minute {
+		t.Errorf("after a minute of refusals: got %v, want a minute at least", got)
+	}
+	if got := b.Refuse(at(120_000), left); got > left/3 {
+		t.Errorf("a minute after the last refusal: got %v, want about a third of %v", got, left)
+	}
+}
+
+func TestUsual(t *testing.T) {
+	tests := []struct {
+		name string
+		// before are the times that callers allowed, in seconds.
+		before []float64
+		last   float64
+		want   float64
+	}{
+		{"nothing known", nil, 6, 0},
+		{"the usual time", []float64{6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6}, 6, 0},
+		{"a little on the way", []float64{6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6}, 5.95, 0},
+		{"less than usual", []float64{6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6}, 4, 2},
+		{"each has its own", []float64{6, 3, 1, 5, 6, 2, 4, 3, 1, 5, 6, 2, 4, 3, 1, 5}, 2, 0},
+		{"none given", []float64{6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6, 6}, 0, 0},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			u := &backlog.Usual{}
+			for _, s := range c.before {
+				u.Spent(time.Duration(s * float64(time.Second)))
+			}
+			got := u.Spent(time.Duration(c.last * float64(time.Second))).Seconds()
+			if got < c.want-0.1 || got > c.want+0.1 {
+				t.Errorf("spent: got %.2f s, want %.2f s", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/decide/placement/pick.go
+++ b/internal/decide/placement/pick.go
@@ -31,6 +31,13 @@
 	// copies of a run's memory, which take twice as long between domains, while
 	// notices are hardly long enough within one (docs/design/011).
 	Stay bool
+	// Room is the share of an engine's memory that may be promised; zero for all
+	// that may be promised at all.
+	Room float64
+	// Unread bounds the prompts that an engine has to read before the first event
+	// of a new request, its own among them; zero for no bound. An engine that reads
+	// nothing takes any.
+	Unread api.Tokens
 }
 
 // Scores are in units of a server's whole capacity.
@@ -144,7 +151,7 @@
 	s := float64(t.Requests) / float64(max(1, m.Slots))
 	if l.Memory > 0 {
 		used := float64(t.Tokens+n.Tokens) / float64(l.Memory)
-		if used > memoryBound {
+		if !l.takes(t, n, used) {
 			return 0, false
 		}
 		s = used + float64(t.Unread)/unreadScale
@@ -168,6 +175,38 @@
 	return s, true
 }
 
+// takes reports whether an engine with a load may take a need, with which so
+// much of its memory is promised.
+func (l Pool) takes(t api.ServerLoad, n Need, used float64) bool {
+	switch {
+	case used > memoryBound:
+		return false
+	case l.Room > 0 && used > l.Room && t.Tokens > 0:
+		return false
+	default:
+		return l.Unread == 0 || t.Unread == 0 || t.Unread+n.Unread <= l.Unread
+	}
+}
+
+// Promised is the share of the memory of a pool's engines that is promised.
+func (p *Picker) Promised(now time.Time, l Pool) float64 {
+	var promised, memory api.Tokens
+	for _, m := range l.Members {
+		if m.State != roster.Leaving {
+			promised += p.Book.Total(now, m.Name).Tokens
+			memory += l.Memory
+		}
+	}
+	return float64(promised) / float64(max(1, memory))
+}
+
+// Room is the share of an engine's memory that new runs may be promised where a
+// share of the servers is expected to leave at once: what is above is for the
+// runs of those.
+func Room(leaving float64) float64 {
+	return memoryBound * (1 - leaving)
+}
+
 const (
 	// protectBound is the share of an engine's memory that may be promised with
 	// copies for runs elsewhere; what is above stays for runs of its own.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -78,9 +78,9 @@
 	c := call.New(q.route.Kind != directory.Safe)
 	var failed *port.Answer
 	for {
-		x, l, ok := g.pick(q.service, n, q.tried)
-		if !ok {
-			return settle(failed, c.NoServer())
+		x, l, f := g.next(ctx, q, n, c)
+		if f != nil {
+			return settle(failed, f)
 		}
 		s := x.Server
 		q.choices = append(q.choices, chosen(q, x))
@@ -113,6 +113,20 @@
 	}
 }
 
+// next chooses the server to send to now. Only the first of an engine's request
+// is waited for: what was sent before has used up its time to wait.
+func (g *Gateway) next(ctx context.Context, q *request, n placement.Need, c *call.Call) (placement.Choice, *reservation, *fault.Error) {
+	if q.service.Engine != nil && len(q.tried) == 0 {
+		p := g.place(ctx, q, n)
+		return p.choice, p.reservation, p.fault
+	}
+	x, l, ok := g.pick(q.service, n, q.tried)
+	if !ok {
+		return x, nil, c.NoServer()
+	}
+	return x, l, nil
+}
+
 // chosen gives the fields of the log line of a choice: the figures that decided.
 func chosen(q *request, x placement.Choice) []zap.Field {
 	return []zap.Field{
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -25,6 +25,9 @@
 // eventGap is the time between two events of a fake engine.
 const eventGap = 30 * time.Millisecond
 
+// routeAim is the time in which an answer is good.
+const routeAim = 100 * time.Millisecond
+
 // gapAim is the longest good pause of a stream.
 const gapAim = 180 * time.Millisecond
 
@@ -325,7 +328,7 @@
 	})}
 	e := &directory.Engine{Slots: 24, Memory: 34000, Moves: true, Backups: f.backups, Stride: 4}
 	route := func(p string, k directory.Kind, s api.ServiceName) directory.Route {
-		return directory.Route{Name: p, Host: "h", Prefix: p, Kind: k, Timeout: 30 * time.Second, Aim: 100 * time.Millisecond, GapAim: gapAim, MaxServers: 2, Targets: []directory.Target{{Service: s, Weight: 1}}}
+		return directory.Route{Name: p, Host: "h", Prefix: p, Kind: k, Timeout: 30 * time.Second, Aim: routeAim, GapAim: gapAim, MaxServers: 2, Targets: []directory.Target{{Service: s, Weight: 1}}}
 	}
 	timeless := route("/timeless/", directory.Unsafe, "plain")
 	timeless.Timeout = 0
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/backlog"
 	"github.com/wardridge/wardridge/internal/decide/directory"
 	"github.com/wardridge/wardridge/internal/decide/drain"
 	"github.com/wardridge/wardridge/internal/decide/placement"
@@ -55,6 +56,8 @@
 	roster *roster.Roster
 	picker *placement.Picker
 	runs   map[api.ServerName]map[*run]bool
+	// admissions let requests in, by service.
+	admissions map[api.ServiceName]*admission
 	// answers are what servers of silent streams said; inquiries lets one
 	// question serve all streams of a server.
 	answers   *silence.Answers
@@ -66,8 +69,8 @@
 func New(p Parts) *Gateway {
 	return &Gateway{
 		Parts: p, roster: roster.New(), picker: placement.NewPicker(rand.NewPCG(p.Seed, 0)),
-		runs: map[api.ServerName]map[*run]bool{}, answers: silence.NewAnswers(),
-		sentry: newSentry(),
+		runs: map[api.ServerName]map[*run]bool{}, admissions: map[api.ServiceName]*admission{},
+		answers: silence.NewAnswers(), sentry: newSentry(),
 	}
 }
 
@@ -129,6 +132,8 @@
 	// end where the request did not go well.
 	choices [][]zap.Field
 	retried bool
+	// forecast decided that the request could not wait.
+	forecast backlog.Forecast
 	// outcome names the end for the metrics.
 	outcome string
 }
@@ -230,7 +235,8 @@
 func (g *Gateway) fail(q *request, f *fault.Error) {
 	q.outcome = f.Code.Kind().Type
 	g.tell(q)
-	g.refuse(q.Request, q.sink, f, zap.String("route", q.route.Name), zap.Duration("took", time.Since(q.Arrived)), zap.Duration("allowed", q.deadline.Sub(q.Arrived)))
+	l := []zap.Field{zap.String("route", q.route.Name), zap.Duration("took", time.Since(q.Arrived)), zap.Duration("allowed", q.deadline.Sub(q.Arrived))}
+	g.refuse(q.Request, q.sink, f, append(l, q.waited()...)...)
 }
 
 // tell writes what was held back of a request that did not go well.
--- /dev/null
+++ b/internal/gateway/load_test.go
@@ -0,0 +1,370 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/directory"
+	"github.com/wardridge/wardridge/internal/decide/replica"
+	"github.com/wardridge/wardridge/internal/decide/retry"
+	"github.com/wardridge/wardridge/internal/decide/roster"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/gateway"
+	"github.com/wardridge/wardridge/internal/metric"
+	"github.com/wardridge/wardridge/internal/port"
+	"github.com/wardridge/wardridge/internal/standin/batch"
+)
+
+// engineOptions size an engine whose steps read a piece of one prompt and write
+// a token of every run.
+func engineOptions() batch.Options {
+	return batch.Options{
+		KVTokens: 34000, MaxBatch: 24, PrefillChunk: 112, StepBase: 7 * time.Millisecond,
+		StepPerGeneration: 120 * time.Microsecond, StepPerPrefill: time.Second / 14000,
+	}
+}
+
+// stride is the number of tokens in one event.
+const stride = 4
+
+// engine steps one model in virtual time.
+type engine struct {
+	mutex   sync.Mutex
+	model   *batch.Model
+	streams map[api.GenerationID]chan port.Event
+	wake    chan struct{}
+}
+
+// loop steps while there is work.
+func (e *engine) loop(ctx context.Context) error {
+	for {
+		e.mutex.Lock()
+		idle := e.model.Idle()
+		e.mutex.Unlock()
+		if idle {
+			select {
+			case <-e.wake:
+				continue
+			case <-ctx.Done():
+				return nil
+			}
+		}
+		e.mutex.Lock()
+		r := e.model.Step()
+		e.mutex.Unlock()
+		if !duty.Sleep(ctx, r.Took) {
+			return nil
+		}
+		e.emit(r)
+	}
+}
+
+func (e *engine) emit(r batch.Result) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, x := range r.Emitted {
+		c, ok := e.streams[x.ID]
+		if !ok {
+			continue
+		}
+		if x.Last || (x.Index+1)%stride == 0 {
+			c <- port.Event{ID: strconv.Itoa(int(x.Index)/stride + 1)}
+		}
+		if x.Last {
+			close(c)
+			delete(e.streams, x.ID)
+		}
+	}
+}
+
+// engines stand for all model servers.
+type engines struct {
+	all map[string]*engine
+	// length is the true length of each answer, in tokens.
+	mutex  sync.Mutex
+	length map[api.RequestID]api.Tokens
+}
+
+func (e *engines) Send(_ context.Context, a port.Attempt) (port.Answer, error) {
+	e.mutex.Lock()
+	n := e.length[a.Request.ID]
+	e.mutex.Unlock()
+	x := e.all[string(a.Server.Name)]
+	id := api.GenerationID(a.Request.ID)
+	c := make(chan port.Event, int(n)/stride+2)
+	x.mutex.Lock()
+	x.streams[id] = c
+	x.model.Add(batch.Work{ID: id, Prompt: a.Request.Prompt.Tokens, Length: n, Priority: api.PriorityStandard})
+	x.mutex.Unlock()
+	select {
+	case x.wake <- struct{}{}:
+	default:
+	}
+	return port.Answer{Head: port.Head{Status: http.StatusOK}, Stream: &engineStream{engine: x, id: id, events: c, closed: make(chan struct{})}}, nil
+}
+
+func (e *engines) Copy(context.Context, port.CopyOrder) (port.Copy, error) {
+	return port.Copy{}, fault.New(fault.NotFound, "no copies here")
+}
+
+func (e *engines) Report(context.Context, roster.Server, bool) (port.Report, error) {
+	return port.Report{}, nil
+}
+
+func (e *engines) Release(context.Context, roster.Server, string) error { return nil }
+
+type engineStream struct {
+	engine *engine
+	id     api.GenerationID
+	events chan port.Event
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (s *engineStream) Next() (port.Event, error) {
+	select {
+	case e, ok := <-s.events:
+		if !ok {
+			return port.Event{}, io.EOF
+		}
+		return e, nil
+	case <-s.closed:
+		return port.Event{}, fault.New(fault.GenerationLost, "closed")
+	}
+}
+
+func (s *engineStream) Waiting() bool { return false }
+
+func (s *engineStream) Close() {
+	s.once.Do(func() {
+		close(s.closed)
+		s.engine.mutex.Lock()
+		defer s.engine.mutex.Unlock()
+		s.engine.model.Cancel(s.id)
+		delete(s.engine.streams, s.id)
+	})
+}
+
+// kind is one kind of request of the load.
+type kind struct {
+	path    string
+	prompt  api.Tokens
+	answer  float64
+	perS    float64
+	aim     time.Duration
+	patient time.Duration
+}
+
+// kinds are long and short answers of one service, the short ones first in rank,
+// at a load that the engines carry with ease.
+var kinds = []kind{
+	{"/long/", 3000, 900, 3.3, 1800 * time.Millisecond, 39 * time.Second},
+	{"/short/", 2500, 12, 4.6, 1500 * time.Millisecond, 6 * time.Second},
+}
+
+// tally counts what callers of one kind got.
+type tally struct {
+	asked, inAim, late, refused, failed int
+	// slowRefusals were answered later than an eighth of the aim.
+	slowRefusals int
+}
+
+// load plays callers against a gateway.
+type load struct {
+	gateway *gateway.Gateway
+	engines *engines
+	group   *duty.Group
+	mutex   sync.Mutex
+	random  *rand.Rand
+	tallies []tally
+	count   int
+}
+
+const (
+	loadEngines = 6
+	loadTime    = 30 * time.Second
+)
+
+// newLoad makes a gateway before engines that no request has reached.
+func newLoad(t *testing.T, seed uint64) *load {
+	t.Helper()
+	g, closer := duty.New(context.Background())
+	t.Cleanup(closer)
+	l := &load{
+		engines: &engines{all: map[string]*engine{}, length: map[api.RequestID]api.Tokens{}},
+		group:   g, random: rand.New(rand.NewPCG(seed, 1)), tallies: make([]tally, len(kinds)),
+	}
+	l.gateway = gateway.New(gateway.Parts{
+		Domain: "x", Seed: seed, Backends: l.engines, Group: g, Log: event.Discard(), Metrics: metric.New(),
+		Retries: retry.NewWindow(10*time.Second, 0, 0),
+	})
+	l.gateway.Configure(replica.Snapshot[directory.Config]{Items: []replica.Object[directory.Config]{{Value: loadConfig()}}})
+	s := replica.Snapshot[roster.Server]{At: 1}
+	for i := range loadEngines {
+		n := fmt.Sprintf("e%d", i)
+		e := &engine{model: batch.New(engineOptions()), streams: map[api.GenerationID]chan port.Event{}, wake: make(chan struct{}, 1)}
+		l.engines.all[n] = e
+		g.Go(e.loop)
+		s.Items = append(s.Items, replica.Object[roster.Server]{Name: n, Value: roster.Server{Name: api.ServerName(n), Service: "engines", Address: n, Domain: "x", Slots: 24}})
+	}
+	l.gateway.Serve(s)
+	g.Every(60*time.Millisecond, func(context.Context) { l.gateway.Tick() })
+	return l
+}
+
+func loadConfig() directory.Config {
+	c := directory.Config{Version: 1, Services: []directory.Service{{
+		Name: "engines", Engine: &directory.Engine{Slots: 24, Memory: engineOptions().KVTokens, Stride: stride},
+	}}}
+	for i, k := range kinds {
+		c.Routes = append(c.Routes, directory.Route{
+			Name: k.path, Host: "h", Prefix: k.path, Kind: directory.Stream, Timeout: k.patient, Aim: k.aim, GapAim: gapAim,
+			Priority: len(kinds) - 1 - i, MaxServers: 1, Targets: []directory.Target{{Service: "engines", Weight: 1}},
+		})
+	}
+	return c
+}
+
+// play sends a multiple of every kind's load for a time and waits for all
+// answers.
+func (l *load) play(t *testing.T, x float64) []tally {
+	t.Helper()
+	var all sync.WaitGroup
+	for i := range kinds {
+		for at := l.gap(i, x); at < loadTime; at += l.gap(i, x) {
+			all.Add(1)
+			l.group.Go(func(ctx context.Context) error {
+				defer all.Done()
+				duty.Sleep(ctx, at)
+				l.call(ctx, i)
+				return nil
+			})
+		}
+	}
+	all.Wait()
+	return l.tallies
+}
+
+// gap draws the time between two requests of a kind.
+func (l *load) gap(i int, x float64) time.Duration {
+	return time.Duration(l.random.ExpFloat64() / (kinds[i].perS * x) * float64(time.Second))
+}
+
+// call is one caller, who comes back once after a refusal.
+func (l *load) call(ctx context.Context, i int) {
+	k := kinds[i]
+	l.mutex.Lock()
+	n := api.Tokens(k.answer * math.Exp(0.8*l.random.NormFloat64()-0.32))
+	hint := api.Tokens(float64(n) * math.Exp(0.5*l.random.NormFloat64()))
+	l.tallies[i].asked++
+	l.mutex.Unlock()
+	n = min(max(n, 1), 2200)
+	began := time.Now()
+	c := l.try(ctx, k, n, hint, k.patient)
+	first := c
+	if c.fault != nil {
+		left := k.patient - time.Since(began)
+		duty.Sleep(ctx, min(c.fault.RetryAfter, left/3))
+		c = l.try(ctx, k, n, hint, k.patient-time.Since(began))
+	}
+	l.note(i, began, first, c)
+}
+
+// timed is a caller that notes when events came.
+type timed struct {
+	caller
+	refused, first, last time.Time
+	pause                time.Duration
+}
+
+func (c *timed) Refuse(f *fault.Error) {
+	c.refused = time.Now()
+	c.caller.Refuse(f)
+}
+
+func (c *timed) Event(e port.Event) error {
+	now := time.Now()
+	if c.first.IsZero() {
+		c.first = now
+	} else {
+		c.pause = max(c.pause, now.Sub(c.last))
+	}
+	c.last = now
+	return c.caller.Event(e)
+}
+
+func (l *load) try(ctx context.Context, k kind, n, hint api.Tokens, wait time.Duration) *timed {
+	l.mutex.Lock()
+	l.count++
+	id := api.RequestID(strconv.Itoa(l.count))
+	l.mutex.Unlock()
+	l.engines.mutex.Lock()
+	l.engines.length[id] = n
+	l.engines.mutex.Unlock()
+	c := &timed{}
+	l.gateway.Handle(ctx, &port.Request{
+		ID: id, Method: http.MethodPost, Host: "h", Path: k.path + "1", Target: k.path + "1", Header: http.Header{},
+		Arrived: time.Now(), Wait: wait, Prompt: port.Prompt{Tokens: k.prompt, Limit: 2200, Expected: hint},
+	}, c)
+	return c
+}
+
+// note counts what a caller got, from its first try on.
+func (l *load) note(i int, began time.Time, first, c *timed) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	t, k := &l.tallies[i], kinds[i]
+	if first.fault != nil && first.refused.Sub(began) > k.aim/8 {
+		t.slowRefusals++
+	}
+	switch {
+	case c.fault != nil:
+		t.refused++
+	case !c.ended:
+		t.failed++
+	case c.first.Sub(began) > k.aim || c.pause > gapAim:
+		t.late++
+	default:
+		t.inAim++
+	}
+}
+
+// playLoad plays a load in virtual time.
+func playLoad(t *testing.T, seed uint64, x float64) []tally {
+	t.Helper()
+	var got []tally
+	synctest.Test(t, func(t *testing.T) {
+		got = newLoad(t, seed).play(t, x)
+	})
+	t.Logf("%.1f times the load: long answers %+v, short answers %+v", x, got[0], got[1])
+	return got
+}
+
+// When callers ask for more than engines can do, as many as before are served
+// well, in either kind.
+func TestOverloadDoesNotCollapse(t *testing.T) {
+	calm := playLoad(t, 1, 1)
+	for _, x := range []float64{1.6, 2.2, 4} {
+		got := playLoad(t, 1, x)
+		for i, k := range kinds {
+			if got[i].inAim < calm[i].inAim {
+				t.Errorf("%s at %.1f: got %d answers in time, want at least the %d of the usual load", k.path, x, got[i].inAim, calm[i].inAim)
+			}
+			if n := got[i].asked / 10; got[i].slowRefusals > n {
+				t.Errorf("%s at %.1f: got %d refusals later than an eighth of the aim, want at most %d of %d", k.path, x, got[i].slowRefusals, n, got[i].asked)
+			}
+		}
+	}
+}
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -56,6 +56,7 @@
 	if len(l) == 0 {
 		return
 	}
+	g.noteLeaving(l)
 	for _, m := range l {
 		g.Log.Emit(event.ServerState, zap.String("server", string(m.Name)), zap.String("address", m.Address), zap.String("state", m.State.String()))
 	}
@@ -125,7 +126,7 @@
 // reserve counts a load at a server until the reservation ends; the mutex is
 // held.
 func (g *Gateway) reserve(n api.ServerName, x api.ServerLoad) *reservation {
-	l := &reservation{gateway: g, server: n, load: x}
+	l := &reservation{gateway: g, server: n, load: x, at: time.Now(), ahead: g.picker.Book.Total(time.Now(), n).Unread}
 	g.picker.Book.Add(n, x)
 	return l
 }
@@ -152,6 +153,10 @@
 	gateway *Gateway
 	server  api.ServerName
 	load    api.ServerLoad
+	// at is when it was made, and ahead the prompts that the server had to read
+	// then.
+	at    time.Time
+	ahead api.Tokens
 }
 
 // read notes that the prompt was read.
@@ -163,6 +168,7 @@
 	defer l.gateway.mutex.Unlock()
 	l.gateway.picker.Book.Add(l.server, api.ServerLoad{Unread: -l.load.Unread})
 	l.load.Unread = 0
+	l.gateway.letIn(time.Now())
 }
 
 // end takes the load away; further calls do nothing.
@@ -174,6 +180,7 @@
 	defer l.gateway.mutex.Unlock()
 	l.gateway.picker.Book.Add(l.server, placement.Minus(l.load))
 	l.load = api.ServerLoad{}
+	l.gateway.letIn(time.Now())
 }
 
 // note records what a request met at a server.
@@ -196,4 +203,5 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.picker.Book.Told(time.Now(), vm, r, x)
+	g.letIn(time.Now())
 }
--- /dev/null
+++ b/internal/gateway/wait_test.go
@@ -0,0 +1,142 @@
+package gateway_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/fault"
+)
+
+// crowd fills both engines with long streams and gives the callers.
+func crowd(t *testing.T, f *fake) (*bed, []*caller) {
+	t.Helper()
+	b := newBed(t, f, 0)
+	var l []*caller
+	for i := range 20 {
+		l = append(l, b.begin(string(rune('a'+i)), time.Minute))
+		// One at a time, so that its prompt counts as read.
+		time.Sleep(2 * eventGap)
+	}
+	return b, l
+}
+
+// begin sends a stream's request and gives its caller.
+func (b *bed) begin(id string, wait time.Duration) *caller {
+	c := &caller{}
+	b.Group.Go(func(ctx context.Context) error {
+		q := request("/stream/1")
+		q.ID = api.RequestID(id)
+		q.Wait = wait
+		q.Arrived = time.Now()
+		b.Handle(ctx, q, c)
+		return nil
+	})
+	return c
+}
+
+// A request that finds engines full is let in as soon as a run ends.
+func TestRequestWaitsForRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		f.total = 100
+		b, l := crowd(t, f)
+		full := 0
+		for _, c := range l {
+			if c.fault != nil {
+				full++
+			}
+		}
+		if full == 0 || full == len(l) {
+			t.Fatalf("refused of %d streams: got %d, want some, so that both engines are full", len(l), full)
+		}
+		l[0].leave()
+		// Its run ends with its next event, while the request waits.
+		time.Sleep(eventGap - routeAim/20)
+		c := b.begin("last", time.Minute)
+		time.Sleep(5 * eventGap)
+		if c.fault != nil || c.count() == 0 {
+			t.Errorf("got fault %v and %d events, want the stream to begin once a run has ended", c.fault, c.count())
+		}
+	})
+}
+
+// What can't be let in within an eighth of its aim is refused by then, as not
+// run, with a time to come back.
+func TestRequestIsRefusedInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		f.total = 1000
+		b, _ := crowd(t, f)
+		sends := len(f.sends)
+		c := b.begin("last", time.Minute)
+		time.Sleep(routeAim / 8)
+		if c.fault == nil {
+			t.Fatal("got no answer, want a refusal")
+		}
+		if c.fault.Code != fault.QueueFull || c.fault.Ran != api.RanNo {
+			t.Errorf("got %v ran %s, want a full queue and not run", c.fault, c.fault.Ran)
+		}
+		if got := c.fault.RetryAfter; got <= routeAim || got > time.Minute/3 {
+			t.Errorf("to come back after: got %v, want more than the aim and at most a third of the time", got)
+		}
+		if got := len(f.sends); got != sends {
+			t.Errorf("sends: got %d more, want none", got-sends)
+		}
+	})
+}
+
+// A prompt that no engine can hold is refused at once.
+func TestImpossiblePromptIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, newFake(), 0)
+		c := &caller{}
+		q := request("/stream/1")
+		q.Prompt.Tokens = 50000
+		began := time.Now()
+		b.Handle(context.Background(), q, c)
+		if c.fault == nil || c.fault.Ran != api.RanNo {
+			t.Fatalf("got %v, want a refusal that says not run", c.fault)
+		}
+		if got := time.Since(began); got != 0 {
+			t.Errorf("refused after %v, want it at once", got)
+		}
+	})
+}
+
+// A caller that leaves while its request waits leaves nothing behind: the place
+// it would have got goes to the next.
+func TestCallerLeavesWhileItsRequestWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		f.total = 1000
+		b, l := crowd(t, f)
+		ctx, cancel := context.WithCancel(context.Background())
+		c := &caller{}
+		done := make(chan struct{})
+		b.Group.Go(func(context.Context) error {
+			defer close(done)
+			q := request("/stream/1")
+			q.ID = "gone"
+			q.Arrived = time.Now()
+			b.Handle(ctx, q, c)
+			return nil
+		})
+		time.Sleep(time.Millisecond)
+		cancel()
+		<-done
+		sends := len(f.sends)
+		l[0].leave()
+		time.Sleep(3 * eventGap)
+		if got := len(f.sends); got != sends {
+			t.Errorf("sends after the caller left: got %d, want none", got-sends)
+		}
+		n := b.begin("next", time.Minute)
+		time.Sleep(3 * eventGap)
+		if n.fault != nil {
+			t.Errorf("the next request: got %v, want it let in", n.fault)
+		}
+	})
+}
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -59,7 +59,7 @@
 	config                *mirror.Mirror[directory.Config]
 	servers               *mirror.Mirror[roster.Server]
 	mesh                  *mesh.Mesh
-	rounds                int
+	ticks, rounds         int
 	leftBound, leftOutput int64
 	// telling is set while changes are gathered for peers.
 	telling atomic.Bool
--- a/internal/node/hosted_start.go
+++ b/internal/node/hosted_start.go
@@ -190,11 +190,14 @@
 func (hostedDuties) String() string { return "duties" }
 
 const (
-	// roundEvery is the pause between rounds of the small duties: well below the
-	// half second in which engines' loads change much, and a sixth of the
-	// shortest notice of servers that leave. Each wake-up costs processor time,
-	// so that one clock serves them all.
-	roundEvery = 250 * time.Millisecond
+	// lookEvery is the pause between looks at the requests that wait, and between
+	// exchanges of loads while engines are pressed: a VM that hears of the others'
+	// sends after 250 ms places twice as many requests at one engine as fit
+	// (docs/LOAD.md).
+	lookEvery = 60 * time.Millisecond
+	// roundTicks is the number of ticks between rounds of the small duties, a
+	// sixth of the shortest notice of servers that leave.
+	roundTicks = 4
 	// sweepRounds is the number of rounds between closings of idle connections.
 	sweepRounds = 4
 	// leftRounds is the number of rounds between counts of lines left out.
@@ -204,7 +207,7 @@
 func (hostedDuties) Run(h *Hosted) error {
 	h.group.Go(h.config.Run)
 	h.group.Go(h.servers.Run)
-	h.group.Every(roundEvery, h.tick)
+	h.group.Every(lookEvery, h.tick)
 	h.group.Go(h.reload)
 	h.Log.Emit(event.Started, zap.String("listen", h.Settings.Node.Listen), zap.String("control", h.Settings.Node.Control))
 	return nil
@@ -216,8 +219,21 @@
 	return !h.servers.Direct() && h.mesh.Alone()
 }
 
-// tick is one round of the small duties.
+// tick lets requests in, and exchanges loads while they change what is let in.
 func (h *Hosted) tick(context.Context) {
+	h.ticks++
+	h.gateway.Tick()
+	if h.ticks%roundTicks == 0 {
+		h.round()
+		return
+	}
+	if h.gateway.Pressed() {
+		h.mesh.Round()
+	}
+}
+
+// round is one round of the small duties.
+func (h *Hosted) round() {
 	h.rounds++
 	h.mesh.Round()
 	h.gateway.Step()
