fix: callers that meet an entry VM which knows no server come back after 2 s

Streams were told of an overload and to come back after a third of their time, 13 s. Change: where no server is known the refusal says so, and to come back after 2 s.

--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -113,14 +114,14 @@
 	}
 	f := a.backlog.Forecast(now, k)
 	if !f.Allows() {
-		d := a.backlog.Refuse(now, q.deadline.Sub(now))
+		x := g.noRoom(now, a, q)
 		g.mutex.Unlock()
 		q.forecast = f
-		return placed{fault: full(d)}
+		return placed{fault: x}
 	}
 	w := &waiter{request: q, need: n, placed: make(chan placed, 1)}
 	if out, over := a.backlog.Push(now, k, w); over {
-		out.placed <- placed{fault: full(a.backlog.Refuse(now, out.request.deadline.Sub(now)))}
+		out.placed <- placed{fault: g.noRoom(now, a, out.request)}
 	}
 	g.letIn(now)
 	g.mutex.Unlock()
@@ -141,9 +142,25 @@
 	return u.Spent(q.Wait)
 }
 
-// full is the refusal of a request that finds no room in time.
-func full(after time.Duration) *fault.Error {
-	return fault.New(fault.QueueFull, "no server is expected to have room in time").After(after)
+// serverWait is when a caller may come back to an entry VM that knows no server:
+// servers whose entries lapsed write them again within about two seconds of the
+// store's return; after 0.5 s one caller in ten was refused again.
+const serverWait = 2 * time.Second
+
+// noRoom is the refusal of a request that can't be let in in time; the mutex is
+// held. Where no server is known, it is not that there are too many requests: the
+// first servers are expected soon.
+func (g *Gateway) noRoom(now time.Time, a *admission, q *request) *fault.Error {
+	if !g.serves(q.service.Name) {
+		return fault.New(fault.NoServer, "no server of the service is known").After(serverWait)
+	}
+	return fault.New(fault.QueueFull, "no server is expected to have room in time").After(a.backlog.Refuse(now, q.deadline.Sub(now)))
+}
+
+// serves reports whether a service has a server that is not leaving; the mutex
+// is held.
+func (g *Gateway) serves(n api.ServiceName) bool {
+	return slices.ContainsFunc(g.roster.Service(n), func(m roster.Member) bool { return m.State != roster.Leaving })
 }
 
 // wait waits until a request was given a server or refused, or its caller left.
@@ -173,8 +190,7 @@
 	}
 	switch ctx.Err() {
 	case nil:
-		now := time.Now()
-		return placed{fault: full(a.backlog.Refuse(now, w.request.deadline.Sub(now)))}
+		return placed{fault: g.noRoom(time.Now(), a, w.request)}
 	case context.Canceled:
 		return placed{fault: fault.New(fault.CallerGone, "the caller closed its connection")}
 	default:
--- a/internal/gateway/wait_test.go
+++ b/internal/gateway/wait_test.go
@@ -88,6 +88,23 @@
 	})
 }
 
+// While no server is known the caller is not told of an overload: it may come
+// back as soon as servers can be expected.
+func TestNoServerIsNoOverload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, newFake(), 0)
+		b.servers(map[string]bool{"e1": true, "e2": true})
+		c := b.begin("first", time.Minute)
+		time.Sleep(routeAim / 8)
+		if c.fault == nil || c.fault.Code != fault.NoServer {
+			t.Fatalf("got %v, want that no server is known", c.fault)
+		}
+		if got := c.fault.RetryAfter; got > 2*time.Second {
+			t.Errorf("to come back after: got %v, want two seconds at most", got)
+		}
+	})
+}
+
 // A prompt that no engine can hold is refused at once.
 func TestImpossiblePromptIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
