--- a/internal/decide/backlog/backlog.go
+++ b/internal/decide/backlog/backlog.go
@@ -20,8 +20,23 @@
 	// Cost is what the request takes of a server, in any unit: workspaces share
 	// by it.
 	Cost float64
-	// Patience is how long it may wait and still be answered in its aim.
+	// Patience is how long it may wait.
 	Patience time.Duration
+	// Late is set for a request that can't be answered in its aim any more, since
+	// it was refused before.
+	Late bool
+}
+
+// lateRank is added to the rank of late requests: those that can be in time go
+// first.
+const lateRank = queue.Ranks / 2
+
+func (a Ask) rank() int {
+	r := min(max(a.Rank, 0), lateRank-1)
+	if a.Late {
+		r += lateRank
+	}
+	return r
 }
 
 // Forecast is what decided whether a request may wait.
@@ -31,11 +46,14 @@
 	// Wait is the time after which the request would be let in, Bound the longest
 	// that it may be.
 	Wait, Bound time.Duration
+	// Behind is set for a late request while others are refused that could be in
+	// time.
+	Behind bool
 }
 
 // Allows reports whether the request may wait.
 func (f Forecast) Allows() bool {
-	return f.Wait <= f.Bound
+	return !f.Behind && f.Wait <= f.Bound
 }
 
 // Backlog holds the requests of one service that wait for a server.
@@ -58,9 +76,16 @@
 	return b.queue.Len()
 }
 
-// Ahead reports whether a request waits that goes before a new one of a rank.
-func (b *Backlog[T]) Ahead(rank int) bool {
-	return b.queue.Ahead(rank) > 0
+// Ahead reports whether a new request has to wait for others: they wait already,
+// or it is late and others were just refused. What an engine does for a late
+// request in an overload it does not do for one that can be in time, which is
+// refused, comes back late, and so on, until hardly any is in time.
+func (b *Backlog[T]) Ahead(now time.Time, a Ask) bool {
+	return b.behind(now, a) || b.queue.Ahead(a.rank()) > 0
+}
+
+func (b *Backlog[T]) behind(now time.Time, a Ask) bool {
+	return a.Late && b.overload.recent(now)
 }
 
 // Forecast tells how long a request would wait. All ranks are refused by the
@@ -68,9 +93,9 @@
 // it asks for; ranks only order those that wait. A bound by rank would let the
 // most urgent one take everything.
 func (b *Backlog[T]) Forecast(now time.Time, a Ask) Forecast {
-	rank := min(max(a.Rank, 0), queue.Ranks-1)
+	rank := a.rank()
 	b.patience[rank] = a.Patience
-	f := Forecast{Waiting: b.Len(), Bound: a.Patience}
+	f := Forecast{Waiting: b.Len(), Bound: a.Patience, Behind: b.behind(now, a)}
 	for _, p := range b.patience[rank:] {
 		// A less urgent request that may wait longer must not be served more often.
 		f.Bound = max(f.Bound, p)
@@ -86,7 +111,7 @@
 		b.pace.begin(now)
 	}
 	out, full := b.queue.Push(queue.Item[T]{
-		Workspace: a.Workspace, Weight: 1, Rank: a.Rank, Cost: a.Cost, Since: now, Value: v,
+		Workspace: a.Workspace, Weight: 1, Rank: a.rank(), Cost: a.Cost, Since: now, Value: v,
 	})
 	return out.Value, full
 }
--- a/internal/decide/backlog/backlog_test.go
+++ b/internal/decide/backlog/backlog_test.go
@@ -101,13 +101,13 @@
 	b := newBacklog()
 	b.Push(begin, ask("w", 1), "late")
 	b.Push(begin, ask("w", 0), "urgent")
-	if !b.Ahead(1) || !b.Ahead(0) {
+	if !b.Ahead(at(1), ask("w", 1)) || !b.Ahead(at(1), ask("w", 0)) {
 		t.Error("ahead of both ranks: got nobody, want a request")
 	}
 	if got, _ := b.Pop(at(1), all); got != "urgent" {
 		t.Errorf("let in first: got %q, want the urgent one", got)
 	}
-	if b.Ahead(0) {
+	if b.Ahead(at(1), ask("w", 0)) {
 		t.Error("ahead of the urgent rank: got a request, want nobody")
 	}
 	b.Remove(func(v string) bool { return v == "late" })
@@ -116,6 +116,30 @@
 	}
 }
 
+// A late request goes behind those that can be in time, whatever its rank, and is
+// refused at once while others are.
+func TestLateRequests(t *testing.T) {
+	late := ask("w", 0)
+	late.Late = true
+	b := newBacklog()
+	b.Push(begin, late, "late")
+	b.Push(begin, ask("w", 3), "in time")
+	if got, _ := b.Pop(at(1), all); got != "in time" {
+		t.Errorf("let in first: got %q, want the one that can be in time", got)
+	}
+	b.Refuse(at(100), time.Minute)
+	if !b.Ahead(at(200), late) || b.Forecast(at(200), late).Allows() {
+		t.Error("just after a refusal: got the late request let in, want it refused")
+	}
+	if b.Forecast(at(200), ask("w", 3)).Behind {
+		t.Error("just after a refusal: got one that can be in time put behind, want only late ones")
+	}
+	b.Remove(func(string) bool { return true })
+	if b.Ahead(at(1500), late) || !b.Forecast(at(1500), late).Allows() {
+		t.Error("after a second without a refusal: got the late request refused, want it let in")
+	}
+}
+
 func TestRefuse(t *testing.T) {
 	b := newBacklog()
 	const left = 30 * time.Second
--- a/internal/decide/backlog/overload.go
+++ b/internal/decide/backlog/overload.go
@@ -6,6 +6,11 @@
 // few times between two refusals of a VM that refuses one request in ten.
 const overloadGap = 2 * time.Second
 
+// overloadRecent is the time after a refusal in which late requests are refused
+// too. With 0.4 s fewer requests are answered in time, with 2 s fewer are answered
+// at all (docs/LOAD.md).
+const overloadRecent = time.Second
+
 // overload knows how long requests have been refused.
 type overload struct {
 	began, last time.Time
@@ -19,3 +24,8 @@
 	o.last = now
 	return now.Sub(o.began)
 }
+
+// recent reports whether a request was refused just before.
+func (o *overload) recent(now time.Time) bool {
+	return now.Sub(o.last) < overloadRecent
+}
--- a/internal/decide/queue/queue.go
+++ b/internal/decide/queue/queue.go
@@ -9,7 +9,7 @@
 
 // Ranks is the number of ranks that are told apart; 0 goes first, and what is
 // beyond the last counts as the last.
-const Ranks = 8
+const Ranks = 16
 
 // Yield is how often a rank's turn goes to the lowest first: one request in so
 // many, so that none starves behind callers on the line.
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -25,9 +25,8 @@
 	readShare = 0.65
 	// aimDefault stands for the aim of a route that names none.
 	aimDefault = 2 * time.Second
-	// workspaceRanks is the number of ranks of routes within one rank of
-	// workspaces.
-	workspaceRanks = 4
+	// routeRanks is the number of ranks of routes within one rank of workspaces.
+	routeRanks = 4
 )
 
 // admission is what lets the requests of one service in.
@@ -77,7 +76,7 @@
 // rank orders a request among those of its service: its workspace first, then
 // its route.
 func (q *request) rank() int {
-	return q.workspace.Priority*workspaceRanks + min(max(q.route.Priority, 0), workspaceRanks-1)
+	return q.workspace.Priority*routeRanks + min(max(q.route.Priority, 0), routeRanks-1)
 }
 
 // ask describes a request that finds no room.
@@ -103,10 +102,8 @@
 	}
 	now := time.Now()
 	k := q.ask(n)
-	if a.spent(q) >= q.aim() {
-		k.Rank += lateRank
-	}
-	if !a.backlog.Ahead(k.Rank) {
+	k.Late = a.spent(q) >= q.aim()
+	if !a.backlog.Ahead(now, k) {
 		if x, l, ok := g.pickFrom(g.fresh(now, q), n, nil); ok {
 			g.mutex.Unlock()
 			return placed{choice: x, reservation: l}
@@ -128,10 +125,6 @@
 	return g.wait(ctx, a, w)
 }
 
-// lateRank is added to the rank of a request that can't be answered in its aim
-// any more, since it was refused before: those that can go first.
-const lateRank = 4
-
 // spent is the time that a request seems to have spent elsewhere.
 func (a *admission) spent(q *request) time.Duration {
 	u := a.usual[q.route.Name]
@@ -314,5 +307,5 @@
 	if f.Bound == 0 {
 		return nil
 	}
-	return []zap.Field{zap.Int("waiting", f.Waiting), zap.Duration("forecast", f.Wait), zap.Duration("patience", f.Bound)}
+	return []zap.Field{zap.Int("waiting", f.Waiting), zap.Duration("forecast", f.Wait), zap.Duration("patience", f.Bound), zap.Bool("behind", f.Behind)}
 }
