feat: the summary of logs gives each request that was not served in time one cause

Cause: the ledger of what is lost under load was made by hand from logs. The line of a late request now tells what it missed (first event, pause, pause in a move, answer), that of a refusal whether it came by forecast, after a wait, or since the request was late already, and a lost generation its route; wardctl summary counts them by route. Requests in flight at the end of their entry VM leave no line, which the summary can't mend. Behaviour towards callers is unchanged.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -45,31 +45,50 @@
 		return
 	}
 	v.end()
-	g.done(q, q.late())
+	g.done(q, q.lateness())
 	q.sink.Whole(v.answer)
 }
 
 // done logs a request that was answered whole. What went well is shown by a few
 // lines a second, what was late, retried or moved by all of its lines.
-func (g *Gateway) done(q *request, late bool, story ...zap.Field) {
+func (g *Gateway) done(q *request, late lateness, figures ...zap.Field) {
 	g.Metrics.Add(metric.RequestsDone, 1)
 	took := time.Since(q.Arrived)
 	id := event.RequestDone
 	q.outcome = "done"
-	if late {
+	l := []zap.Field{zap.String("request", string(q.ID)), zap.String("route", q.route.Name), zap.Duration("took", took), zap.Duration("waited", q.waited)}
+	if late != inTime {
 		id = event.RequestLate
 		q.outcome = "late"
+		l = append(l, zap.String("cause", string(late)))
 	}
-	if late || q.retried {
+	if late != inTime || q.retried {
 		g.tell(q)
 	}
-	l := []zap.Field{zap.String("request", string(q.ID)), zap.String("route", q.route.Name), zap.Duration("took", took)}
-	g.Log.Emit(id, append(l, story...)...)
+	g.Log.Emit(id, append(l, figures...)...)
 }
 
-// late reports whether a call took longer than its route aims for.
-func (q *request) late() bool {
-	return q.route.Aim > 0 && time.Since(q.Arrived) > q.route.Aim
+// lateness says what an answer missed of what its route aims for.
+type lateness string
+
+const (
+	inTime lateness = ""
+	// lateAnswer is a whole answer that took too long, lateFirst a stream's first
+	// event.
+	lateAnswer lateness = "answer"
+	lateFirst  lateness = "first event"
+	// latePause is a long pause at one server, as when a run is preempted, and
+	// lateMoved one before the first event after the run went on elsewhere.
+	latePause lateness = "pause"
+	lateMoved lateness = "pause in a move"
+)
+
+// lateness says whether a call took longer than its route aims for.
+func (q *request) lateness() lateness {
+	if q.route.Aim > 0 && time.Since(q.Arrived) > q.route.Aim {
+		return lateAnswer
+	}
+	return inTime
 }
 
 // try sends a request to one server after the other while it may be repeated
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,8 +132,9 @@
 	// end where the request did not go well.
 	choices [][]zap.Field
 	retried bool
-	// forecast decided that the request could not wait.
+	// forecast decided that the request could not wait; waited is how long it did.
 	forecast backlog.Forecast
+	waited   time.Duration
 	// outcome names the end for the metrics.
 	outcome string
 }
@@ -236,7 +237,7 @@
 	q.outcome = f.Code.Kind().Type
 	g.tell(q)
 	l := []zap.Field{zap.String("route", q.route.Name), zap.Duration("took", time.Since(q.Arrived)), zap.Duration("allowed", q.deadline.Sub(q.Arrived))}
-	g.refuse(q.Request, q.sink, f, append(l, q.waited()...)...)
+	g.refuse(q.Request, q.sink, f, append(l, q.figures()...)...)
 }
 
 // tell writes what was held back of a request that did not go well.
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -110,5 +110,5 @@
 	r.request.outcome = "generation_lost"
 	g.tell(r.request)
 	g.Metrics.Add(metric.RequestsFailed, 1)
-	g.Log.Emit(event.GenerationLost, zap.String("request", string(r.request.ID)), zap.String("server", string(from.Name)), zap.Int("events", n), zap.Error(err))
+	g.Log.Emit(event.GenerationLost, zap.String("request", string(r.request.ID)), zap.String("route", r.request.route.Name), zap.String("server", string(from.Name)), zap.Int("events", n), zap.Error(err))
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -86,6 +86,9 @@
 	pause time.Duration
 	after int
 	moves int
+	// joining is set until the first event after the run went on elsewhere, and
+	// elsewhere where the longest pause was before such an event.
+	joining, elsewhere bool
 }
 
 // note takes the time of an event.
@@ -95,7 +98,9 @@
 	} else if d := now.Sub(p.last); d > p.pause {
 		p.pause = d
 		p.after = count - 1
+		p.elsewhere = p.joining
 	}
+	p.joining = false
 	p.last = now
 }
 
@@ -110,17 +115,25 @@
 	return v
 }
 
-// late reports whether a stream missed what its route aims for: its first event
-// in time, and no long pause.
-func (r *run) late() bool {
+// lateness says what a stream missed of what its route aims for.
+func (r *run) lateness() lateness {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	x := r.request.route
-	return x.Aim > 0 && r.pace.first > x.Aim || x.GapAim > 0 && r.pace.pause > x.GapAim
+	switch {
+	case x.Aim > 0 && r.pace.first > x.Aim:
+		return lateFirst
+	case x.GapAim <= 0 || r.pace.pause <= x.GapAim:
+		return inTime
+	case r.pace.elsewhere:
+		return lateMoved
+	default:
+		return latePause
+	}
 }
 
-// story gives the fields of the log line at a stream's end.
-func (r *run) story() []zap.Field {
+// figures gives the fields of the log line at a stream's end.
+func (r *run) figures() []zap.Field {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	return []zap.Field{
@@ -145,6 +158,7 @@
 	if r.events.Count() > 0 {
 		r.events.Join()
 		r.pace.moves++
+		r.pace.joining = true
 	}
 	r.stopped = false
 	r.copied = nil
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -45,7 +45,7 @@
 		g.fail(q, f)
 	case v.answer.Stream == nil:
 		v.end()
-		g.done(q, q.late())
+		g.done(q, q.lateness())
 		q.sink.Whole(v.answer)
 	default:
 		r := &run{request: q}
@@ -78,7 +78,7 @@
 		switch {
 		case err == nil:
 			q.sink.End()
-			g.done(q, r.late(), r.story()...)
+			g.done(q, r.lateness(), r.figures()...)
 			return
 		case ctx.Err() != nil || fault.Has(err, fault.CallerGone):
 			g.Metrics.Add(metric.CallersGone, 1)
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -158,6 +158,8 @@
 
 // wait waits until a request was given a server or refused, or its caller left.
 func (g *Gateway) wait(ctx context.Context, a *admission, w *waiter) placed {
+	began := time.Now()
+	defer func() { w.request.waited = time.Since(began) }()
 	t := time.NewTimer(w.request.patience())
 	defer t.Stop()
 	select {
@@ -300,12 +302,11 @@
 	return false
 }
 
-// waited gives the fields of the log line of a refusal: the figures that
-// decided.
-func (q *request) waited() []zap.Field {
-	f := q.forecast
-	if f.Bound == 0 {
-		return nil
+// figures gives the fields of the log line of a refusal: what decided it.
+func (q *request) figures() []zap.Field {
+	l := []zap.Field{zap.Duration("waited", q.waited)}
+	if f := q.forecast; f.Bound > 0 {
+		l = append(l, zap.Int("waiting", f.Waiting), zap.Duration("forecast", f.Wait), zap.Duration("patience", f.Bound), zap.Bool("behind", f.Behind))
 	}
-	return []zap.Field{zap.Int("waiting", f.Waiting), zap.Duration("forecast", f.Wait), zap.Duration("patience", f.Bound), zap.Bool("behind", f.Behind)}
+	return l
 }
--- a/internal/story/summary.go
+++ b/internal/story/summary.go
@@ -23,6 +23,8 @@
 type Summary struct {
 	// Ends are how requests ended, by event and type of failure.
 	Ends []Count `json:"ends"`
+	// Causes are why requests were not answered in time, by route.
+	Causes []Count `json:"causes"`
 	// First and Pause are the time to the first event and the longest pause of
 	// streams that were answered whole.
 	First quantile.Summary `json:"first_event"`
@@ -77,7 +79,9 @@
 	leaving map[place]bool
 	// lost are the lines of lost generations: the step of a move that was under
 	// way is logged after them.
-	lost    []Line
+	lost []Line
+	// missed are the lines of requests that were not answered in time.
+	missed  []Line
 	leftOut int
 }
 
@@ -99,6 +103,9 @@
 	if ends[l.Event] {
 		s.ends[strings.TrimSpace(l.Name+" "+l.text("type"))]++
 	}
+	if l.Event != event.RequestDone && ends[l.Event] {
+		s.missed = append(s.missed, l)
+	}
 	switch l.Event {
 	case event.RequestDone, event.RequestLate:
 		if l.Fields["events"] != nil {
@@ -159,8 +166,14 @@
 	for _, l := range s.lost {
 		lost[s.fate(l)]++
 	}
+	causes := counts{}
+	for _, l := range s.missed {
+		if c, ok := s.cause(l); ok {
+			causes[c]++
+		}
+	}
 	x := Summary{
-		Ends: s.ends.list(), First: s.first.Summary(), Pause: s.pause.Summary(), Moves: moves.list(), Lost: lost.list(),
+		Ends: s.ends.list(), Causes: causes.list(), First: s.first.Summary(), Pause: s.pause.Summary(), Moves: moves.list(), Lost: lost.list(),
 		Silent: s.silent.list(), LeftOut: s.leftOut, Resumes: []Resumed{},
 	}
 	for _, n := range slices.Sorted(maps.Keys(s.resumes)) {
@@ -198,6 +211,7 @@
 		}
 	}
 	list("ended", s.Ends)
+	list("missed", s.Causes)
 	times("first", s.First)
 	times("pause", s.Pause)
 	list("moved", s.Moves)
