--- a/internal/decide/placement/health.go
+++ b/internal/decide/placement/health.go
@@ -27,13 +27,13 @@
 }
 
 const (
-	// restFirst and restLast bound the time that a server which loses requests
-	// is left alone; it doubles with each loss in a row.
-	restFirst = 250 * time.Millisecond
-	restLast  = 4 * time.Second
-	// restFull is how long a server that was full is left alone: a few steps of
+	// cooldownFirst and cooldownLast bound the time that a server which loses
+	// requests is left alone; it doubles with each loss in a row.
+	cooldownFirst = 250 * time.Millisecond
+	cooldownLast  = 4 * time.Second
+	// cooldownFull is how long a server that was full is left alone: a few steps of
 	// an engine, in which a request ends.
-	restFull = 100 * time.Millisecond
+	cooldownFull = 100 * time.Millisecond
 	// failWeight is the weight of the newest request in the share of failures.
 	failWeight = 0.1
 	// failMargin is how far above its pool's share of failures a server may be
@@ -44,7 +44,8 @@
 // record is what requests met at one server.
 type record struct {
 	losses int
-	rest   time.Time
+	// until is the end of the cooldown.
+	until  time.Time
 	failed float64
 }
 
@@ -70,12 +71,12 @@
 	case Served:
 		r.losses = 0
 	case Full:
-		r.rest = later(r.rest, now.Add(restFull))
+		r.until = later(r.until, now.Add(cooldownFull))
 	case Failed:
 		r.losses = 0
 		r.failed += failWeight
 	case Lost:
-		r.rest = later(r.rest, now.Add(min(restFirst<<min(r.losses, 8), restLast)))
+		r.until = later(r.until, now.Add(min(cooldownFirst<<min(r.losses, 8), cooldownLast)))
 		r.losses++
 	}
 }
@@ -96,10 +97,10 @@
 	}
 }
 
-// resting reports whether a server is left alone for now.
-func (h *Health) resting(now time.Time, n api.ServerName) bool {
+// coolingDown reports whether a server is left alone for now.
+func (h *Health) coolingDown(now time.Time, n api.ServerName) bool {
 	r, ok := h.records[n]
-	return ok && now.Before(r.rest)
+	return ok && now.Before(r.until)
 }
 
 // faulty reports whether a server fails clearly more often than its pool.
--- a/internal/decide/placement/load.go
+++ b/internal/decide/placement/load.go
@@ -18,7 +18,7 @@
 	return api.ServerLoad{Requests: -l.Requests, Tokens: -l.Tokens, Unread: -l.Unread}
 }
 
-// peerTime is how long a peer's word on its loads counts: a few rounds of the
+// peerTime is how long a peer's report counts: a few rounds of the
 // exchange between entry VMs, after which its runs may be anywhere.
 const peerTime = 3 * time.Second
 
@@ -44,76 +44,76 @@
 	Members int
 }
 
-// told is what one peer said.
-type told struct {
+// peerReport is the newest report of one peer.
+type peerReport struct {
 	Report
 	at       time.Time
 	relation Relation
 }
 
-// Book counts what is in flight, here and at the peers.
-type Book struct {
+// Table counts what is in flight at each server, from here and from the peers.
+type Table struct {
 	own   Loads
-	peers map[api.VMName]told
+	peers map[api.VMName]peerReport
 }
 
-// NewBook makes an empty book.
-func NewBook() *Book {
-	return &Book{own: Loads{}, peers: map[api.VMName]told{}}
+// NewTable makes an empty table.
+func NewTable() *Table {
+	return &Table{own: Loads{}, peers: map[api.VMName]peerReport{}}
 }
 
 // Add adds to the own load of a server; a negative load takes away.
-func (b *Book) Add(n api.ServerName, l api.ServerLoad) {
-	x := plus(b.own[n], l)
+func (t *Table) Add(n api.ServerName, l api.ServerLoad) {
+	x := plus(t.own[n], l)
 	if x == (api.ServerLoad{}) {
-		delete(b.own, n)
+		delete(t.own, n)
 		return
 	}
-	b.own[n] = x
+	t.own[n] = x
 }
 
-// Told takes a peer's report. What a primary tells replaces all that others
-// told; strangers report nothing, and what they told before runs out.
-func (b *Book) Told(now time.Time, p api.VMName, r Relation, x Report) {
+// Update takes a peer's report. That of a primary replaces all others; strangers
+// report nothing, and what they reported before runs out.
+func (t *Table) Update(now time.Time, p api.VMName, r Relation, x Report) {
 	switch r {
 	case Stranger:
 		return
 	case Primary:
-		clear(b.peers)
+		clear(t.peers)
 	}
-	b.peers[p] = told{Report: x, at: now, relation: r}
+	t.peers[p] = peerReport{Report: x, at: now, relation: r}
 }
 
-// Tell gives the report for a peer.
-func (b *Book) Tell(now time.Time, p api.VMName, r Relation) Report {
+// Report gives the report for a peer.
+func (t *Table) Report(now time.Time, p api.VMName, r Relation) Report {
 	switch r {
 	case Primary:
-		return b.sum(now, func(api.VMName, told) bool { return false })
+		return t.sum(now, func(api.VMName, peerReport) bool { return false })
 	case Hub:
-		return b.sum(now, func(_ api.VMName, t told) bool { return t.relation == Carried })
+		return t.sum(now, func(_ api.VMName, p peerReport) bool { return p.relation == Carried })
 	case Carried:
-		return b.sum(now, func(n api.VMName, _ told) bool { return n != p })
+		return t.sum(now, func(n api.VMName, _ peerReport) bool { return n != p })
 	default:
 		return Report{}
 	}
 }
 
 // sum adds the own loads and those of the peers that are chosen.
-func (b *Book) sum(now time.Time, choose func(n api.VMName, t told) bool) Report {
-	x := Report{Loads: make(Loads, len(b.own)), Members: 1}
-	for s, l := range b.own {
+func (t *Table) sum(now time.Time, choose func(n api.VMName, p peerReport) bool) Report {
+	x := Report{Loads: make(Loads, len(t.own)), Members: 1}
+	for s, l := range t.own {
 		x.Loads[s] = l
 	}
-	for n, t := range b.peers {
-		if now.Sub(t.at) > peerTime {
-			delete(b.peers, n)
+	for n, p := range t.peers {
+		if now.Sub(p.at) > peerTime {
+			delete(t.peers, n)
 			continue
 		}
-		if !choose(n, t) {
+		if !choose(n, p) {
 			continue
 		}
-		x.Members += t.Members
-		for s, l := range t.Loads {
+		x.Members += p.Members
+		for s, l := range p.Loads {
 			x.Loads[s] = plus(x.Loads[s], l)
 		}
 	}
@@ -121,19 +121,19 @@
 }
 
 // Members counts the entry VMs that are known of, this one among them.
-func (b *Book) Members(now time.Time) int {
-	return b.sum(now, func(api.VMName, told) bool { return true }).Members
+func (t *Table) Members(now time.Time) int {
+	return t.sum(now, func(api.VMName, peerReport) bool { return true }).Members
 }
 
 // Total is the load of a server over all entry VMs heard of lately.
-func (b *Book) Total(now time.Time, n api.ServerName) api.ServerLoad {
-	l := b.own[n]
-	for p, t := range b.peers {
-		if now.Sub(t.at) > peerTime {
-			delete(b.peers, p)
+func (t *Table) Total(now time.Time, n api.ServerName) api.ServerLoad {
+	l := t.own[n]
+	for v, p := range t.peers {
+		if now.Sub(p.at) > peerTime {
+			delete(t.peers, v)
 			continue
 		}
-		l = plus(l, t.Loads[n])
+		l = plus(l, p.Loads[n])
 	}
 	return l
 }
--- a/internal/decide/placement/load_test.go
+++ b/internal/decide/placement/load_test.go
@@ -10,22 +10,22 @@
 
 // vm is an entry VM with its relations to others.
 type vm struct {
-	book *placement.Book
-	name api.VMName
+	table *placement.Table
+	name  api.VMName
 }
 
 func newVM(n api.VMName, tokens api.Tokens) vm {
-	b := placement.NewBook()
+	b := placement.NewTable()
 	b.Add("s", api.ServerLoad{Requests: 1, Tokens: tokens})
-	return vm{book: b, name: n}
+	return vm{table: b, name: n}
 }
 
 // exchange makes two VMs tell each other: to is what the second is to the
 // first, from the other way round.
 func exchange(now time.Time, a, b vm, to, from placement.Relation) {
-	x, y := a.book.Tell(now, b.name, to), b.book.Tell(now, a.name, from)
-	a.book.Told(now, b.name, to, y)
-	b.book.Told(now, a.name, from, x)
+	x, y := a.table.Report(now, b.name, to), b.table.Report(now, a.name, from)
+	a.table.Update(now, b.name, to, y)
+	b.table.Update(now, a.name, from, x)
 }
 
 // Two hubs carry two VMs each: everyone knows the load of all six, once.
@@ -45,10 +45,10 @@
 		now = now.Add(250 * time.Millisecond)
 	}
 	for _, v := range []vm{h1, h2, a1, a2, b1, b2} {
-		if got := v.book.Total(now, "s"); got.Tokens != 111111 || got.Requests != 6 {
+		if got := v.table.Total(now, "s"); got.Tokens != 111111 || got.Requests != 6 {
 			t.Errorf("%s: got %+v, want 111111 tokens of 6 requests", v.name, got)
 		}
-		if got := v.book.Members(now); got != 6 {
+		if got := v.table.Members(now); got != 6 {
 			t.Errorf("%s: got %d members, want 6", v.name, got)
 		}
 	}
@@ -66,7 +66,7 @@
 		now = now.Add(250 * time.Millisecond)
 	}
 	for _, v := range []vm{h1, h2, a1} {
-		if got := v.book.Total(now, "s").Tokens; got != 111111 {
+		if got := v.table.Total(now, "s").Tokens; got != 111111 {
 			t.Errorf("%s after the change: got %d, want 111111", v.name, got)
 		}
 	}
@@ -76,10 +76,10 @@
 	h1, h2 := newVM("h1", 1), newVM("h2", 10)
 	exchange(begin, h1, h2, placement.Hub, placement.Hub)
 	later := begin.Add(4 * time.Second)
-	if got := h1.book.Total(later, "s").Tokens; got != 1 {
+	if got := h1.table.Total(later, "s").Tokens; got != 1 {
 		t.Errorf("tokens: got %d, want the own 1", got)
 	}
-	if got := h1.book.Members(later); got != 1 {
+	if got := h1.table.Members(later); got != 1 {
 		t.Errorf("members: got %d, want 1", got)
 	}
 }
--- a/internal/decide/placement/pick.go
+++ b/internal/decide/placement/pick.go
@@ -54,7 +54,7 @@
 	// cold is the price of a server that has just started and is still slow: it
 	// takes work before one that is a quarter fuller.
 	cold = 0.25
-	// avoid puts servers that rest, fail or lapsed behind all others.
+	// avoid puts servers that cool down, fail or lapsed behind all others.
 	avoid = 10.0
 	// memoryBound is the share of an engine's memory that may be promised; the
 	// rest is for answers longer than expected.
@@ -63,14 +63,14 @@
 
 // Picker chooses servers.
 type Picker struct {
-	Book   *Book
+	Table  *Table
 	Health *Health
 	random *rand.Rand
 }
 
 // NewPicker makes a picker without load that draws from a source.
 func NewPicker(s rand.Source) *Picker {
-	return &Picker{Book: NewBook(), Health: NewHealth(), random: rand.New(s)}
+	return &Picker{Table: NewTable(), Health: NewHealth(), random: rand.New(s)}
 }
 
 // Choice is a server with the figures that decided for it.
@@ -94,8 +94,8 @@
 	if len(all) == 0 {
 		return Choice{}, false
 	}
-	best := slices.MinFunc(p.sample(all, p.Book.Members(now)), func(a, b Choice) int { return cmp.Compare(a.Score, b.Score) })
-	best.Load = p.Book.Total(now, best.Name)
+	best := slices.MinFunc(p.sample(all, p.Table.Members(now)), func(a, b Choice) int { return cmp.Compare(a.Score, b.Score) })
+	best.Load = p.Table.Total(now, best.Name)
 	best.Of = len(all)
 	return best, true
 }
@@ -147,7 +147,7 @@
 // score rates a server, lower is better; it reports false for an engine whose
 // memory is promised already.
 func (p *Picker) score(now time.Time, l Pool, m roster.Member, n Need, share float64) (float64, bool) {
-	t := p.Book.Total(now, m.Name)
+	t := p.Table.Total(now, m.Name)
 	s := float64(t.Requests) / float64(max(1, m.Slots))
 	if l.Memory > 0 {
 		used := float64(t.Tokens+n.Tokens) / float64(l.Memory)
@@ -166,7 +166,7 @@
 	if m.State == roster.Lapsed {
 		s += avoid
 	}
-	if p.Health.resting(now, m.Name) {
+	if p.Health.coolingDown(now, m.Name) {
 		s += avoid
 	}
 	if p.Health.faulty(m.Name, share) {
@@ -193,7 +193,7 @@
 	var promised, memory api.Tokens
 	for _, m := range l.Members {
 		if m.State != roster.Leaving {
-			promised += p.Book.Total(now, m.Name).Tokens
+			promised += p.Table.Total(now, m.Name).Tokens
 			memory += l.Memory
 		}
 	}
--- a/internal/decide/placement/placement_test.go
+++ b/internal/decide/placement/placement_test.go
@@ -38,51 +38,51 @@
 		want    api.ServerName
 	}{
 		{"least memory promised", []roster.Member{member("a", "x", roster.Ready), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
-			p.Book.Add("a", load(9000, 0))
-			p.Book.Add("b", load(3000, 0))
+			p.Table.Add("a", load(9000, 0))
+			p.Table.Add("b", load(3000, 0))
 		}, false, nil, "b"},
 		{"peers' loads count", []roster.Member{member("a", "x", roster.Ready), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
-			p.Book.Told(begin, "vm", placement.Hub, placement.Report{Loads: placement.Loads{"b": load(9000, 0)}})
-			p.Book.Add("a", load(3000, 0))
+			p.Table.Update(begin, "vm", placement.Hub, placement.Report{Loads: placement.Loads{"b": load(9000, 0)}})
+			p.Table.Add("a", load(3000, 0))
 		}, false, nil, "a"},
 		{"a peer unheard for long does not", []roster.Member{member("a", "x", roster.Ready), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
-			p.Book.Told(begin.Add(-10*time.Second), "vm", placement.Hub, placement.Report{Loads: placement.Loads{"b": load(9000, 0)}})
-			p.Book.Add("a", load(3000, 0))
+			p.Table.Update(begin.Add(-10*time.Second), "vm", placement.Hub, placement.Report{Loads: placement.Loads{"b": load(9000, 0)}})
+			p.Table.Add("a", load(3000, 0))
 		}, false, nil, "b"},
 		{"prompts to be read hold up", []roster.Member{member("a", "x", roster.Ready), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
-			p.Book.Add("a", load(3000, 3000))
-			p.Book.Add("b", load(6000, 0))
+			p.Table.Add("a", load(3000, 3000))
+			p.Table.Add("b", load(6000, 0))
 		}, false, nil, "b"},
 		{"own domain on a tie", []roster.Member{member("a", "y", roster.Ready), member("b", "x", roster.Ready)}, func(*placement.Picker) {}, false, nil, "b"},
 		{"copies stay in a fuller domain", []roster.Member{member("a", "y", roster.Ready), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
-			p.Book.Add("b", load(25000, 0))
+			p.Table.Add("b", load(25000, 0))
 		}, true, nil, "b"},
 		{"copies leave a domain without room", []roster.Member{member("a", "y", roster.Ready), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
-			p.Book.Add("b", load(32000, 0))
+			p.Table.Add("b", load(32000, 0))
 		}, true, nil, "a"},
 		{"copies leave a domain whose server rests", []roster.Member{member("a", "y", roster.Ready), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
 			p.Health.Note(begin, "b", placement.Lost)
 		}, true, nil, "a"},
 		{"cold servers wait until others are fuller", []roster.Member{coldMember("a", 1), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
-			p.Book.Add("b", load(3000, 0))
+			p.Table.Add("b", load(3000, 0))
 		}, false, nil, "b"},
 		{"cold servers help out full ones", []roster.Member{coldMember("a", 1), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
-			p.Book.Add("b", load(20000, 0))
+			p.Table.Add("b", load(20000, 0))
 		}, false, nil, "a"},
 		{"warm servers are as good as others", []roster.Member{coldMember("a", -1), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
-			p.Book.Add("b", load(9000, 0))
+			p.Table.Add("b", load(9000, 0))
 		}, false, nil, "a"},
 		{"leaving servers take nothing", []roster.Member{member("a", "x", roster.Leaving)}, func(*placement.Picker) {}, false, nil, ""},
 		{"lapsed servers come last", []roster.Member{member("a", "x", roster.Lapsed), member("b", "y", roster.Ready)}, func(p *placement.Picker) {
-			p.Book.Add("b", load(20000, 0))
+			p.Table.Add("b", load(20000, 0))
 		}, false, nil, "b"},
 		{"lapsed servers serve where no other does", []roster.Member{member("a", "x", roster.Lapsed)}, func(*placement.Picker) {}, false, nil, "a"},
 		{"servers that lost a request rest", []roster.Member{member("a", "x", roster.Ready), member("b", "x", roster.Ready)}, func(p *placement.Picker) {
 			p.Health.Note(begin, "a", placement.Lost)
-			p.Book.Add("b", load(9000, 0))
+			p.Table.Add("b", load(9000, 0))
 		}, false, nil, "b"},
 		{"tried servers are left out", []roster.Member{member("a", "x", roster.Ready)}, func(*placement.Picker) {}, false, []api.ServerName{"a"}, ""},
-		{"no room", []roster.Member{member("a", "x", roster.Ready)}, func(p *placement.Picker) { p.Book.Add("a", load(33000, 0)) }, false, nil, ""},
+		{"no room", []roster.Member{member("a", "x", roster.Ready)}, func(p *placement.Picker) { p.Table.Add("a", load(33000, 0)) }, false, nil, ""},
 	}
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
@@ -108,8 +108,8 @@
 		p.Health.Note(begin, "a", fails(i%2 == 0))
 	}
 	for range 4 {
-		p.Book.Add("b", api.ServerLoad{Requests: 1})
-		p.Book.Add("c", api.ServerLoad{Requests: 1})
+		p.Table.Add("b", api.ServerLoad{Requests: 1})
+		p.Table.Add("c", api.ServerLoad{Requests: 1})
 	}
 	got, _ := p.Pick(begin, l, placement.Need{}, nil)
 	if got.Name == "a" {
@@ -127,7 +127,7 @@
 func TestRestGrowsAndEnds(t *testing.T) {
 	p := placement.NewPicker(rand.NewPCG(1, 2))
 	l := placement.Pool{Members: []roster.Member{member("a", "x", roster.Ready), member("b", "x", roster.Ready)}, Domain: "x"}
-	p.Book.Add("b", api.ServerLoad{Requests: 4})
+	p.Table.Add("b", api.ServerLoad{Requests: 4})
 	pick := func(ms int) api.ServerName {
 		s, _ := p.Pick(begin.Add(time.Duration(ms)*time.Millisecond), l, placement.Need{}, nil)
 		return s.Name
@@ -156,9 +156,9 @@
 	got := map[api.ServerName]int{}
 	for seed := range uint64(60) {
 		p := placement.NewPicker(rand.NewPCG(seed, 0))
-		p.Book.Told(begin, "primary", placement.Primary, placement.Report{Members: 59})
+		p.Table.Update(begin, "primary", placement.Primary, placement.Report{Members: 59})
 		for _, m := range l.Members[1:] {
-			p.Book.Add(m.Name, load(8000, 0))
+			p.Table.Add(m.Name, load(8000, 0))
 		}
 		s, _ := p.Pick(begin, l, placement.Need{Tokens: 4000, Unread: 3000}, nil)
 		got[s.Name]++
--- a/internal/decide/placement/room_test.go
+++ b/internal/decide/placement/room_test.go
@@ -68,7 +68,7 @@
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
 			p := placement.NewPicker(rand.NewPCG(1, 2))
-			p.Book.Add("a", c.load)
+			p.Table.Add("a", c.load)
 			c.pool.Members = []roster.Member{member("a", "x", roster.Ready)}
 			c.pool.Memory = 34000
 			if _, got := p.Pick(begin, c.pool, c.need, nil); got != c.want {
@@ -80,8 +80,8 @@
 
 func TestPromised(t *testing.T) {
 	p := placement.NewPicker(rand.NewPCG(1, 2))
-	p.Book.Add("a", load(17000, 0))
-	p.Book.Add("c", load(30000, 0))
+	p.Table.Add("a", load(17000, 0))
+	p.Table.Add("c", load(30000, 0))
 	l := placement.Pool{Memory: 34000, Members: []roster.Member{member("a", "x", roster.Ready), member("b", "x", roster.Ready), member("c", "x", roster.Leaving)}}
 	if got := p.Promised(begin, l); got != 0.25 {
 		t.Errorf("got %v, want 0.25 of the servers that stay", got)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,7 +62,7 @@
 	// question serve all streams of a server.
 	answers   *silence.Answers
 	inquiries singleflight.Group
-	sentry    *sentry
+	watchdog    *watchdog
 }
 
 // New makes a gateway that knows no configuration.
@@ -70,7 +70,7 @@
 	return &Gateway{
 		Parts: p, roster: roster.New(), picker: placement.NewPicker(rand.NewPCG(p.Seed, 0)),
 		runs: map[api.ServerName]map[*run]bool{}, admissions: map[api.ServiceName]*admission{},
-		answers: silence.NewAnswers(), sentry: newSentry(),
+		answers: silence.NewAnswers(), watchdog: newWatchdog(),
 	}
 }
 
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -45,9 +45,9 @@
 	g.picker.Health.Forget(known)
 	g.answers.Forget(known)
 	g.Metrics.Retain(metric.ByServer, func(n string) bool { return known(api.ServerName(n)) })
-	g.Retries.Members(g.picker.Book.Members(now))
+	g.Retries.Members(g.picker.Table.Members(now))
 	g.mutex.Unlock()
-	g.sentry.sweep()
+	g.watchdog.sweep()
 	g.changed(c)
 }
 
@@ -126,8 +126,8 @@
 // reserve counts a load at a server until the reservation ends; the mutex is
 // held.
 func (g *Gateway) reserve(n api.ServerName, x api.ServerLoad) *reservation {
-	l := &reservation{gateway: g, server: n, load: x, at: time.Now(), ahead: g.picker.Book.Total(time.Now(), n).Unread}
-	g.picker.Book.Add(n, x)
+	l := &reservation{gateway: g, server: n, load: x, at: time.Now(), ahead: g.picker.Table.Total(time.Now(), n).Unread}
+	g.picker.Table.Add(n, x)
 	return l
 }
 
@@ -166,7 +166,7 @@
 	}
 	l.gateway.mutex.Lock()
 	defer l.gateway.mutex.Unlock()
-	l.gateway.picker.Book.Add(l.server, api.ServerLoad{Unread: -l.load.Unread})
+	l.gateway.picker.Table.Add(l.server, api.ServerLoad{Unread: -l.load.Unread})
 	l.load.Unread = 0
 	l.gateway.letIn(time.Now())
 }
@@ -178,7 +178,7 @@
 	}
 	l.gateway.mutex.Lock()
 	defer l.gateway.mutex.Unlock()
-	l.gateway.picker.Book.Add(l.server, placement.Minus(l.load))
+	l.gateway.picker.Table.Add(l.server, placement.Minus(l.load))
 	l.load = api.ServerLoad{}
 	l.gateway.letIn(time.Now())
 }
@@ -191,17 +191,17 @@
 	g.Metrics.Count(metric.ByServer, string(n), o.String())
 }
 
-// Tell gives the report on loads for a peer.
-func (g *Gateway) Tell(vm api.VMName, r placement.Relation) placement.Report {
+// Report gives the report on loads for a peer.
+func (g *Gateway) Report(vm api.VMName, r placement.Relation) placement.Report {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.picker.Book.Tell(time.Now(), vm, r)
+	return g.picker.Table.Report(time.Now(), vm, r)
 }
 
-// Told takes a peer's report on loads.
-func (g *Gateway) Told(vm api.VMName, r placement.Relation, x placement.Report) {
+// Update takes a peer's report on loads.
+func (g *Gateway) Update(vm api.VMName, r placement.Relation, x placement.Report) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.picker.Book.Told(time.Now(), vm, r, x)
+	g.picker.Table.Update(time.Now(), vm, r, x)
 	g.letIn(time.Now())
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -107,7 +107,7 @@
 		l.wait()
 		e, err := s.Next()
 		l.heard()
-		g.sentry.sweep()
+		g.watchdog.sweep()
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
--- a/internal/gateway/sentry.go
+++ b/internal/gateway/watchdog.go
@@ -5,11 +5,11 @@
 	"time"
 )
 
-// sentry looks after all streams: as events arrive, when the process runs
+// watchdog looks after all streams: as events arrive, when the process runs
 // anyway, with the gateway's clock, and with a timer only while there are few
 // streams. Each wake-up costs processor time: a timer for all streams took 7%
 // of what an entry VM needs, and made slow VMs slower (docs/design/014).
-type sentry struct {
+type watchdog struct {
 	mutex     sync.Mutex
 	listeners map[*listener]bool
 	timer     *time.Timer
@@ -28,18 +28,18 @@
 	roundLeast = 5 * time.Millisecond
 )
 
-func newSentry() *sentry {
-	return &sentry{listeners: map[*listener]bool{}}
+func newWatchdog() *watchdog {
+	return &watchdog{listeners: map[*listener]bool{}}
 }
 
-func (s *sentry) add(l *listener) {
+func (s *watchdog) add(l *listener) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.listeners[l] = true
 	s.arm(l.pause())
 }
 
-func (s *sentry) remove(l *listener) {
+func (s *watchdog) remove(l *listener) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	delete(s.listeners, l)
@@ -47,7 +47,7 @@
 }
 
 // arm sets the timer where it is needed; the mutex is held.
-func (s *sentry) arm(d time.Duration) {
+func (s *watchdog) arm(d time.Duration) {
 	if n := len(s.listeners); s.armed || n == 0 || n > fewStreams {
 		return
 	}
@@ -60,7 +60,7 @@
 }
 
 // round is the timer's sweep.
-func (s *sentry) round() {
+func (s *watchdog) round() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.armed = false
@@ -68,7 +68,7 @@
 }
 
 // sweep looks after all streams, unless that was done just before.
-func (s *sentry) sweep() {
+func (s *watchdog) sweep() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if now := time.Now(); now.Sub(s.swept) >= sweepLeast {
@@ -78,7 +78,7 @@
 
 // check begins to inspect the streams whose time has come, and gives the time
 // until the next one's; the mutex is held.
-func (s *sentry) check(now time.Time) time.Duration {
+func (s *watchdog) check(now time.Time) time.Duration {
 	s.swept = now
 	var next time.Duration
 	for l := range s.listeners {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -32,7 +32,7 @@
 	*mesh.Mesh
 	config  *mirror.Mirror[directory.Config]
 	servers *mirror.Mirror[roster.Server]
-	book    *gateway.Gateway
+	table   *gateway.Gateway
 	address string
 }
 
@@ -47,12 +47,12 @@
 		closer()
 		s.Close()
 	})
-	v := &vm{address: s.Listener.Addr().String(), book: gateway.New(gateway.Parts{Group: g, Log: event.Discard(), Metrics: metric.New()})}
+	v := &vm{address: s.Listener.Addr().String(), table: gateway.New(gateway.Parts{Group: g, Log: event.Discard(), Metrics: metric.New()})}
 	v.config = mirror.New(mirror.Parts[directory.Config]{Take: func(replica.Snapshot[directory.Config]) {}, Metrics: metric.New(), Log: event.Discard()})
 	v.servers = mirror.New(mirror.Parts[roster.Server]{Take: func(replica.Snapshot[roster.Server]) {}, Metrics: metric.New(), Log: event.Discard()})
 	v.Mesh = mesh.New(mesh.Parts{
 		VM: api.VMName(name), Self: gossip.Member{Address: v.address, Domain: "d"}, Seeds: seeds, Hubs: 2,
-		Client: c, Group: g, Log: event.Discard(), Metrics: metric.New(), Config: v.config, Servers: v.servers, Loads: v.book, Notices: v.book,
+		Client: c, Group: g, Log: event.Discard(), Metrics: metric.New(), Config: v.config, Servers: v.servers, Loads: v.table, Notices: v.table,
 	})
 	v.Routes(r)
 	return v
@@ -92,7 +92,7 @@
 	})
 	until(t, "members of the fleet", l, func() bool {
 		// Whichever VM is the hub that carries another one, by its port.
-		return c.book.Tell("nobody", placement.Carried).Members >= 2
+		return c.table.Report("nobody", placement.Carried).Members >= 2
 	})
 }
 
@@ -108,7 +108,7 @@
 	if !a.Alone() {
 		t.Error("peer of another protocol: got it as a member, want it refused")
 	}
-	if l := a.book.Tell("y", placement.Carried).Loads; len(l) != 0 {
+	if l := a.table.Report("y", placement.Carried).Loads; len(l) != 0 {
 		t.Errorf("its loads: got %v, want none", l)
 	}
 }
