--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -62,7 +62,7 @@
 	// question serve all streams of a server.
 	answers   *silence.Answers
 	inquiries singleflight.Group
-	watchdog    *watchdog
+	watchdog  *watchdog
 }
 
 // New makes a gateway that knows no configuration.
