--- a/internal/decide/gossip/gossip_test.go
+++ b/internal/decide/gossip/gossip_test.go
@@ -102,7 +102,7 @@
 			if f.dead[a] {
 				continue
 			}
-			for _, b := range p.Round(at(ms)) {
+			for _, b := range p.Round(at(ms), false) {
 				f.sent[a]++
 				if f.dead[b] {
 					continue
@@ -304,18 +304,18 @@
 func TestAddressesAreDropped(t *testing.T) {
 	self := gossip.Member{Address: "a:1", Domain: "d"}
 	p := gossip.New(at(0), self, []string{"b:1", "a:1"}, 3)
-	if got, want := p.Round(at(0)), []string{"b:1"}; !slices.Equal(got, want) {
+	if got, want := p.Round(at(0), false), []string{"b:1"}; !slices.Equal(got, want) {
 		t.Fatalf("first round: got %v, want %v", got, want)
 	}
 	p.Heard(at(10), gossip.Word{Member: gossip.Member{Address: "b:1", Domain: "d", Hub: true}, Others: []gossip.Member{{Address: "c:1", Domain: "d"}}})
-	if got, want := p.Round(at(1000)), []string{"b:1", "c:1"}; !slices.Equal(got, want) {
+	if got, want := p.Round(at(1000), false), []string{"b:1", "c:1"}; !slices.Equal(got, want) {
 		t.Errorf("after a message: got %v, want %v", got, want)
 	}
-	p.Round(at(40000))
-	if got := p.Round(at(42000)); slices.Contains(got, "c:1") {
+	p.Round(at(40000), false)
+	if got := p.Round(at(42000), false); slices.Contains(got, "c:1") {
 		t.Errorf("after 42 s of silence: got %v, want no c:1", got)
 	}
-	if got := p.Round(at(44000)); !slices.Contains(got, "b:1") {
+	if got := p.Round(at(44000), false); !slices.Contains(got, "b:1") {
 		t.Errorf("address of the settings: got %v, want b:1", got)
 	}
 }
@@ -338,3 +338,43 @@
 		t.Errorf("blind: got %v, want %v", got, want)
 	}
 }
+
+// While engines are pressed, a small fleet compares loads at each round, and a
+// larger one as often as its hubs can answer.
+func TestPressedFleetsCompareLoadsMoreOften(t *testing.T) {
+	tests := []struct {
+		name    string
+		members int
+		pressed bool
+		// want is the least and the most exchanges of a second with the one hub.
+		least, most int
+	}{
+		{"small and quiet", 5, false, 16, 17},
+		{"small and pressed", 5, true, 16, 17},
+		{"large and quiet", 60, false, 2, 3},
+		{"large and pressed", 60, true, 15, 17},
+		{"very large and pressed", 400, true, 3, 5},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			p := gossip.New(at(0), gossip.Member{Address: "z:1", Domain: "x"}, nil, 1)
+			hub := gossip.Member{Address: "a:1", Domain: "x", Hub: true, Capacity: 9}
+			w := gossip.Word{Member: hub}
+			for i := range c.members - 1 {
+				w.Others = append(w.Others, gossip.Member{Address: fmt.Sprintf("m%d:1", i), Domain: "x"})
+			}
+			got := 0
+			for ms := 0; ms < 3000; ms += 60 {
+				p.Heard(at(ms), w)
+				for _, a := range p.Round(at(ms), c.pressed) {
+					if a == hub.Address && ms >= 2000 {
+						got++
+					}
+				}
+			}
+			if got < c.least || got > c.most {
+				t.Errorf("got %d exchanges in a second, want %d to %d", got, c.least, c.most)
+			}
+		})
+	}
+}
--- a/internal/decide/gossip/round.go
+++ b/internal/decide/gossip/round.go
@@ -10,13 +10,16 @@
 	hubs    []string
 	hub     bool
 	primary string
+	// pace is the least pause between exchanges with a hub.
+	pace time.Duration
 }
 
-// Round lists whom to begin an exchange with now.
-func (p *Peers) Round(now time.Time) []string {
+// Round lists whom to begin an exchange with now; loads are compared closely
+// while engines are pressed.
+func (p *Peers) Round(now time.Time, pressed bool) []string {
 	var l []string
 	h := p.Hubs(now)
-	c := place{hubs: h, hub: p.Hub(now), primary: p.Primary(now)}
+	c := place{hubs: h, hub: p.Hub(now), primary: p.Primary(now), pace: p.pace(pressed)}
 	for a, x := range p.peers {
 		if p.stale(now, x) {
 			delete(p.peers, a)
@@ -40,17 +43,26 @@
 	// smallFleet is the number of peers up to which each round has an exchange
 	// with every hub; loads are compared closely there.
 	smallFleet = 16
-	// largePace is the least pause between exchanges with a hub in larger fleets,
-	// just below two rounds: a hub answers a domain's members and all other hubs.
-	largePace = 450 * time.Millisecond
+	// memberPace gives the least pause between exchanges with a hub in larger
+	// fleets: a hub answers a domain's members and all other hubs, and each
+	// exchange takes about 0.8 ms of a core. Loads that are older than a tenth of a
+	// second send two prompts where one fits (docs/LOAD.md).
+	memberPace = 600 * time.Microsecond
+	// quietPace is that pause while engines are not pressed, just below two
+	// rounds.
+	quietPace = 450 * time.Millisecond
 )
 
 // pace is the least pause between exchanges with a hub.
-func (p *Peers) pace() time.Duration {
-	if len(p.peers) <= smallFleet {
+func (p *Peers) pace(pressed bool) time.Duration {
+	switch {
+	case len(p.peers) <= smallFleet:
 		return 0
+	case pressed:
+		return min(time.Duration(len(p.peers))*memberPace, quietPace)
+	default:
+		return quietPace
 	}
-	return largePace
 }
 
 // pause is the time between exchanges with a peer that this entry VM begins, or
@@ -63,12 +75,12 @@
 	case c.hub && live && x.Hub:
 		// Of two hubs the one with the lower address begins.
 		if p.self.Address < x.Address {
-			return p.pace(), true
+			return c.pace, true
 		}
 	case c.hub && x.Hub:
 		return retry, true
 	case !c.hub && x.Address == c.primary:
-		return p.pace(), true
+		return c.pace, true
 	case slices.Contains(c.hubs, x.Address):
 		return spare, true
 	}
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -18,10 +18,12 @@
 )
 
 const (
-	// waitShare is the part of a request's aim that it may wait here, and
-	// readShare the part in which an engine has to read what is before it and the
-	// request itself; what is left is for the way and for the first token.
+	// waitShare is the part of a request's aim that it may wait here. Callers ask to
+	// be refused within an eighth of it; longer waits hold more in vain and serve
+	// no more in time (docs/LOAD.md).
 	waitShare = 0.1
+	// readShare is the part in which an engine has to read what is before it and
+	// the request itself; what is left is for the way and for the first token.
 	readShare = 0.65
 	// aimDefault stands for the aim of a route that names none.
 	aimDefault = 2 * time.Second
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -80,13 +80,14 @@
 	}
 }
 
-// Round begins the exchanges that are due.
-func (m *Mesh) Round() {
+// Round begins the exchanges that are due; loads are compared closely while
+// engines are pressed.
+func (m *Mesh) Round(pressed bool) {
 	m.mutex.Lock()
 	now := time.Now()
 	m.rounds++
 	m.noteLive(now)
-	l := m.free(m.peers.Round(now))
+	l := m.free(m.peers.Round(now, pressed))
 	m.mutex.Unlock()
 	m.begin(l)
 }
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -63,7 +63,7 @@
 	t.Helper()
 	for range 2000 {
 		for _, v := range l {
-			v.Round()
+			v.Round(false)
 		}
 		if f() {
 			return
--- a/internal/node/hosted_start.go
+++ b/internal/node/hosted_start.go
@@ -223,19 +223,19 @@
 func (h *Hosted) tick(context.Context) {
 	h.ticks++
 	h.gateway.Tick()
-	if h.ticks%roundTicks == 0 {
-		h.round()
-		return
+	pressed := h.gateway.Pressed()
+	round := h.ticks%roundTicks == 0
+	if pressed || round {
+		h.mesh.Round(pressed)
 	}
-	if h.gateway.Pressed() {
-		h.mesh.Round()
+	if round {
+		h.round()
 	}
 }
 
 // round is one round of the small duties.
 func (h *Hosted) round() {
 	h.rounds++
-	h.mesh.Round()
 	h.gateway.Step()
 	h.Metrics.Put(metric.RequestsInFlight, int64(h.gateway.InFlight()))
 	if h.dark() {
