fix: late requests that are refused do not make an overload last

Cause (found in reading): the refusal of a late request was noted like any other, so that a steady stream of callers that come back kept itself refused after the overload was over. Change: only requests that could have been in time tell of an overload. The test of late requests fails without it.

--- a/internal/decide/backlog/backlog.go
+++ b/internal/decide/backlog/backlog.go
@@ -142,8 +142,12 @@
 
 // Refuse notes a refusal and tells when its caller, which has so much time left,
 // may come back. An overload of unknown length is expected to last as long again
-// as it has lasted.
-func (b *Backlog[T]) Refuse(now time.Time, left time.Duration) time.Duration {
+// as it has lasted. It is told by requests that could have been in time: late
+// ones that are refused for it must not make it last.
+func (b *Backlog[T]) Refuse(now time.Time, late bool, left time.Duration) time.Duration {
+	if !late {
+		b.overload.note(now)
+	}
 	share := returnFrom + (returnTo-returnFrom)*b.random.Float64()
-	return max(b.overload.note(now), time.Duration(share*float64(left)))
+	return max(b.overload.age(now), time.Duration(share*float64(left)))
 }
--- a/internal/decide/backlog/backlog_test.go
+++ b/internal/decide/backlog/backlog_test.go
@@ -127,7 +127,7 @@
 	if got, _ := b.Pop(at(1), all); got != "in time" {
 		t.Errorf("let in first: got %q, want the one that can be in time", got)
 	}
-	b.Refuse(at(100), time.Minute)
+	b.Refuse(at(100), false, time.Minute)
 	if !b.Ahead(at(200), late) || b.Forecast(at(200), late).Allows() {
 		t.Error("just after a refusal: got the late request let in, want it refused")
 	}
@@ -135,6 +135,8 @@
 		t.Error("just after a refusal: got one that can be in time put behind, want only late ones")
 	}
 	b.Remove(func(string) bool { return true })
+	// That late ones are refused does not make the overload last.
+	b.Refuse(at(900), true, time.Minute)
 	if b.Ahead(at(1500), late) || !b.Forecast(at(1500), late).Allows() {
 		t.Error("after a second without a refusal: got the late request refused, want it let in")
 	}
@@ -145,7 +147,7 @@
 	const left = 30 * time.Second
 	seen := map[time.Duration]bool{}
 	for n := range 100 {
-		d := b.Refuse(at(n), left)
+		d := b.Refuse(at(n), false, left)
 		if d < left*3/10 || d > left/3 {
 			t.Errorf("came back after: got %v, want about a third of %v", d, left)
 		}
@@ -156,12 +158,12 @@
 	}
 	// An overload of a minute is expected to last another one.
 	for n := range 60 {
-		b.Refuse(at(1000*n), left)
+		b.Refuse(at(1000*n), false, left)
 	}
-	if got := b.Refuse(at(60_000), left); got < time.Minute {
+	if got := b.Refuse(at(60_000), false, left); got < time.Minute {
 		t.Errorf("after a minute of refusals: got %v, want a minute at least", got)
 	}
-	if got := b.Refuse(at(120_000), left); got > left/3 {
+	if got := b.Refuse(at(120_000), false, left); got > left/3 {
 		t.Errorf("a minute after the last refusal: got %v, want about a third of %v", got, left)
 	}
 }
--- a/internal/decide/backlog/overload.go
+++ b/internal/decide/backlog/overload.go
@@ -16,12 +16,19 @@
 	began, last time.Time
 }
 
-// note takes a refusal and gives the age of the overload.
-func (o *overload) note(now time.Time) time.Duration {
+// note takes a refusal.
+func (o *overload) note(now time.Time) {
 	if now.Sub(o.last) > overloadGap {
 		o.began = now
 	}
 	o.last = now
+}
+
+// age is how long the overload lasts, zero where there is none.
+func (o *overload) age(now time.Time) time.Duration {
+	if now.Sub(o.last) > overloadGap {
+		return 0
+	}
 	return now.Sub(o.began)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -132,6 +132,8 @@
 	// end where the request did not go well.
 	choices [][]zap.Field
 	retried bool
+	// late is set for a request that was refused before, too late for its aim.
+	late bool
 	// forecast decided that the request could not wait; waited is how long it did.
 	forecast backlog.Forecast
 	waited   time.Duration
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -85,7 +85,7 @@
 func (q *request) ask(n placement.Need) backlog.Ask {
 	return backlog.Ask{
 		Workspace: q.workspace.Name, Rank: q.rank(), Cost: float64(n.Tokens),
-		Patience: q.patience(),
+		Patience: q.patience(), Late: q.late,
 	}
 }
 
@@ -103,8 +103,8 @@
 		return placed{fault: fault.New(fault.NoServer, "no engine has memory for the prompt")}
 	}
 	now := time.Now()
+	q.late = a.spent(q) >= q.aim()
 	k := q.ask(n)
-	k.Late = a.spent(q) >= q.aim()
 	if !a.backlog.Ahead(now, k) {
 		if x, l, ok := g.pickFrom(g.fresh(now, q), n, nil); ok {
 			g.mutex.Unlock()
@@ -149,7 +149,7 @@
 	if !g.serves(q.service.Name) {
 		return fault.New(fault.NoServer, "no server of the service is known").After(serverWait)
 	}
-	return fault.New(fault.QueueFull, "no server is expected to have room in time").After(a.backlog.Refuse(now, q.deadline.Sub(now)))
+	return fault.New(fault.QueueFull, "no server is expected to have room in time").After(a.backlog.Refuse(now, q.late, q.deadline.Sub(now)))
 }
 
 // serves reports whether a service has a server that is not leaving; the mutex
