test: tests of the wait share nothing unguarded, and the load is drawn before it is played

No race was in the product's code. Change: guarded accessors; every request of the load is drawn first, so that a seed gives the same load each time.

--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -106,6 +106,13 @@
 	return f.open(ctx, a)
 }
 
+// sent counts the sends so far.
+func (f *fake) sent() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return len(f.sends)
+}
+
 // open starts or resumes a run; the mutex is held.
 func (f *fake) open(ctx context.Context, a port.Attempt) (port.Answer, error) {
 	n, id := string(a.Server.Name), string(a.Request.ID)
@@ -271,7 +278,18 @@
 func (c *caller) End()                { c.ended = true }
 func (c *caller) Abort()              { c.aborted = true }
 
-func (c *caller) Refuse(f *fault.Error) { c.fault = f }
+func (c *caller) Refuse(f *fault.Error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.fault = f
+}
+
+// refused gives the refusal so far, nil for none.
+func (c *caller) refused() *fault.Error {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.fault
+}
 
 func (c *caller) Event(e port.Event) error {
 	c.mutex.Lock()
--- a/internal/gateway/load_test.go
+++ b/internal/gateway/load_test.go
@@ -237,49 +237,61 @@
 	return c
 }
 
-// play sends a multiple of every kind's load for a time and waits for all
-// answers.
+// arrival is one request of the load: all that is drawn of it.
+type arrival struct {
+	kind         int
+	at           time.Duration
+	length, hint api.Tokens
+}
+
+// plan draws a multiple of every kind's load for a time.
+func (l *load) plan(x float64) []arrival {
+	var all []arrival
+	for i, k := range kinds {
+		gap := func() time.Duration {
+			return time.Duration(l.random.ExpFloat64() / (k.perS * x) * float64(time.Second))
+		}
+		for at := gap(); at < loadTime; at += gap() {
+			n := k.answer * math.Exp(0.8*l.random.NormFloat64()-0.32)
+			hint := n * math.Exp(0.5*l.random.NormFloat64())
+			all = append(all, arrival{i, at, min(max(api.Tokens(n), 1), answerMost), api.Tokens(hint)})
+		}
+	}
+	return all
+}
+
+// answerMost is the longest answer, in tokens.
+const answerMost = 2200
+
+// play sends a multiple of every kind's load and waits for all answers.
 func (l *load) play(t *testing.T, x float64) []tally {
 	t.Helper()
 	var all sync.WaitGroup
-	for i := range kinds {
-		for at := l.gap(i, x); at < loadTime; at += l.gap(i, x) {
-			all.Add(1)
-			l.group.Go(func(ctx context.Context) error {
-				defer all.Done()
-				duty.Sleep(ctx, at)
-				l.call(ctx, i)
-				return nil
-			})
-		}
+	for _, a := range l.plan(x) {
+		all.Add(1)
+		l.group.Go(func(ctx context.Context) error {
+			defer all.Done()
+			duty.Sleep(ctx, a.at)
+			l.call(ctx, a)
+			return nil
+		})
 	}
 	all.Wait()
 	return l.tallies
 }
 
-// gap draws the time between two requests of a kind.
-func (l *load) gap(i int, x float64) time.Duration {
-	return time.Duration(l.random.ExpFloat64() / (kinds[i].perS * x) * float64(time.Second))
-}
-
 // call is one caller, who comes back once after a refusal.
-func (l *load) call(ctx context.Context, i int) {
-	k := kinds[i]
-	l.mutex.Lock()
-	n := api.Tokens(k.answer * math.Exp(0.8*l.random.NormFloat64()-0.32))
-	hint := api.Tokens(float64(n) * math.Exp(0.5*l.random.NormFloat64()))
-	l.tallies[i].asked++
-	l.mutex.Unlock()
-	n = min(max(n, 1), 2200)
+func (l *load) call(ctx context.Context, a arrival) {
+	k := kinds[a.kind]
 	began := time.Now()
-	c := l.try(ctx, k, n, hint, k.patient)
+	c := l.try(ctx, a, k.patient)
 	first := c
 	if c.fault != nil {
 		left := k.patient - time.Since(began)
 		duty.Sleep(ctx, min(c.fault.RetryAfter, left/3))
-		c = l.try(ctx, k, n, hint, k.patient-time.Since(began))
+		c = l.try(ctx, a, k.patient-time.Since(began))
 	}
-	l.note(i, began, first, c)
+	l.note(a.kind, began, first, c)
 }
 
 // timed is a caller that notes when events came.
@@ -305,18 +317,19 @@
 	return c.caller.Event(e)
 }
 
-func (l *load) try(ctx context.Context, k kind, n, hint api.Tokens, wait time.Duration) *timed {
+func (l *load) try(ctx context.Context, a arrival, wait time.Duration) *timed {
+	k := kinds[a.kind]
 	l.mutex.Lock()
 	l.count++
 	id := api.RequestID(strconv.Itoa(l.count))
 	l.mutex.Unlock()
 	l.engines.mutex.Lock()
-	l.engines.length[id] = n
+	l.engines.length[id] = a.length
 	l.engines.mutex.Unlock()
 	c := &timed{}
 	l.gateway.Handle(ctx, &port.Request{
 		ID: id, Method: http.MethodPost, Host: "h", Path: k.path + "1", Target: k.path + "1", Header: http.Header{},
-		Arrived: time.Now(), Wait: wait, Prompt: port.Prompt{Tokens: k.prompt, Limit: 2200, Expected: hint},
+		Arrived: time.Now(), Wait: wait, Prompt: port.Prompt{Tokens: k.prompt, Limit: answerMost, Expected: a.hint},
 	}, c)
 	return c
 }
@@ -326,6 +339,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	t, k := &l.tallies[i], kinds[i]
+	t.asked++
 	if first.fault != nil && first.refused.Sub(began) > k.aim/8 {
 		t.slowRefusals++
 	}
@@ -352,15 +366,16 @@
 	return got
 }
 
-// When callers ask for more than engines can do, as many as before are served
-// well, in either kind.
+// When callers ask for more than engines can do, more than before are served
+// well, in either kind, and refusals come at once. At four times the load the code
+// without a bound on reading answered 71 of the long kind in time, of 102 before.
 func TestOverloadDoesNotCollapse(t *testing.T) {
 	calm := playLoad(t, 1, 1)
 	for _, x := range []float64{1.6, 2.2, 4} {
 		got := playLoad(t, 1, x)
 		for i, k := range kinds {
-			if got[i].inAim < calm[i].inAim {
-				t.Errorf("%s at %.1f: got %d answers in time, want at least the %d of the usual load", k.path, x, got[i].inAim, calm[i].inAim)
+			if want := calm[i].inAim * 6 / 5; got[i].inAim < want {
+				t.Errorf("%s at %.1f: got %d answers in time, want at least %d, a fifth more than at the usual load", k.path, x, got[i].inAim, want)
 			}
 			if n := got[i].asked / 10; got[i].slowRefusals > n {
 				t.Errorf("%s at %.1f: got %d refusals later than an eighth of the aim, want at most %d of %d", k.path, x, got[i].slowRefusals, n, got[i].asked)
--- a/internal/gateway/wait_test.go
+++ b/internal/gateway/wait_test.go
@@ -45,7 +45,7 @@
 		b, l := crowd(t, f)
 		full := 0
 		for _, c := range l {
-			if c.fault != nil {
+			if c.refused() != nil {
 				full++
 			}
 		}
@@ -57,8 +57,8 @@
 		time.Sleep(eventGap - routeAim/20)
 		c := b.begin("last", time.Minute)
 		time.Sleep(5 * eventGap)
-		if c.fault != nil || c.count() == 0 {
-			t.Errorf("got fault %v and %d events, want the stream to begin once a run has ended", c.fault, c.count())
+		if x := c.refused(); x != nil || c.count() == 0 {
+			t.Errorf("got fault %v and %d events, want the stream to begin once a run has ended", x, c.count())
 		}
 	})
 }
@@ -70,19 +70,20 @@
 		f := newFake()
 		f.total = 1000
 		b, _ := crowd(t, f)
-		sends := len(f.sends)
+		sends := f.sent()
 		c := b.begin("last", time.Minute)
 		time.Sleep(routeAim / 8)
-		if c.fault == nil {
+		x := c.refused()
+		if x == nil {
 			t.Fatal("got no answer, want a refusal")
 		}
-		if c.fault.Code != fault.QueueFull || c.fault.Ran != api.RanNo {
-			t.Errorf("got %v ran %s, want a full queue and not run", c.fault, c.fault.Ran)
+		if x.Code != fault.QueueFull || x.Ran != api.RanNo {
+			t.Errorf("got %v ran %s, want a full queue and not run", x, x.Ran)
 		}
-		if got := c.fault.RetryAfter; got <= routeAim || got > time.Minute/3 {
+		if got := x.RetryAfter; got <= routeAim || got > time.Minute/3 {
 			t.Errorf("to come back after: got %v, want more than the aim and at most a third of the time", got)
 		}
-		if got := len(f.sends); got != sends {
+		if got := f.sent(); got != sends {
 			t.Errorf("sends: got %d more, want none", got-sends)
 		}
 	})
@@ -96,10 +97,11 @@
 		b.servers(map[string]bool{"e1": true, "e2": true})
 		c := b.begin("first", time.Minute)
 		time.Sleep(routeAim / 8)
-		if c.fault == nil || c.fault.Code != fault.NoServer {
-			t.Fatalf("got %v, want that no server is known", c.fault)
+		x := c.refused()
+		if x == nil || x.Code != fault.NoServer {
+			t.Fatalf("got %v, want that no server is known", x)
 		}
-		if got := c.fault.RetryAfter; got > 2*time.Second {
+		if got := x.RetryAfter; got > 2*time.Second {
 			t.Errorf("to come back after: got %v, want two seconds at most", got)
 		}
 	})
@@ -144,16 +146,16 @@
 		time.Sleep(time.Millisecond)
 		cancel()
 		<-done
-		sends := len(f.sends)
+		sends := f.sent()
 		l[0].leave()
 		time.Sleep(3 * eventGap)
-		if got := len(f.sends); got != sends {
+		if got := f.sent(); got != sends {
 			t.Errorf("sends after the caller left: got %d, want none", got-sends)
 		}
 		n := b.begin("next", time.Minute)
 		time.Sleep(3 * eventGap)
-		if n.fault != nil {
-			t.Errorf("the next request: got %v, want it let in", n.fault)
+		if x := n.refused(); x != nil {
+			t.Errorf("the next request: got %v, want it let in", x)
 		}
 	})
 }
