--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -427,6 +427,10 @@
 	// Members that answer the sender, now and then.
 	Peers []MeshMember `json:"peers,omitempty,omitzero"`
 
+	// What is promised of the engines of each service that the sender allocates, to
+	// other hubs.
+	Pools map[string]PoolLoad `json:"pools,omitempty,omitzero"`
+
 	// Version of the protocol between entry VMs.
 	Protocol int `json:"protocol"`
 
@@ -569,6 +573,34 @@
 	VM VMName `json:"vm"`
 }
 
+// Holding is what an entry VM holds at the engines of one failure domain, for the
+// entry VM that allocates them.
+type Holding struct {
+	// Last ask that the holder has begun.
+	Asked int `json:"asked"`
+
+	// Life of the holder.
+	Incarnation Incarnation `json:"incarnation"`
+
+	// Loads by engine, without what open asks are granted.
+	Loads map[string]ServerLoad `json:"loads,omitempty,omitzero"`
+
+	// Asks that it still waits for.
+	Open []int `json:"open,omitempty,omitzero"`
+
+	// Version of the protocol between entry VMs.
+	Protocol int `json:"protocol"`
+
+	// How long engines took to read prompts since the report before, by service.
+	Read map[string]ReadTime `json:"read,omitempty,omitzero"`
+
+	// Order among the holder's reports.
+	Sequence int `json:"sequence"`
+
+	// Holder.
+	VM VMName `json:"vm"`
+}
+
 // Incarnation tells two lives of one VM apart, in Unix nanoseconds at start.
 type Incarnation int
 
@@ -819,6 +851,118 @@
 const PeerStateStarting PeerState = "starting"
 const PeerStateStopping PeerState = "stopping"
 
+// PlaceAnswer gives a place, or says why there is none.
+type PlaceAnswer struct {
+	// Engine that is to keep a copy of the run as it grows; empty for none.
+	Copy ServerName `json:"copy,omitempty,omitzero"`
+
+	// What was promised of it before.
+	Load *ServerLoad `json:"load,omitempty,omitzero"`
+
+	// Engines that it was chosen from.
+	Of int `json:"of,omitempty,omitzero"`
+
+	// Set where the request is to be refused.
+	Refused *PlaceRefusal `json:"refused,omitempty,omitzero"`
+
+	// Rating that decided, lower is better.
+	Score float64 `json:"score,omitempty,omitzero"`
+
+	// Engine that was chosen; empty for none.
+	Server ServerName `json:"server,omitempty,omitzero"`
+}
+
+// PlaceAsk asks the entry VM that allocates the engines of a failure domain for a
+// place.
+type PlaceAsk struct {
+	// Time in which the first event is good.
+	AimMS Milliseconds `json:"aim_ms,omitempty,omitzero"`
+
+	// Number of the ask among those of the holder.
+	Ask int `json:"ask"`
+
+	// Failure domain of the engines.
+	Domain DomainName `json:"domain"`
+
+	// Expected length of an answer whose run may be given a place for a copy as well;
+	// zero asks for none.
+	Expected Tokens `json:"expected,omitempty,omitzero"`
+
+	// Whether another allocator has passed the ask on; it goes no further.
+	Forwarded bool `json:"forwarded,omitempty,omitzero"`
+
+	// What the asking entry VM holds there.
+	Holding Holding `json:"holding"`
+
+	// Whether the request was found to be too late for its aim, where the ask is
+	// forwarded.
+	Late bool `json:"late,omitempty,omitzero"`
+
+	// Time that the caller has left.
+	LeftMS Milliseconds `json:"left_ms,omitempty,omitzero"`
+
+	// Whether the place is for a new run, one that has to leave its engine, or a copy
+	// that grows with a run.
+	Purpose PlaceAskPurpose `json:"purpose"`
+
+	// Rank among those that wait; 0 goes first.
+	Rank int `json:"rank,omitempty,omitzero"`
+
+	// Route of the request.
+	Route string `json:"route,omitempty,omitzero"`
+
+	// Service of the engines.
+	Service ServiceName `json:"service"`
+
+	// Engine memory that is needed.
+	Tokens Tokens `json:"tokens,omitempty,omitzero"`
+
+	// Engines that are not to be chosen.
+	Tried []ServerName `json:"tried,omitempty,omitzero"`
+
+	// Prompt tokens that the engine has to read first.
+	Unread Tokens `json:"unread,omitempty,omitzero"`
+
+	// Time that the caller of a new run allowed.
+	WaitMS Milliseconds `json:"wait_ms,omitempty,omitzero"`
+
+	// Whether the ask may wait for room.
+	Waits bool `json:"waits,omitempty,omitzero"`
+
+	// Workspace that asks.
+	Workspace WorkspaceName `json:"workspace,omitempty,omitzero"`
+}
+
+type PlaceAskPurpose string
+
+const PlaceAskPurposeCopy PlaceAskPurpose = "copy"
+const PlaceAskPurposeMove PlaceAskPurpose = "move"
+const PlaceAskPurposeRun PlaceAskPurpose = "run"
+
+// PlaceRefusal says that no engine is expected to have room in time.
+type PlaceRefusal struct {
+	// Whether it was late while others that could be in time were refused.
+	Behind bool `json:"behind,omitempty,omitzero"`
+
+	// Code of the fault.
+	Code int `json:"code"`
+
+	// What happened.
+	Detail string `json:"detail"`
+
+	// Time after which the request would have been let in.
+	ForecastMS Milliseconds `json:"forecast_ms,omitempty,omitzero"`
+
+	// Longest that it might have waited.
+	PatienceMS Milliseconds `json:"patience_ms,omitempty,omitzero"`
+
+	// Time after which the caller may come back.
+	RetryAfterMS Milliseconds `json:"retry_after_ms,omitempty,omitzero"`
+
+	// Requests that waited already.
+	Waiting int `json:"waiting,omitempty,omitzero"`
+}
+
 // PlatformSettings tells how to reach the platform.
 type PlatformSettings struct {
 	// Address of the object API.
@@ -843,6 +987,21 @@
 const PlatformSettingsWireHosted PlatformSettingsWire = "hosted"
 const PlatformSettingsWireOwn PlatformSettingsWire = "own"
 
+// PoolLoad is what is promised of a service's engines in one failure domain.
+type PoolLoad struct {
+	// Engines that take new requests.
+	Engines int `json:"engines"`
+
+	// Engine memory that is promised.
+	Tokens Tokens `json:"tokens,omitempty,omitzero"`
+
+	// Prompt tokens of requests without a first event.
+	Unread Tokens `json:"unread,omitempty,omitzero"`
+
+	// Requests that wait for an engine.
+	Waiting int `json:"waiting,omitempty,omitzero"`
+}
+
 type Priority string
 
 const PriorityBackground Priority = "background"
@@ -855,6 +1014,15 @@
 const RanUnknown Ran = "unknown"
 const RanYes Ran = "yes"
 
+// ReadTime is how long engines took to read prompts.
+type ReadTime struct {
+	// Time until the first events
+	MS int `json:"ms"`
+
+	// Prompt tokens that were to be read, with those that were ahead.
+	Tokens Tokens `json:"tokens"`
+}
+
 // RequestID identifies one request of a caller.
 type RequestID string
 
--- a/internal/decide/gossip/hubs.go
+++ b/internal/decide/gossip/hubs.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/placement"
 )
 
@@ -17,9 +18,7 @@
 			l = append(l, x.Member)
 		}
 	}
-	slices.SortFunc(l, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.Address, b.Address))
-	})
+	slices.SortFunc(l, stronger)
 	var h []string
 	for _, m := range l[:min(p.hubs, len(l))] {
 		h = append(h, m.Address)
@@ -27,6 +26,47 @@
 	return h
 }
 
+// toldTime is how long a hub of another failure domain counts that only others
+// heard: they pass on whom they hear every two seconds at least.
+const toldTime = 5 * time.Second
+
+// Allocators lists the addresses of the entry VMs that may allocate the engines of
+// a failure domain, its hubs, the first choice first; the own one is empty.
+func (p *Peers) Allocators(now time.Time, d api.DomainName) []string {
+	var l []string
+	if d == p.self.Domain {
+		for _, a := range p.Hubs(now) {
+			if a == p.self.Address {
+				a = ""
+			}
+			l = append(l, a)
+		}
+		return l
+	}
+	var m []Member
+	for _, x := range p.peers {
+		if x.Domain == d && x.Hub && (p.alive(now, x) || now.Sub(x.told) < toldTime) {
+			m = append(m, x.Member)
+		}
+	}
+	slices.SortFunc(m, stronger)
+	for _, x := range m[:min(p.hubs, len(m))] {
+		l = append(l, x.Address)
+	}
+	return l
+}
+
+// stronger orders members by what they could carry, and by address.
+func stronger(a, b Member) int {
+	return cmp.Or(cmp.Compare(b.Capacity, a.Capacity), cmp.Compare(a.Address, b.Address))
+}
+
+// First reports whether this entry VM is the first hub of its failure domain, the
+// one that allocates its engines while it answers.
+func (p *Peers) First(now time.Time) bool {
+	return p.Hubs(now)[0] == p.self.Address
+}
+
 // settle is how long an entry VM that has just started listens before it may
 // be a hub: where all start together, each would take itself for one.
 const settle = 1500 * time.Millisecond
--- a/internal/decide/gossip/round.go
+++ b/internal/decide/gossip/round.go
@@ -14,12 +14,11 @@
 	pace time.Duration
 }
 
-// Round lists whom to begin an exchange with now; loads are compared closely
-// while engines are pressed.
-func (p *Peers) Round(now time.Time, pressed bool) []string {
+// Round lists whom to begin an exchange with now.
+func (p *Peers) Round(now time.Time) []string {
 	var l []string
 	h := p.Hubs(now)
-	c := place{hubs: h, hub: p.Hub(now), primary: p.Primary(now), pace: p.pace(pressed)}
+	c := place{hubs: h, hub: p.Hub(now), primary: p.Primary(now), pace: p.pace()}
 	for a, x := range p.peers {
 		if p.stale(now, x) {
 			delete(p.peers, a)
@@ -41,28 +40,19 @@
 
 const (
 	// smallFleet is the number of peers up to which each round has an exchange
-	// with every hub; loads are compared closely there.
+	// with every hub.
 	smallFleet = 16
-	// memberPace gives the least pause between exchanges with a hub in larger
-	// fleets: a hub answers a domain's members and all other hubs, and each
-	// exchange takes about 0.8 ms of a core. Loads that are older than a tenth of a
-	// second send two prompts where one fits (docs/LOAD.md).
-	memberPace = 600 * time.Microsecond
-	// quietPace is that pause while engines are not pressed, just below two
-	// rounds.
-	quietPace = 450 * time.Millisecond
+	// largePace is the least pause between exchanges with a hub in larger fleets,
+	// just below two rounds: a hub answers a domain's members and all other hubs.
+	largePace = 450 * time.Millisecond
 )
 
 // pace is the least pause between exchanges with a hub.
-func (p *Peers) pace(pressed bool) time.Duration {
-	switch {
-	case len(p.peers) <= smallFleet:
+func (p *Peers) pace() time.Duration {
+	if len(p.peers) <= smallFleet {
 		return 0
-	case pressed:
-		return min(time.Duration(len(p.peers))*memberPace, quietPace)
-	default:
-		return quietPace
 	}
+	return largePace
 }
 
 // pause is the time between exchanges with a peer that this entry VM begins, or
--- a/internal/decide/placement/load.go
+++ b/internal/decide/placement/load.go
@@ -13,6 +13,16 @@
 	return api.ServerLoad{Requests: a.Requests + b.Requests, Tokens: a.Tokens + b.Tokens, Unread: a.Unread + b.Unread}
 }
 
+// add adds to the load of a server, which is forgotten where nothing is left.
+func (l Loads) add(n api.ServerName, x api.ServerLoad) {
+	s := plus(l[n], x)
+	if s == (api.ServerLoad{}) {
+		delete(l, n)
+		return
+	}
+	l[n] = s
+}
+
 // Minus gives the load that takes another one away when it is added.
 func Minus(l api.ServerLoad) api.ServerLoad {
 	return api.ServerLoad{Requests: -l.Requests, Tokens: -l.Tokens, Unread: -l.Unread}
@@ -51,7 +61,8 @@
 	relation Relation
 }
 
-// Table counts what is in flight at each server, from here and from the peers.
+// Table counts what is in flight at each plain server, from here and from the
+// peers.
 type Table struct {
 	own   Loads
 	peers map[api.VMName]peerReport
@@ -64,12 +75,7 @@
 
 // Add adds to the own load of a server; a negative load takes away.
 func (t *Table) Add(n api.ServerName, l api.ServerLoad) {
-	x := plus(t.own[n], l)
-	if x == (api.ServerLoad{}) {
-		delete(t.own, n)
-		return
-	}
-	t.own[n] = x
+	t.own.add(n, l)
 }
 
 // Update takes a peer's report. That of a primary replaces all others; strangers
--- a/internal/decide/placement/pick.go
+++ b/internal/decide/placement/pick.go
@@ -27,6 +27,10 @@
 	// Domain is the failure domain to stay in: that of this entry VM, or of the
 	// server that a run is copied from.
 	Domain api.DomainName
+	// Exact is set where all loads are known as they are, as on the entry VM that
+	// allocates the engines: the best one is chosen. Where they are known late, a
+	// few are compared.
+	Exact bool
 	// Stay leaves the domain only where none of its servers has room. It is for
 	// copies of a run's memory, which take twice as long between domains, while
 	// notices are hardly long enough within one (docs/design/011).
@@ -63,14 +67,16 @@
 
 // Picker chooses servers.
 type Picker struct {
-	Table  *Table
-	Health *Health
-	random *rand.Rand
+	// Table counts the loads of plain servers, Engines those of engines.
+	Table   *Table
+	Engines *Ledger
+	Health  *Health
+	random  *rand.Rand
 }
 
 // NewPicker makes a picker without load that draws from a source.
 func NewPicker(s rand.Source) *Picker {
-	return &Picker{Table: NewTable(), Health: NewHealth(), random: rand.New(s)}
+	return &Picker{Table: NewTable(), Engines: NewLedger(), Health: NewHealth(), random: rand.New(s)}
 }
 
 // Choice is a server with the figures that decided for it.
@@ -94,8 +100,8 @@
 	if len(all) == 0 {
 		return Choice{}, false
 	}
-	best := slices.MinFunc(p.sample(all, p.Table.Members(now)), func(a, b Choice) int { return cmp.Compare(a.Score, b.Score) })
-	best.Load = p.Table.Total(now, best.Name)
+	best := slices.MinFunc(p.sample(now, l, all), func(a, b Choice) int { return cmp.Compare(a.Score, b.Score) })
+	best.Load = p.load(now, l, best.Name)
 	best.Of = len(all)
 	return best, true
 }
@@ -135,19 +141,30 @@
 
 // sample draws some of the servers, from those that are not to be avoided where
 // there are any.
-func (p *Picker) sample(all []Choice, members int) []Choice {
+func (p *Picker) sample(now time.Time, l Pool, all []Choice) []Choice {
 	good := slices.DeleteFunc(slices.Clone(all), func(c Choice) bool { return c.Score >= avoid })
 	if len(good) == 0 {
 		return all
 	}
 	p.random.Shuffle(len(good), func(i, j int) { good[i], good[j] = good[j], good[i] })
-	return good[:min(len(good), sampleLeast+sampleShare/members)]
+	if l.Exact {
+		return good
+	}
+	return good[:min(len(good), sampleLeast+sampleShare/p.Table.Members(now))]
+}
+
+// load is what is known to be in flight at a server of a pool.
+func (p *Picker) load(now time.Time, l Pool, n api.ServerName) api.ServerLoad {
+	if l.Memory > 0 {
+		return p.Engines.Total(n)
+	}
+	return p.Table.Total(now, n)
 }
 
 // score rates a server, lower is better; it reports false for an engine whose
 // memory is promised already.
 func (p *Picker) score(now time.Time, l Pool, m roster.Member, n Need, share float64) (float64, bool) {
-	t := p.Table.Total(now, m.Name)
+	t := p.load(now, l, m.Name)
 	s := float64(t.Requests) / float64(max(1, m.Slots))
 	if l.Memory > 0 {
 		used := float64(t.Tokens+n.Tokens) / float64(l.Memory)
@@ -156,7 +173,9 @@
 		}
 		s = used + float64(t.Unread)/unreadScale
 	}
-	s += spread * p.random.Float64()
+	if !l.Exact {
+		s += spread * p.random.Float64()
+	}
 	if m.Domain != l.Domain {
 		s += away
 	}
@@ -188,25 +207,6 @@
 	}
 }
 
-// pressedShare is the share of a pool's memory from which on entry VMs have to
-// hear of each other's sends at once: below what engines hold at everyday load.
-// With half of the memory, worth there was 0.01 to 0.02 lower (two seeds of two
-// sites, within noise).
-const pressedShare = 0.2
-
-// Pressed reports whether so much of a pool's memory is promised that loads have
-// to be exchanged closely.
-func (p *Picker) Pressed(now time.Time, l Pool) bool {
-	var promised, memory api.Tokens
-	for _, m := range l.Members {
-		if m.State != roster.Leaving {
-			promised += p.Table.Total(now, m.Name).Tokens
-			memory += l.Memory
-		}
-	}
-	return float64(promised) > pressedShare*float64(memory)
-}
-
 const (
 	// protectBound is the share of an engine's memory that may be promised with
 	// copies for runs elsewhere; what is above stays for runs of its own.
@@ -216,17 +216,24 @@
 	protectFrom = 300
 )
 
-// Protect gives the server that is to keep a copy of a run as it grows, or
-// false where the run is short or memory is needed for runs themselves.
-func (p *Picker) Protect(now time.Time, l Pool, n Need, expected api.Tokens, source api.ServerName) (roster.Server, bool) {
-	if expected < protectFrom {
-		return roster.Server{}, false
+// Protects reports whether a run whose answer is expected to be so long is worth a
+// copy.
+func Protects(expected api.Tokens) bool {
+	return expected >= protectFrom
+}
+
+// Protect gives the server that is to keep a copy of a run as it grows, none of
+// those tried, or false where the run is short or memory is needed for runs
+// themselves.
+func (p *Picker) Protect(now time.Time, l Pool, n Need, expected api.Tokens, tried []api.ServerName) (Choice, bool) {
+	if !Protects(expected) {
+		return Choice{}, false
 	}
-	s, ok := p.Pick(now, l, n, []api.ServerName{source})
+	x, ok := p.Pick(now, l, n, tried)
 	if !ok {
-		return s.Server, false
+		return x, false
 	}
-	return s.Server, float64(s.Load.Tokens+n.Tokens) <= protectBound*float64(l.Memory)
+	return x, float64(x.Load.Tokens+n.Tokens) <= protectBound*float64(l.Memory)
 }
 
 func names(l []roster.Member) []api.ServerName {
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -46,16 +46,6 @@
 	}
 }
 
-// fresh is the pool for a new run: memory is kept free for the runs of servers
-// that leave, and prompts are read in time; the mutex is held.
-func (g *Gateway) fresh(now time.Time, q *request) placement.Pool {
-	a := g.admission(q.service.Name)
-	l := g.pool(q.service, g.Domain)
-	l.Room = a.reserve.Room(now)
-	l.UnreadMost = a.reading.Within(q.aim())
-	return l
-}
-
 // noteLeaving learns how many servers leave at once.
 func (g *Gateway) noteLeaving(changed []roster.Member) {
 	g.mutex.Lock()
@@ -76,30 +66,10 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	if n := l.load.Unread; n > 0 {
-		g.admission(q.service.Name).reading.Note(l.ahead+n, time.Since(l.at))
-	}
-}
-
-// Pressed reports whether entry VMs have to hear of each other's sends at once,
-// as requests wait or engines fill up.
-func (g *Gateway) Pressed() bool {
-	d := g.directory.Load()
-	if d == nil {
-		return false
-	}
-	now := time.Now()
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	if g.waiting() > 0 {
-		return true
-	}
-	for i := range d.Services {
-		s := &d.Services[i]
-		if s.Engine != nil && g.picker.Pressed(now, g.pool(s, g.Domain)) {
-			return true
-		}
+		d := time.Since(l.at)
+		g.admission(q.service.Name).reading.Note(l.ahead+n, d)
+		g.noteReading(q.service.Name, l.ahead+n, d)
 	}
-	return false
 }
 
 // waiting counts the requests that wait; the mutex is held.
--- /dev/null
+++ b/internal/gateway/allocate.go
@@ -0,0 +1,202 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/backlog"
+	"github.com/wardridge/wardridge/internal/decide/placement"
+	"github.com/wardridge/wardridge/internal/decide/roster"
+	"github.com/wardridge/wardridge/internal/fault"
+)
+
+// allocate gives a demand an engine of this entry VM's failure domain, sends it on
+// to another domain that is less loaded, or lets it wait.
+func (g *Gateway) allocate(ctx context.Context, d demand, a api.PlaceAsk) placed {
+	if !a.Forwarded {
+		g.judge(&d)
+	}
+	g.mutex.Lock()
+	now := time.Now()
+	x, ok := g.pick(now, d)
+	to, better := g.better(now, d, x, ok, a.Forwarded)
+	if ok && !better {
+		p := g.take(now, d, x)
+		g.mutex.Unlock()
+		return p
+	}
+	g.mutex.Unlock()
+	if better {
+		if p, done := g.forward(ctx, d, a, to); done {
+			return p
+		}
+	}
+	return g.here(ctx, d)
+}
+
+// here places a demand without asking anyone else.
+func (g *Gateway) here(ctx context.Context, d demand) placed {
+	g.mutex.Lock()
+	now := time.Now()
+	if x, ok := g.pick(now, d); ok {
+		p := g.take(now, d, x)
+		g.mutex.Unlock()
+		return p
+	}
+	g.mutex.Unlock()
+	if !d.waits {
+		return placed{fault: fault.New(fault.NoServer, "no engine has room now")}
+	}
+	return g.await(ctx, d)
+}
+
+// better gives the failure domain that a demand is better sent on to; the mutex
+// is held. Copies stay near their run.
+func (g *Gateway) better(now time.Time, d demand, x placement.Choice, ok, forwarded bool) (api.DomainName, bool) {
+	if forwarded || d.purpose == api.PlaceAskPurposeCopy || ok && d.purpose == api.PlaceAskPurposeMove {
+		return "", false
+	}
+	var home *placement.Choice
+	if ok {
+		home = &x
+	}
+	return g.domains.Better(now, d.service.Name, d.service.Engine.Memory, d.need, home)
+}
+
+// forward asks the allocator of another failure domain. There the demand waits
+// only where there is nothing to wait for here.
+func (g *Gateway) forward(ctx context.Context, d demand, a api.PlaceAsk, to api.DomainName) (placed, bool) {
+	a.Domain, a.Forwarded, a.Late = to, true, d.ask.Late
+	d.domain = to
+	if a.Waits {
+		a.Waits = !g.hasEngines(d.service.Name)
+	}
+	p, ok := g.askAllocators(ctx, d, a)
+	if ok && p.fault == nil {
+		g.mutex.Lock()
+		g.domains.Sent(d.service.Name, to, d.need)
+		g.mutex.Unlock()
+		return p, true
+	}
+	return p, ok && a.Waits
+}
+
+// hasEngines reports whether an engine of a service in this entry VM's failure
+// domain takes new requests.
+func (g *Gateway) hasEngines(n api.ServiceName) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for _, m := range g.roster.Service(n) {
+		if m.Domain == g.Domain && m.State != roster.Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// Place answers another entry VM that asks for a place at an engine.
+func (g *Gateway) Place(ctx context.Context, a api.PlaceAsk) (api.PlaceAnswer, error) {
+	d, f := g.demanded(a)
+	if f != nil {
+		return api.PlaceAnswer{}, f
+	}
+	if !a.Forwarded {
+		g.Hold(a.Holding)
+	}
+	p := g.allocate(ctx, d, a)
+	return answer(p), nil
+}
+
+// demanded is the demand in an ask of another entry VM.
+func (g *Gateway) demanded(a api.PlaceAsk) (demand, *fault.Error) {
+	c := g.directory.Load()
+	if c == nil {
+		return demand{}, fault.New(fault.Starting, "this entry VM knows no configuration yet")
+	}
+	s, ok := c.Service(a.Service)
+	if !ok || s.Engine == nil {
+		return demand{}, fault.New(fault.NotFound, "no engines of this service are configured")
+	}
+	return demand{
+		service: s, purpose: a.Purpose, domain: a.Domain, exact: true, tried: a.Tried, waits: a.Waits, expected: a.Expected,
+		need:     placement.Need{Tokens: a.Tokens, Unread: a.Unread},
+		ask:      backlog.Ask{Workspace: a.Workspace, Rank: a.Rank, Cost: float64(a.Tokens), Aim: a.AimMS.Duration(), Late: a.Late},
+		route:    a.Route,
+		wait:     a.WaitMS.Duration(),
+		deadline: time.Now().Add(a.LeftMS.Duration()),
+		recipient: &placement.Recipient{
+			VM: a.Holding.VM, Incarnation: a.Holding.Incarnation, Ask: placement.Ask(a.Ask),
+		},
+	}, nil
+}
+
+// answer is the message for what a demand was given.
+func answer(p placed) api.PlaceAnswer {
+	if f := p.fault; f != nil {
+		return api.PlaceAnswer{Refused: &api.PlaceRefusal{
+			Code: int(f.Code), Detail: f.Detail, RetryAfterMS: api.ToMilliseconds(f.RetryAfter), Waiting: p.forecast.Waiting,
+			ForecastMS: api.ToMilliseconds(p.forecast.Wait), PatienceMS: api.ToMilliseconds(p.forecast.Bound), Behind: p.forecast.Behind,
+		}}
+	}
+	return api.PlaceAnswer{Server: p.choice.Name, Load: &p.choice.Load, Score: p.choice.Score, Of: p.choice.Of, Copy: p.copy}
+}
+
+// Hold takes what another entry VM holds at engines that this one allocates.
+func (g *Gateway) Hold(h api.Holding) {
+	x := placement.Holding{
+		Incarnation: h.Incarnation, Sequence: int64(h.Sequence), Loads: make(placement.Loads, len(h.Loads)), Asked: placement.Ask(h.Asked),
+	}
+	for n, l := range h.Loads {
+		x.Loads[api.ServerName(n)] = l
+	}
+	for _, n := range h.Open {
+		x.Open = append(x.Open, placement.Ask(n))
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := time.Now()
+	g.picker.Engines.Report(now, h.VM, x)
+	for n, r := range h.Read {
+		if a, ok := g.admissions[api.ServiceName(n)]; ok {
+			a.reading.Note(r.Tokens, time.Duration(r.MS)*time.Millisecond)
+		}
+	}
+	g.letIn(now)
+}
+
+// Pools sums up the engines that this entry VM allocates, by service.
+func (g *Gateway) Pools() map[api.ServiceName]api.PoolLoad {
+	d := g.directory.Load()
+	if d == nil {
+		return nil
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	l := map[api.ServiceName]api.PoolLoad{}
+	for i := range d.Services {
+		s := &d.Services[i]
+		if s.Engine == nil {
+			continue
+		}
+		p := placement.Pool{}
+		for _, m := range g.roster.Service(s.Name) {
+			if m.Domain == g.Domain {
+				p.Members = append(p.Members, m)
+			}
+		}
+		x := g.picker.Sum(p)
+		if a, ok := g.admissions[s.Name]; ok {
+			x.Waiting = a.backlog.Len()
+		}
+		l[s.Name] = x
+	}
+	return l
+}
+
+// UpdatePools takes what the allocator of another failure domain tells.
+func (g *Gateway) UpdatePools(d api.DomainName, l map[api.ServiceName]api.PoolLoad) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.domains.Update(time.Now(), d, l)
+}
--- /dev/null
+++ b/internal/gateway/demand.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/backlog"
+	"github.com/wardridge/wardridge/internal/decide/directory"
+	"github.com/wardridge/wardridge/internal/decide/placement"
+	"github.com/wardridge/wardridge/internal/decide/roster"
+)
+
+// demand asks for a place at an engine, for this entry VM or for another one.
+type demand struct {
+	service *directory.Service
+	purpose api.PlaceAskPurpose
+	// domain is the failure domain whose engines are wanted.
+	domain api.DomainName
+	need   placement.Need
+	ask    backlog.Ask
+	// route and wait are the route of a new run and the time that its caller allowed,
+	// which tell whether it was refused before.
+	route string
+	wait  time.Duration
+	// deadline is when the caller gives up.
+	deadline time.Time
+	// waits is set where the demand may wait for room.
+	waits bool
+	tried []api.ServerName
+	// expected is the length of an answer whose run may have a copy; zero for none.
+	expected api.Tokens
+	// exact is set where this entry VM allocates the domain's engines.
+	exact bool
+	// recipient is the holder of the place, nil for this entry VM.
+	recipient *placement.Recipient
+}
+
+// engines is the pool that a demand is met from: the engines of its failure
+// domain, and those of domains that nobody is known to allocate. For new runs
+// memory is kept free for the runs of servers that leave, and prompts are read in
+// time. The mutex is held.
+func (g *Gateway) engines(now time.Time, d demand) placement.Pool {
+	l := g.pool(d.service, d.domain)
+	l.Members = nil
+	for _, m := range g.roster.Service(d.service.Name) {
+		if m.Domain == d.domain || !g.domains.Known(now, d.service.Name, m.Domain) {
+			l.Members = append(l.Members, m)
+		}
+	}
+	l.Exact = d.exact
+	switch d.purpose {
+	case api.PlaceAskPurposeRun:
+		a := g.admission(d.service.Name)
+		l.Room = a.reserve.Room(now)
+		l.UnreadMost = a.reading.Within(d.ask.Aim)
+	case api.PlaceAskPurposeMove:
+		l.Stay = true
+	}
+	return l
+}
+
+// pick chooses an engine for a demand at once, unless others wait for it; the
+// mutex is held.
+func (g *Gateway) pick(now time.Time, d demand) (placement.Choice, bool) {
+	l := g.engines(now, d)
+	switch {
+	case d.purpose == api.PlaceAskPurposeCopy:
+		return g.picker.Protect(now, l, d.need, d.expected, d.tried)
+	case d.purpose == api.PlaceAskPurposeRun && g.admission(d.service.Name).backlog.Ahead(now, d.ask):
+		return placement.Choice{}, false
+	default:
+		return g.picker.Pick(now, l, d.need, d.tried)
+	}
+}
+
+// judge notes whether a new run comes too late for its aim: the entry VM that
+// places it sees most callers of a route, whose usual times tell.
+func (g *Gateway) judge(d *demand) {
+	if d.purpose != api.PlaceAskPurposeRun {
+		return
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	d.ask.Late = g.admission(d.service.Name).backlog.Late(d.route, d.wait, d.ask.Aim)
+}
+
+// load is what the place of a demand counts for.
+func (d demand) load() api.ServerLoad {
+	l := api.ServerLoad{Requests: 1, Tokens: d.need.Tokens, Unread: d.need.Unread}
+	if d.purpose == api.PlaceAskPurposeCopy {
+		l.Requests = 0
+	}
+	return l
+}
+
+// take counts the place that was chosen for a demand, and one for a copy of its
+// run where that is worth it; the mutex is held.
+func (g *Gateway) take(now time.Time, d demand, x placement.Choice) placed {
+	p := placed{choice: x, reservation: g.count(now, d, x.Server, d.load())}
+	if d.expected == 0 || d.purpose != api.PlaceAskPurposeRun {
+		return p
+	}
+	l := g.engines(now, demand{service: d.service, purpose: api.PlaceAskPurposeCopy, domain: x.Domain, exact: d.exact})
+	n := placement.Need{Tokens: d.need.Tokens}
+	if c, ok := g.picker.Protect(now, l, n, d.expected, []api.ServerName{x.Name}); ok {
+		p.copy = c.Name
+		p.backup = g.keeps(c.Server, g.count(now, d, c.Server, api.ServerLoad{Tokens: n.Tokens}))
+	}
+	return p
+}
+
+// keeps gives the backup that a reservation is for, nil for one of another
+// entry VM.
+func (g *Gateway) keeps(s roster.Server, r *reservation) *backup {
+	if r == nil {
+		return nil
+	}
+	return &backup{at: s, reservation: r}
+}
+
+// count counts a load for a demand's holder: as an own reservation, or as a
+// grant, for which there is none. The mutex is held.
+func (g *Gateway) count(now time.Time, d demand, s roster.Server, x api.ServerLoad) *reservation {
+	if d.recipient != nil {
+		g.picker.Engines.Grant(now, *d.recipient, s.Name, x)
+		return nil
+	}
+	return g.reserve(now, s, true, x)
+}
--- /dev/null
+++ b/internal/gateway/fleet_test.go
@@ -0,0 +1,164 @@
+package gateway_test
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/gateway"
+)
+
+// way is the time of a message between two entry VMs.
+const way = time.Millisecond
+
+// fleetLoad is many entry VMs, of which the first two may allocate the engines.
+type fleetLoad struct {
+	*load
+
+	mutex sync.Mutex
+	// silent VMs answer nobody.
+	silent map[string]bool
+}
+
+// newFleet makes so many entry VMs.
+func newFleet(t *testing.T, seed uint64, vms int) *fleetLoad {
+	t.Helper()
+	f := &fleetLoad{silent: map[string]bool{}}
+	var l []gateway.Peers
+	for i := range vms {
+		l = append(l, fleetPeers{fleet: f, self: strconv.Itoa(i)})
+	}
+	f.load = newFleetLoad(t, seed, l)
+	return f
+}
+
+func (f *fleetLoad) silence(vm string, silent bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.silent[vm] = silent
+}
+
+// reach is the way to a VM; it takes until the caller gives up where that is
+// silent.
+func (f *fleetLoad) reach(ctx context.Context, vm string) (*gateway.Gateway, error) {
+	duty.Sleep(ctx, way)
+	f.mutex.Lock()
+	s := f.silent[vm]
+	f.mutex.Unlock()
+	if s {
+		<-ctx.Done()
+		return nil, fault.New(fault.OutcomeUnknown, "no answer")
+	}
+	i, err := strconv.Atoi(vm)
+	if err != nil {
+		return nil, fault.Wrap(fault.Internal, err, "no such VM")
+	}
+	return f.vms[i], nil
+}
+
+// fleetPeers are what one VM sees of the others.
+type fleetPeers struct {
+	fleet *fleetLoad
+	self  string
+}
+
+func (p fleetPeers) Allocators(api.DomainName) []string {
+	l := []string{"0", "1"}
+	for i := range l {
+		if l[i] == p.self {
+			l[i] = ""
+		}
+	}
+	return l
+}
+
+func (p fleetPeers) Ask(ctx context.Context, address string, a api.PlaceAsk) (api.PlaceAnswer, error) {
+	g, err := p.fleet.reach(ctx, address)
+	if err != nil {
+		return api.PlaceAnswer{}, err
+	}
+	return g.Place(ctx, a)
+}
+
+func (p fleetPeers) Report(ctx context.Context, address string, h api.Holding) error {
+	g, err := p.fleet.reach(ctx, address)
+	if err != nil {
+		return err
+	}
+	g.Hold(h)
+	return nil
+}
+
+// playFleet plays a load against so many entry VMs in virtual time; during plays
+// beside it.
+func playFleet(t *testing.T, seed uint64, vms int, x float64, during func(f *fleetLoad)) []tally {
+	t.Helper()
+	var got []tally
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, seed, vms)
+		f.group.Go(func(context.Context) error {
+			during(f)
+			return nil
+		})
+		got = f.play(t, x)
+	})
+	t.Logf("%d entry VMs, %.1f times the load: long answers %+v, short answers %+v", vms, x, got[0], got[1])
+	return got
+}
+
+func calm(*fleetLoad) {}
+
+// Many entry VMs that each see a few requests give callers what one that sees all
+// would. Without allocators, each compares two of the engines by what it sent
+// there itself.
+func TestManyEntryVMsPlaceAsOne(t *testing.T) {
+	for _, x := range []float64{1, 2.2} {
+		one, many := playLoad(t, 3, x), playFleet(t, 3, 40, x, calm)
+		for i, k := range kinds {
+			if got, want := many[i].inAim, one[i].inAim*9/10; got < want {
+				t.Errorf("%s at %.1f: got %d answers in time, want at least %d, nine tenths of what one entry VM gives", k.path, x, got, want)
+			}
+			if got, want := many[i].late, one[i].late+many[i].asked/20; got > want {
+				t.Errorf("%s at %.1f: got %d late, want at most %d", k.path, x, got, want)
+			}
+		}
+	}
+}
+
+// While the VM that allocates is silent, as when it is frozen, the next one does;
+// it is found out in one ask of each VM, and no request fails for it.
+func TestAllocatorFallsSilentAndWakes(t *testing.T) {
+	got := playFleet(t, 4, 40, 1, func(f *fleetLoad) {
+		time.Sleep(8 * time.Second)
+		f.silence("0", true)
+		time.Sleep(8 * time.Second)
+		f.silence("0", false)
+	})
+	for i, k := range kinds {
+		if n := got[i].failed + got[i].refused; n > got[i].asked/50 {
+			t.Errorf("%s: got %d failed or refused of %d, want at most a fiftieth", k.path, n, got[i].asked)
+		}
+		if n := got[i].late; n > got[i].asked/8 {
+			t.Errorf("%s: got %d late of %d, want at most an eighth", k.path, n, got[i].asked)
+		}
+	}
+}
+
+// Where no VM that allocates answers, each places by what it knows.
+func TestEntryVMsPlaceAloneWhereNobodyAllocates(t *testing.T) {
+	got := playFleet(t, 5, 10, 0.5, func(f *fleetLoad) {
+		f.silence("0", true)
+		f.silence("1", true)
+	})
+	for i, k := range kinds {
+		if n := got[i].failed + got[i].refused; n > 0 {
+			t.Errorf("%s: got %d failed or refused of %d, want none", k.path, n, got[i].asked)
+		}
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -33,13 +33,17 @@
 
 // Parts are what a gateway works with.
 type Parts struct {
+	VM     api.VMName
 	Domain api.DomainName
 	// Seed is of the numbers that are drawn to choose servers.
 	Seed     uint64
 	Backends port.Backends
-	Group    *duty.Group
-	Log      *event.Log
-	Metrics  *metric.Set
+	// Peers reaches the entry VMs that allocate engines; nil where this one is
+	// alone.
+	Peers   Peers
+	Group   *duty.Group
+	Log     *event.Log
+	Metrics *metric.Set
 	// Retries bounds the sends beyond the first of each request.
 	Retries *retry.Window
 }
@@ -58,6 +62,17 @@
 	runs   map[api.ServerName]map[*run]bool
 	// admissions let requests in, by service.
 	admissions map[api.ServiceName]*admission
+	// domains is what the allocators of other failure domains tell, contacts which
+	// of them did not answer.
+	domains  *placement.Domains
+	contacts *placement.Contacts
+	// incarnation, sequence, asks, reports and read are of what this entry VM tells
+	// allocators.
+	incarnation api.Incarnation
+	sequence    int
+	asks        placement.Asks
+	reports     *placement.Reports
+	read        map[string]api.ReadTime
 	// answers are what servers of silent streams said; inquiries lets one
 	// question serve all streams of a server.
 	answers   *silence.Answers
@@ -67,7 +82,11 @@
 
 // New makes a gateway that knows no configuration.
 func New(p Parts) *Gateway {
+	if p.Peers == nil {
+		p.Peers = alone{}
+	}
 	return &Gateway{
+		domains: placement.NewDomains(), contacts: placement.NewContacts(), reports: placement.NewReports(), incarnation: api.Incarnation(p.Seed),
 		Parts: p, roster: roster.New(), picker: placement.NewPicker(rand.NewPCG(p.Seed, 0)),
 		runs: map[api.ServerName]map[*run]bool{}, admissions: map[api.ServiceName]*admission{},
 		answers: silence.NewAnswers(), watchdog: newWatchdog(),
@@ -134,8 +153,6 @@
 	// end where the request did not go well.
 	choices [][]zap.Field
 	retried bool
-	// late is set for a request that was refused before, too late for its aim.
-	late bool
 	// forecast decided that the request could not wait; waited is how long it did.
 	forecast backlog.Forecast
 	waited   time.Duration
--- /dev/null
+++ b/internal/gateway/holding.go
@@ -0,0 +1,104 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/gossip"
+	"github.com/wardridge/wardridge/internal/decide/placement"
+	"github.com/wardridge/wardridge/internal/event"
+)
+
+// reportTime bounds one report to an allocator, as long as an ask may take.
+const reportTime = 300 * time.Millisecond
+
+// holding is what this entry VM holds in a failure domain; the mutex is held.
+func (g *Gateway) holding(d api.DomainName) api.Holding {
+	g.sequence++
+	asked, open := g.asks.State()
+	h := api.Holding{
+		Protocol: gossip.Protocol, VM: g.VM, Incarnation: g.incarnation, Sequence: g.sequence, Asked: int(asked),
+		Loads: map[string]api.ServerLoad{}, Read: g.read,
+	}
+	for _, n := range open {
+		h.Open = append(h.Open, int(n))
+	}
+	for n, l := range g.held(d) {
+		h.Loads[string(n)] = l
+	}
+	g.read = nil
+	return h
+}
+
+// held is the own loads in a failure domain; the mutex is held.
+func (g *Gateway) held(d api.DomainName) placement.Loads {
+	return g.picker.Engines.Own(func(n api.ServerName) bool {
+		m, ok := g.roster.Find(n)
+		return ok && m.Domain == d
+	})
+}
+
+// Held gives what this entry VM holds at engines, wherever they are.
+func (g *Gateway) Held() placement.Loads {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.picker.Engines.Own(func(api.ServerName) bool { return true })
+}
+
+// tellAllocators tells allocators what this entry VM holds, as far as that is due.
+func (g *Gateway) tellAllocators() {
+	g.mutex.Lock()
+	l := g.reports.Domains()
+	g.mutex.Unlock()
+	for _, d := range l {
+		u := g.allocators(d)
+		if len(u) == 0 || u[0] == "" {
+			continue
+		}
+		g.tellAllocator(d, u[0])
+	}
+}
+
+// tellAllocator makes a report to an allocator where one is due.
+func (g *Gateway) tellAllocator(d api.DomainName, to string) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if !g.reports.Begin(time.Now(), d, to, len(g.held(d)) > 0) {
+		return
+	}
+	h := g.holding(d)
+	g.Group.Go(func(ctx context.Context) error {
+		c, cancel := context.WithTimeout(ctx, reportTime)
+		defer cancel()
+		err := g.Peers.Report(c, to, h)
+		g.reported(d, to, err)
+		return nil
+	})
+}
+
+// reported notes what became of a report.
+func (g *Gateway) reported(d api.DomainName, to string, err error) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := time.Now()
+	g.reports.End(now, d, err != nil)
+	if err != nil {
+		g.contacts.Failed(now, to)
+		g.Log.Emit(event.PeerSilent, zap.String("address", to), zap.Error(err))
+	}
+}
+
+// noteReading keeps how long an engine took to read a prompt for the next report;
+// the mutex is held.
+func (g *Gateway) noteReading(s api.ServiceName, n api.Tokens, d time.Duration) {
+	if g.read == nil {
+		g.read = map[string]api.ReadTime{}
+	}
+	x := g.read[string(s)]
+	x.Tokens += n
+	x.MS += int(d.Milliseconds())
+	g.read[string(s)] = x
+}
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -129,7 +130,7 @@
 
 // step makes one copy.
 func (m *mover) step(ctx context.Context, a evacuate.Action) evacuate.Result {
-	if a.Elsewhere && !m.choose() {
+	if a.Elsewhere && !m.choose(ctx) {
 		return evacuate.Result{Outcome: evacuate.NoTarget}
 	}
 	if a.Kind == evacuate.Stop && !m.halt() {
@@ -164,19 +165,22 @@
 }
 
 // choose picks another target and takes the load off the one before.
-func (m *mover) choose() bool {
+func (m *mover) choose(ctx context.Context) bool {
 	m.release()
 	q := m.run.request
 	_, n := m.run.progress()
 	x := q.service.Engine
-	k := placement.Need{Tokens: need(q).Tokens + api.Tokens(n*x.Stride/2), Unread: moveUnread}
-	s, l, ok := m.gateway.pickNear(q.service, k, append(m.tried, m.source.Name), m.source.Domain)
-	if !ok {
+	p := m.gateway.obtain(ctx, demand{
+		service: q.service, purpose: api.PlaceAskPurposeMove, domain: m.source.Domain, deadline: q.deadline,
+		need:  placement.Need{Tokens: need(q).Tokens + api.Tokens(n*x.Stride/2), Unread: moveUnread},
+		tried: append(slices.Clone(m.tried), m.source.Name),
+	})
+	if p.fault != nil {
 		m.tried = nil
 		return false
 	}
-	m.target, m.reservation = s.Server, l
-	m.tried = append(m.tried, s.Name)
+	m.target, m.reservation = p.choice.Server, p.reservation
+	m.tried = append(m.tried, m.target.Name)
 	return true
 }
 
--- /dev/null
+++ b/internal/gateway/obtain.go
@@ -0,0 +1,222 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/backlog"
+	"github.com/wardridge/wardridge/internal/decide/call"
+	"github.com/wardridge/wardridge/internal/decide/directory"
+	"github.com/wardridge/wardridge/internal/decide/placement"
+	"github.com/wardridge/wardridge/internal/decide/roster"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/metric"
+)
+
+// Peers reaches the entry VMs that allocate engines.
+type Peers interface {
+	// Allocators lists the addresses of those that may allocate the engines of a
+	// failure domain, the first choice first; empty stands for this entry VM.
+	Allocators(d api.DomainName) []string
+	// Ask asks one of them for a place.
+	Ask(ctx context.Context, address string, a api.PlaceAsk) (api.PlaceAnswer, error)
+	// Report tells one of them what this entry VM holds there.
+	Report(ctx context.Context, address string, h api.Holding) error
+}
+
+// alone stands for the peers of an entry VM without any.
+type alone struct{}
+
+func (alone) Allocators(api.DomainName) []string { return []string{""} }
+
+func (alone) Ask(context.Context, string, api.PlaceAsk) (api.PlaceAnswer, error) {
+	return api.PlaceAnswer{}, fault.New(fault.NotStarted, "there are no other entry VMs")
+}
+
+func (alone) Report(context.Context, string, api.Holding) error { return nil }
+
+const (
+	// allocatorTime bounds an ask beyond the time that it may wait at the allocator: a
+	// round trip takes a few ms, and one of a VM short of processor time some
+	// tens. A request that asked in vain has most of its aim left.
+	allocatorTime = 100 * time.Millisecond
+	// allocatorBrief bounds an ask for a run that is under way, whose caller waits
+	// between two events.
+	allocatorBrief = 50 * time.Millisecond
+)
+
+// aimDefault stands for the aim of a route that names none.
+const aimDefault = 2 * time.Second
+
+// aim is the time in which a request's answer, or its first event, is good.
+func (q *request) aim() time.Duration {
+	if q.route.Aim <= 0 {
+		return aimDefault
+	}
+	return q.route.Aim
+}
+
+// demand is what a new run of a request asks for.
+func (g *Gateway) demand(q *request, n placement.Need, waits bool) demand {
+	d := demand{
+		service: q.service, purpose: api.PlaceAskPurposeRun, domain: g.Domain, need: n, deadline: q.deadline, waits: waits, tried: q.tried,
+		ask: backlog.Ask{
+			Workspace: q.workspace.Name, Rank: backlog.Rank(q.workspace.Priority, q.route.Priority),
+			Cost: float64(n.Tokens), Aim: q.aim(),
+		},
+		route: q.route.Name, wait: q.Wait,
+	}
+	if q.protects() {
+		d.expected = q.expected()
+	}
+	return d
+}
+
+// protects reports whether a run of a request may be copied as it grows.
+func (q *request) protects() bool {
+	e := q.service.Engine
+	return e != nil && e.Backups && q.route.Kind == directory.Stream && placement.Protects(q.expected())
+}
+
+// place gives a stream its first server, for which it may have to wait.
+func (g *Gateway) place(ctx context.Context, q *request, n placement.Need) placed {
+	if q.Prompt.Tokens > q.service.Engine.Memory {
+		return placed{fault: fault.New(fault.NoServer, "no engine has memory for the prompt")}
+	}
+	began := time.Now()
+	p := g.obtain(ctx, g.demand(q, n, true))
+	q.waited, q.forecast = time.Since(began), p.forecast
+	return p
+}
+
+// placeAgain gives a stream that a server turned away another one.
+func (g *Gateway) placeAgain(ctx context.Context, q *request, n placement.Need, c *call.Call) placed {
+	p := g.obtain(ctx, g.demand(q, n, false))
+	if p.fault != nil {
+		return placed{fault: c.NoServer()}
+	}
+	return p
+}
+
+// obtain asks the allocator of a demand's failure domain for a place. Where none
+// answers, this entry VM chooses by what it holds itself.
+func (g *Gateway) obtain(ctx context.Context, d demand) placed {
+	p, ok := g.askAllocators(ctx, d, d.message())
+	if ok {
+		return p
+	}
+	if ctx.Err() != nil {
+		return placed{fault: overdue(ctx)}
+	}
+	g.Metrics.Add(metric.PlacedAlone, 1)
+	g.judge(&d)
+	return g.here(ctx, d)
+}
+
+// message is the ask for a demand.
+func (d demand) message() api.PlaceAsk {
+	return api.PlaceAsk{
+		Domain: d.domain, Service: d.service.Name, Purpose: d.purpose, Tokens: d.need.Tokens, Unread: d.need.Unread, Expected: d.expected,
+		Workspace: d.ask.Workspace, Rank: d.ask.Rank, AimMS: api.ToMilliseconds(d.ask.Aim), LeftMS: api.ToMilliseconds(time.Until(d.deadline)),
+		Route: d.route, WaitMS: api.ToMilliseconds(d.wait), Tried: d.tried, Waits: d.waits,
+	}
+}
+
+// askAllocators asks those that may allocate a domain's engines, one after the other; it
+// reports false where none of them answered.
+func (g *Gateway) askAllocators(ctx context.Context, d demand, a api.PlaceAsk) (placed, bool) {
+	for _, to := range g.allocators(d.domain) {
+		if to == "" {
+			d.exact = true
+			return g.allocate(ctx, d, a), true
+		}
+		if p, ok := g.askAt(ctx, to, d, a); ok {
+			return p, true
+		}
+		if ctx.Err() != nil {
+			break
+		}
+	}
+	return placed{}, false
+}
+
+// allocators lists those that may allocate a domain's engines and did not lately
+// fail to answer.
+func (g *Gateway) allocators(d api.DomainName) []string {
+	l := g.Peers.Allocators(d)
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.contacts.Usable(time.Now(), l)
+}
+
+// askAt asks one entry VM.
+func (g *Gateway) askAt(ctx context.Context, to string, d demand, a api.PlaceAsk) (placed, bool) {
+	limit := allocatorBrief
+	if d.purpose == api.PlaceAskPurposeRun {
+		limit = allocatorTime
+	}
+	if a.Waits {
+		limit += backlog.Patience(d.ask.Aim)
+	}
+	c, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	own := d.recipient == nil
+	if own {
+		a.Ask, a.Holding = g.beginAsk(d.domain)
+	}
+	r, err := g.Peers.Ask(c, to, a)
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if own {
+		g.asks.End(placement.Ask(a.Ask))
+	}
+	if err != nil {
+		if ctx.Err() == nil {
+			g.contacts.Failed(time.Now(), to)
+			g.Log.Emit(event.PeerSilent, zap.String("address", to), zap.Error(err))
+		}
+		return placed{}, false
+	}
+	return g.accept(d, r)
+}
+
+// beginAsk numbers an ask and gives the report that goes with it.
+func (g *Gateway) beginAsk(d api.DomainName) (int, api.Holding) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	n := g.asks.Begin()
+	return int(n), g.holding(d)
+}
+
+// accept takes an allocator's answer; it reports false for a server that this
+// entry VM does not know, or knows to be leaving. The mutex is held.
+func (g *Gateway) accept(d demand, r api.PlaceAnswer) (placed, bool) {
+	if x := r.Refused; x != nil {
+		return placed{
+			fault:    fault.New(fault.Code(x.Code), x.Detail).After(x.RetryAfterMS.Duration()),
+			forecast: backlog.Forecast{Waiting: x.Waiting, Wait: x.ForecastMS.Duration(), Bound: x.PatienceMS.Duration(), Behind: x.Behind},
+		}, true
+	}
+	m, ok := g.roster.Find(r.Server)
+	if !ok || m.State == roster.Leaving {
+		return placed{}, false
+	}
+	p := placed{choice: placement.Choice{Server: m.Server, Score: r.Score, Of: r.Of}, copy: r.Copy}
+	if r.Load != nil {
+		p.choice.Load = *r.Load
+	}
+	if d.recipient != nil {
+		return p, true
+	}
+	now := time.Now()
+	p.reservation = g.reserve(now, m.Server, true, d.load())
+	p.reservation.ahead = p.choice.Load.Unread
+	if c, ok := g.roster.Find(r.Copy); ok && c.State != roster.Leaving {
+		p.backup = g.keeps(c.Server, g.reserve(now, c.Server, true, api.ServerLoad{Tokens: d.need.Tokens}))
+	}
+	return p, true
+}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -61,7 +61,7 @@
 	q := r.request
 	x := c.resume
 	x.After, _ = r.progress()
-	b := g.protect(q, c.at)
+	b := g.protect(ctx, q, c.at)
 	t := q.attempt(c.at, b)
 	t.Connect, t.Resume = call.ConnectTime(q.route.GapAim), &x
 	a, err := g.sendUntilTaken(ctx, t)
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -45,6 +46,7 @@
 	g.picker.Health.Forget(known)
 	g.answers.Forget(known)
 	g.Metrics.Retain(metric.ByServer, func(n string) bool { return known(api.ServerName(n)) })
+	g.picker.Engines.Expire(now)
 	g.Retries.Members(g.picker.Table.Members(now))
 	g.mutex.Unlock()
 	g.watchdog.sweep()
@@ -89,29 +91,16 @@
 	return !ok || m.State == roster.Leaving
 }
 
-// pick chooses a server of a service for a need and reserves the load there.
-func (g *Gateway) pick(s *directory.Service, n placement.Need, tried []api.ServerName) (placement.Choice, *reservation, bool) {
+// pickPlain chooses a plain server of a service and reserves the load there.
+func (g *Gateway) pickPlain(s *directory.Service, tried []api.ServerName) (placement.Choice, *reservation, bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.pickFrom(g.pool(s, g.Domain), n, tried)
-}
-
-// pickNear is pick for a copy of a run's memory, near the server it comes from.
-func (g *Gateway) pickNear(s *directory.Service, n placement.Need, tried []api.ServerName, d api.DomainName) (placement.Choice, *reservation, bool) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	l := g.pool(s, d)
-	l.Stay = true
-	return g.pickFrom(l, n, tried)
-}
-
-// pickFrom is pick with what to choose from; the mutex is held.
-func (g *Gateway) pickFrom(l placement.Pool, n placement.Need, tried []api.ServerName) (placement.Choice, *reservation, bool) {
-	x, ok := g.picker.Pick(time.Now(), l, n, tried)
+	now := time.Now()
+	x, ok := g.picker.Pick(now, g.pool(s, g.Domain), placement.Need{}, tried)
 	if !ok {
 		return x, nil, false
 	}
-	return x, g.reserve(x.Name, api.ServerLoad{Requests: 1, Tokens: n.Tokens, Unread: n.Unread}), true
+	return x, g.reserve(now, x.Server, false, api.ServerLoad{Requests: 1}), true
 }
 
 // pool is the servers of a service, seen from a domain; the mutex is held.
@@ -125,40 +114,55 @@
 
 // reserve counts a load at a server until the reservation ends; the mutex is
 // held.
-func (g *Gateway) reserve(n api.ServerName, x api.ServerLoad) *reservation {
-	l := &reservation{gateway: g, server: n, load: x, at: time.Now(), ahead: g.picker.Table.Total(time.Now(), n).Unread}
-	g.picker.Table.Add(n, x)
+func (g *Gateway) reserve(now time.Time, s roster.Server, engine bool, x api.ServerLoad) *reservation {
+	l := &reservation{gateway: g, server: s.Name, domain: s.Domain, engine: engine, load: x, at: now}
+	if engine {
+		l.ahead = g.picker.Engines.Total(s.Name).Unread
+		g.reports.Granted(now, s.Domain)
+	}
+	l.add(x)
 	return l
 }
 
-// protect chooses the server that is to keep a copy of a stream as it grows,
-// and counts the copy there; nil for none.
-func (g *Gateway) protect(q *request, source roster.Server) *backup {
-	if e := q.service.Engine; e == nil || !e.Backups || q.route.Kind != directory.Stream {
+// protect chooses the server that is to keep a copy of a run that goes on at
+// another one, and counts the copy there; nil for none.
+func (g *Gateway) protect(ctx context.Context, q *request, source roster.Server) *backup {
+	if !q.protects() {
 		return nil
 	}
-	n := need(q)
-	n.Unread = 0
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	s, ok := g.picker.Protect(time.Now(), g.pool(q.service, source.Domain), n, q.expected(), source.Name)
-	if !ok {
+	p := g.obtain(ctx, demand{
+		service: q.service, purpose: api.PlaceAskPurposeCopy, domain: source.Domain, need: placement.Need{Tokens: need(q).Tokens},
+		deadline: q.deadline, tried: []api.ServerName{source.Name}, expected: q.expected(),
+	})
+	if p.fault != nil {
 		return nil
 	}
-	return &backup{at: s, reservation: g.reserve(s.Name, api.ServerLoad{Tokens: n.Tokens})}
+	return &backup{at: p.choice.Server, reservation: p.reservation}
 }
 
 // reservation is the load of one request counted at one server.
 type reservation struct {
 	gateway *Gateway
 	server  api.ServerName
-	load    api.ServerLoad
+	domain  api.DomainName
+	// engine is set for the place at an engine, which allocators are told of.
+	engine bool
+	load   api.ServerLoad
 	// at is when it was made, and ahead the prompts that the server had to read
 	// then.
 	at    time.Time
 	ahead api.Tokens
 }
 
+// add adds to the load of the reservation's server; the mutex is held.
+func (l *reservation) add(x api.ServerLoad) {
+	if l.engine {
+		l.gateway.picker.Engines.Add(l.server, x)
+		return
+	}
+	l.gateway.picker.Table.Add(l.server, x)
+}
+
 // read notes that the prompt was read.
 func (l *reservation) read() {
 	if l == nil {
@@ -166,9 +170,7 @@
 	}
 	l.gateway.mutex.Lock()
 	defer l.gateway.mutex.Unlock()
-	l.gateway.picker.Table.Add(l.server, api.ServerLoad{Unread: -l.load.Unread})
-	l.load.Unread = 0
-	l.gateway.letIn(time.Now())
+	l.change(api.ServerLoad{Unread: -l.load.Unread})
 }
 
 // end takes the load away; further calls do nothing.
@@ -178,9 +180,23 @@
 	}
 	l.gateway.mutex.Lock()
 	defer l.gateway.mutex.Unlock()
-	l.gateway.picker.Table.Add(l.server, placement.Minus(l.load))
-	l.load = api.ServerLoad{}
-	l.gateway.letIn(time.Now())
+	l.change(placement.Minus(l.load))
+}
+
+// change adds to the load, which may let others in; the mutex is held.
+func (l *reservation) change(x api.ServerLoad) {
+	if x == (api.ServerLoad{}) {
+		return
+	}
+	now := time.Now()
+	l.add(x)
+	l.load.Requests += x.Requests
+	l.load.Tokens += x.Tokens
+	l.load.Unread += x.Unread
+	if l.engine {
+		l.gateway.reports.Changed(now, l.domain)
+		l.gateway.letIn(now)
+	}
 }
 
 // note records what a request met at a server.
@@ -191,17 +207,16 @@
 	g.Metrics.Count(metric.ByServer, string(n), o.String())
 }
 
-// ReportLoads gives the report on loads for a peer.
+// ReportLoads gives the report on the loads of plain servers for a peer.
 func (g *Gateway) ReportLoads(vm api.VMName, r placement.Relation) placement.Report {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	return g.picker.Table.Report(time.Now(), vm, r)
 }
 
-// UpdateLoads takes a peer's report on loads.
+// UpdateLoads takes a peer's report on the loads of plain servers.
 func (g *Gateway) UpdateLoads(vm api.VMName, r placement.Relation, x placement.Report) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.picker.Table.Update(time.Now(), vm, r, x)
-	g.letIn(time.Now())
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -37,10 +37,22 @@
 
 // Loads is where reports on loads come from and go to.
 type Loads interface {
-	// ReportLoads gives the report for a peer.
+	// ReportLoads gives the report on plain servers for a peer.
 	ReportLoads(vm api.VMName, r placement.Relation) placement.Report
 	// UpdateLoads takes a peer's report.
 	UpdateLoads(vm api.VMName, r placement.Relation, x placement.Report)
+	// Pools sums up the engines that this entry VM allocates, by service.
+	Pools() map[api.ServiceName]api.PoolLoad
+	// UpdatePools takes what another failure domain's allocator tells.
+	UpdatePools(d api.DomainName, l map[api.ServiceName]api.PoolLoad)
+}
+
+// Allocator gives other entry VMs places at the engines of the failure domain.
+type Allocator interface {
+	// Place answers an ask for a place.
+	Place(ctx context.Context, a api.PlaceAsk) (api.PlaceAnswer, error)
+	// Hold takes what a peer holds.
+	Hold(h api.Holding)
 }
 
 // Parts are what the mesh works with.
@@ -56,6 +68,7 @@
 	Config  *mirror.Mirror[directory.Config]
 	Servers *mirror.Mirror[roster.Server]
 	Loads   Loads
+	Engines Allocator
 	Notices Notices
 }
 
@@ -80,14 +93,13 @@
 	}
 }
 
-// Round begins the exchanges that are due; loads are compared closely while
-// engines are pressed.
-func (m *Mesh) Round(pressed bool) {
+// Round begins the exchanges that are due.
+func (m *Mesh) Round() {
 	m.mutex.Lock()
 	now := time.Now()
 	m.rounds++
 	m.noteLive(now)
-	l := m.free(m.peers.Round(now, pressed))
+	l := m.free(m.peers.Round(now))
 	m.mutex.Unlock()
 	m.begin(l)
 }
@@ -196,11 +208,15 @@
 			e.Loads[string(n)] = l
 		}
 	}
+	pools := m.pools(r)
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	now := time.Now()
 	e.Self = message(m.Self)
 	e.Self.Hub = m.peers.Hub(now)
+	if r == placement.Hub && m.peers.First(now) {
+		e.Pools = pools
+	}
 	if m.rounds%memberRounds == 0 || vm == "" {
 		for _, x := range m.peers.Live(now) {
 			e.Peers = append(e.Peers, message(x))
@@ -209,6 +225,18 @@
 	return e
 }
 
+// pools is what a hub tells the others of the engines that it allocates.
+func (m *Mesh) pools(r placement.Relation) map[string]api.PoolLoad {
+	if r != placement.Hub {
+		return nil
+	}
+	l := map[string]api.PoolLoad{}
+	for n, x := range m.Loads.Pools() {
+		l[string(n)] = x
+	}
+	return l
+}
+
 // relations translates relations to their names in messages.
 var relations = map[placement.Relation]api.ExchangeRelation{
 	placement.Stranger: api.ExchangeRelationStranger,
@@ -243,11 +271,24 @@
 		x.Loads[api.ServerName(n)] = l
 	}
 	m.Loads.UpdateLoads(e.VM, r, x)
+	m.notePools(e, r)
 	m.Notices.NoteLeaving(e.Leaving)
 	catchUp(m, e.Self.Address, PathConfig, e.ConfigAt, m.Config)
 	catchUp(m, e.Self.Address, PathServers, e.ServersAt, m.Servers)
 }
 
+// notePools takes what the allocator of another failure domain tells.
+func (m *Mesh) notePools(e api.Exchange, r placement.Relation) {
+	if r != placement.Hub || len(e.Pools) == 0 || e.Self.Domain == m.Self.Domain {
+		return
+	}
+	l := make(map[api.ServiceName]api.PoolLoad, len(e.Pools))
+	for n, x := range e.Pools {
+		l[api.ServiceName(n)] = x
+	}
+	m.Loads.UpdatePools(e.Self.Domain, l)
+}
+
 // catchUp asks a peer for a kind that it knows more of.
 func catchUp[T any](m *Mesh, address, path string, theirs api.Version, k *mirror.Mirror[T]) {
 	own, away := k.At(), k.Lost() || m.Guided()
--- a/internal/mesh/serve.go
+++ b/internal/mesh/serve.go
@@ -22,6 +22,8 @@
 	PathExchange = "/mesh/v1/exchange"
 	PathConfig   = "/mesh/v1/config"
 	PathServers  = "/mesh/v1/servers"
+	PathPlace    = "/mesh/v1/place"
+	PathHolding  = "/mesh/v1/holding"
 )
 
 // messageLimit bounds one message: 2,500 servers' loads at 60 bytes.
@@ -30,6 +32,8 @@
 // Routes adds the exchange to a control interface.
 func (m *Mesh) Routes(r chi.Router) {
 	r.Post(PathExchange, m.answer)
+	r.Post(PathPlace, m.place)
+	r.Post(PathHolding, m.hold)
 	r.Get(PathConfig, pass(newPacker(m.Config)))
 	r.Get(PathServers, pass(newPacker(m.Servers)))
 }
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -17,6 +17,7 @@
 	RequestsFailed   Name = "requests_failed_total"
 	RequestsInFlight Name = "requests_in_flight"
 	RequestsWaiting  Name = "requests_waiting"
+	PlacedAlone      Name = "placed_alone_total"
 	TokensRelayed    Name = "tokens_relayed_total"
 	FirstTokenMS     Name = "first_token_ms_total"
 	FirstTokens      Name = "first_tokens_total"
@@ -66,6 +67,7 @@
 	{RequestsFailed, "requests", "Requests that failed and ran or may have run."},
 	{RequestsInFlight, "requests", "Requests in flight now."},
 	{RequestsWaiting, "requests", "Requests that wait for an engine now."},
+	{PlacedAlone, "places", "Places at engines chosen without the VM that allocates them, which did not answer."},
 	{TokensRelayed, "tokens", "Tokens delivered to callers."},
 	{FirstTokenMS, "ms", "Sum of the times to the first token."},
 	{FirstTokens, "requests", "Requests that got a first token."},
--- a/internal/node/hosted_start.go
+++ b/internal/node/hosted_start.go
@@ -9,6 +9,7 @@
 	"github.com/go-chi/chi/v5"
 	"go.uber.org/zap"
 
+	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/directory"
 	"github.com/wardridge/wardridge/internal/decide/gossip"
 	"github.com/wardridge/wardridge/internal/decide/replica"
@@ -66,7 +67,7 @@
 func (hostedDecisions) Run(h *Hosted) error {
 	s := h.Settings.Gateway
 	h.gateway = gateway.New(gateway.Parts{
-		Domain: h.Settings.Node.Domain, Seed: uint64(time.Now().UnixNano()), Backends: h.adapter.Backends, Group: h.group, Log: h.Log, Metrics: h.Metrics,
+		VM: h.Settings.Node.Name, Domain: h.Settings.Node.Domain, Seed: uint64(time.Now().UnixNano()), Peers: allocators{h}, Backends: h.adapter.Backends, Group: h.group, Log: h.Log, Metrics: h.Metrics,
 		Retries: retry.NewWindow(seconds(s.RetryWindowS), s.RetryRatio, s.RetrySlack),
 	})
 	apply := s.ApplyMS.Duration()
@@ -87,11 +88,28 @@
 			Address: h.Settings.Node.Control, Domain: h.Settings.Node.Domain, Capacity: gossip.Capacity(s.CpuShare, s.LinkMbps),
 		},
 		Client: h.peers, Group: h.group, Log: h.Log, Metrics: h.Metrics,
-		Config: h.config, Servers: h.servers, Loads: h.gateway, Notices: h.gateway,
+		Config: h.config, Servers: h.servers, Loads: h.gateway, Engines: h.gateway, Notices: h.gateway,
 	})
 	return nil
 }
 
+// allocators are the peers of the gateway, which is made before the mesh.
+type allocators struct {
+	hosted *Hosted
+}
+
+func (a allocators) Allocators(d api.DomainName) []string {
+	return a.hosted.mesh.Allocators(d)
+}
+
+func (a allocators) Ask(ctx context.Context, address string, x api.PlaceAsk) (api.PlaceAnswer, error) {
+	return a.hosted.mesh.Ask(ctx, address, x)
+}
+
+func (a allocators) Report(ctx context.Context, address string, x api.Holding) error {
+	return a.hosted.mesh.Report(ctx, address, x)
+}
+
 // guided reports whether a hub brings what changes.
 func (h *Hosted) guided() bool {
 	return h.mesh.Guided()
@@ -191,9 +209,8 @@
 
 const (
 	// lookEvery is the pause between looks at the requests that wait, and between
-	// exchanges of loads while engines are pressed: a VM that hears of the others'
-	// sends after 250 ms places twice as many requests at one engine as fit
-	// (docs/LOAD.md).
+	// reports to allocators of what ended since: room that is told of late is room
+	// that nobody uses, and an answer writes a few tokens in that time.
 	lookEvery = 60 * time.Millisecond
 	// roundTicks is the number of ticks between rounds of the small duties, a
 	// sixth of the shortest notice of servers that leave.
@@ -219,16 +236,12 @@
 	return !h.servers.Direct() && h.mesh.Alone()
 }
 
-// tick lets requests in, and exchanges loads while they change what is let in.
+// tick lets requests in and tells allocators what changed.
 func (h *Hosted) tick(context.Context) {
 	h.ticks++
 	h.gateway.Tick()
-	pressed := h.gateway.Pressed()
-	round := h.ticks%roundTicks == 0
-	if pressed || round {
-		h.mesh.Round(pressed)
-	}
-	if round {
+	if h.ticks%roundTicks == 0 {
+		h.mesh.Round()
 		h.round()
 	}
 }
