--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -414,6 +414,9 @@
 	// Whether the platform itself answers the sender.
 	Direct bool `json:"direct,omitempty,omitzero"`
 
+	// Whether the sender has word from the platform or from a hub that has.
+	Informed bool `json:"informed,omitempty,omitzero"`
+
 	// Backend servers that told the sender or its peers themselves that they are
 	// leaving.
 	Leaving []ServerName `json:"leaving,omitempty,omitzero"`
--- a/internal/decide/gossip/lag.go
+++ b/internal/decide/gossip/lag.go
@@ -17,8 +17,9 @@
 }
 
 // Ask reports whether a peer that knows a kind up to a version is to be asked
-// for it: at once while the platform is away or nothing is known yet, and else
-// once the own view stood still behind a peer for long enough.
+// for it: at once while the platform is away, the first peer and then one after
+// each while where nothing is known yet, and else once the own view stood still
+// behind a peer for long enough.
 func (l *Lag) Ask(now time.Time, own, theirs api.Version, away bool) bool {
 	if own != l.own {
 		l.own = own
@@ -28,16 +29,14 @@
 		// Another peer may still be ahead.
 		return false
 	}
-	if away || own == 0 {
+	if away && own > 0 {
 		return true
 	}
-	if l.since.IsZero() {
-		l.since = now
-		return false
-	}
-	if now.Sub(l.since) < lagTime {
+	first := l.since.IsZero()
+	if !first && now.Sub(l.since) < lagTime {
 		return false
 	}
 	l.since = now
-	return true
+	// Who knows nothing asks the first peer that it hears.
+	return !first || own == 0
 }
--- a/internal/decide/gossip/peers.go
+++ b/internal/decide/gossip/peers.go
@@ -58,9 +58,9 @@
 	VM api.VMName
 	// Others are the members that answer the peer.
 	Others []Member
-	// Direct is set while the platform itself answers the peer; others hear of
-	// changes from peers alone.
-	Direct bool
+	// Direct is set while the platform itself answers the peer, Informed while it
+	// has word from the platform itself or from a hub that has.
+	Direct, Informed bool
 }
 
 // peer is one address and what is known of it.
@@ -70,8 +70,9 @@
 	seed  bool
 	added time.Time
 	heard time.Time
-	// answered is when the peer last said that the platform answers it.
-	answered time.Time
+	// answered is when the peer last said that the platform answers it, informed
+	// when it last had word.
+	answered, informed time.Time
 	// told is when another peer last passed the address on.
 	told  time.Time
 	tried time.Time
@@ -130,6 +131,9 @@
 	if w.Direct {
 		x.answered = now
 	}
+	if w.Informed {
+		x.informed = now
+	}
 	for _, m := range w.Others {
 		p.learn(now, m)
 	}
@@ -167,25 +171,3 @@
 	slices.SortFunc(l, func(a, b Member) int { return cmp.Compare(a.Address, b.Address) })
 	return l
 }
-
-// Blind lists the live peers that hear of changes from peers alone, in order.
-func (p *Peers) Blind(now time.Time) []string {
-	var l []string
-	for a, x := range p.peers {
-		if p.alive(now, x) && !x.Direct {
-			l = append(l, a)
-		}
-	}
-	slices.Sort(l)
-	return l
-}
-
-// Alone reports whether no live peer has word from the platform itself.
-func (p *Peers) Alone(now time.Time) bool {
-	for _, x := range p.peers {
-		if p.alive(now, x) && x.Direct {
-			return false
-		}
-	}
-	return true
-}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -108,7 +108,7 @@
 // alone.
 func (m *Mesh) Tell() {
 	m.mutex.Lock()
-	l := m.free(m.peers.Blind(time.Now()))
+	l := m.free(m.peers.Blind(time.Now(), m.direct()))
 	m.mutex.Unlock()
 	m.begin(l)
 }
@@ -199,7 +199,7 @@
 	x := m.Loads.ReportLoads(vm, r)
 	e := api.Exchange{
 		Protocol: gossip.Protocol, VM: m.VM, ConfigAt: m.Config.Changed(), ServersAt: m.Servers.Changed(),
-		Direct: m.Servers.Direct() && m.Config.Direct(), Relation: relations[r], Members: x.Members,
+		Direct: m.direct(), Relation: relations[r], Members: x.Members,
 		Leaving: m.Notices.Leaving(),
 	}
 	if len(x.Loads) > 0 {
@@ -214,6 +214,7 @@
 	now := time.Now()
 	e.Self = message(m.Self)
 	e.Self.Hub = m.peers.Hub(now)
+	e.Informed = e.Direct || m.peers.Informed(now)
 	if r == placement.Hub && m.peers.First(now) {
 		e.Pools = pools
 	}
@@ -225,6 +226,11 @@
 	return e
 }
 
+// direct reports whether the platform itself answers this entry VM.
+func (m *Mesh) direct() bool {
+	return m.Servers.Direct() && m.Config.Direct()
+}
+
 // pools is what a hub tells the others of the engines that it allocates.
 func (m *Mesh) pools(r placement.Relation) map[string]api.PoolLoad {
 	if r != placement.Hub {
@@ -259,7 +265,7 @@
 		m.Log.Emit(event.PeerRefused, zap.String("vm", string(e.VM)), zap.Int("protocol", e.Protocol))
 		return
 	}
-	w := gossip.Word{Member: fromMessage(e.Self), VM: e.VM, Direct: e.Direct}
+	w := gossip.Word{Member: fromMessage(e.Self), VM: e.VM, Direct: e.Direct, Informed: e.Informed}
 	for _, x := range e.Peers {
 		w.Others = append(w.Others, fromMessage(x))
 	}
