perf: the first list of the platform is left to peers at the system's first start

Ruled out: leaving the first list to others at every start, since callers may be waiting then.

Change: the setting gateway.first_start, which the platform's settings give; a VM that is not named in the settings waits for up to 3 s for what peers bring. Settings may be true or false.

--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -489,6 +489,10 @@
 	// Cores that the VM has for this process.
 	CpuShare float64 `json:"cpu_share,omitempty,omitzero"`
 
+	// Whether the whole system starts for the first time, so that nobody waits for it
+	// yet.
+	FirstStart bool `json:"first_start,omitempty,omitzero"`
+
 	// Time from the signal to stop to the end of the process, s.
 	GraceS float64 `json:"grace_s,omitempty,omitzero"`
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -53,6 +53,9 @@
 	Log     *event.Log
 	Metrics *metric.Set
 	Timing  Timing
+	// Defer is how long the first list is left to peers, which may bring what it
+	// would.
+	Defer time.Duration
 	// Take is told of every snapshot that differs from the one before; Settled
 	// is set on those of peers alone. Calls don't overlap.
 	Take func(s replica.Snapshot[T])
@@ -89,6 +92,7 @@
 
 // Run is the duty that asks the platform.
 func (m *Mirror[T]) Run(ctx context.Context) error {
+	m.awaitPeers(ctx)
 	list, failures, forgotten := true, 0, 0
 	for ctx.Err() == nil {
 		if m.guided() && !m.refresh.Swap(false) {
@@ -132,6 +136,19 @@
 	return nil
 }
 
+// awaitPoll is the pause between looks whether a peer brought what is awaited.
+const awaitPoll = 20 * time.Millisecond
+
+// awaitPeers waits for what peers bring before the first list.
+func (m *Mirror[T]) awaitPeers(ctx context.Context) {
+	end := time.Now().Add(m.Defer)
+	for m.At() == 0 && time.Now().Before(end) {
+		if !duty.Sleep(ctx, awaitPoll) {
+			return
+		}
+	}
+}
+
 // guided reports whether a peer brings what changes; who knows nothing yet asks the
 // platform whatever others do.
 func (m *Mirror[T]) guided() bool {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -92,11 +92,17 @@
 }
 
 func newBed(t *testing.T) *bed {
+	t.Helper()
+	return newDeferredBed(t, 0)
+}
+
+// newDeferredBed makes a bed whose mirror leaves the first list to peers for a while.
+func newDeferredBed(t *testing.T, d time.Duration) *bed {
 	t.Helper()
 	b := &bed{store: &store{at: 1, value: "v1"}}
 	b.Mirror = mirror.New(mirror.Parts[string]{
 		Name: "kind", Source: b.store, Log: event.Discard(), Metrics: metric.New(),
-		Timing: mirror.Timing{Wait: time.Second, Slack: 400 * time.Millisecond},
+		Timing: mirror.Timing{Wait: time.Second, Slack: 400 * time.Millisecond}, Defer: d,
 		Guided: func() bool {
 			b.mutex.Lock()
 			defer b.mutex.Unlock()
@@ -247,6 +253,31 @@
 	})
 }
 
+// Where the first list is left to peers, the platform is not asked for what they
+// bring, and asked in the end where they bring nothing.
+func TestFirstListIsLeftToPeers(t *testing.T) {
+	for _, brought := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newDeferredBed(t, 3*time.Second)
+			b.guide(true)
+			time.Sleep(time.Second)
+			if brought {
+				b.Offer(replica.Delta[string]{At: 1, Items: []replica.Change[string]{{Object: b.store.object()}}})
+			}
+			time.Sleep(2500 * time.Millisecond)
+			b.store.mutex.Lock()
+			got, want := b.store.lists, 1
+			b.store.mutex.Unlock()
+			if brought {
+				want = 0
+			}
+			if got != want || b.last() != "v1" {
+				t.Errorf("brought by a peer %v: got %d lists and %q, want %d and v1", brought, got, b.last(), want)
+			}
+		})
+	}
+}
+
 // A mirror that waits long notices at once that a peer has the platform again.
 func TestPatienceEndsWithAGuide(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/node/hosted_start.go
+++ b/internal/node/hosted_start.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -74,12 +75,13 @@
 	timing := func(share float64) mirror.Timing {
 		return mirror.Timing{Wait: time.Duration(share * float64(apply)), Slack: time.Duration(mirrorSlack * float64(apply))}
 	}
+	d := h.deferList()
 	h.config = mirror.New(mirror.Parts[directory.Config]{
-		Name: "config", Source: h.adapter.Config, Log: h.Log, Metrics: h.Metrics, Timing: timing(configShare),
+		Name: "config", Source: h.adapter.Config, Log: h.Log, Metrics: h.Metrics, Timing: timing(configShare), Defer: d,
 		Take: h.configure, Guided: h.guided, Patient: h.patient, Away: func(bool) {},
 	})
 	h.servers = mirror.New(mirror.Parts[roster.Server]{
-		Name: "servers", Source: h.adapter.Servers, Log: h.Log, Metrics: h.Metrics, Timing: timing(serverShare),
+		Name: "servers", Source: h.adapter.Servers, Log: h.Log, Metrics: h.Metrics, Timing: timing(serverShare), Defer: d,
 		Take: h.serve, Guided: h.guided, Patient: h.patient, Away: h.away,
 	})
 	h.mesh = mesh.New(mesh.Parts{
@@ -93,6 +95,22 @@
 	return nil
 }
 
+// firstDefer is how long an entry VM leaves the platform to others at the first
+// start of the whole system: the VMs that the settings name ask it at once, the
+// hubs of each failure domain are known after 1.5 s, and have told their members a
+// second later.
+const firstDefer = 3 * time.Second
+
+// deferList is how long the first list of the platform is left to peers. After any
+// other start callers may be waiting.
+func (h *Hosted) deferList() time.Duration {
+	l := split(h.Settings.Gateway.Seeds)
+	if !h.Settings.Gateway.FirstStart || len(l) == 0 || slices.Contains(l, h.Settings.Node.Control) {
+		return 0
+	}
+	return firstDefer
+}
+
 // allocators are the peers of the gateway, which is made before the mesh.
 type allocators struct {
 	hosted *Hosted
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -126,6 +126,14 @@
 			return nil, fault.New(fault.InvalidSettings, strconv.Quote(s)+" is not a number")
 		}
 		return n, nil
+	case "boolean":
+		switch s {
+		case "true":
+			return true, nil
+		case "false":
+			return false, nil
+		}
+		return nil, fault.New(fault.InvalidSettings, strconv.Quote(s)+" is neither true nor false")
 	default:
 		return s, nil
 	}
@@ -148,6 +156,8 @@
 		return "allowed is a whole number"
 	case p.Type == "number":
 		return "allowed is a number"
+	case p.Type == "boolean":
+		return "allowed are true and false"
 	default:
 		return "allowed is a text"
 	}
--- a/internal/settings/settings_test.go
+++ b/internal/settings/settings_test.go
@@ -1,6 +1,7 @@
 package settings_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 
@@ -27,6 +28,9 @@
 	if got, want := s.Entry.QueueLimit, 512; got != want {
 		t.Errorf("entry.queue_limit: got %d, want %d", got, want)
 	}
+	if s.Gateway.FirstStart {
+		t.Error("gateway.first_start: got true, want false")
+	}
 	if got, want := s.Engine.Routing, api.EngineSettingsRoutingRoundRobin; got != want {
 		t.Errorf("engine.routing: got %q, want %q", got, want)
 	}
@@ -35,6 +39,18 @@
 	}
 }
 
+func TestBooleans(t *testing.T) {
+	for _, want := range []bool{true, false} {
+		s, err := settings.Parse("a.ini", fmt.Appendf(nil, "%s[gateway]\nfirst_start = %v\n", good, want))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := s.Gateway.FirstStart; got != want {
+			t.Errorf("gateway.first_start: got %v, want %v", got, want)
+		}
+	}
+}
+
 func TestMistakesNameLineAndAllowedValues(t *testing.T) {
 	tests := []struct {
 		name string
@@ -45,6 +61,7 @@
 		{"unknown key", good + "[log]\nlevels = info\n", []string{"a.ini:10", "log.levels", "unknown key", "format, level"}},
 		{"value not listed", good + "[log]\nlevel = loud\n", []string{"a.ini:10", "log.level", "debug, info, warn, error"}},
 		{"not a number", good + "[entry]\n\nqueue_limit = many\n", []string{"a.ini:11", "entry.queue_limit", "not a whole number", "1 to 100000"}},
+		{"not true or false", good + "[gateway]\nfirst_start = yes\n", []string{"a.ini:10", "gateway.first_start", "neither true nor false", "true and false"}},
 		{"out of range", good + "[entry]\nqueue_limit = 0\n", []string{"a.ini:10", "entry.queue_limit", "1 to 100000"}},
 		{"missing key", strings.Replace(good, "name = entry-1\n", "", 1), []string{"a.ini:1", "node", "name"}},
 		{"missing section", "[node]\n", []string{"a.ini:1"}},
