test: the exchange between holders and allocators explored, refused and fuzzed

Three mutations are caught (open asks left out of reports, no order among reports, taken places left out).

--- a/internal/mesh/allocate.go
+++ b/internal/mesh/allocate.go
@@ -41,7 +41,7 @@
 		wire.Refuse(w, fault.From(err), "")
 		return
 	}
-	if f := m.foreign(a.Holding); f != nil {
+	if f := m.checkAsk(a); f != nil {
 		wire.Refuse(w, f, "")
 		return
 	}
@@ -60,7 +60,7 @@
 		wire.Refuse(w, fault.From(err), "")
 		return
 	}
-	if f := m.foreign(h); f != nil {
+	if f := m.checkHolding(h); f != nil {
 		wire.Refuse(w, f, "")
 		return
 	}
@@ -68,11 +68,37 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
-// foreign refuses a peer of another protocol.
-func (m *Mesh) foreign(h api.Holding) *fault.Error {
-	if h.Protocol == gossip.Protocol {
+// checkAsk refuses an ask that nothing can be given for.
+func (m *Mesh) checkAsk(a api.PlaceAsk) *fault.Error {
+	if f := m.checkHolding(a.Holding); f != nil {
+		return f
+	}
+	switch {
+	case a.Tokens < 0 || a.Unread < 0 || a.Ask <= 0 || a.Ask > a.Holding.Asked:
+		return fault.New(fault.InvalidRequest, "the ask has a figure that can't be")
+	case a.Purpose != api.PlaceAskPurposeRun && a.Purpose != api.PlaceAskPurposeMove && a.Purpose != api.PlaceAskPurposeCopy:
+		return fault.New(fault.InvalidRequest, "the ask has no purpose")
+	default:
 		return nil
 	}
-	m.Log.Emit(event.PeerRefused, zap.String("vm", string(h.VM)), zap.Int("protocol", h.Protocol))
-	return fault.New(fault.PeerProtocol, "the peer speaks another version of the protocol")
+}
+
+// checkHolding refuses a peer of another protocol, and loads that can't be: one
+// below zero would draw all requests to its engine.
+func (m *Mesh) checkHolding(h api.Holding) *fault.Error {
+	if h.Protocol != gossip.Protocol {
+		m.Log.Emit(event.PeerRefused, zap.String("vm", string(h.VM)), zap.Int("protocol", h.Protocol))
+		return fault.New(fault.PeerProtocol, "the peer speaks another version of the protocol")
+	}
+	for _, l := range h.Loads {
+		if l.Requests < 0 || l.Tokens < 0 || l.Unread < 0 {
+			return fault.New(fault.InvalidRequest, "a load is below zero")
+		}
+	}
+	for _, r := range h.Read {
+		if r.Tokens < 0 || r.MS < 0 {
+			return fault.New(fault.InvalidRequest, "a time to read is below zero")
+		}
+	}
+	return nil
 }
--- /dev/null
+++ b/internal/mesh/allocate_test.go
@@ -0,0 +1,144 @@
+package mesh_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/directory"
+	"github.com/wardridge/wardridge/internal/decide/gossip"
+	"github.com/wardridge/wardridge/internal/decide/replica"
+	"github.com/wardridge/wardridge/internal/decide/roster"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/mesh"
+)
+
+// newAllocator makes a VM that allocates one engine, "e", with memory for 10,000
+// tokens.
+func newAllocator(t *testing.T) *vm {
+	t.Helper()
+	v := newVM(t, "a")
+	v.table.Configure(replica.Snapshot[directory.Config]{Items: []replica.Object[directory.Config]{{Value: directory.Config{
+		Version: 1, Services: []directory.Service{{Name: "s", Engine: &directory.Engine{Slots: 4, Memory: 10000}}},
+	}}}})
+	v.table.Serve(replica.Snapshot[roster.Server]{At: 1, Items: []replica.Object[roster.Server]{{Name: "e", Value: roster.Server{Name: "e", Service: "s", Domain: "d", Slots: 4}}}})
+	return v
+}
+
+// placeAsk asks for a place of so many tokens.
+func placeAsk(tokens api.Tokens) api.PlaceAsk {
+	return api.PlaceAsk{
+		Holding: api.Holding{Protocol: gossip.Protocol, VM: "b", Incarnation: 5, Sequence: 1, Asked: 1, Open: []int{1}},
+		Ask:     1, Domain: "d", Service: "s", Purpose: api.PlaceAskPurposeRun, Tokens: tokens, LeftMS: 5000, AimMS: 1000,
+	}
+}
+
+// An ask over a connection is given an engine while there is room, and what a
+// holder reports makes room again.
+func TestPlaceOverTheWire(t *testing.T) {
+	a, b := newAllocator(t), newVM(t, "b")
+	ask := func(n, sequence int, loads map[string]api.ServerLoad) api.PlaceAnswer {
+		t.Helper()
+		x := placeAsk(6000)
+		x.Ask, x.Holding.Asked, x.Holding.Open, x.Holding.Sequence, x.Holding.Loads = n, n, []int{n}, sequence, loads
+		p, err := b.Ask(t.Context(), a.address, x)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return p
+	}
+	held := map[string]api.ServerLoad{"e": {Requests: 1, Tokens: 6000}}
+	if got := ask(1, 1, nil); got.Server != "e" {
+		t.Errorf("with room: got %+v, want the engine", got)
+	}
+	if got := ask(2, 2, held); got.Refused == nil || got.Refused.Code != int(fault.NoServer) {
+		t.Errorf("without room: got %+v, want a refusal", got)
+	}
+	if err := b.Report(t.Context(), a.address, api.Holding{Protocol: gossip.Protocol, VM: "b", Incarnation: 5, Sequence: 3, Asked: 2}); err != nil {
+		t.Fatal(err)
+	}
+	if got := ask(3, 4, nil); got.Server != "e" {
+		t.Errorf("after the run ended: got %+v, want the engine", got)
+	}
+}
+
+// What can't be is refused, and changes nothing.
+func TestAsksThatCannotBe(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(a *api.PlaceAsk)
+		want   fault.Code
+	}{
+		{"another protocol", func(a *api.PlaceAsk) { a.Holding.Protocol = 1 }, fault.PeerProtocol},
+		{"a load below zero", func(a *api.PlaceAsk) { a.Holding.Loads = map[string]api.ServerLoad{"e": {Tokens: -9000}} }, fault.InvalidRequest},
+		{"a time below zero", func(a *api.PlaceAsk) { a.Holding.Read = map[string]api.ReadTime{"s": {Tokens: 1, MS: -1}} }, fault.InvalidRequest},
+		{"a need below zero", func(a *api.PlaceAsk) { a.Tokens = -1 }, fault.InvalidRequest},
+		{"an ask that was not begun", func(a *api.PlaceAsk) { a.Ask = 2 }, fault.InvalidRequest},
+		{"no purpose", func(a *api.PlaceAsk) { a.Purpose = "" }, fault.InvalidRequest},
+		{"an unknown service", func(a *api.PlaceAsk) { a.Service = "t" }, fault.NotFound},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			a, b := newAllocator(t), newVM(t, "b")
+			x := placeAsk(6000)
+			c.change(&x)
+			if _, err := b.Ask(t.Context(), a.address, x); !fault.Has(err, c.want) {
+				t.Errorf("got %v, want code %d", err, c.want)
+			}
+			if got, err := b.Ask(t.Context(), a.address, placeAsk(9000)); err != nil || got.Server != "e" {
+				t.Errorf("an ask for all the room after it: got %+v and %v, want the engine", got, err)
+			}
+		})
+	}
+}
+
+// A VM that knows no configuration yet says so, so that another one is asked.
+func TestAllocatorWithoutConfiguration(t *testing.T) {
+	a, b := newVM(t, "a"), newVM(t, "b")
+	c, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	if _, err := b.Ask(c, a.address, placeAsk(1)); !fault.Has(err, fault.Starting) {
+		t.Errorf("got %v, want that it is starting", err)
+	}
+}
+
+// Whatever bytes a peer sends, an allocator answers, and the next proper ask is
+// given the engine.
+func FuzzAllocatorMessages(f *testing.F) {
+	add := func(path string, v any) {
+		b, err := json.Marshal(v)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(path == mesh.PathPlace, b)
+	}
+	add(mesh.PathPlace, placeAsk(100))
+	add(mesh.PathHolding, api.Holding{Protocol: gossip.Protocol, VM: "c", Sequence: 1, Loads: map[string]api.ServerLoad{"x": {Requests: 1}}, Read: map[string]api.ReadTime{"s": {Tokens: 5, MS: 3}}})
+	f.Add(true, []byte(`{"holding":{"protocol":3},"ask":1}`))
+	f.Add(false, []byte(`[`))
+	f.Fuzz(func(t *testing.T, place bool, body []byte) {
+		a := newAllocator(t)
+		r := chi.NewRouter()
+		a.Routes(r)
+		path := mesh.PathHolding
+		if place {
+			path = mesh.PathPlace
+		}
+		w := httptest.NewRecorder()
+		r.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodPost, path, bytes.NewReader(body)))
+		if w.Code >= http.StatusInternalServerError && w.Code != http.StatusServiceUnavailable {
+			t.Errorf("got status %d, want an answer or a refusal", w.Code)
+		}
+		p, err := a.table.Place(t.Context(), placeAsk(100))
+		if err != nil || p.Server != "e" && p.Refused == nil {
+			t.Errorf("the next ask: got %+v and %v, want the engine or a refusal", p, err)
+		}
+	})
+}
--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -55,3 +55,7 @@
 func TestMove(t *testing.T) {
 	holds(t, moveWorld, "the connection is left open", "events are not judged")
 }
+
+func TestAllocate(t *testing.T) {
+	holds(t, allocateWorld, mutateOpen, mutateOrder, mutateTaken)
+}
