--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -67,6 +67,7 @@
 	PeerLost            ID = 602
 	PeerRefused         ID = 603
 	PeerSilent          ID = 604
+	AllocatorSilent     ID = 605
 	StandInStarted      ID = 901
 	StandInFault        ID = 902
 	StandInOrderApplied ID = 903
@@ -134,6 +135,7 @@
 	{PeerLost, "peer_lost", zapcore.WarnLevel, "An entry VM stopped answering heartbeats."},
 	{PeerRefused, "peer_refused", zapcore.WarnLevel, "An entry VM of another protocol version was refused."},
 	{PeerSilent, "peer_silent", zapcore.DebugLevel, "A peer did not give what it knows."},
+	{AllocatorSilent, "allocator_silent", zapcore.WarnLevel, "An entry VM that allocates engines did not answer, and is passed over for a second."},
 	{StandInStarted, "stand_in_started", zapcore.InfoLevel, "A stand-in serves."},
 	{StandInFault, "stand_in_fault", zapcore.InfoLevel, "A stand-in injected a fault."},
 	{SoakFault, "soak_fault", zapcore.InfoLevel, "A soak brings a fault about."},
--- a/internal/gateway/holding.go
+++ b/internal/gateway/holding.go
@@ -4,12 +4,9 @@
 	"context"
 	"time"
 
-	"go.uber.org/zap"
-
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/gossip"
 	"github.com/wardridge/wardridge/internal/decide/placement"
-	"github.com/wardridge/wardridge/internal/event"
 )
 
 // reportTime bounds one report to an allocator, as long as an ask may take.
@@ -83,11 +80,9 @@
 func (g *Gateway) reported(d api.DomainName, to string, err error) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	now := time.Now()
-	g.reports.End(now, d, err != nil)
+	g.reports.End(time.Now(), d, err != nil)
 	if err != nil {
-		g.contacts.Failed(now, to)
-		g.Log.Emit(event.PeerSilent, zap.String("address", to), zap.Error(err))
+		g.noteSilent(to, err)
 	}
 }
 
--- a/internal/gateway/obtain.go
+++ b/internal/gateway/obtain.go
@@ -176,14 +176,19 @@
 	}
 	if err != nil {
 		if ctx.Err() == nil {
-			g.contacts.Failed(time.Now(), to)
-			g.Log.Emit(event.PeerSilent, zap.String("address", to), zap.Error(err))
+			g.noteSilent(to, err)
 		}
 		return placed{}, false
 	}
 	return g.accept(d, r)
 }
 
+// noteSilent passes an allocator over for a while; the mutex is held.
+func (g *Gateway) noteSilent(address string, err error) {
+	g.contacts.Failed(time.Now(), address)
+	g.Log.Emit(event.AllocatorSilent, zap.String("address", address), zap.Error(err))
+}
+
 // beginAsk numbers an ask and gives the report that goes with it.
 func (g *Gateway) beginAsk(d api.DomainName) (int, api.Holding) {
 	g.mutex.Lock()
