fix: members are passed on to each peer every second

Cause, by reading: a hub sent the members it hears in each fourth of its rounds, and a member whose exchanges keep step with those rounds meets another one each time. Hubs of other failure domains, which allocate engines there, would be forgotten by it.

Change: each peer has its own time. The test is of the method that decides so; the count of rounds that it replaces had none.

--- a/internal/decide/gossip/gossip_test.go
+++ b/internal/decide/gossip/gossip_test.go
@@ -487,3 +487,25 @@
 		}
 	}
 }
+
+// A member whose exchanges keep step with a hub's rounds is passed the members as
+// often as any other.
+func TestMembersArePassedOnToEachPeer(t *testing.T) {
+	p := gossip.New(at(0), gossip.Member{Address: "h:1", Domain: "x"}, nil, 1)
+	for _, start := range []int{0, 240, 480, 720} {
+		a := fmt.Sprintf("m%d:1", start)
+		lists := 0
+		for ms := start; ms < 5000; ms += 480 {
+			p.Heard(at(ms), gossip.Word{Member: gossip.Member{Address: a, Domain: "x"}})
+			if len(p.List(at(ms), a)) > 0 {
+				lists++
+			}
+		}
+		if lists < 4 || lists > 6 {
+			t.Errorf("lists to the peer that starts at %d ms: got %d in 5 s, want about one a second", start, lists)
+		}
+	}
+	if len(p.List(at(4800), "stranger:1")) == 0 {
+		t.Error("a peer not heard before: got no list, want one")
+	}
+}
--- a/internal/decide/gossip/peers.go
+++ b/internal/decide/gossip/peers.go
@@ -20,6 +20,9 @@
 	// spare is the pause between exchanges with a hub that is not the primary
 	// one: often enough to notice that it is there when it is needed.
 	spare = time.Second
+	// listTime is the pause between lists of members to one peer: a hub that starts
+	// is known to all within two.
+	listTime = 900 * time.Millisecond
 	// revisit is the pause between exchanges with an address of the settings
 	// that nothing else asks for, so that parts of the fleet find each other.
 	revisit = 5 * time.Second
@@ -73,6 +76,8 @@
 	// answered is when the peer last said that the platform answers it, informed
 	// when it last had word.
 	answered, informed time.Time
+	// listed is when the members were last passed on to the peer.
+	listed time.Time
 	// told is when another peer last passed the address on.
 	told  time.Time
 	tried time.Time
@@ -160,6 +165,20 @@
 	return ""
 }
 
+// List gives the members to pass on to the peer at an address: those heard lately,
+// each second. Without a clock of its own for each peer, one whose exchanges keep
+// step with the rounds here would be told never.
+func (p *Peers) List(now time.Time, address string) []Member {
+	x, ok := p.peers[address]
+	if ok && now.Sub(x.listed) < listTime {
+		return nil
+	}
+	if ok {
+		x.listed = now
+	}
+	return p.Live(now)
+}
+
 // Live lists the members heard lately in order of address.
 func (p *Peers) Live(now time.Time) []Member {
 	var l []Member
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -20,12 +20,8 @@
 	"github.com/wardridge/wardridge/internal/wire"
 )
 
-const (
-	// callTime bounds one call to a peer.
-	callTime = 600 * time.Millisecond
-	// memberRounds is the number of rounds between lists of members.
-	memberRounds = 4
-)
+// callTime bounds one call to a peer.
+const callTime = 600 * time.Millisecond
 
 // Notices is where servers are known that said themselves that they are leaving.
 type Notices interface {
@@ -80,9 +76,8 @@
 	peers *gossip.Peers
 	busy  map[string]bool
 	// lag notices kinds that stand still behind a peer.
-	lag    map[string]*gossip.Lag
-	live   map[string]bool
-	rounds int
+	lag  map[string]*gossip.Lag
+	live map[string]bool
 }
 
 // New makes a mesh that knows the addresses in the settings.
@@ -97,7 +92,6 @@
 func (m *Mesh) Round() {
 	m.mutex.Lock()
 	now := time.Now()
-	m.rounds++
 	m.noteLive(now)
 	l := m.free(m.peers.Round(now))
 	m.mutex.Unlock()
@@ -182,7 +176,7 @@
 	r := m.peers.Relation(time.Now(), address)
 	m.mutex.Unlock()
 	var e api.Exchange
-	err := wire.Call(c, m.Client, http.MethodPost, "http://"+address+PathExchange, m.own(vm, r), &e)
+	err := wire.Call(c, m.Client, http.MethodPost, "http://"+address+PathExchange, m.own(address, vm, r), &e)
 	m.mutex.Lock()
 	delete(m.busy, address)
 	m.mutex.Unlock()
@@ -194,8 +188,8 @@
 	m.heard(e, r)
 }
 
-// own is what this entry VM tells a peer that has a relation to it.
-func (m *Mesh) own(vm api.VMName, r placement.Relation) api.Exchange {
+// own is what this entry VM tells the peer at an address that has a relation to it.
+func (m *Mesh) own(address string, vm api.VMName, r placement.Relation) api.Exchange {
 	x := m.Loads.ReportLoads(vm, r)
 	e := api.Exchange{
 		Protocol: gossip.Protocol, VM: m.VM, ConfigAt: m.Config.Changed(), ServersAt: m.Servers.Changed(),
@@ -218,10 +212,8 @@
 	if r == placement.Hub && m.peers.First(now) {
 		e.Pools = pools
 	}
-	if m.rounds%memberRounds == 0 || vm == "" {
-		for _, x := range m.peers.Live(now) {
-			e.Peers = append(e.Peers, message(x))
-		}
+	for _, x := range m.peers.List(now, address) {
+		e.Peers = append(e.Peers, message(x))
 	}
 	return e
 }
--- a/internal/mesh/serve.go
+++ b/internal/mesh/serve.go
@@ -60,7 +60,7 @@
 		return
 	}
 	r := relation(e)
-	wire.Write(w, http.StatusOK, m.own(e.VM, r))
+	wire.Write(w, http.StatusOK, m.own(e.Self.Address, e.VM, r))
 	m.heard(e, r)
 }
 
