--- a/internal/soak/bed.go
+++ b/internal/soak/bed.go
@@ -2,15 +2,12 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/directory"
-	"github.com/wardridge/wardridge/internal/decide/roster"
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/loopback"
 	"github.com/wardridge/wardridge/internal/standin/hosted"
@@ -48,18 +45,6 @@
 	pauseCopy  = 25 * time.Millisecond
 )
 
-// server is a place for backend servers, one life after the other.
-type server struct {
-	service api.ServiceName
-	place   int
-
-	mutex sync.Mutex
-	live  *hosted.Server
-	proxy *proxy
-	stop  func()
-	lives int
-}
-
 // bed is a system under test.
 type bed struct {
 	Options
@@ -80,13 +65,6 @@
 	keys   []versioned
 }
 
-// versioned is a path or key that some versions have: from one on, and up to but
-// not with another, which is zero while there is none.
-type versioned struct {
-	name        string
-	from, until int64
-}
-
 // newBed starts a system; the clean-up ends all of it.
 func newBed(ctx context.Context, o Options, s Size) (*bed, func(), error) {
 	g, end := duty.New(context.WithoutCancel(ctx))
@@ -164,149 +142,3 @@
 	b.cleanups = append(b.cleanups, closer)
 	return p, nil
 }
-
-// begin starts the next life of a server, on an address of its own, unless
-// another one has followed the one that ended.
-func (b *bed) begin(s *server, ended *hosted.Server) error {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if s.live != ended {
-		return nil
-	}
-	if s.stop != nil {
-		s.stop()
-	}
-	in, err := loopback.Listen()
-	if err != nil {
-		return err
-	}
-	out, err := loopback.Listen()
-	if err != nil {
-		return err
-	}
-	s.lives++
-	p, closer := newProxy(out, in.Addr().String())
-	x := roster.Server{
-		Name: api.ServerName(fmt.Sprintf("s-%d-%d", s.place+1, s.lives)), Service: s.service, Address: p.address(),
-		Domain: domain(s.place), Slots: slots,
-	}
-	live, end := b.fleet.Start(x, s.service == engines, in)
-	s.live, s.proxy = live, p
-	s.stop = func() {
-		closer()
-		end()
-	}
-	b.recorder.note(func(r *Record) { r.Servers[x.Name] = s.service })
-	return live.Register()
-}
-
-// finish ends a server's present life.
-func (s *server) finish() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.stop()
-}
-
-func (s *server) current() (*hosted.Server, *proxy) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.live, s.proxy
-}
-
-// configure writes the next configuration; the mutex is not held.
-func (b *bed) configure() {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.write()
-}
-
-// write writes the next version; the mutex is held.
-func (b *bed) write() {
-	v := b.config.Version + 1
-	c := directory.Config{Version: v, Services: []directory.Service{
-		{Name: engines, MaxConnections: 1 << 10, Engine: &directory.Engine{Slots: slots, Memory: memory, Moves: true, Backups: true, Stride: hosted.Stride}},
-		{Name: plain, MaxConnections: 1 << 10},
-	}}
-	c.Routes = []directory.Route{
-		newRoute(pathChat, directory.Stream, engines), newRoute(pathOrders, directory.Unsafe, plain), newRoute(pathParts, directory.Safe, plain),
-	}
-	for _, x := range b.extras {
-		if x.until == 0 {
-			c.Routes = append(c.Routes, newRoute(x.name, directory.Safe, plain))
-		}
-	}
-	spare := directory.Workspace{Name: spareWorkspace}
-	for _, x := range b.keys {
-		if x.until == 0 {
-			spare.Keys = append(spare.Keys, x.name)
-		}
-	}
-	c.Workspaces = []directory.Workspace{{Name: mainWorkspace, Keys: []string{mainKey}}, spare}
-	if err := b.store.Configure(c); err != nil {
-		b.failed(err)
-		return
-	}
-	b.config = c
-	now := time.Now()
-	b.recorder.note(func(r *Record) {
-		r.Configs[v] = now
-		for _, x := range c.Routes {
-			p := strings.Trim(x.Prefix, "/")
-			r.Services[p] = append(r.Services[p], x.Targets[0].Service)
-		}
-	})
-}
-
-// Times of the bed's routes: far above what any answer takes.
-const (
-	routeTime = 20 * time.Second
-	routeAim  = 500 * time.Millisecond
-	// routeGap is the longest good pause of a stream: many times the pace of the
-	// servers, as the machine may be shared.
-	routeGap = 400 * time.Millisecond
-)
-
-func newRoute(path string, k directory.Kind, s api.ServiceName) directory.Route {
-	return directory.Route{
-		Name: path, Host: host, Prefix: "/" + path + "/", Kind: k, Timeout: routeTime, Aim: routeAim, GapAim: routeGap, MaxServers: 2,
-		Targets: []directory.Target{{Service: s, Weight: 1}},
-	}
-}
-
-// extrasMost is the number of extra routes that stand at once.
-const extrasMost = 3
-
-// changeRoute adds a route, and removes the oldest of several.
-func (b *bed) changeRoute() {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	v := b.config.Version + 1
-	live := 0
-	for _, x := range b.extras {
-		if x.until == 0 {
-			live++
-		}
-	}
-	if live >= extrasMost {
-		for i := range b.extras {
-			if b.extras[i].until == 0 {
-				b.extras[i].until = v
-				break
-			}
-		}
-	}
-	b.extras = append(b.extras, versioned{name: fmt.Sprint(pathExtra, len(b.extras)), from: v})
-	b.write()
-}
-
-// changeKey takes the spare workspace's key away and gives it a new one.
-func (b *bed) changeKey() {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	v := b.config.Version + 1
-	if n := len(b.keys); n > 0 {
-		b.keys[n-1].until = v
-	}
-	b.keys = append(b.keys, versioned{name: fmt.Sprint("spare-key-", len(b.keys)), from: v})
-	b.write()
-}
--- /dev/null
+++ b/internal/soak/change.go
@@ -0,0 +1,116 @@
+package soak
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/directory"
+	"github.com/wardridge/wardridge/internal/standin/hosted"
+)
+
+// versioned is a path or key that some versions have: from one on, and up to but
+// not with another, which is zero while there is none.
+type versioned struct {
+	name        string
+	from, until int64
+}
+
+// configure writes the next configuration; the mutex is not held.
+func (b *bed) configure() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.write()
+}
+
+// write writes the next version; the mutex is held.
+func (b *bed) write() {
+	v := b.config.Version + 1
+	c := directory.Config{Version: v, Services: []directory.Service{
+		{Name: engines, MaxConnections: 1 << 10, Engine: &directory.Engine{Slots: slots, Memory: memory, Moves: true, Backups: true, Stride: hosted.Stride}},
+		{Name: plain, MaxConnections: 1 << 10},
+	}}
+	c.Routes = []directory.Route{
+		newRoute(pathChat, directory.Stream, engines), newRoute(pathOrders, directory.Unsafe, plain), newRoute(pathParts, directory.Safe, plain),
+	}
+	for _, x := range b.extras {
+		if x.until == 0 {
+			c.Routes = append(c.Routes, newRoute(x.name, directory.Safe, plain))
+		}
+	}
+	spare := directory.Workspace{Name: spareWorkspace}
+	for _, x := range b.keys {
+		if x.until == 0 {
+			spare.Keys = append(spare.Keys, x.name)
+		}
+	}
+	c.Workspaces = []directory.Workspace{{Name: mainWorkspace, Keys: []string{mainKey}}, spare}
+	if err := b.store.Configure(c); err != nil {
+		b.failed(err)
+		return
+	}
+	b.config = c
+	now := time.Now()
+	b.recorder.note(func(r *Record) {
+		r.Configs[v] = now
+		for _, x := range c.Routes {
+			p := strings.Trim(x.Prefix, "/")
+			r.Services[p] = append(r.Services[p], x.Targets[0].Service)
+		}
+	})
+}
+
+// Times of the bed's routes: far above what any answer takes.
+const (
+	routeTime = 20 * time.Second
+	routeAim  = 500 * time.Millisecond
+	// routeGap is the longest good pause of a stream: many times the pace of the
+	// servers, as the machine may be shared.
+	routeGap = 400 * time.Millisecond
+)
+
+func newRoute(path string, k directory.Kind, s api.ServiceName) directory.Route {
+	return directory.Route{
+		Name: path, Host: host, Prefix: "/" + path + "/", Kind: k, Timeout: routeTime, Aim: routeAim, GapAim: routeGap, MaxServers: 2,
+		Targets: []directory.Target{{Service: s, Weight: 1}},
+	}
+}
+
+// extrasMost is the number of extra routes that stand at once.
+const extrasMost = 3
+
+// changeRoute adds a route, and removes the oldest of several.
+func (b *bed) changeRoute() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	v := b.config.Version + 1
+	live := 0
+	for _, x := range b.extras {
+		if x.until == 0 {
+			live++
+		}
+	}
+	if live >= extrasMost {
+		for i := range b.extras {
+			if b.extras[i].until == 0 {
+				b.extras[i].until = v
+				break
+			}
+		}
+	}
+	b.extras = append(b.extras, versioned{name: fmt.Sprint(pathExtra, len(b.extras)), from: v})
+	b.write()
+}
+
+// changeKey takes the spare workspace's key away and gives it a new one.
+func (b *bed) changeKey() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	v := b.config.Version + 1
+	if n := len(b.keys); n > 0 {
+		b.keys[n-1].until = v
+	}
+	b.keys = append(b.keys, versioned{name: fmt.Sprint("spare-key-", len(b.keys)), from: v})
+	b.write()
+}
--- /dev/null
+++ b/internal/soak/server.go
@@ -0,0 +1,71 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/roster"
+	"github.com/wardridge/wardridge/internal/loopback"
+	"github.com/wardridge/wardridge/internal/standin/hosted"
+)
+
+// server is a place for backend servers, one life after the other.
+type server struct {
+	service api.ServiceName
+	place   int
+
+	mutex sync.Mutex
+	live  *hosted.Server
+	proxy *proxy
+	stop  func()
+	lives int
+}
+
+// begin starts the next life of a server, on an address of its own, unless
+// another one has followed the one that ended.
+func (b *bed) begin(s *server, ended *hosted.Server) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.live != ended {
+		return nil
+	}
+	if s.stop != nil {
+		s.stop()
+	}
+	in, err := loopback.Listen()
+	if err != nil {
+		return err
+	}
+	out, err := loopback.Listen()
+	if err != nil {
+		return err
+	}
+	s.lives++
+	p, closer := newProxy(out, in.Addr().String())
+	x := roster.Server{
+		Name: api.ServerName(fmt.Sprintf("s-%d-%d", s.place+1, s.lives)), Service: s.service, Address: p.address(),
+		Domain: domain(s.place), Slots: slots,
+	}
+	live, end := b.fleet.Start(x, s.service == engines, in)
+	s.live, s.proxy = live, p
+	s.stop = func() {
+		closer()
+		end()
+	}
+	b.recorder.note(func(r *Record) { r.Servers[x.Name] = s.service })
+	return live.Register()
+}
+
+// finish ends a server's present life.
+func (s *server) finish() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.stop()
+}
+
+func (s *server) current() (*hosted.Server, *proxy) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.live, s.proxy
+}
