fix: an allocator refuses asks for the engines of another failure domain

Cause, by reading: an ask carries what its holder holds in the domain that is asked for. An allocator that took one for another domain would count that in place of what the holder has here, until the next report.

The test fails without the check (the ask was given the engine). Names that needed a second look are plainer: markLate, placeHere, assign, newBackup.

--- a/internal/gateway/allocate.go
+++ b/internal/gateway/allocate.go
@@ -12,10 +12,11 @@
 )
 
 // allocate gives a demand an engine of this entry VM's failure domain, sends it on
-// to another domain that is less loaded, or lets it wait.
+// to another domain that is less loaded, or lets it wait. While an ask is under way
+// elsewhere other demands are met, so that the choice at home is made anew after it.
 func (g *Gateway) allocate(ctx context.Context, d demand, a api.PlaceAsk) placed {
 	if !a.Forwarded {
-		g.judge(&d)
+		g.markLate(&d)
 	}
 	g.mutex.Lock()
 	now := time.Now()
@@ -32,11 +33,11 @@
 			return p
 		}
 	}
-	return g.here(ctx, d)
+	return g.placeHere(ctx, d)
 }
 
-// here places a demand without asking anyone else.
-func (g *Gateway) here(ctx context.Context, d demand) placed {
+// placeHere places a demand without asking anyone else.
+func (g *Gateway) placeHere(ctx context.Context, d demand) placed {
 	g.mutex.Lock()
 	now := time.Now()
 	if x, ok := g.pick(now, d); ok {
@@ -114,6 +115,10 @@
 	if c == nil {
 		return demand{}, fault.New(fault.Starting, "this entry VM knows no configuration yet")
 	}
+	if a.Domain != g.Domain {
+		// What is held in another domain must not be taken for what is held in this one.
+		return demand{}, fault.New(fault.NotFound, "this entry VM allocates the engines of another failure domain")
+	}
 	s, ok := c.Service(a.Service)
 	if !ok || s.Engine == nil {
 		return demand{}, fault.New(fault.NotFound, "no engines of this service are configured")
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -73,9 +73,9 @@
 	}
 }
 
-// judge notes whether a new run comes too late for its aim: the entry VM that
+// markLate notes whether a new run comes too late for its aim: the entry VM that
 // places it sees most callers of a route, whose usual times tell.
-func (g *Gateway) judge(d *demand) {
+func (g *Gateway) markLate(d *demand) {
 	if d.purpose != api.PlaceAskPurposeRun {
 		return
 	}
@@ -96,7 +96,7 @@
 // take counts the place that was chosen for a demand, and one for a copy of its
 // run where that is worth it; the mutex is held.
 func (g *Gateway) take(now time.Time, d demand, x placement.Choice) placed {
-	p := placed{choice: x, reservation: g.count(now, d, x.Server, d.load())}
+	p := placed{choice: x, reservation: g.assign(now, d, x.Server, d.load())}
 	if d.expected == 0 || d.purpose != api.PlaceAskPurposeRun {
 		return p
 	}
@@ -104,23 +104,23 @@
 	n := placement.Need{Tokens: d.need.Tokens}
 	if c, ok := g.picker.Protect(now, l, n, d.expected, []api.ServerName{x.Name}); ok {
 		p.copy = c.Name
-		p.backup = g.keeps(c.Server, g.count(now, d, c.Server, api.ServerLoad{Tokens: n.Tokens}))
+		p.backup = newBackup(c.Server, g.assign(now, d, c.Server, api.ServerLoad{Tokens: n.Tokens}))
 	}
 	return p
 }
 
-// keeps gives the backup that a reservation is for, nil for one of another
+// newBackup gives the backup that a reservation is for, nil for one of another
 // entry VM.
-func (g *Gateway) keeps(s roster.Server, r *reservation) *backup {
+func newBackup(s roster.Server, r *reservation) *backup {
 	if r == nil {
 		return nil
 	}
 	return &backup{at: s, reservation: r}
 }
 
-// count counts a load for a demand's holder: as an own reservation, or as a
+// assign counts a load for a demand's holder: as an own reservation, or as a
 // grant, for which there is none. The mutex is held.
-func (g *Gateway) count(now time.Time, d demand, s roster.Server, x api.ServerLoad) *reservation {
+func (g *Gateway) assign(now time.Time, d demand, s roster.Server, x api.ServerLoad) *reservation {
 	if d.recipient != nil {
 		g.picker.Engines.Grant(now, *d.recipient, s.Name, x)
 		return nil
--- a/internal/gateway/obtain.go
+++ b/internal/gateway/obtain.go
@@ -113,8 +113,8 @@
 		return placed{fault: overdue(ctx)}
 	}
 	g.Metrics.Add(metric.PlacedAlone, 1)
-	g.judge(&d)
-	return g.here(ctx, d)
+	g.markLate(&d)
+	return g.placeHere(ctx, d)
 }
 
 // message is the ask for a demand.
@@ -126,8 +126,8 @@
 	}
 }
 
-// askAllocators asks those that may allocate a domain's engines, one after the other; it
-// reports false where none of them answered.
+// askAllocators asks those that may allocate a domain's engines, one after the
+// other; it reports false where none of them answered.
 func (g *Gateway) askAllocators(ctx context.Context, d demand, a api.PlaceAsk) (placed, bool) {
 	for _, to := range g.allocators(d.domain) {
 		if to == "" {
@@ -221,7 +221,7 @@
 	p.reservation = g.reserve(now, m.Server, true, d.load())
 	p.reservation.ahead = p.choice.Load.Unread
 	if c, ok := g.roster.Find(r.Copy); ok && c.State != roster.Leaving {
-		p.backup = g.keeps(c.Server, g.reserve(now, c.Server, true, api.ServerLoad{Tokens: d.need.Tokens}))
+		p.backup = newBackup(c.Server, g.reserve(now, c.Server, true, api.ServerLoad{Tokens: d.need.Tokens}))
 	}
 	return p, true
 }
--- a/internal/mesh/allocate_test.go
+++ b/internal/mesh/allocate_test.go
@@ -82,6 +82,7 @@
 		{"a need below zero", func(a *api.PlaceAsk) { a.Tokens = -1 }, fault.InvalidRequest},
 		{"an ask that was not begun", func(a *api.PlaceAsk) { a.Ask = 2 }, fault.InvalidRequest},
 		{"no purpose", func(a *api.PlaceAsk) { a.Purpose = "" }, fault.InvalidRequest},
+		{"engines of another failure domain", func(a *api.PlaceAsk) { a.Domain = "elsewhere" }, fault.NotFound},
 		{"an unknown service", func(a *api.PlaceAsk) { a.Service = "t" }, fault.NotFound},
 	}
 	for _, c := range tests {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -47,7 +47,7 @@
 		closer()
 		s.Close()
 	})
-	v := &vm{address: s.Listener.Addr().String(), table: gateway.New(gateway.Parts{Group: g, Log: event.Discard(), Metrics: metric.New()})}
+	v := &vm{address: s.Listener.Addr().String(), table: gateway.New(gateway.Parts{Domain: "d", Group: g, Log: event.Discard(), Metrics: metric.New()})}
 	v.config = mirror.New(mirror.Parts[directory.Config]{Take: func(replica.Snapshot[directory.Config]) {}, Metrics: metric.New(), Log: event.Discard()})
 	v.servers = mirror.New(mirror.Parts[roster.Server]{Take: func(replica.Snapshot[roster.Server]) {}, Metrics: metric.New(), Log: event.Discard()})
 	v.Mesh = mesh.New(mesh.Parts{
