--- a/internal/decide/gossip/hubs.go
+++ b/internal/decide/gossip/hubs.go
@@ -26,8 +26,9 @@
 	return h
 }
 
-// insert puts a member among the strongest n: each call of a VM's duties asks for
-// the hubs, and sorting all members took a sixth of an idle VM's time.
+// insert puts a member among the strongest n. The duties ask for the hubs several
+// times a second: sorting all members each time takes a sixth of the processor time
+// of an idle VM in a domain of 24 (a profile of 120 VMs), and grows with the domain.
 func insert(best []Member, m Member, n int) []Member {
 	i, _ := slices.BinarySearchFunc(best, m, stronger)
 	if i >= n {
