--- a/internal/style/style_test.go
+++ b/internal/style/style_test.go
@@ -7,6 +7,7 @@
 	"io/fs"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 )
@@ -176,3 +177,32 @@
 	}
 	return found
 }
+
+// testName is the name of a test, or of a fuzz test, as pages write it.
+var testName = regexp.MustCompile(`\b(?:Test|Fuzz)[A-Z]\w*`)
+
+// A proof that names a test is only as good as the test that it names.
+func TestProofsNameTestsThatExist(t *testing.T) {
+	_, m := sources(t)
+	have := map[string]bool{}
+	for _, f := range m {
+		for _, d := range f.Decls {
+			if x, ok := d.(*ast.FuncDecl); ok && testName.MatchString(x.Name.Name) {
+				have[x.Name.Name] = true
+			}
+		}
+	}
+	b, err := os.ReadFile("../../docs/PROOFS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := testName.FindAllString(string(b), -1)
+	if len(l) == 0 {
+		t.Error("docs/PROOFS.md: got no test named, want some")
+	}
+	for _, n := range l {
+		if !have[n] {
+			t.Errorf("docs/PROOFS.md: got %s, want the name of a test", n)
+		}
+	}
+}
