feat: lives of servers, closed failure domains and cold servers, as decisions; entries of other writers name no server

Cause: a server may start again under its id; operators may close a failure domain to new work; a cold server falls over above a rate; an entry of another writer kept its last good form, or passed for ready whatever its state, and one bad item made a page unreadable. Change: a server's name is that of its life (id and birth), so that what is known, held or promised there ends with it; a later life ends the earlier at once and late words of that one change nothing. Members of a closed domain take nothing new. Each chooser keeps to a share of what a cold server bears, which sums up to less than 1.5 times that without a word between them. Entries need every field that servers write, and objects of a page are decoded one by one. Ruled out: one struct of name and birth as the key of all maps: it gives the same identity, but goes into JSON keys of every exchange between entry VMs by a text form anyway.

--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -67,6 +67,10 @@
 	Type ServerType `json:"type"`
 }
 
+// Birth is the time at which a life of a backend server began, in Unix ms; zero
+// where it is not told.
+type Birth int
+
 // CacheEvent tells that a prefix entered or left an engine's cache.
 type CacheEvent struct {
 	// Prefix key.
@@ -408,6 +412,10 @@
 
 // Exchange is what two entry VMs tell each other several times a second.
 type Exchange struct {
+	// Version at which the closed failure domains last changed; zero where they are
+	// not known.
+	ClosuresAt Version `json:"closures_at,omitempty,omitzero"`
+
 	// Version at which the configuration last changed.
 	ConfigAt Version `json:"config_at"`
 
@@ -486,6 +494,10 @@
 	// Time in which an accepted change has to be in force, ms.
 	ApplyMS Milliseconds `json:"apply_ms,omitempty,omitzero"`
 
+	// Time in which a failure domain that operators close gets no new requests any
+	// more, ms; 0 where none can be closed.
+	CloseMS Milliseconds `json:"close_ms,omitempty,omitzero"`
+
 	// Cores that the VM has for this process.
 	CpuShare float64 `json:"cpu_share,omitempty,omitzero"`
 
@@ -1065,6 +1077,10 @@
 const ResourceKindStatus ResourceKind = "status"
 const ResourceKindWorkspace ResourceKind = "workspace"
 
+// ServerID is what all lives of a backend server have in common on a hosting
+// platform.
+type ServerID string
+
 // ServerLoad is what one entry VM has in flight at a backend server.
 type ServerLoad struct {
 	// Requests in flight.
@@ -1077,7 +1093,8 @@
 	Unread Tokens `json:"unread,omitempty,omitzero"`
 }
 
-// ServerName names one backend server.
+// ServerName names one backend server; of a server that may start again under its
+// id, one life.
 type ServerName string
 
 type ServerState string
--- a/internal/decide/directory/config.go
+++ b/internal/decide/directory/config.go
@@ -65,6 +65,10 @@
 type Service struct {
 	Name           api.ServiceName
 	MaxConnections int
+	// WarmUp is how long a server is cold after a start, and ColdRate the requests a
+	// second that it bears meanwhile; zero for no bound.
+	WarmUp   time.Duration
+	ColdRate float64
 	// Engine is nil for plain services.
 	Engine *Engine
 }
--- a/internal/decide/placement/domains.go
+++ b/internal/decide/placement/domains.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
@@ -53,16 +54,34 @@
 // engine at home, or than a wait for one where there is no choice at home: one
 // whose engines are less loaded on average.
 func (d *Domains) Better(now time.Time, s api.ServiceName, memory api.Tokens, n Need, home *Choice) (api.DomainName, bool) {
-	best, found := api.DomainName(""), false
 	least := memoryBound + unreadMost
 	if home != nil {
 		least = home.Score
 	}
+	return d.least(now, s, least, func(x poolWord) (float64, bool) { return away + x.mean(memory, n), x.Waiting == 0 })
+}
+
+// Instead gives the failure domain that a need is sent to where there is no engine at
+// home at all, as while operators have closed it: the one with the least load, and
+// with the fewest requests that wait for each engine.
+func (d *Domains) Instead(now time.Time, s api.ServiceName, memory api.Tokens, n Need) (api.DomainName, bool) {
+	return d.least(now, s, math.Inf(1), func(x poolWord) (float64, bool) {
+		return x.mean(memory, n) + float64(x.Waiting)/float64(x.Engines), true
+	})
+}
+
+// least gives the failure domain with engines of a service that is rated below a
+// bound and best; a rating may leave a domain out.
+func (d *Domains) least(now time.Time, s api.ServiceName, least float64, rate func(x poolWord) (float64, bool)) (api.DomainName, bool) {
+	best, found := api.DomainName(""), false
 	for k, x := range d.pools {
-		if k.service != s || x.Engines == 0 || x.Waiting > 0 || now.Sub(x.at) > poolTime {
+		if k.service != s || x.Engines == 0 || now.Sub(x.at) > poolTime {
+			continue
+		}
+		m, ok := rate(x)
+		if !ok {
 			continue
 		}
-		m := away + x.mean(memory, n)
 		if m < least || m == least && found && k.domain < best {
 			best, found, least = k.domain, true, m
 		}
@@ -96,7 +115,7 @@
 func (p *Picker) Sum(l []roster.Member) api.PoolLoad {
 	var x api.PoolLoad
 	for _, m := range l {
-		if m.State == roster.Ready {
+		if m.State == roster.Ready && !m.Closed {
 			t := p.Engines.Total(m.Name)
 			x.Engines++
 			x.Tokens += t.Tokens
--- a/internal/decide/placement/pick.go
+++ b/internal/decide/placement/pick.go
@@ -42,6 +42,8 @@
 	// of a new request, its own among them; zero for no bound. An engine that reads
 	// nothing takes any.
 	UnreadMost api.Tokens
+	// Warmup bounds what is sent to servers that are cold.
+	Warmup Warmup
 }
 
 // Scores are in units of a server's whole capacity.
@@ -71,12 +73,14 @@
 	Table   *Table
 	Engines *Ledger
 	Health  *Health
+	Sends   *Sends
 	random  *rand.Rand
 }
 
 // NewPicker makes a picker without load that draws from a source.
 func NewPicker(s rand.Source) *Picker {
-	return &Picker{Table: NewTable(), Engines: NewLedger(), Health: NewHealth(), random: rand.New(s)}
+	r := rand.New(s)
+	return &Picker{Table: NewTable(), Engines: NewLedger(), Health: NewHealth(), Sends: NewSends(r), random: r}
 }
 
 // Choice is a server with the figures that decided for it.
@@ -121,7 +125,7 @@
 	var all []Choice
 	share := p.Health.share(names(l.Members))
 	for _, m := range l.Members {
-		if m.State == roster.Leaving || slices.Contains(tried, m.Name) {
+		if !m.Takes() || slices.Contains(tried, m.Name) || !p.bears(now, l, m) {
 			continue
 		}
 		if s, ok := p.score(now, l, m, n, share); ok {
@@ -131,6 +135,13 @@
 	return all
 }
 
+// bears reports whether a server may be sent another request: a cold one only so many
+// a second.
+func (p *Picker) bears(now time.Time, l Pool, m roster.Member) bool {
+	rate := l.warmup(m)
+	return rate == 0 || !now.Before(m.Warm) || p.Sends.allows(now, m.Name, m.Warm, rate)
+}
+
 const (
 	// sampleLeast and sampleShare give the number of servers that are compared:
 	// all of a small pool for a few entry VMs, two for many. Loads are known some
--- a/internal/decide/placement/reserve.go
+++ b/internal/decide/placement/reserve.go
@@ -27,7 +27,7 @@
 	leaving, staying := 0, 0
 	for _, m := range l {
 		switch {
-		case m.State != roster.Leaving:
+		case !m.State.Going():
 			staying++
 		case now.Sub(m.Since) <= leaveTime:
 			leaving++
--- /dev/null
+++ b/internal/decide/placement/warmup_test.go
@@ -0,0 +1,114 @@
+package placement_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/placement"
+	"github.com/wardridge/wardridge/internal/decide/roster"
+)
+
+// cold is one cold server and one that is warm but full of what is tried.
+func coldPool(engine, exact bool, rate float64, choosers int) placement.Pool {
+	l := placement.Pool{
+		Domain: "x", Exact: exact, Warmup: placement.Warmup{Rate: rate, Choosers: choosers},
+		Members: []roster.Member{{Server: roster.Server{Name: "a", Domain: "x", Slots: 1000}, Warm: time.Unix(1000, 0)}},
+	}
+	if engine {
+		l.Memory = 1 << 40
+	}
+	return l
+}
+
+// Whoever chooses, and however many, a cold server gets no more than it bears in any
+// second: the allocator, its successor and all who choose alone, together.
+func TestColdServersAreSentWhatTheyBear(t *testing.T) {
+	for _, rate := range []float64{0.5, 1, 4, 27, 200} {
+		for _, choosers := range []int{1, 6, 66, 295} {
+			var times []time.Time
+			pickers := make([]*placement.Picker, choosers+2)
+			for i := range pickers {
+				pickers[i] = placement.NewPicker(rand.NewPCG(uint64(i), 1))
+			}
+			for ms := 0; ms < 4000; ms += 5 {
+				now := time.Unix(100, 0).Add(time.Duration(ms) * time.Millisecond)
+				for i, p := range pickers {
+					// The first two allocate, the others choose for themselves.
+					l := coldPool(true, i < 2, rate, choosers)
+					if _, ok := p.Pick(now, l, placement.Need{Tokens: 1}, nil); ok {
+						p.Sends.Note(now, "a")
+						times = append(times, now)
+					}
+				}
+			}
+			// Operators allow half as much again as the rate, and five more.
+			if got, bound := most(times), 1.5*rate+5; float64(got) > bound {
+				t.Errorf("rate %v, %d choosers: got %d in a second, want %v at most", rate, choosers, got, bound)
+			}
+			if len(times) == 0 {
+				t.Errorf("rate %v, %d choosers: got none, want some", rate, choosers)
+			}
+		}
+	}
+}
+
+// most is the largest number of times within one second.
+func most(l []time.Time) int {
+	n, from := 0, 0
+	for i, t := range l {
+		for t.Sub(l[from]) >= time.Second {
+			from++
+		}
+		n = max(n, i-from+1)
+	}
+	return n
+}
+
+func TestColdServersAtTheirBound(t *testing.T) {
+	now := time.Unix(100, 0)
+	tests := []struct {
+		name  string
+		pool  placement.Pool
+		sends int
+		want  bool
+	}{
+		{"an engine below the allocator's share", coldPool(true, true, 4, 9), 1, true},
+		{"an engine at the allocator's share", coldPool(true, true, 4, 9), 2, false},
+		{"an engine that another one allocates", coldPool(true, false, 4, 1), 1, false},
+		{"a plain server below the share", coldPool(false, false, 10, 3), 2, true},
+		{"a plain server at the share", coldPool(false, false, 10, 3), 3, false},
+		{"no bound", coldPool(true, true, 0, 9), 100, true},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			p := placement.NewPicker(rand.NewPCG(1, 1))
+			for range c.sends {
+				p.Sends.Note(now, "a")
+			}
+			if _, got := p.Pick(now.Add(500*time.Millisecond), c.pool, placement.Need{}, nil); got != c.want {
+				t.Errorf("chosen: got %v, want %v", got, c.want)
+			}
+			c.pool.Members[0].Warm = now
+			if _, got := p.Pick(now.Add(500*time.Millisecond), c.pool, placement.Need{}, nil); !got {
+				t.Error("once it is warm: got it not chosen, want it chosen")
+			}
+		})
+	}
+}
+
+// A domain without engines sends its requests on even where others wait.
+func TestInsteadOfAClosedDomain(t *testing.T) {
+	d := placement.NewDomains()
+	now := time.Unix(100, 0)
+	d.Update(now, "y", map[api.ServiceName]api.PoolLoad{"s": {Engines: 2, Tokens: 1000, Waiting: 9}})
+	d.Update(now, "z", map[api.ServiceName]api.PoolLoad{"s": {Engines: 4, Tokens: 3000, Waiting: 1}})
+	d.Update(now, "w", map[api.ServiceName]api.PoolLoad{"s": {}})
+	if got, ok := d.Better(now, "s", 1000, placement.Need{Tokens: 10}, nil); ok {
+		t.Errorf("better: got %s, want none while requests wait everywhere", got)
+	}
+	if got, ok := d.Instead(now, "s", 1000, placement.Need{Tokens: 10}); !ok || got != "z" {
+		t.Errorf("instead: got %s %v, want z", got, ok)
+	}
+}
--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -93,6 +93,8 @@
 	}
 	if s.at == 0 {
 		s.floor = n.At
+		// That there is nothing of a kind is news to who knows nothing.
+		s.changed = n.At
 	}
 	s.at = n.At
 	stays := make(map[string]bool, len(n.Items)+len(n.Kept))
--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -8,9 +8,15 @@
 	"github.com/wardridge/wardridge/internal/api"
 )
 
-// Server is one life of a backend server; its name is never used again.
+// Server is one life of a backend server.
 type Server struct {
-	Name    api.ServerName
+	// Name is that of the life, which no other one ever has: what is known of a
+	// server, held or promised there ends with its life.
+	Name api.ServerName
+	// ID is the name that the server keeps when it starts again, and Born when this
+	// life began; they are empty where a name is never used again.
+	ID      api.ServerID
+	Born    api.Birth
 	Service api.ServiceName
 	Address string
 	Domain  api.DomainName
@@ -33,11 +39,18 @@
 	Lapsed
 	// Leaving servers take no new requests and will end soon.
 	Leaving
+	// Ended servers have started again: nothing of this life is left.
+	Ended
 )
 
 // String names the state for logs.
 func (s State) String() string {
-	return [...]string{"ready", "lapsed", "leaving"}[s]
+	return [...]string{"ready", "lapsed", "leaving", "ended"}[s]
+}
+
+// Going reports whether the server takes no new requests for good.
+func (s State) Going() bool {
+	return s == Leaving || s == Ended
 }
 
 // Member is a server with what is believed of it.
@@ -49,12 +62,19 @@
 
 	// Warm is when the server is no longer slow after its start.
 	Warm time.Time
+	// Closed is set while operators have closed the server's failure domain.
+	Closed bool
 
 	// said is set when the server itself told that it is leaving, which a late
 	// entry does not take back.
 	said bool
 }
 
+// Takes reports whether new requests may be sent to the server.
+func (m Member) Takes() bool {
+	return !m.State.Going() && !m.Closed
+}
+
 const (
 	// returnTime is how long after an outage of the store entries that lapsed
 	// may take to be written again; the operators give two seconds.
@@ -67,6 +87,8 @@
 // Roster is the set of servers of all services.
 type Roster struct {
 	members map[api.ServerName]*Member
+	lives   lives
+	closed  map[api.DomainName]bool
 	away    bool
 	// lost is when the store's last outage began, back when it answered again.
 	lost time.Time
@@ -77,7 +99,7 @@
 
 // New makes a roster without servers, which the store has not answered yet.
 func New() *Roster {
-	return &Roster{members: map[api.ServerName]*Member{}, away: true}
+	return &Roster{members: map[api.ServerName]*Member{}, lives: lives{}, closed: map[api.DomainName]bool{}, away: true}
 }
 
 // Away notes whether the store is unreachable.
@@ -101,32 +123,73 @@
 	var l []Member
 	seen := make(map[api.ServerName]bool, len(entries))
 	for _, e := range entries {
+		if r.lives.stale(e) {
+			// It says nothing of the life that is known: that one stays as it is.
+			seen[r.lives[e.ID].Name] = true
+			continue
+		}
 		seen[e.Name] = true
+		l = append(l, r.begin(now, e)...)
 		if r.set(now, e, r.stated(e)) {
-			l = append(l, *r.members[e.Name])
+			l = append(l, r.seen(e.Name))
 		}
 	}
 	for n, m := range r.members {
 		if !seen[n] && r.set(now, m.Server, r.missing(now, m)) {
-			l = append(l, *m)
+			l = append(l, r.seen(n))
 		}
 	}
 	sortMembers(l)
 	return l
 }
 
+// begin notes the life of a server, and gives the one that it ends.
+func (r *Roster) begin(now time.Time, s Server) []Member {
+	e, ok := r.lives.begin(s)
+	if !ok {
+		return nil
+	}
+	m, ok := r.End(now, e.Name)
+	if !ok {
+		return nil
+	}
+	return []Member{m}
+}
+
+// End notes that a server's life is over: the server has started again, or says so
+// itself.
+func (r *Roster) End(now time.Time, n api.ServerName) (Member, bool) {
+	m, ok := r.members[n]
+	if !ok || !r.set(now, m.Server, Ended) {
+		return Member{}, false
+	}
+	return r.seen(n), true
+}
+
+// seen gives a member as others are told of it.
+func (r *Roster) seen(n api.ServerName) Member {
+	m := *r.members[n]
+	m.Closed = r.closed[m.Domain]
+	return m
+}
+
 // stated is the state of a server with an entry.
 func (r *Roster) stated(e Server) State {
-	if m, ok := r.members[e.Name]; e.Draining || ok && m.said {
+	m, ok := r.members[e.Name]
+	switch {
+	case ok && m.State == Ended:
+		return Ended
+	case e.Draining || ok && m.said:
 		return Leaving
+	default:
+		return Ready
 	}
-	return Ready
 }
 
 // missing is the state of a server without an entry.
 func (r *Roster) missing(now time.Time, m *Member) State {
-	if m.State == Leaving {
-		return Leaving
+	if m.State.Going() {
+		return m.State
 	}
 	if r.unsure(now) {
 		return Lapsed
@@ -168,8 +231,9 @@
 		case m.State == Lapsed && !r.unsure(now):
 			m.State = Leaving
 			m.Since = now
-			l = append(l, *m)
-		case m.State == Leaving && now.Sub(m.Since) > keepTime:
+			l = append(l, r.seen(n))
+		case m.State.Going() && now.Sub(m.Since) > keepTime:
+			r.lives.forget(m.Server)
 			delete(r.members, n)
 		}
 	}
@@ -180,13 +244,13 @@
 // Leave notes that a server itself said that it is leaving.
 func (r *Roster) Leave(now time.Time, n api.ServerName) (Member, bool) {
 	m, ok := r.members[n]
-	if !ok || m.State == Leaving {
+	if !ok || m.State.Going() {
 		return Member{}, false
 	}
 	m.State = Leaving
 	m.Since = now
 	m.said = true
-	return *m, true
+	return r.seen(n), true
 }
 
 // Said lists the servers that themselves said that they are leaving, in order.
@@ -203,19 +267,18 @@
 
 // Find gives one server.
 func (r *Roster) Find(n api.ServerName) (Member, bool) {
-	m, ok := r.members[n]
-	if !ok {
+	if _, ok := r.members[n]; !ok {
 		return Member{}, false
 	}
-	return *m, true
+	return r.seen(n), true
 }
 
 // Service lists the servers of a service in order of name.
 func (r *Roster) Service(s api.ServiceName) []Member {
 	var l []Member
-	for _, m := range r.members {
+	for n, m := range r.members {
 		if m.Service == s {
-			l = append(l, *m)
+			l = append(l, r.seen(n))
 		}
 	}
 	sortMembers(l)
--- a/internal/port/backend.go
+++ b/internal/port/backend.go
@@ -55,6 +55,8 @@
 type Report struct {
 	// Leaving is set where it is about to end.
 	Leaving bool
+	// Born is when the life that answers began; zero where it does not tell.
+	Born api.Birth
 	// Made is the number of events that each of its runs had made some hundred
 	// ms before.
 	Made map[api.RequestID]int
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -43,8 +43,9 @@
 	}
 	s.lives++
 	p, closer := newProxy(out, in.Addr().String())
+	id := api.ServerID(fmt.Sprintf("s-%d-%d", s.place+1, s.lives))
 	x := roster.Server{
-		Name: api.ServerName(fmt.Sprintf("s-%d-%d", s.place+1, s.lives)), Service: s.service, Address: p.address(),
+		Name: roster.LifeName(id, 0), ID: id, Service: s.service, Address: p.address(),
 		Domain: domain(s.place), Slots: slots,
 	}
 	live, end := b.fleet.Start(x, s.service == engines, in)
--- a/internal/standin/hosted/journal.go
+++ b/internal/standin/hosted/journal.go
@@ -15,7 +15,7 @@
 	Body      string
 	Workspace api.WorkspaceName
 	// Server is the one that is meant; empty for whoever has the address.
-	Server api.ServerName
+	Server api.ServerID
 	// Copy names the copy of a run's memory to go on from; empty for a new run.
 	Copy string
 	// After is the last event that the caller has, zero for none.
--- a/internal/standin/hosted/server.go
+++ b/internal/standin/hosted/server.go
@@ -93,7 +93,7 @@
 
 // Serve answers a request as an entry VM passed it on.
 func (s *Server) Serve(ctx context.Context, a Asked, w Answer) {
-	misdirected := a.Server != "" && a.Server != s.Name
+	misdirected := a.Server != "" && a.Server != s.ID
 	taken := !misdirected && s.take()
 	s.fleet.Journal.arrived(Arrival{Asked: a, By: s.Name, Refused: !taken})
 	switch {
--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -63,6 +63,31 @@
 	return nil
 }
 
+// Close closes a failure domain to new work, which is its acknowledgement.
+func (s *Store) Close(d api.DomainName) error {
+	e, err := s.wire.Closure(roster.Closure{Domain: d})
+	if err != nil {
+		return err
+	}
+	s.put(e)
+	return nil
+}
+
+// Open opens a failure domain again, if it is closed.
+func (s *Store) Open(d api.DomainName) error {
+	e, err := s.wire.Closure(roster.Closure{Domain: d})
+	if err != nil {
+		return err
+	}
+	s.drop(e)
+	return nil
+}
+
+// Write puts an object as another writer would, whatever it holds.
+func (s *Store) Write(e Entry) {
+	s.put(e)
+}
+
 // register writes the entry of a server.
 func (s *Store) register(x roster.Server) error {
 	e, err := s.wire.Server(x)
@@ -79,15 +104,20 @@
 	if err != nil {
 		return err
 	}
+	s.drop(e)
+	return nil
+}
+
+// drop removes an object, if it is there.
+func (s *Store) drop(e Entry) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	o, ok := s.objects[e.Kind][e.Name]
 	if !ok {
-		return nil
+		return
 	}
 	delete(s.objects[e.Kind], e.Name)
 	s.note(e.Kind, Change{Object: o, Gone: true})
-	return nil
 }
 
 // put writes an object.
--- a/internal/standin/hosted/wire.go
+++ b/internal/standin/hosted/wire.go
@@ -16,9 +16,11 @@
 // Wire translates between the stand-ins and a hosting platform's messages; it
 // keeps nothing.
 type Wire interface {
-	// Config encodes a configuration, and Server the entry of a server.
+	// Config encodes a configuration, Server the entry of a server, and Closure that a
+	// failure domain is closed.
 	Config(c directory.Config) (Entry, error)
 	Server(s roster.Server) (Entry, error)
+	Closure(c roster.Closure) (Entry, error)
 	// Store and Backend serve the interfaces of the store and of a server.
 	Store(e *Endpoint) http.Handler
 	Backend(s *Server) http.Handler
