feat: operators close failure domains to new work and open them again

Change: one more kind is mirrored from the platform by the VM that follows it and passed on between peers, where the settings say that domains can be closed. The closed domain's allocator sends its requests on, waits included, to the domain that is least loaded; moves, copies and tries again stay out of it; what nobody can serve is refused at once as not run. A run is not gone on from a copy in a closed domain, nor given back to a source there. Servers of a domain that opens count as cold for their service's warm-up. Runs of a server that has started again go on from their copies at once, or end. An entry VM that does not know the closures yet takes no callers. Ruled out: counting a closed domain's servers as leaving: their runs would all be moved, which no rule asks for, and 20 engines' runs have no room elsewhere.

--- a/cmd/adapter.go
+++ b/cmd/adapter.go
@@ -20,6 +20,7 @@
 	return node.Adapter{
 		Config:    platform.Config(o, bad),
 		Servers:   platform.Servers(o, bad),
+		Closures:  platform.Closures(o, bad),
 		Backends:  platform.NewBackends(l.Pool),
 		Ingress:   func(g *gateway.Gateway) http.Handler { return platform.Ingress(g) },
 		Readiness: func(g *gateway.Gateway) http.Handler { return platform.Readiness(g) },
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -55,6 +55,8 @@
 	StatusWritten       ID = 406
 	ServerState         ID = 407
 	ObjectUnreadable    ID = 408
+	DomainClosed        ID = 409
+	DomainOpened        ID = 410
 	LeaseTaken          ID = 501
 	LeaseLost           ID = 502
 	LeaseReleased       ID = 503
@@ -121,8 +123,10 @@
 	{OrderSent, "order_sent", zapcore.InfoLevel, "A fenced order was carried out by an engine."},
 	{OrderRefused, "order_refused", zapcore.WarnLevel, "An engine refused an order."},
 	{StatusWritten, "status_written", zapcore.DebugLevel, "A status object was written."},
-	{ServerState, "server_state", zapcore.InfoLevel, "A backend server is believed ready, lapsed or leaving."},
-	{ObjectUnreadable, "object_unreadable", zapcore.WarnLevel, "An object of the platform could not be read; its last good form stays."},
+	{ServerState, "server_state", zapcore.InfoLevel, "A backend server is believed ready, lapsed, leaving, or started again."},
+	{ObjectUnreadable, "object_unreadable", zapcore.WarnLevel, "An object of the platform could not be read: the last good form of a configuration stays, the entry of a backend server names none."},
+	{DomainClosed, "domain_closed", zapcore.InfoLevel, "Operators closed a failure domain to new work."},
+	{DomainOpened, "domain_opened", zapcore.InfoLevel, "Operators opened a failure domain again; its servers count as cold at first."},
 	{LeaseTaken, "lease_taken", zapcore.InfoLevel, "This entry VM holds the lease on a duty."},
 	{LeaseLost, "lease_lost", zapcore.WarnLevel, "This entry VM no longer holds the lease on a duty."},
 	{LeaseReleased, "lease_released", zapcore.InfoLevel, "This entry VM gave a lease back at its stop."},
--- a/internal/gateway/allocate.go
+++ b/internal/gateway/allocate.go
@@ -61,11 +61,15 @@
 	if d.forwarded || d.purpose == api.PlaceAskPurposeCopy || ok && d.purpose == api.PlaceAskPurposeMove {
 		return "", false
 	}
+	m := d.service.Engine.Memory
+	if !ok && !g.offers(now, d) {
+		return g.domains.Instead(now, d.service.Name, m, d.need)
+	}
 	var home *placement.Choice
 	if ok {
 		home = &x
 	}
-	return g.domains.Better(now, d.service.Name, d.service.Engine.Memory, d.need, home)
+	return g.domains.Better(now, d.service.Name, m, d.need, home)
 }
 
 // forward asks the allocator of another failure domain. There the demand waits
@@ -92,7 +96,12 @@
 func (g *Gateway) has(d demand) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return slices.ContainsFunc(g.engines(time.Now(), d).Members, stays)
+	return g.offers(time.Now(), d)
+}
+
+// offers is has under the mutex.
+func (g *Gateway) offers(now time.Time, d demand) bool {
+	return slices.ContainsFunc(g.engines(now, d).Members, roster.Member.Takes)
 }
 
 // Place answers another entry VM that asks for a place at an engine.
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -32,7 +32,7 @@
 	defer g.mutex.Unlock()
 	var l []roster.Server
 	for n := range g.runs {
-		if m, ok := g.roster.Find(n); ok && m.State != roster.Leaving {
+		if m, ok := g.roster.Find(n); ok && !m.State.Going() {
 			l = append(l, m.Server)
 		}
 	}
@@ -52,11 +52,25 @@
 		g.Log.Emit(event.ServerUnreachable, zap.String("server", string(s.Name)), zap.Error(err))
 		return
 	}
+	if s.Ended(p.Born) {
+		g.noteEnded(s.Name)
+		return
+	}
 	if p.Leaving {
 		g.NoteLeaving([]api.ServerName{s.Name})
 	}
 }
 
+// noteEnded takes a server that has started again.
+func (g *Gateway) noteEnded(n api.ServerName) {
+	g.mutex.Lock()
+	m, ok := g.roster.End(time.Now(), n)
+	g.mutex.Unlock()
+	if ok {
+		g.changed([]roster.Member{m})
+	}
+}
+
 // NoteLeaving takes servers that told this entry VM or a peer that they are
 // leaving.
 func (g *Gateway) NoteLeaving(l []api.ServerName) {
--- /dev/null
+++ b/internal/gateway/closure_test.go
@@ -0,0 +1,229 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/replica"
+	"github.com/wardridge/wardridge/internal/decide/roster"
+	"github.com/wardridge/wardridge/internal/fault"
+)
+
+// halls declares servers by name, each in the failure domain that its place in the list
+// names: e1 in x, e2 in y.
+func (b *bed) halls(domains map[string]api.DomainName, draining ...string) {
+	b.version++
+	s := replica.Snapshot[roster.Server]{At: b.version}
+	for n, d := range domains {
+		v := api.ServiceName("plain")
+		if n[0] == 'e' {
+			v = "engines"
+		}
+		s.Items = append(s.Items, replica.Object[roster.Server]{Name: n, Value: roster.Server{
+			Name: api.ServerName(n), Service: v, Address: n, Domain: d, Slots: 6, Draining: slices.Contains(draining, n),
+		}})
+	}
+	b.Serve(s)
+}
+
+// shut declares the failure domains that are closed.
+func (b *bed) shut(l ...api.DomainName) {
+	b.version++
+	s := replica.Snapshot[roster.Closure]{At: b.version}
+	for _, d := range l {
+		s.Items = append(s.Items, replica.Object[roster.Closure]{Name: string(d), Value: roster.Closure{Domain: d}})
+	}
+	b.Close(s)
+}
+
+// usual are two engines and two plain servers in two failure domains.
+func usual() map[string]api.DomainName {
+	return map[string]api.DomainName{"e1": "x", "e2": "y", "p1": "x", "p2": "y"}
+}
+
+// ask sends a request and gives its caller once it has an answer or an event.
+func (b *bed) ask(path string) *caller {
+	c := &caller{}
+	b.Handle(context.Background(), request(path), c)
+	return c
+}
+
+func TestClosedDomainGetsNothingNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		f.total = 3
+		b := newBed(t, f, 9)
+		b.halls(usual())
+		b.shut("x")
+		for range 8 {
+			for _, n := range []string{"p1", "p2"} {
+				f.answers[n] = []any{http.StatusInternalServerError, http.StatusOK}
+			}
+			b.ask("/stream/1")
+			b.ask("/unsafe/1")
+			// It fails once, and there is nowhere else to try.
+			b.ask("/safe/1")
+		}
+		for _, n := range f.sends {
+			if n == "e1" || n == "p1" {
+				t.Fatalf("sends while x is closed: got %v, want none to x", f.sends)
+			}
+		}
+		b.shut()
+		f.sends = nil
+		for range 16 {
+			b.ask("/stream/1")
+		}
+		if !slices.Contains(f.sends, "e1") {
+			t.Errorf("sends once x is open: got %v, want some to e1", f.sends)
+		}
+	})
+}
+
+// Runs in a domain that closes go on where they are.
+func TestRunsInAClosedDomainGoOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := play(t, newFake(), 40, 5)
+		s.halls(map[string]api.DomainName{s.server: "x", other(s.server): "y"})
+		s.shut("x")
+		s.whole(t, s.server)
+	})
+}
+
+// What can't be served is refused at once, as not run, however long its caller would
+// wait.
+func TestNothingIsLeftOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, newFake(), 9)
+		b.halls(usual())
+		b.shut("x", "y")
+		for _, p := range []string{"/stream/1", "/safe/1", "/unsafe/1"} {
+			began := time.Now()
+			c := b.ask(p)
+			if c.fault == nil || c.fault.Code != fault.NoServer || c.fault.Ran != api.RanNo || c.fault.RetryAfter == 0 {
+				t.Errorf("%s: got %v, want a refusal that says not run and when to come back", p, c.fault)
+			}
+			if d := time.Since(began); d > 0 {
+				t.Errorf("%s: refused after %v, want it at once", p, d)
+			}
+		}
+		if len(b.fake.sends) > 0 {
+			t.Errorf("sends: got %v, want none", b.fake.sends)
+		}
+	})
+}
+
+// A run that has to leave its engine goes to one in an open domain, or waits for one.
+func TestMovesAvoidClosedDomains(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := play(t, newFake(), 60, 5)
+		o := other(s.server)
+		s.halls(map[string]api.DomainName{s.server: "x", o: "x", "e3": "y"})
+		s.shut("x")
+		s.halls(map[string]api.DomainName{s.server: "x", o: "x", "e3": "y"}, s.server)
+		s.whole(t, s.server, "e3")
+	})
+}
+
+// A target whose domain closes during the move is given up for another one.
+func TestTargetsDomainClosesDuringAMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := play(t, newFake(), 80, 5)
+		o := other(s.server)
+		s.halls(map[string]api.DomainName{s.server: "x", o: "x"}, s.server)
+		time.Sleep(copyTime / 2)
+		s.halls(map[string]api.DomainName{s.server: "x", o: "x", "e3": "y"}, s.server)
+		s.shut("x")
+		s.whole(t, s.server, "e3")
+	})
+}
+
+// Going on from a copy is a new request: one in a closed domain is not used.
+func TestCopyInAClosedDomainIsGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		f.backups = true
+		s := play(t, f, 60, 5)
+		s.halls(map[string]api.DomainName{s.server: "x", other(s.server): "y"})
+		s.shut("y")
+		s.set(func(f *fake) { f.dead[s.server] = true })
+		<-s.done
+		if !s.aborted || len(f.sends) != 1 {
+			t.Errorf("got aborted %v after sends %v, want it broken off and nothing sent to the copy", s.aborted, f.sends)
+		}
+		if l := s.Held(); len(l) != 0 {
+			t.Errorf("loads at the end: got %v, want none", l)
+		}
+	})
+}
+
+// An entry VM that does not know yet which domains are closed takes no callers.
+func TestReadyWaitsForClosures(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBed(t, newFake(), 0)
+		b.Closable = true
+		if b.Ready() {
+			t.Error("before closures are known: got ready, want not")
+		}
+		b.shut()
+		if !b.Ready() {
+			t.Error("once none is known to be closed: got not ready, want it")
+		}
+	})
+}
+
+// lives declares engines by name and birth.
+func (b *bed) lives(born map[string]api.Birth) {
+	b.version++
+	s := replica.Snapshot[roster.Server]{At: b.version}
+	for n, at := range born {
+		l := roster.LifeName(api.ServerID(n), at)
+		s.Items = append(s.Items, replica.Object[roster.Server]{Name: n, Value: roster.Server{
+			Name: l, ID: api.ServerID(n), Born: at, Service: "engines", Address: string(l), Domain: "x", Slots: 6,
+		}})
+	}
+	b.Serve(s)
+}
+
+// When a server has started again, behind connections that stay silent, its runs go on
+// from their copies at once, or end.
+func TestRunsOfAnEndedLife(t *testing.T) {
+	for _, copied := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFake()
+			f.backups, f.total = copied, 40
+			b := newBed(t, f, 0)
+			b.lives(map[string]api.Birth{"e1": 1, "e2": 1})
+			c := b.begin("r", time.Minute)
+			for c.count() < 9 {
+				time.Sleep(eventGap)
+			}
+			at := f.sends[0]
+			o := other(at[:2])
+			f.mutex.Lock()
+			f.mute[at] = true
+			f.mutex.Unlock()
+			b.lives(map[string]api.Birth{at[:2]: 2, o: 1})
+			// Well before it would pass for silent.
+			time.Sleep(2 * time.Millisecond)
+			if got, want := f.sent() == 2, copied; got != want {
+				t.Errorf("copied %v: got gone on %v, want %v", copied, got, want)
+			}
+			if c.aborted == copied {
+				t.Errorf("copied %v: got aborted %v, want %v", copied, c.aborted, !copied)
+			}
+			time.Sleep(time.Minute)
+			if copied && !c.whole(f.total) {
+				t.Errorf("got %v ended %v, want all events", c.ids, c.ended)
+			}
+			if l := b.Held(); len(l) != 0 {
+				t.Errorf("loads at the end: got %v, want none", l)
+			}
+		})
+	}
+}
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -43,7 +43,7 @@
 // time. The mutex is held.
 func (g *Gateway) engines(now time.Time, d demand) placement.Pool {
 	l := placement.Pool{
-		Domain: d.domain, Exact: d.exact, Memory: d.service.Engine.Memory,
+		Domain: d.domain, Exact: d.exact, Memory: d.service.Engine.Memory, Warmup: g.warmup(now, d.service),
 		Members: g.members(d.service.Name, func(m roster.Member) bool {
 			return m.Domain == d.domain || !g.domains.Known(now, d.service.Name, m.Domain)
 		}),
@@ -131,6 +131,9 @@
 func (g *Gateway) assign(now time.Time, d demand, s roster.Server) *reservation {
 	if d.recipient != nil {
 		g.picker.Engines.Grant(now, *d.recipient, s.Name, d.load())
+		if d.load().Requests > 0 {
+			g.picker.Sends.Note(now, s.Name)
+		}
 		return nil
 	}
 	return g.reserve(now, s, true, d.load())
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -47,6 +47,9 @@
 	Metrics *metric.Set
 	// Retries bounds the sends beyond the first of each request.
 	Retries *retry.Window
+	// Closable is set where operators may close failure domains to new work: who does
+	// not know yet which are closed takes no callers.
+	Closable bool
 }
 
 // Gateway serves requests.
@@ -54,8 +57,10 @@
 	Parts
 
 	directory atomic.Pointer[directory.Directory]
-	stop      atomic.Pointer[drain.Stop]
-	inFlight  atomic.Int64
+	// closures is set once it is known which failure domains are closed.
+	closures atomic.Bool
+	stop     atomic.Pointer[drain.Stop]
+	inFlight atomic.Int64
 
 	mutex  sync.Mutex
 	roster *roster.Roster
@@ -96,7 +101,7 @@
 
 // Ready reports whether new callers may come.
 func (g *Gateway) Ready() bool {
-	return g.directory.Load() != nil && !g.Stopping()
+	return g.directory.Load() != nil && (g.closures.Load() || !g.Closable) && !g.Stopping()
 }
 
 // Stop turns the readiness before the process ends at a time; requests that
--- a/internal/gateway/listener.go
+++ b/internal/gateway/listener.go
@@ -128,7 +128,7 @@
 // answers at once.
 func (l *listener) holderAnswers(ctx context.Context) bool {
 	h, ok := l.run.holder()
-	if !ok {
+	if !ok || l.gateway.closed(h) {
 		return false
 	}
 	l.mutex.Lock()
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -130,7 +130,7 @@
 
 // step makes one copy.
 func (m *mover) step(ctx context.Context, a evacuate.Action) evacuate.Result {
-	if a.Elsewhere && !m.choose(ctx) {
+	if (a.Elsewhere || m.gateway.closed(m.target)) && !m.choose(ctx) {
 		return evacuate.Result{Outcome: evacuate.NoTarget}
 	}
 	if a.Kind == evacuate.Stop && !m.halt() {
@@ -194,6 +194,10 @@
 func (m *mover) keep(handle string, o evacuate.Outcome) {
 	h := &held{at: m.target, reservation: m.reservation, resume: port.Resume{Source: m.source.Address, Handle: handle}}
 	if o != evacuate.Copied {
+		if m.gateway.closed(m.source) {
+			// Going back would be a new request there. What the target has may do.
+			return
+		}
 		h.at = m.source
 		h.reservation = nil
 	}
--- a/internal/gateway/obtain.go
+++ b/internal/gateway/obtain.go
@@ -12,7 +12,6 @@
 	"github.com/wardridge/wardridge/internal/decide/directory"
 	"github.com/wardridge/wardridge/internal/decide/gossip"
 	"github.com/wardridge/wardridge/internal/decide/placement"
-	"github.com/wardridge/wardridge/internal/decide/roster"
 	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/fault"
 	"github.com/wardridge/wardridge/internal/metric"
@@ -195,7 +194,7 @@
 }
 
 // accept takes an allocator's answer; it reports false for a server that this
-// entry VM does not know, or knows to be leaving. The mutex is held.
+// entry VM does not know, or knows to take no new requests. The mutex is held.
 func (g *Gateway) accept(d demand, r api.PlaceAnswer) (placed, bool) {
 	if x := r.Refused; x != nil {
 		return placed{
@@ -204,7 +203,7 @@
 		}, true
 	}
 	m, ok := g.roster.Find(r.Server)
-	if !ok || m.State == roster.Leaving {
+	if !ok || !m.Takes() {
 		return placed{}, false
 	}
 	p := placed{choice: placement.Choice{Server: m.Server, Score: r.Score, Of: r.Of}, copy: r.Copy}
@@ -217,7 +216,7 @@
 	now := time.Now()
 	p.reservation = g.reserve(now, m.Server, true, d.load())
 	p.reservation.ahead = p.choice.Load.Unread
-	if c, ok := g.roster.Find(r.Copy); ok && c.State != roster.Leaving {
+	if c, ok := g.roster.Find(r.Copy); ok && c.Takes() {
 		p.backup = &backup{at: c.Server, reservation: g.reserve(now, c.Server, true, d.copied(m.Server).load())}
 	}
 	return p, true
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -45,6 +45,11 @@
 		g.lost(r, from, broke)
 		return nil, false
 	}
+	if g.closed(c.at) {
+		g.drop(c)
+		g.lost(r, from, fault.New(fault.NoServer, "operators have closed the failure domain of the only copy"))
+		return nil, false
+	}
 	s, err := g.resume(ctx, r, c)
 	if err != nil {
 		c.reservation.end()
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -64,15 +64,13 @@
 	return r.server
 }
 
-// unprotect gives up the copy that a leaving server keeps.
-func (r *run) unprotect(l []roster.Member) {
+// unprotect gives up a copy that the run may not go on from.
+func (r *run) unprotect(unusable func(s roster.Server) bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	for _, m := range l {
-		if r.backup != nil && m.State == roster.Leaving && m.Name == r.backup.at.Name {
-			r.backup.end()
-			r.backup = nil
-		}
+	if r.backup != nil && unusable(r.backup.at) {
+		r.backup.end()
+		r.backup = nil
 	}
 }
 
@@ -171,9 +169,7 @@
 	}
 	m[r] = true
 	g.mutex.Unlock()
-	if b != nil && g.leaving(b.at.Name) {
-		r.unprotect([]roster.Member{{Server: b.at, State: roster.Leaving}})
-	}
+	r.unprotect(g.unusable)
 	if g.leaving(s.Name) {
 		g.move(r)
 	}
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -44,6 +44,7 @@
 		return ok
 	}
 	g.picker.Health.Forget(known)
+	g.picker.Sends.Forget(known)
 	g.answers.Forget(known)
 	g.Metrics.Retain(metric.ByServer, func(n string) bool { return known(api.ServerName(n)) })
 	g.picker.Engines.Expire(now)
@@ -63,8 +64,11 @@
 		g.Log.Emit(event.ServerState, zap.String("server", string(m.Name)), zap.String("address", m.Address), zap.String("state", m.State.String()))
 	}
 	for _, r := range g.all() {
-		r.unprotect(l)
-		if g.leaving(r.at().Name) {
+		r.unprotect(g.unusable)
+		switch s, ok := g.member(r.at().Name); {
+		case ok && s.State == roster.Ended:
+			g.watchdog.close(r)
+		case !ok || s.State.Going():
 			g.move(r)
 		}
 	}
@@ -83,12 +87,23 @@
 	return l
 }
 
-// leaving reports whether a server is known to leave.
-func (g *Gateway) leaving(n api.ServerName) bool {
+// member gives what is known of a server.
+func (g *Gateway) member(n api.ServerName) (roster.Member, bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	m, ok := g.roster.Find(n)
-	return !ok || m.State == roster.Leaving
+	return g.roster.Find(n)
+}
+
+// leaving reports whether a server takes no new requests for good.
+func (g *Gateway) leaving(n api.ServerName) bool {
+	m, ok := g.member(n)
+	return !ok || m.State.Going()
+}
+
+// unusable reports whether a run may not go on at a server that it is not at yet.
+func (g *Gateway) unusable(s roster.Server) bool {
+	m, ok := g.member(s.Name)
+	return !ok || !m.Takes()
 }
 
 // pickPlain chooses a plain server of a service and reserves the load there.
@@ -96,13 +111,19 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := time.Now()
-	x, ok := g.picker.Pick(now, placement.Pool{Members: g.roster.Service(s.Name), Domain: g.Domain}, placement.Need{}, tried)
+	l := placement.Pool{Members: g.roster.Service(s.Name), Domain: g.Domain, Warmup: g.warmup(now, s)}
+	x, ok := g.picker.Pick(now, l, placement.Need{}, tried)
 	if !ok {
 		return x, nil, false
 	}
 	return x, g.reserve(now, x.Server, false, api.ServerLoad{Requests: 1}), true
 }
 
+// warmup is what the cold servers of a service bear; the mutex is held.
+func (g *Gateway) warmup(now time.Time, s *directory.Service) placement.Warmup {
+	return placement.Warmup{Rate: s.ColdRate, Choosers: g.picker.Table.Members(now)}
+}
+
 // reserve counts a load at a server until the reservation ends; the mutex is
 // held.
 func (g *Gateway) reserve(now time.Time, s roster.Server, engine bool, x api.ServerLoad) *reservation {
@@ -112,6 +133,9 @@
 		g.reports.Granted(now, s.Domain)
 	}
 	l.add(x)
+	if x.Requests > 0 {
+		g.picker.Sends.Note(now, s.Name)
+	}
 	return l
 }
 
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -42,7 +42,7 @@
 	now := time.Now()
 	a := g.admission(d.service.Name)
 	f := a.backlog.Forecast(now, d.ask)
-	if !f.Allows() {
+	if !f.Allows() || g.roster.Closed(d.domain) && !g.offers(now, d) {
 		p := placed{fault: g.noRoom(now, a, d), forecast: f}
 		g.mutex.Unlock()
 		return p
@@ -62,24 +62,19 @@
 const serverWait = 2 * time.Second
 
 // noRoom is the refusal of a request that can't be let in in time; the mutex is
-// held. Where no server is known, it is not that there are too many requests: the
-// first servers are expected soon.
+// held. Where no server takes requests, it is not that there are too many of them: the
+// first servers are expected soon, or operators have closed the domains of all.
 func (g *Gateway) noRoom(now time.Time, a *admission, d demand) *fault.Error {
 	if !g.serves(d.service.Name) {
-		return fault.New(fault.NoServer, "no server of the service is known").After(serverWait)
+		return fault.New(fault.NoServer, "no server of the service takes requests").After(serverWait)
 	}
 	return fault.New(fault.QueueFull, "no server is expected to have room in time").After(a.backlog.Refuse(now, d.ask.Late, d.deadline.Sub(now)))
 }
 
-// serves reports whether a service has a server that is not leaving; the mutex
+// serves reports whether a service has a server that takes requests; the mutex
 // is held.
 func (g *Gateway) serves(n api.ServiceName) bool {
-	return slices.ContainsFunc(g.roster.Service(n), stays)
-}
-
-// stays reports whether a server is not leaving.
-func stays(m roster.Member) bool {
-	return m.State != roster.Leaving
+	return slices.ContainsFunc(g.roster.Service(n), roster.Member.Takes)
 }
 
 // wait waits until a demand was given a server or refused, or its caller left.
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -46,6 +46,17 @@
 	w.arm(l.pause())
 }
 
+// close ends the streams of a run.
+func (w *watchdog) close(r *run) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for l := range w.listeners {
+		if l.run == r {
+			l.stream.Close()
+		}
+	}
+}
+
 // arm sets the timer where it is needed; the mutex is held.
 func (w *watchdog) arm(d time.Duration) {
 	if n := len(w.listeners); w.armed || n == 0 || n > fewStreams {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -63,9 +63,11 @@
 	Metrics *metric.Set
 	Config  *mirror.Mirror[directory.Config]
 	Servers *mirror.Mirror[roster.Server]
-	Loads   Loads
-	Engines Allocator
-	Notices Notices
+	// Closures is nil where no failure domain can be closed.
+	Closures *mirror.Mirror[roster.Closure]
+	Loads    Loads
+	Engines  Allocator
+	Notices  Notices
 }
 
 // Mesh is one entry VM's side of the exchange.
@@ -84,7 +86,7 @@
 func New(p Parts) *Mesh {
 	return &Mesh{
 		Parts: p, peers: gossip.New(time.Now(), p.Self, p.Seeds, p.Hubs),
-		busy: map[string]bool{}, lag: map[string]*gossip.Lag{PathConfig: {}, PathServers: {}}, live: map[string]bool{},
+		busy: map[string]bool{}, lag: map[string]*gossip.Lag{PathConfig: {}, PathServers: {}, PathClosures: {}}, live: map[string]bool{},
 	}
 }
 
@@ -196,6 +198,9 @@
 		Direct: m.direct(), Relation: relations[r], Members: x.Members,
 		Leaving: m.Notices.Leaving(),
 	}
+	if m.Closures != nil {
+		e.ClosuresAt = m.Closures.Changed()
+	}
 	if len(x.Loads) > 0 {
 		e.Loads = make(map[string]api.ServerLoad, len(x.Loads))
 		for n, l := range x.Loads {
@@ -220,7 +225,7 @@
 
 // direct reports whether the platform itself answers this entry VM.
 func (m *Mesh) direct() bool {
-	return m.Servers.Direct() && m.Config.Direct()
+	return m.Servers.Direct() && m.Config.Direct() && (m.Closures == nil || m.Closures.Direct())
 }
 
 // pools is what a hub tells the others of the engines that it allocates.
@@ -273,6 +278,9 @@
 	m.Notices.NoteLeaving(e.Leaving)
 	catchUp(m, e.Self.Address, PathConfig, e.ConfigAt, m.Config)
 	catchUp(m, e.Self.Address, PathServers, e.ServersAt, m.Servers)
+	if m.Closures != nil {
+		catchUp(m, e.Self.Address, PathClosures, e.ClosuresAt, m.Closures)
+	}
 }
 
 // notePools takes what the allocator of another failure domain tells.
--- a/internal/mesh/serve.go
+++ b/internal/mesh/serve.go
@@ -22,6 +22,7 @@
 	PathExchange = "/mesh/v1/exchange"
 	PathConfig   = "/mesh/v1/config"
 	PathServers  = "/mesh/v1/servers"
+	PathClosures = "/mesh/v1/closures"
 	PathPlace    = "/mesh/v1/place"
 	PathHolding  = "/mesh/v1/holding"
 )
@@ -36,6 +37,9 @@
 	r.Post(PathHolding, m.hold)
 	r.Get(PathConfig, pass(newPacker(m.Config)))
 	r.Get(PathServers, pass(newPacker(m.Servers)))
+	if m.Closures != nil {
+		r.Get(PathClosures, pass(newPacker(m.Closures)))
+	}
 }
 
 // since names the version that the asking peer knows a kind up to.
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -35,6 +35,7 @@
 	ClaimsKept       Name = "claim_attempts_kept"
 	OrdersSent       Name = "orders_sent_total"
 	OrdersRefused    Name = "orders_refused_total"
+	DomainsClosed    Name = "domains_closed"
 	ConfigVersion    Name = "config_version"
 	ConfigChanges    Name = "config_changes_total"
 	ConfigFromPeers  Name = "config_from_peers_total"
@@ -85,6 +86,7 @@
 	{ClaimsKept, "attempts", "Claimed attempts in memory now."},
 	{OrdersSent, "orders", "Orders that engines carried out."},
 	{OrdersRefused, "orders", "Orders that failed or were refused."},
+	{DomainsClosed, "domains", "Failure domains that operators have closed to new work."},
 	{ConfigVersion, "version", "Version of the configuration in force."},
 	{ConfigChanges, "changes", "Changes that came into force."},
 	{ConfigFromPeers, "lists", "Configurations taken from a peer."},
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -25,6 +25,7 @@
 type Adapter struct {
 	Config   port.Source[directory.Config]
 	Servers  port.Source[roster.Server]
+	Closures port.Source[roster.Closure]
 	Backends port.Backends
 	// Ingress serves callers and Readiness the balancer.
 	Ingress   func(g *gateway.Gateway) http.Handler
@@ -51,13 +52,15 @@
 	Reloads  Reloads
 	Adapt    func(l Links) Adapter
 
-	adapter               Adapter
-	group                 *duty.Group
-	pool                  *upstream.Pool
-	peers                 *http.Client
-	gateway               *gateway.Gateway
-	config                *mirror.Mirror[directory.Config]
-	servers               *mirror.Mirror[roster.Server]
+	adapter Adapter
+	group   *duty.Group
+	pool    *upstream.Pool
+	peers   *http.Client
+	gateway *gateway.Gateway
+	config  *mirror.Mirror[directory.Config]
+	servers *mirror.Mirror[roster.Server]
+	// closures is nil where no failure domain can be closed.
+	closures              *mirror.Mirror[roster.Closure]
 	mesh                  *mesh.Mesh
 	ticks, rounds         int
 	leftBound, leftOutput int64
--- a/internal/node/hosted_start.go
+++ b/internal/node/hosted_start.go
@@ -69,7 +69,8 @@
 	s := h.Settings.Gateway
 	h.gateway = gateway.New(gateway.Parts{
 		VM: h.Settings.Node.Name, Domain: h.Settings.Node.Domain, Seed: uint64(time.Now().UnixNano()), Peers: allocators{h}, Backends: h.adapter.Backends, Group: h.group, Log: h.Log, Metrics: h.Metrics,
-		Retries: retry.NewWindow(seconds(s.RetryWindowS), s.RetryRatio, s.RetrySlack),
+		Closable: s.CloseMS > 0,
+		Retries:  retry.NewWindow(seconds(s.RetryWindowS), s.RetryRatio, s.RetrySlack),
 	})
 	apply := s.ApplyMS.Duration()
 	timing := func(share float64) mirror.Timing {
@@ -84,13 +85,20 @@
 		Name: "servers", Source: h.adapter.Servers, Log: h.Log, Metrics: h.Metrics, Timing: timing(serverShare), Defer: d,
 		Take: h.serve, Guided: h.guided, Patient: h.patient, Away: h.away,
 	})
+	if c := s.CloseMS.Duration(); c > 0 {
+		h.closures = mirror.New(mirror.Parts[roster.Closure]{
+			Name: "closures", Source: h.adapter.Closures, Log: h.Log, Metrics: h.Metrics, Defer: d,
+			Timing: mirror.Timing{Wait: time.Duration(configShare * float64(c)), Slack: time.Duration(mirrorSlack * float64(c))},
+			Take:   h.close, Guided: h.guided, Patient: h.patient, Away: func(bool) {},
+		})
+	}
 	h.mesh = mesh.New(mesh.Parts{
 		VM: h.Settings.Node.Name, Hubs: s.Hubs, Seeds: split(s.Seeds),
 		Self: gossip.Member{
 			Address: h.Settings.Node.Control, Domain: h.Settings.Node.Domain, Capacity: gossip.Capacity(s.CpuShare, s.LinkMbps),
 		},
 		Client: h.peers, Group: h.group, Log: h.Log, Metrics: h.Metrics,
-		Config: h.config, Servers: h.servers, Loads: h.gateway, Engines: h.gateway, Notices: h.gateway,
+		Config: h.config, Servers: h.servers, Closures: h.closures, Loads: h.gateway, Engines: h.gateway, Notices: h.gateway,
 	})
 	return nil
 }
@@ -150,6 +158,13 @@
 	h.tell()
 }
 
+// close takes the failure domains that are closed to new work, and tells peers that
+// hear of them from here.
+func (h *Hosted) close(s replica.Snapshot[roster.Closure]) {
+	h.gateway.Close(s)
+	h.tell()
+}
+
 // away notes whether the platform is lost. Notices of servers may be missed from
 // the first moment on, before it is known whether peers still hear of them, so
 // that the servers are asked at once.
@@ -242,6 +257,9 @@
 func (hostedDuties) Run(h *Hosted) error {
 	h.group.Go(h.config.Run)
 	h.group.Go(h.servers.Run)
+	if h.closures != nil {
+		h.group.Go(h.closures.Run)
+	}
 	h.group.Every(lookEvery, h.tick)
 	h.group.Go(h.reload)
 	h.Log.Emit(event.Started, zap.String("listen", h.Settings.Node.Listen), zap.String("control", h.Settings.Node.Control))
