test: the soak closes failure domains, starts servers again under their names and writes foreign entries

Cause: three things that the platform may do now and that no seed brought about. Change: three kinds of faults, drawn from seed 3000 on, so that the plans of earlier seeds stay; the property closed; all servers of the soak tell when they were born. Measured: seeds 3000 to 3003 with the race detector beside other plays: no violation.

--- a/internal/soak/bed.go
+++ b/internal/soak/bed.go
@@ -36,6 +36,8 @@
 const (
 	// grace is the time from the signal to stop to the end.
 	grace = 8 * time.Second
+	// closeTime is the time in which a closed failure domain gets nothing new.
+	closeTime = 5 * time.Second
 	// slots and memory size a server so that none is full under the soak's load.
 	slots  = 64
 	memory = 400000
@@ -56,6 +58,8 @@
 	servers  []*server
 	recorder *recorder
 	cleanups []func()
+	// closing lets one failure domain be closed at a time: the others have to serve.
+	closing sync.Mutex
 
 	mutex sync.Mutex
 	// config is the newest configuration; extras are the paths of routes that
@@ -97,7 +101,7 @@
 			x.service = plain
 		}
 		b.servers = append(b.servers, x)
-		if err := b.begin(x, nil); err != nil {
+		if err := b.begin(x, nil, newName); err != nil {
 			return err
 		}
 		b.cleanups = append(b.cleanups, x.finish)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -23,6 +23,7 @@
 	Whole    Property = "whole"
 	Asked    Property = "asked"
 	Leaving  Property = "leaving"
+	Closed   Property = "closed"
 	Gone     Property = "gone"
 	Stop     Property = "planned-stop"
 	InForce  Property = "in-force"
@@ -35,7 +36,7 @@
 // that is shared may stretch.
 func (p Property) Timed() bool {
 	switch p {
-	case Leaving, Gone, InForce, Recovery, Stop:
+	case Leaving, Closed, Gone, InForce, Recovery, Stop:
 		return true
 	}
 	return false
@@ -57,6 +58,9 @@
 	// the operators allow 2 s, and machines that are shared are given as much
 	// again.
 	leaveTime = 4 * time.Second
+	// closedTime is how long after it was closed a failure domain may still get new
+	// requests.
+	closedTime = closeTime
 	// forceTime is the same for a configuration: 2 s are allowed.
 	forceTime = 4 * time.Second
 	// goneTime is how long a server may work on for a caller that has left.
@@ -134,7 +138,11 @@
 	if !slices.Contains(c.Services[route(s.Target)], c.Servers[a.By]) {
 		c.add(Asked, a.Request, a.At, "no configuration sends the request to the service of "+string(a.By))
 	}
-	if a.Refused || a.Copy != "" {
+	if a.Refused {
+		return
+	}
+	c.closed(a, s)
+	if a.Copy != "" {
 		return
 	}
 	for _, l := range c.Leaves {
@@ -144,6 +152,16 @@
 	}
 }
 
+// closed checks that nothing new came to a failure domain that was closed; to go on
+// from a copy there is new as well.
+func (c *checker) closed(a hosted.Arrival, s *Sent) {
+	for _, l := range c.Closures {
+		if l.Domain == c.Domains[a.By] && a.At.Before(l.Until) && a.At.Sub(l.From) > closedTime && !c.disturbed(Span{l.From, a.At}, s.VM, "") {
+			c.add(Closed, a.Request, a.At, fmt.Sprintf("server %s got a request %s after its domain was closed", a.By, a.At.Sub(l.From)))
+		}
+	}
+}
+
 // route is the first part of a path, which tells its route.
 func route(target string) string {
 	p, _, _ := strings.Cut(strings.TrimPrefix(target, "/"), "/")
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -45,10 +45,16 @@
 		Configs:  map[int64]time.Time{1: at(0), 2: at(8500)},
 		Services: map[string][]api.ServiceName{"orders": {"plain"}, "chat": {"engines"}},
 		Servers:  map[api.ServerName]api.ServiceName{"p1": "plain", "e1": "engines", "e2": "engines"},
+		Domains:  map[api.ServerName]api.DomainName{"p1": "x", "e1": "x", "e2": "y"},
 		Calm:     at(5000), End: at(20000),
 	}
 }
 
+// closures are one closure of a failure domain.
+func closures(d api.DomainName, from, until int) []soak.Closure {
+	return []soak.Closure{{Domain: d, Span: soak.Span{From: at(from), Until: at(until)}}}
+}
+
 func TestCheck(t *testing.T) {
 	cut := func(r *soak.Record) {
 		r.Sent[1].Whole, r.Sent[1].Events = false, r.Sent[1].Events[:1]
@@ -88,6 +94,11 @@
 		{"new work long after the notice", func(r *soak.Record) { r.Leaves = []soak.Leave{{Server: "p1", At: at(4000)}} }, soak.Leaving},
 		{"new work just after the notice", func(r *soak.Record) { r.Leaves = []soak.Leave{{Server: "p1", At: at(9000)}} }, ""},
 		{"a run that goes on elsewhere is no new work", func(r *soak.Record) { r.Leaves = []soak.Leave{{Server: "e2", At: at(4000)}} }, ""},
+		{"new work in a domain closed long ago", func(r *soak.Record) { r.Closures = closures("x", 4000, 20000) }, soak.Closed},
+		{"going on from a copy there is new work", func(r *soak.Record) { r.Closures = closures("y", 4000, 20000) }, soak.Closed},
+		{"new work in a domain just closed", func(r *soak.Record) { r.Closures = closures("x", 9000, 20000) }, ""},
+		{"new work in a domain that is open again", func(r *soak.Record) { r.Closures = closures("x", 1000, 9900) }, ""},
+		{"new work in another domain", func(r *soak.Record) { r.Closures = closures("z", 1000, 20000) }, ""},
 		{"work for a caller that left", func(r *soak.Record) {
 			r.Sent[1].Left, r.Sent[1].Whole, r.Runs[2].Ended = true, false, at(15000)
 		}, soak.Gone},
--- /dev/null
+++ b/internal/soak/closure.go
@@ -0,0 +1,50 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/standin/hosted"
+)
+
+// closeDomain closes the failure domain of a server to new work for a time.
+func (b *bed) closeDomain(ctx context.Context, s *server, d time.Duration) {
+	n := domain(s.place)
+	b.closing.Lock()
+	defer b.closing.Unlock()
+	b.failed(b.store.Close(n))
+	at := time.Now()
+	i := 0
+	b.recorder.note(func(r *Record) {
+		i = len(r.Closures)
+		r.Closures = append(r.Closures, Closure{Domain: n, Span: Span{From: at, Until: at.Add(time.Hour)}})
+	})
+	duty.Sleep(ctx, closedTime+d)
+	// What is sent from now on may meet an open domain.
+	until := time.Now()
+	b.recorder.note(func(r *Record) { r.Closures[i].Until = until })
+	b.failed(b.store.Open(n))
+}
+
+// rebirth ends a server without notice and starts it again at once under its name.
+func (b *bed) rebirth(s *server) {
+	x, _ := s.current()
+	x.Crash()
+	b.failed(b.begin(s, x, sameName))
+}
+
+// foreignEntry writes an entry that no server can have written, beside those that hold:
+// it names the address of a server that is there.
+func (b *bed) foreignEntry(s *server) {
+	x, _ := s.current()
+	e, err := b.Wire.Server(x.Server)
+	if err != nil {
+		b.failed(err)
+		return
+	}
+	e.Name = fmt.Sprintf("x-%d", time.Now().UnixNano())
+	e.Spec = []byte(fmt.Sprintf(`{"service":%q,"address":%q,"slots":"many","state":"resting"}`, x.Service, x.Address))
+	b.store.Write(hosted.Entry{Kind: e.Kind, Name: e.Name, Spec: e.Spec})
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -38,6 +38,21 @@
 	ServerLink  Kind = "server-link"
 	ChangeRoute Kind = "change-route"
 	RevokeKey   Kind = "revoke-key"
+	// CloseDomain closes a failure domain to new work for a while, RebirthServer starts
+	// a server again under its name, and ForeignEntry is an entry of another writer.
+	CloseDomain   Kind = "close-domain"
+	RebirthServer Kind = "rebirth-server"
+	ForeignEntry  Kind = "foreign-entry"
+)
+
+// widerFrom is the first seed whose plan draws from the wider kinds too: the plan of an
+// earlier one stays what it was.
+const widerFrom = 3000
+
+// widerPlanned and widerUnplanned are the kinds that only later seeds draw.
+var (
+	widerPlanned   = []Kind{CloseDomain, ForeignEntry}
+	widerUnplanned = []Kind{RebirthServer}
 )
 
 // planned are the kinds that operators bring about; no request may be lost by
@@ -51,7 +66,7 @@
 
 // Planned reports whether operators bring the fault about.
 func (k Kind) Planned() bool {
-	return slices.Contains(planned, k)
+	return slices.Contains(planned, k) || slices.Contains(widerPlanned, k)
 }
 
 // All is the target of faults that every entry VM meets.
@@ -114,9 +129,13 @@
 func New(seed uint64, s Size, length time.Duration) Plan {
 	r := rand.New(rand.NewPCG(seed, 1))
 	p := Plan{Seed: seed, Size: s, Length: milliseconds(length)}
-	kinds := slices.Concat(planned, unplanned)
+	plannedKinds, all := planned, slices.Concat(planned, unplanned)
+	if seed >= widerFrom {
+		plannedKinds, all = slices.Concat(planned, widerPlanned), slices.Concat(all, widerPlanned, widerUnplanned)
+	}
+	kinds := all
 	if r.Float64() < plannedShare {
-		kinds = planned
+		kinds = plannedKinds
 	}
 	last := length - calmLast
 	for at := calmFirst; at < last; at += time.Duration(r.ExpFloat64() * float64(faultEvery)) {
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -61,6 +61,12 @@
 	At     time.Time
 }
 
+// Closure is the time for which a failure domain was closed to new work.
+type Closure struct {
+	Domain api.DomainName
+	Span
+}
+
 // Record is all that a checker may go by.
 type Record struct {
 	Sent     []Sent
@@ -71,10 +77,14 @@
 	Leaves   []Leave
 	// Configs tells when each version of the configuration was acknowledged.
 	Configs map[int64]time.Time
+	// Closures tells when each failure domain was acknowledged as closed, and open again.
+	Closures []Closure
 	// Services are the services that some version sends a path's requests to.
 	Services map[string][]api.ServiceName
 	// Servers tells the service of each server.
 	Servers map[api.ServerName]api.ServiceName
+	// Domains tells the failure domain of each server.
+	Domains map[api.ServerName]api.DomainName
 	// Failures are the VMs whose processes ended by themselves or wrote that they
 	// are broken.
 	Failures []string
@@ -92,6 +102,7 @@
 func newRecorder() *recorder {
 	return &recorder{record: Record{
 		Configs: map[int64]time.Time{}, Services: map[string][]api.ServiceName{}, Servers: map[api.ServerName]api.ServiceName{},
+		Domains: map[api.ServerName]api.DomainName{},
 	}}
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -174,6 +174,12 @@
 		b.crash(ctx, s, f.For.Duration())
 	case LeaveServer:
 		b.leave(ctx, s, f.For.Duration())
+	case CloseDomain:
+		b.closeDomain(ctx, s, f.For.Duration())
+	case RebirthServer:
+		b.rebirth(s)
+	case ForeignEntry:
+		b.foreignEntry(s)
 	case LoseAnswers:
 		b.lose(ctx, s, f.For.Duration())
 	case StoreForget:
@@ -231,10 +237,10 @@
 func (b *bed) begins(f Fault, v *vm, s *server) int {
 	t := Injection{Fault: f, VM: noVM}
 	switch f.Kind {
-	case CrashServer, DarkServer, ServerLink, LeaveServer, LoseAnswers:
+	case CrashServer, DarkServer, ServerLink, LeaveServer, LoseAnswers, RebirthServer:
 		x, _ := s.current()
 		t.Server = x.Name
-	case ChangeRoute, RevokeKey, StoreForget:
+	case ChangeRoute, RevokeKey, StoreForget, CloseDomain, ForeignEntry:
 	default:
 		t.VM = v.place
 		if f.Target == All {
@@ -285,7 +291,7 @@
 	duty.Sleep(ctx, lapseTime)
 	b.failed(x.Unregister())
 	duty.Sleep(ctx, d)
-	b.failed(b.begin(s, x))
+	b.failed(b.begin(s, x, newName))
 }
 
 // leave ends a server after its notice; another one takes its place.
@@ -298,7 +304,7 @@
 	duty.Sleep(ctx, notice)
 	b.failed(x.Unregister())
 	x.Crash()
-	b.failed(b.begin(s, x))
+	b.failed(b.begin(s, x, newName))
 }
 
 // lose makes a server lose answers to plain requests that it has run.
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"sync"
+	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/roster"
@@ -20,11 +21,23 @@
 	proxy *proxy
 	stop  func()
 	lives int
+	// id is kept by a server that starts again under its name.
+	id api.ServerID
 }
 
+// naming is under which name a server starts.
+type naming int
+
+// Namings.
+const (
+	// newName is one that no server had, sameName the one of the life before.
+	newName naming = iota
+	sameName
+)
+
 // begin starts the next life of a server, on an address of its own, unless
 // another one has followed the one that ended.
-func (b *bed) begin(s *server, ended *hosted.Server) error {
+func (b *bed) begin(s *server, ended *hosted.Server, n naming) error {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.live != ended {
@@ -43,9 +56,12 @@
 	}
 	s.lives++
 	p, closer := newProxy(out, in.Addr().String())
-	id := api.ServerID(fmt.Sprintf("s-%d-%d", s.place+1, s.lives))
+	if n == newName {
+		s.id = api.ServerID(fmt.Sprintf("s-%d-%d", s.place+1, s.lives))
+	}
+	born := api.Birth(time.Now().UnixMilli())
 	x := roster.Server{
-		Name: roster.LifeName(id, 0), ID: id, Service: s.service, Address: p.address(),
+		Name: roster.LifeName(s.id, born), ID: s.id, Born: born, Service: s.service, Address: p.address(),
 		Domain: domain(s.place), Slots: slots,
 	}
 	live, end := b.fleet.Start(x, s.service == engines, in)
@@ -54,7 +70,10 @@
 		closer()
 		end()
 	}
-	b.recorder.note(func(r *Record) { r.Servers[x.Name] = s.service })
+	b.recorder.note(func(r *Record) {
+		r.Servers[x.Name] = s.service
+		r.Domains[x.Name] = x.Domain
+	})
 	return live.Register()
 }
 
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -56,8 +56,8 @@
 	if v.callers, err = b.proxy(a[0]); err != nil {
 		return err
 	}
-	text := fmt.Sprintf("[node]\nname = %s\ndomain = %s\nlisten = %s\ncontrol = %s\n[platform]\nwire = hosted\naddress = %s\n[gateway]\nready = %s\nseeds = %s\ngrace_s = %g\n",
-		name, domain(i), a[0], a[1], v.store.address(), a[2], strings.Join(seeds, ","), grace.Seconds())
+	text := fmt.Sprintf("[node]\nname = %s\ndomain = %s\nlisten = %s\ncontrol = %s\n[platform]\nwire = hosted\naddress = %s\n[gateway]\nready = %s\nseeds = %s\ngrace_s = %g\nclose_ms = %d\n",
+		name, domain(i), a[0], a[1], v.store.address(), a[2], strings.Join(seeds, ","), grace.Seconds(), closeTime.Milliseconds())
 	if err := os.WriteFile(v.settings, []byte(text), fileMode); err != nil {
 		return fault.Wrap(fault.UnreadableFile, err, "writing settings")
 	}
