feat: wardctl close closes a failure domain to new work on the own interface

Change: a resource failure-domain with the states open and closed; engines and plain services of a closed domain count as draining. wardctl close DOMAIN [--undo], get and watch. Measured: table and command tests; e2e TestOperatorsCommands closes a domain and opens it again.

--- /dev/null
+++ b/cmd/close.go
@@ -0,0 +1,46 @@
+package cmd
+
+import (
+	"encoding/json"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/resource"
+)
+
+// closeCommand closes a failure domain to new work.
+type closeCommand struct {
+	Domain string `arg:"" help:"Failure domain."`
+	Undo   bool   `help:"Open it again."`
+}
+
+// Run declares the domain's state, whether it was declared before or not.
+func (c *closeCommand) Run(e *environment) error {
+	p, closer := e.platform()
+	defer closer()
+	state := api.DomainStateClosed
+	if c.Undo {
+		state = api.DomainStateOpen
+	}
+	o, err := resource.Edit(e, p, api.ResourceKindFailureDomain, c.Domain, "state", string(state))
+	if fault.Has(err, fault.NotFound) {
+		o, err = c.create(e, p, state)
+	}
+	if err != nil {
+		return err
+	}
+	return e.print("failure-domain %s is %s at version %d\n", c.Domain, state, o.Object.Version)
+}
+
+// create declares a domain that was not declared before.
+func (c *closeCommand) create(e *environment, s resource.Store, state api.DomainState) (resource.Outcome, error) {
+	b, err := json.Marshal(api.FailureDomainSpec{State: state})
+	if err != nil {
+		return resource.Outcome{}, fault.Wrap(fault.Internal, err, "encoding a spec")
+	}
+	o := api.Object{Kind: api.ResourceKindFailureDomain, Name: c.Domain, Spec: b}
+	if err := resource.Check(o); err != nil {
+		return resource.Outcome{}, err
+	}
+	return resource.Apply(e, s, o)
+}
--- a/cmd/control.go
+++ b/cmd/control.go
@@ -31,6 +31,7 @@
 	Explain    explainCommand               `cmd:"" help:"Tell what was decided for a request and why."`
 	Summary    summaryCommand               `cmd:"" help:"Sum up logs: how requests ended, moves, pauses, and why streams were lost."`
 	Drain      drainCommand                 `cmd:"" help:"Take a backend server out of work, or back in."`
+	Close      closeCommand                 `cmd:"" help:"Close a failure domain to new work, or open it again."`
 	Check      checkCommand                 `cmd:"" help:"Check a settings file (.ini) or a resources file."`
 	Dev        devCommand                   `cmd:"" help:"Stand-ins and the load tool."`
 	Completion kongplete.InstallCompletions `cmd:"" help:"Print the shell's completion set-up."`
--- a/cmd/watch.go
+++ b/cmd/watch.go
@@ -18,7 +18,7 @@
 // watchedKinds are followed when none is named.
 var watchedKinds = []api.ResourceKind{
 	api.ResourceKindModel, api.ResourceKindAdapter, api.ResourceKindWorkspace,
-	api.ResourceKindBackendServer, api.ResourceKindService, api.ResourceKindStatus,
+	api.ResourceKindBackendServer, api.ResourceKindService, api.ResourceKindFailureDomain, api.ResourceKindStatus,
 }
 
 // Run follows changes until it is stopped.
--- a/e2e/e2e_test.go
+++ b/e2e/e2e_test.go
@@ -65,6 +65,9 @@
 	}
 	until(t, "the drain to be seen", func() bool { return strings.Contains(s.mustCtl("status"), "engine-1: draining") })
 	s.mustCtl("drain", "engine-1", "--undo")
+	s.mustCtl("close", "hall-a")
+	until(t, "the closed domain to be seen", func() bool { return strings.Contains(s.mustCtl("status"), ": draining") })
+	s.mustCtl("close", "hall-a", "--undo")
 	s.ready()
 	conflicting := "kind: model\nname: desk\nspec: {weights: other}\n"
 	out, err := s.ctl("apply", "-f", s.file(conflicting))
--- a/internal/catalogue/pages.go
+++ b/internal/catalogue/pages.go
@@ -83,7 +83,7 @@
 // kinds are the resources that operators declare.
 var kinds = []struct{ kind, definition string }{
 	{"model", "ModelSpec"}, {"adapter", "AdapterSpec"}, {"workspace", "WorkspaceSpec"},
-	{"backend-server", "BackendServerSpec"}, {"service", "ServiceSpec"},
+	{"backend-server", "BackendServerSpec"}, {"service", "ServiceSpec"}, {"failure-domain", "FailureDomainSpec"},
 }
 
 func fields() string {
--- a/internal/decide/config/config_test.go
+++ b/internal/decide/config/config_test.go
@@ -54,6 +54,28 @@
 	}
 }
 
+// Operators drain a server itself, or all of its failure domain by closing that.
+func TestDraining(t *testing.T) {
+	s := config.New()
+	object := func(k api.ResourceKind, name, spec string) api.Object {
+		return api.Object{Kind: k, Name: name, Version: 1, Spec: json.RawMessage(spec)}
+	}
+	s.Replace(api.ObjectList{Version: 1, Items: []api.Object{
+		object(api.ResourceKindBackendServer, "a", `{"domain":"hall-a","state":"active"}`),
+		object(api.ResourceKindBackendServer, "b", `{"domain":"hall-b","state":"active"}`),
+		object(api.ResourceKindBackendServer, "c", `{"domain":"hall-c","state":"draining"}`),
+		object(api.ResourceKindBackendServer, "d", `{"domain":"hall-d","state":"active"}`),
+		object(api.ResourceKindFailureDomain, "hall-a", `{"state":"closed"}`),
+		object(api.ResourceKindFailureDomain, "hall-b", `{"state":"open"}`),
+	}})
+	v, _ := config.Build(s, nil, plain)
+	for n, want := range map[api.ServerName]bool{"a": true, "b": false, "c": true, "d": false} {
+		if got := v.Draining(v.Servers[n]); got != want {
+			t.Errorf("%s: got draining %v, want %v", n, got, want)
+		}
+	}
+}
+
 // Watches and lists in any order, old ones and doubled ones among them, never
 // take the store back, and the newest list always wins.
 func TestVersionNeverGoesBack(t *testing.T) {
--- a/internal/decide/config/store.go
+++ b/internal/decide/config/store.go
@@ -23,6 +23,7 @@
 	api.ResourceKindWorkspace,
 	api.ResourceKindBackendServer,
 	api.ResourceKindService,
+	api.ResourceKindFailureDomain,
 }
 
 // Store holds declared objects at one version.
--- a/internal/decide/config/view.go
+++ b/internal/decide/config/view.go
@@ -36,6 +36,8 @@
 	Keys       map[string]api.WorkspaceName
 	Servers    map[api.ServerName]Server
 	Services   map[api.ServiceName]Service
+	// Domains are the failure domains that were declared; others are open.
+	Domains map[api.DomainName]api.FailureDomainSpec
 
 	taken map[Key]taken
 }
@@ -61,6 +63,7 @@
 		Keys:       map[string]api.WorkspaceName{},
 		Servers:    map[api.ServerName]Server{},
 		Services:   map[api.ServiceName]Service{},
+		Domains:    map[api.DomainName]api.FailureDomainSpec{},
 		taken:      make(map[Key]taken, len(s.objects)),
 	}
 	var l []Problem
@@ -112,6 +115,10 @@
 		x := Server{Name: api.ServerName(o.Name), Version: o.Version}
 		err := decode(o.Kind, o.Spec, &x.BackendServerSpec)
 		return x, err
+	case api.ResourceKindFailureDomain:
+		var x api.FailureDomainSpec
+		err := decode(o.Kind, o.Spec, &x)
+		return x, err
 	default:
 		x := Service{Name: api.ServiceName(o.Name)}
 		err := decode(o.Kind, o.Spec, &x.ServiceSpec)
@@ -137,6 +144,8 @@
 		v.Servers[x.Name] = x
 	case Service:
 		v.Services[x.Name] = x
+	case api.FailureDomainSpec:
+		v.Domains[api.DomainName(k.Name)] = x
 	}
 }
 
@@ -171,6 +180,12 @@
 	return rule == path
 }
 
+// Draining reports whether a server takes no new work: operators drain it, or have
+// closed its failure domain.
+func (v *View) Draining(s Server) bool {
+	return s.State == api.ServerStateDraining || v.Domains[s.Domain].State == api.DomainStateClosed
+}
+
 // Items lists what an engine has to have loaded, as kind/name@weights.
 func (v *View) Items(s Server) []string {
 	var l []string
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -157,7 +157,7 @@
 	var l []backend.Server
 	for n, x := range v.Servers {
 		if x.Type == api.ServerTypeService {
-			l = append(l, backend.Server{Name: n, Draining: x.State == api.ServerStateDraining})
+			l = append(l, backend.Server{Name: n, Draining: v.Draining(x)})
 		}
 	}
 	s.serviceMutex.Lock()
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -196,7 +196,7 @@
 func (c *Context) declare(v *config.View) {
 	var l []dispatch.Server
 	for _, s := range v.Engines() {
-		l = append(l, dispatch.Server{Name: s.Name, Draining: s.State == api.ServerStateDraining})
+		l = append(l, dispatch.Server{Name: s.Name, Draining: v.Draining(s)})
 	}
 	c.Broker.Declare(l)
 }
--- a/internal/resource/file.go
+++ b/internal/resource/file.go
@@ -23,6 +23,7 @@
 	api.ResourceKindWorkspace:     "WorkspaceSpec",
 	api.ResourceKindBackendServer: "BackendServerSpec",
 	api.ResourceKindService:       "ServiceSpec",
+	api.ResourceKindFailureDomain: "FailureDomainSpec",
 }
 
 // Decode checks a spec of a declared kind, fills its defaults in and stores
