fix: runs that came to a server after its later life was known are ended too

Cause (found in reading): a run that its entry VM attaches after the end of the life was noted got no end: the question to the silent server found the end noted already, and the run waited for its caller to give up. Change: what the server itself tells of its birth ends the streams there in either case. Measured: TestServerTellsOfItsLaterLife fails without it for a server whose entry is late (the stream stays open for 10 s).

--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -61,13 +61,20 @@
 	}
 }
 
-// noteEnded takes a server that has started again.
+// noteEnded takes a server that has started again. Runs that came there after its end
+// was known are ended as well.
 func (g *Gateway) noteEnded(n api.ServerName) {
 	g.mutex.Lock()
 	m, ok := g.roster.End(time.Now(), n)
 	g.mutex.Unlock()
 	if ok {
 		g.changed([]roster.Member{m})
+		return
+	}
+	for _, r := range g.all() {
+		if r.at().Name == n {
+			g.watchdog.close(r)
+		}
 	}
 }
 
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -64,6 +64,8 @@
 	closed   int
 	total    int
 	leaves   map[string]bool
+	// born is when the life that answers at a server began.
+	born map[string]api.Birth
 	// dark servers say nothing, while their connections stay open; mute ones go
 	// on and are asked in vain over the connections that are open, which lack the
 	// newest events, ahead of them.
@@ -84,7 +86,7 @@
 func newFake() *fake {
 	return &fake{
 		answers: map[string][]any{}, runs: map[string]*fakeRun{}, dead: map[string]bool{},
-		full: map[string]bool{}, handles: map[string]string{}, leaves: map[string]bool{}, dark: map[string]bool{}, mute: map[string]bool{}, gap: eventGap, total: 20, log: event.Discard(),
+		full: map[string]bool{}, handles: map[string]string{}, leaves: map[string]bool{}, born: map[string]api.Birth{}, dark: map[string]bool{}, mute: map[string]bool{}, gap: eventGap, total: 20, log: event.Discard(),
 	}
 }
 
@@ -245,7 +247,7 @@
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	p := port.Report{Leaving: f.leaves[n], Made: map[api.RequestID]int{}}
+	p := port.Report{Leaving: f.leaves[n], Born: f.born[n], Made: map[api.RequestID]int{}}
 	for id, r := range f.runs {
 		if r.server == n {
 			p.Made[api.RequestID(id)] = r.made + f.ahead
@@ -276,7 +278,19 @@
 func (c *caller) Whole(a port.Answer) { c.status, c.body = a.Status, string(a.Body) }
 func (c *caller) Begin(h port.Head)   { c.status = h.Status }
 func (c *caller) End()                { c.ended = true }
-func (c *caller) Abort()              { c.aborted = true }
+
+func (c *caller) Abort() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.aborted = true
+}
+
+// broken reports whether the answer was broken off.
+func (c *caller) broken() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.aborted
+}
 
 func (c *caller) Refuse(f *fault.Error) {
 	c.mutex.Lock()
--- /dev/null
+++ b/internal/gateway/life_test.go
@@ -0,0 +1,95 @@
+package gateway_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/replica"
+	"github.com/wardridge/wardridge/internal/decide/roster"
+)
+
+// lives declares engines by name and birth.
+func (b *bed) lives(born map[string]api.Birth) {
+	b.version++
+	s := replica.Snapshot[roster.Server]{At: b.version}
+	for n, at := range born {
+		l := roster.LifeName(api.ServerID(n), at)
+		s.Items = append(s.Items, replica.Object[roster.Server]{Name: n, Value: roster.Server{
+			Name: l, ID: api.ServerID(n), Born: at, Service: "engines", Address: string(l), Domain: "x", Slots: 6,
+		}})
+	}
+	b.Serve(s)
+}
+
+// When a server has started again, behind connections that stay silent, its runs go on
+// from their copies at once, or end.
+func TestRunsOfAnEndedLife(t *testing.T) {
+	for _, copied := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFake()
+			f.backups, f.total = copied, 40
+			b := newBed(t, f, 0)
+			b.lives(map[string]api.Birth{"e1": 1, "e2": 1})
+			c := b.begin("r", time.Minute)
+			for c.count() < 9 {
+				time.Sleep(eventGap)
+			}
+			at := f.sends[0]
+			o := other(at[:2])
+			f.mutex.Lock()
+			f.mute[at] = true
+			f.mutex.Unlock()
+			b.lives(map[string]api.Birth{at[:2]: 2, o: 1})
+			// Well before it would pass for silent.
+			time.Sleep(2 * time.Millisecond)
+			if got, want := f.sent() == 2, copied; got != want {
+				t.Errorf("copied %v: got gone on %v, want %v", copied, got, want)
+			}
+			if c.aborted == copied {
+				t.Errorf("copied %v: got aborted %v, want %v", copied, c.aborted, !copied)
+			}
+			time.Sleep(time.Minute)
+			if copied && !c.whole(f.total) {
+				t.Errorf("got %v ended %v, want all events", c.ids, c.ended)
+			}
+			if l := b.Held(); len(l) != 0 {
+				t.Errorf("loads at the end: got %v, want none", l)
+			}
+		})
+	}
+}
+
+// Where no entry tells of it, a server itself does once its stream is silent: that it
+// knows the run no more must not be taken for a run that is under way.
+func TestServerTellsOfItsLaterLife(t *testing.T) {
+	for _, known := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFake()
+			f.total = 40
+			b := newBed(t, f, 0)
+			b.lives(map[string]api.Birth{"e1": 1})
+			c := b.begin("r", time.Minute)
+			for c.count() < 9 {
+				time.Sleep(eventGap)
+			}
+			f.mutex.Lock()
+			f.mute["e1@1"], f.born["e1@1"] = true, 2
+			delete(f.runs, "r")
+			f.mutex.Unlock()
+			began := time.Now()
+			if known {
+				// Its entry comes back late, as one that lapsed does.
+				b.lives(map[string]api.Birth{"e1": 2})
+				b.lives(map[string]api.Birth{"e1": 1})
+			}
+			for !c.broken() && time.Since(began) < 10*time.Second {
+				time.Sleep(time.Millisecond)
+			}
+			if got := time.Since(began); got > 2*gapAim {
+				t.Errorf("known %v: got the stream broken off after %v, want it within %v", known, got, 2*gapAim)
+			}
+		})
+	}
+}
