--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -56,6 +56,10 @@
 	holds(t, moveWorld, "the connection is left open", "events are not judged")
 }
 
+func TestLife(t *testing.T) {
+	holds(t, lifeWorld, mutateBirth, mutateStale, mutateReport)
+}
+
 func TestAllocate(t *testing.T) {
 	holds(t, allocateWorld, mutateOpen, mutateOrder, mutateTaken)
 }
