feat: the load tool tells its progress and names each failed request; a terminal gets a log for people

Cause: a run of a minute said nothing until its end; a failure was counted by type, so that wardctl explain could not follow; dev up wrote JSON on a terminal. Change: a line of progress each two seconds beside the report, the first 20 failures by id, and the console form of the log where the output is a terminal (JSON elsewhere).

--- a/cmd/dev.go
+++ b/cmd/dev.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"os"
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
@@ -47,8 +48,18 @@
 	return f(l)
 }
 
+// logs makes the log of a stand-in process.
 func logs() (*event.Log, func(), error) {
-	return event.New(api.LogSettings{Level: api.LogSettingsLevelInfo, Format: api.LogSettingsFormatJson})
+	return event.New(api.LogSettings{Level: api.LogSettingsLevelInfo, Format: logFormat(os.Stdout)})
+}
+
+// logFormat is one that a person reads on a terminal, and JSON for all else.
+func logFormat(f *os.File) api.LogSettingsFormat {
+	i, err := f.Stat()
+	if err == nil && i.Mode()&os.ModeCharDevice != 0 {
+		return api.LogSettingsFormatConsole
+	}
+	return api.LogSettingsFormatJson
 }
 
 // upCommand runs a small system.
--- a/cmd/dev_test.go
+++ b/cmd/dev_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"net"
+	"os"
 	"testing"
+
+	"github.com/wardridge/wardridge/internal/api"
 )
 
 func TestStandInsSayWhenTheirAddressIsTaken(t *testing.T) {
@@ -17,3 +20,23 @@
 	s.want(1, "listen_failed", "dev", "engine", "--listen", a, "--name", "e")
 	s.want(1, "listen_failed", "dev", "service", "--listen", a, "--name", "s")
 }
+
+// What is no terminal gets JSON, so that the lines can be summed up.
+func TestLogFormat(t *testing.T) {
+	f, err := os.CreateTemp(t.TempDir(), "log")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = f.Close() }()
+	if got := logFormat(f); got != api.LogSettingsFormatJson {
+		t.Errorf("a file: got %s, want json", got)
+	}
+	n, err := os.Open(os.DevNull)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = n.Close() }()
+	if got := logFormat(n); got != api.LogSettingsFormatConsole {
+		t.Errorf("a character device: got %s, want console", got)
+	}
+}
--- a/cmd/load.go
+++ b/cmd/load.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"fmt"
 	"strconv"
 	"time"
 
@@ -31,7 +32,7 @@
 	before := c.preemptions(e)
 	r, err := load.Run(e, load.Options{
 		Entries: c.Entries, Mix: m, Model: c.Model, Requests: c.Requests,
-		PerSecond: c.PerSecond, Seed: c.Seed, Wait: c.Wait,
+		PerSecond: c.PerSecond, Seed: c.Seed, Wait: c.Wait, Progress: e.progress,
 	})
 	if err != nil {
 		return err
@@ -49,6 +50,12 @@
 	return nil
 }
 
+// progress tells a person how far a run has come, beside what the command writes.
+func (e *environment) progress(p load.Progress) {
+	// Who reads no progress needs none.
+	_, _ = fmt.Fprintln(e.err, p.Text())
+}
+
 func (c *loadCommand) show(e *environment, r load.Report) error {
 	if e.json() {
 		return e.write(r)
--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -26,11 +26,13 @@
 
 // result is what one request saw.
 type result struct {
-	class  *Class
-	first  time.Duration
-	gaps   []time.Duration
-	tokens int
-	fault  *fault.Error
+	class *Class
+	// request is the id that the entry VM gave it; empty where none answered.
+	request api.RequestID
+	first   time.Duration
+	gaps    []time.Duration
+	tokens  int
+	fault   *fault.Error
 	// wrong tells that an answer broke a promise: a token missing, doubled,
 	// out of order or of another generation, or a call run more than once.
 	wrong string
@@ -104,10 +106,12 @@
 		return result{fault: wire.Broken(err)}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return result{fault: refusal(resp)}
+	out := result{fault: refusal(resp)}
+	if out.fault == nil {
+		out = read(resp.Body, began, int(a.Output))
 	}
-	return read(resp.Body, began, int(a.Output))
+	out.request = api.RequestID(resp.Header.Get(wire.HeaderRequest))
+	return out
 }
 
 // filler is a prompt of the planned length that no other request has.
@@ -117,7 +121,11 @@
 	return s + strings.Repeat("word ", max(0, n/len("word ")))
 }
 
+// refusal is the typed error of an answer that is no success; nil for one.
 func refusal(r *http.Response) *fault.Error {
+	if r.StatusCode == http.StatusOK {
+		return nil
+	}
 	var e api.ErrorBody
 	b, err := io.ReadAll(r.Body)
 	if err == nil {
@@ -216,15 +224,16 @@
 		return result{fault: wire.Broken(err)}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return result{fault: refusal(resp)}
+	id := api.RequestID(resp.Header.Get(wire.HeaderRequest))
+	if f := refusal(resp); f != nil {
+		return result{fault: f, request: id}
 	}
 	var s service.Answer
-	out := result{first: time.Since(began)}
+	out := result{first: time.Since(began), request: id}
 	switch err := json.NewDecoder(resp.Body).Decode(&s); {
 	case err != nil:
 		out.fault = fault.Wrap(fault.BadAnswer, err, "the answer is not whole")
-	case string(s.Request) != resp.Header.Get(wire.HeaderRequest):
+	case s.Request != id:
 		out.wrong = "the answer is of request " + string(s.Request)
 	case a.Class.Once && s.Count != 1:
 		out.wrong = fmt.Sprintf("the call ran %d times", s.Count)
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -21,6 +21,20 @@
 	Count int     `json:"count"`
 }
 
+// Failure is one request that was not answered whole, so that its decisions can be
+// looked up.
+type Failure struct {
+	Request api.RequestID `json:"request"`
+	Class   string        `json:"class"`
+	Type    string        `json:"type"`
+	Ran     api.Ran       `json:"ran"`
+}
+
+// Progress is how far a run has come.
+type Progress struct {
+	Planned, Sent, Answered, Whole int
+}
+
 // ClassReport is what the callers of one class saw.
 type ClassReport struct {
 	Class    string           `json:"class"`
@@ -43,6 +57,8 @@
 	All      ClassReport   `json:"all"`
 	Classes  []ClassReport `json:"classes"`
 	Errors   []ErrorCount  `json:"errors"`
+	// Failures are the first requests that got an error.
+	Failures []Failure `json:"failures"`
 	// Wrong lists answers that broke a promise.
 	Wrong []string `json:"wrong"`
 	// Preemptions is what the engines told the entry VMs during the run.
@@ -65,8 +81,14 @@
 	errors  map[ErrorCount]int
 	wrong   []string
 	tokens  int
+	// failures are the first of those that got an error, sent counts all.
+	failures []Failure
+	sent     int
 }
 
+// failuresMost bounds the failures that are named: enough to look into each kind.
+const failuresMost = 20
+
 func newSummary() *summary {
 	return &summary{all: newClass(), classes: map[string]*class{}, errors: map[ErrorCount]int{}}
 }
@@ -82,12 +104,25 @@
 	s.tokens += r.tokens
 	if r.fault != nil {
 		s.errors[ErrorCount{Type: r.fault.Code.Kind().Type, Ran: r.fault.Ran}]++
+		s.fail(r)
 	}
 	if r.wrong != "" {
 		s.wrong = append(s.wrong, r.class.Name+": "+r.wrong)
 	}
 }
 
+// fail names a failure while there are few.
+func (s *summary) fail(r result) {
+	if len(s.failures) < failuresMost {
+		s.failures = append(s.failures, Failure{Request: r.request, Class: r.class.Name, Type: r.fault.Code.Kind().Type, Ran: r.fault.Ran})
+	}
+}
+
+// progress tells how far a run of so many requests has come.
+func (s *summary) progress(planned int) Progress {
+	return Progress{Planned: planned, Sent: s.sent, Answered: s.all.requests, Whole: s.all.whole}
+}
+
 func (c *class) add(r result) {
 	c.requests++
 	if r.fault == nil && r.wrong == "" {
@@ -120,6 +155,7 @@
 	r := Report{
 		Mix: o.Mix.Name, Seed: o.Seed, Seconds: d.Seconds(), Requests: s.all.requests, Whole: s.all.whole,
 		Tokens: s.tokens, All: s.all.report("all"), Errors: []ErrorCount{}, Wrong: append([]string{}, s.wrong...),
+		Failures: append([]Failure{}, s.failures...),
 	}
 	for n, c := range s.classes {
 		r.Classes = append(r.Classes, c.report(n))
@@ -148,8 +184,24 @@
 	for _, e := range r.Errors {
 		fmt.Fprintf(&b, "error %s (ran: %s): %d\n", e.Type, e.Ran, e.Count)
 	}
+	for _, f := range r.Failures {
+		fmt.Fprintf(&b, "failed %s %s: %s (ran: %s)\n", f.Class, named(f.Request), f.Type, f.Ran)
+	}
 	for _, w := range r.Wrong {
 		fmt.Fprintf(&b, "WRONG %s\n", w)
 	}
 	return b.String()
 }
+
+// named gives a request's id for a person.
+func named(r api.RequestID) string {
+	if r == "" {
+		return "(no answer)"
+	}
+	return string(r)
+}
+
+// Text writes the progress for a person.
+func (p Progress) Text() string {
+	return fmt.Sprintf("%d of %d sent, %d answered, %d whole", p.Sent, p.Planned, p.Answered, p.Whole)
+}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -20,10 +20,15 @@
 	Seed      uint64
 	// Wait bounds the whole run after the last arrival.
 	Wait time.Duration
+	// Progress is told how far the run has come every few seconds; nil for nobody.
+	Progress func(p Progress)
 	// Dial makes connections; nil for the machine's own.
 	Dial wire.Dial
 }
 
+// progressEvery is the pause between words on a run's progress.
+const progressEvery = 2 * time.Second
+
 // Run sends a plan and reports what the callers saw.
 func Run(ctx context.Context, o Options) (Report, error) {
 	const dial = 2 * time.Second
@@ -41,6 +46,14 @@
 	c := &caller{http: &http.Client{Transport: t}, balancer: b, model: o.Model}
 	var mutex sync.Mutex
 	s := newSummary()
+	if o.Progress != nil {
+		looks.Every(progressEvery, func(context.Context) {
+			mutex.Lock()
+			p := s.progress(o.Requests)
+			mutex.Unlock()
+			o.Progress(p)
+		})
+	}
 	began := time.Now()
 	x, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -50,6 +63,9 @@
 		if !duty.Sleep(ctx, time.Until(began.Add(a.At))) {
 			return Report{}, ctx.Err()
 		}
+		mutex.Lock()
+		s.sent++
+		mutex.Unlock()
 		g.Go(func(ctx context.Context) error {
 			r := c.do(ctx, a)
 			mutex.Lock()
