--- a/internal/gateway/closure_test.go
+++ b/internal/gateway/closure_test.go
@@ -14,21 +14,13 @@
 	"github.com/wardridge/wardridge/internal/fault"
 )
 
-// halls declares servers by name, each in the failure domain that its place in the list
-// names: e1 in x, e2 in y.
+// halls declares servers by name with their failure domains.
 func (b *bed) halls(domains map[string]api.DomainName, draining ...string) {
-	b.version++
-	s := replica.Snapshot[roster.Server]{At: b.version}
+	var l []roster.Server
 	for n, d := range domains {
-		v := api.ServiceName("plain")
-		if n[0] == 'e' {
-			v = "engines"
-		}
-		s.Items = append(s.Items, replica.Object[roster.Server]{Name: n, Value: roster.Server{
-			Name: api.ServerName(n), Service: v, Address: n, Domain: d, Slots: 6, Draining: slices.Contains(draining, n),
-		}})
+		l = append(l, server(n, d, slices.Contains(draining, n)))
 	}
-	b.Serve(s)
+	b.serve(l)
 }
 
 // shut declares the failure domains that are closed.
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -377,14 +377,28 @@
 
 // servers declares servers by name and whether they are draining.
 func (b *bed) servers(m map[string]bool) {
+	var l []roster.Server
+	for n, d := range m {
+		l = append(l, server(n, "x", d))
+	}
+	b.serve(l)
+}
+
+// server is one in a failure domain; an engine's name begins with e.
+func server(n string, d api.DomainName, draining bool) roster.Server {
+	v := api.ServiceName("plain")
+	if n[0] == 'e' {
+		v = "engines"
+	}
+	return roster.Server{Name: api.ServerName(n), Service: v, Address: n, Domain: d, Slots: 6, Draining: draining}
+}
+
+// serve declares servers.
+func (b *bed) serve(l []roster.Server) {
 	b.version++
 	s := replica.Snapshot[roster.Server]{At: b.version}
-	for n, d := range m {
-		v := api.ServiceName("plain")
-		if n[0] == 'e' {
-			v = "engines"
-		}
-		s.Items = append(s.Items, replica.Object[roster.Server]{Name: n, Value: roster.Server{Name: api.ServerName(n), Service: v, Address: n, Domain: "x", Slots: 6, Draining: d}})
+	for _, x := range l {
+		s.Items = append(s.Items, replica.Object[roster.Server]{Name: string(x.Name), Value: x})
 	}
 	b.Serve(s)
 }
--- a/internal/gateway/life_test.go
+++ b/internal/gateway/life_test.go
@@ -6,21 +6,20 @@
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
-	"github.com/wardridge/wardridge/internal/decide/replica"
 	"github.com/wardridge/wardridge/internal/decide/roster"
 )
 
 // lives declares engines by name and birth.
 func (b *bed) lives(born map[string]api.Birth) {
-	b.version++
-	s := replica.Snapshot[roster.Server]{At: b.version}
+	var l []roster.Server
 	for n, at := range born {
-		l := roster.LifeName(api.ServerID(n), at)
-		s.Items = append(s.Items, replica.Object[roster.Server]{Name: n, Value: roster.Server{
-			Name: l, ID: api.ServerID(n), Born: at, Service: "engines", Address: string(l), Domain: "x", Slots: 6,
-		}})
+		x := server(n, "x", false)
+		x.ID, x.Born = api.ServerID(n), at
+		x.Name = roster.LifeName(x.ID, x.Born)
+		x.Address = string(x.Name)
+		l = append(l, x)
 	}
-	b.Serve(s)
+	b.serve(l)
 }
 
 // When a server has started again, behind connections that stay silent, its runs go on
