--- a/spec/life.go
+++ b/spec/life.go
@@ -19,9 +19,8 @@
 
 // Words about a server that an entry VM hears.
 const (
-	wordNone = iota
 	// wordEntry is the entry in the store.
-	wordEntry
+	wordEntry = iota
 	// wordNotice is a peer's word that a life said it was leaving.
 	wordNotice
 	// wordEnded is the server's own word that a life is over.
