fix: repeated sends are bounded by service, as the requests that allow them are counted

Cause: one window for all services: what engines were asked for allowed a plain service that shed its requests to be sent them again. Ruled out: the slack (shared by members, as before) and moves (they are no repeats). Change: retry.Windows, a window a service; services that a configuration no longer holds are forgotten. Measured: TestRequestsOfOneServiceAllowNoRepeatsOfAnother and TestServicesDoNotAllowEachOthersRepeats fail before.

--- a/internal/decide/retry/window.go
+++ b/internal/decide/retry/window.go
@@ -1,6 +1,11 @@
 package retry
 
-import "time"
+import (
+	"maps"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+)
 
 // Window allows sends beyond the first of each request within a bound that
 // holds over every span of a length, for a fleet whose members don't ask each
@@ -49,6 +54,64 @@
 	return true
 }
 
+// Windows are the windows of all services. Each has its own: what one service is asked
+// for must not allow repeated sends to another, or a service that sheds half of its
+// requests is sent each of them several times, while others are busy.
+type Windows struct {
+	span     time.Duration
+	ratio    float64
+	slack    float64
+	shares   int
+	services map[api.ServiceName]*Window
+}
+
+// NewWindows makes windows of which each allows what NewWindow tells.
+func NewWindows(span time.Duration, ratio, slack float64) *Windows {
+	return &Windows{span: span, ratio: ratio, slack: slack, shares: 1, services: map[api.ServiceName]*Window{}}
+}
+
+// Bound changes the bounds of all services.
+func (w *Windows) Bound(span time.Duration, ratio, slack float64) {
+	w.span, w.ratio, w.slack = span, ratio, slack
+	for _, x := range w.services {
+		x.Bound(span, ratio, slack)
+	}
+}
+
+// Members sets the number of members that share the slack of each service.
+func (w *Windows) Members(n int) {
+	w.shares = n
+	for _, x := range w.services {
+		x.Members(n)
+	}
+}
+
+// Fresh notes a request for a service that is sent for the first time.
+func (w *Windows) Fresh(now time.Time, s api.ServiceName) {
+	w.service(s).Fresh(now)
+}
+
+// Allow takes one more send to a service out of its window or reports false.
+func (w *Windows) Allow(now time.Time, s api.ServiceName) bool {
+	return w.service(s).Allow(now)
+}
+
+// Keep forgets services that are no longer configured.
+func (w *Windows) Keep(configured func(s api.ServiceName) bool) {
+	maps.DeleteFunc(w.services, func(s api.ServiceName, _ *Window) bool { return !configured(s) })
+}
+
+// service gives the window of a service.
+func (w *Windows) service(s api.ServiceName) *Window {
+	x, ok := w.services[s]
+	if !ok {
+		x = NewWindow(w.span, w.ratio, w.slack)
+		x.Members(w.shares)
+		w.services[s] = x
+	}
+	return x
+}
+
 // recent drops the times that have left the span.
 func (w *Window) recent(l []time.Time, now time.Time) []time.Time {
 	i := 0
--- a/internal/decide/retry/window_test.go
+++ b/internal/decide/retry/window_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/retry"
 )
 
@@ -62,3 +63,39 @@
 		t.Errorf("got %d, want 2 for 10 requests", got)
 	}
 }
+
+// Found where four times the usual load of all services came at once: the requests of
+// model engines allowed a plain service that shed its own 2,481 repeated sends in 10 s,
+// of 1,735.
+func TestServicesDoNotAllowEachOthersRepeats(t *testing.T) {
+	w := retry.NewWindows(10*time.Second, 0.2, 3)
+	w.Members(3)
+	now := time.Unix(100, 0)
+	for range 1000 {
+		w.Fresh(now, "engines")
+	}
+	for range 10 {
+		w.Fresh(now, "orders")
+	}
+	allowed := func(s api.ServiceName) int {
+		n := 0
+		for w.Allow(now, s) {
+			n++
+		}
+		return n
+	}
+	if got, want := allowed("orders"), 3; got != want {
+		t.Errorf("orders: got %d repeated sends, want %d", got, want)
+	}
+	if got, want := allowed("engines"), 201; got != want {
+		t.Errorf("engines: got %d repeated sends, want %d", got, want)
+	}
+	w.Bound(10*time.Second, 0.4, 3)
+	if got, want := allowed("orders"), 2; got != want {
+		t.Errorf("orders with twice the ratio: got %d more, want %d", got, want)
+	}
+	w.Keep(func(s api.ServiceName) bool { return s == "engines" })
+	if got, want := allowed("orders"), 1; got != want {
+		t.Errorf("orders once forgotten: got %d, want %d", got, want)
+	}
+}
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -38,11 +38,16 @@
 	for i := range d.Routes {
 		routes[d.Routes[i].Name] = true
 	}
+	configured := func(n api.ServiceName) bool {
+		_, ok := d.Service(n)
+		return ok
+	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	g.Retries.Keep(configured)
 	for n, a := range g.admissions {
 		a.backlog.Keep(func(route string) bool { return routes[route] })
-		if _, ok := d.Service(n); !ok && a.backlog.Len() == 0 {
+		if !configured(n) && a.backlog.Len() == 0 {
 			delete(g.admissions, n)
 		}
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -95,6 +95,7 @@
 // or provably was not run, and gives the answer to take.
 func (g *Gateway) try(ctx context.Context, q *request, n placement.Need) (served, *fault.Error) {
 	c := call.New(q.route.Kind != directory.Safe)
+	again := func() bool { return g.again(q.service.Name) }
 	var failed *port.Answer
 	for {
 		p := g.next(ctx, q, n, c)
@@ -118,7 +119,7 @@
 			g.note(s, met(err))
 		}
 		g.Log.Emit(event.AttemptFailed, zap.String("request", string(q.ID)), zap.String("server", string(s.Name)), zap.Error(err))
-		m, f := c.Failed(outcome(err), err, ctx.Err() != nil, g.again)
+		m, f := c.Failed(outcome(err), err, ctx.Err() != nil, again)
 		if m == call.Fail {
 			if errors.Is(ctx.Err(), context.Canceled) {
 				f = fault.Wrap(fault.CallerGone, err, "the caller closed its connection")
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -356,7 +356,7 @@
 	t.Cleanup(closer)
 	b := &bed{fake: f, Gateway: gateway.New(gateway.Parts{
 		Domain: "x", Backends: f, Group: g, Log: f.log, Metrics: metric.New(),
-		Retries: retry.NewWindow(10*time.Second, 0, slack),
+		Retries: retry.NewWindows(10*time.Second, 0, slack),
 	})}
 	e := &directory.Engine{Slots: 24, Memory: 34000, Moves: true, Backups: f.backups, Stride: 4}
 	route := func(p string, k directory.Kind, s api.ServiceName) directory.Route {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -45,8 +45,8 @@
 	Group   *duty.Group
 	Log     *event.Log
 	Metrics *metric.Set
-	// Retries bounds the sends beyond the first of each request.
-	Retries *retry.Window
+	// Retries bounds the sends beyond the first of each request, by service.
+	Retries *retry.Windows
 	// Closable is set where operators may close failure domains to new work: who does
 	// not know yet which are closed takes no callers.
 	Closable bool
@@ -184,7 +184,7 @@
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
 	g.mutex.Lock()
-	g.Retries.Fresh(time.Now())
+	g.Retries.Fresh(time.Now(), q.service.Name)
 	g.mutex.Unlock()
 	if q.route.Kind == directory.Stream {
 		g.stream(ctx, q)
@@ -291,9 +291,9 @@
 	g.Retries.Bound(span, ratio, slack)
 }
 
-// again takes one more send out of the fleet's bound.
-func (g *Gateway) again() bool {
+// again takes one more send to a service out of the fleet's bound.
+func (g *Gateway) again(s api.ServiceName) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.Retries.Allow(time.Now())
+	return g.Retries.Allow(time.Now(), s)
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -302,3 +302,22 @@
 		}
 	})
 }
+
+// A service's bound on repeated sends goes by its own requests.
+func TestRequestsOfOneServiceAllowNoRepeatsOfAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		f.total = 1
+		b := newBed(t, f, 0)
+		b.Bound(10*time.Second, 0.2, 0)
+		for range 20 {
+			b.ask("/stream/1")
+		}
+		sent := f.sent()
+		f.answers["p1"], f.answers["p2"] = []any{500, 500}, []any{500, 500}
+		c := b.ask("/safe/1")
+		if got := f.sent() - sent; got != 1 || c.status != 500 {
+			t.Errorf("got status %d after %d sends, want the failure after one", c.status, got)
+		}
+	})
+}
--- a/internal/gateway/load_test.go
+++ b/internal/gateway/load_test.go
@@ -239,7 +239,7 @@
 	for i, p := range peers {
 		v := gateway.New(gateway.Parts{
 			VM: api.VMName(strconv.Itoa(i)), Domain: "x", Seed: seed + uint64(i), Backends: l.engines, Peers: p, Group: g, Log: event.Discard(), Metrics: l.metrics,
-			Retries: retry.NewWindow(10*time.Second, 0, 0),
+			Retries: retry.NewWindows(10*time.Second, 0, 0),
 		})
 		v.Configure(replica.Snapshot[directory.Config]{Items: []replica.Object[directory.Config]{{Value: loadConfig()}}})
 		v.Serve(s)
--- a/internal/node/hosted_start.go
+++ b/internal/node/hosted_start.go
@@ -70,7 +70,7 @@
 	h.gateway = gateway.New(gateway.Parts{
 		VM: h.Settings.Node.Name, Domain: h.Settings.Node.Domain, Seed: uint64(time.Now().UnixNano()), Peers: allocators{h}, Backends: h.adapter.Backends, Group: h.group, Log: h.Log, Metrics: h.Metrics,
 		Closable: s.CloseMS > 0,
-		Retries:  retry.NewWindow(seconds(s.RetryWindowS), s.RetryRatio, s.RetrySlack),
+		Retries:  retry.NewWindows(seconds(s.RetryWindowS), s.RetryRatio, s.RetrySlack),
 	})
 	apply := s.ApplyMS.Duration()
 	timing := func(share float64) mirror.Timing {
