--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -277,7 +277,12 @@
 
 func (c *caller) Whole(a port.Answer) { c.status, c.body = a.Status, string(a.Body) }
 func (c *caller) Begin(h port.Head)   { c.status = h.Status }
-func (c *caller) End()                { c.ended = true }
+
+func (c *caller) End() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.ended = true
+}
 
 func (c *caller) Abort() {
 	c.mutex.Lock()
@@ -330,6 +335,8 @@
 
 // whole reports whether the caller has events 1 to n, once each and in order.
 func (c *caller) whole(n int) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
 	if len(c.ids) != n || !c.ended || c.aborted {
 		return false
 	}
--- a/internal/gateway/leave_test.go
+++ b/internal/gateway/leave_test.go
@@ -26,22 +26,21 @@
 // takeBack takes the engines back in turn. What runs at one when it leaves ends there:
 // its moves always find room.
 func (l *load) takeBack(ctx context.Context) error {
-	names := make([]string, loadEngines)
-	for i := range names {
-		names[i] = fmt.Sprintf("e%d", i)
+	present := make([]roster.Server, loadEngines)
+	for i := range present {
+		present[i] = roster.Server{Name: api.ServerName(fmt.Sprintf("e%d", i)), Service: "engines", Domain: "x", Slots: 24}
 	}
 	for n := 0; duty.Sleep(ctx, leaveEvery); n++ {
-		i := n % loadEngines
+		x := &present[n%loadEngines]
 		l.group.Go(func(ctx context.Context) error {
-			l.serve(names, i, true)
+			l.serve(present, func() { x.Draining = true })
 			duty.Sleep(ctx, leaveNotice)
-			old := names[i]
-			names[i] = ""
-			l.serve(names, i, false)
+			l.serve(present, func() { x.Slots = 0 })
 			duty.Sleep(ctx, leaveGap)
-			names[i] = old + "+"
-			l.start(names[i])
-			l.serve(names, i, false)
+			l.serve(present, func() {
+				*x = roster.Server{Name: x.Name + "+", Service: "engines", Domain: "x", Slots: 24}
+				l.start(string(x.Name))
+			})
 			return nil
 		})
 	}
@@ -57,19 +56,17 @@
 	l.group.Go(e.loop)
 }
 
-// serve tells all entry VMs of the engines, of which one may be leaving; an empty name is
-// none.
-func (l *load) serve(names []string, leaving int, draining bool) {
+// serve changes the engines that are present and tells all entry VMs of them; one without
+// slots is away.
+func (l *load) serve(present []roster.Server, change func()) {
 	l.mutex.Lock()
+	change()
 	l.version++
 	s := replica.Snapshot[roster.Server]{At: l.version}
-	for i, n := range names {
-		if n == "" {
-			continue
+	for _, x := range present {
+		if x.Slots > 0 {
+			s.Items = append(s.Items, replica.Object[roster.Server]{Name: string(x.Name), Value: x})
 		}
-		s.Items = append(s.Items, replica.Object[roster.Server]{Name: n, Value: roster.Server{
-			Name: api.ServerName(n), Service: "engines", Address: n, Domain: "x", Slots: 24, Draining: draining && i == leaving,
-		}})
 	}
 	l.mutex.Unlock()
 	for _, v := range l.vms {
--- a/internal/gateway/life_test.go
+++ b/internal/gateway/life_test.go
@@ -46,8 +46,8 @@
 			if got, want := f.sent() == 2, copied; got != want {
 				t.Errorf("copied %v: got gone on %v, want %v", copied, got, want)
 			}
-			if c.aborted == copied {
-				t.Errorf("copied %v: got aborted %v, want %v", copied, c.aborted, !copied)
+			if c.broken() == copied {
+				t.Errorf("copied %v: got broken off %v, want %v", copied, c.broken(), !copied)
 			}
 			time.Sleep(time.Minute)
 			if copied && !c.whole(f.total) {
