--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -17,6 +17,7 @@
 	"github.com/wardridge/wardridge/internal/decide/gossip"
 	"github.com/wardridge/wardridge/internal/decide/placement"
 	"github.com/wardridge/wardridge/internal/decide/replica"
+	"github.com/wardridge/wardridge/internal/decide/retry"
 	"github.com/wardridge/wardridge/internal/decide/roster"
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/event"
@@ -47,7 +48,9 @@
 		closer()
 		s.Close()
 	})
-	v := &vm{address: s.Listener.Addr().String(), table: gateway.New(gateway.Parts{Domain: "d", Group: g, Log: event.Discard(), Metrics: metric.New()})}
+	v := &vm{address: s.Listener.Addr().String(), table: gateway.New(gateway.Parts{
+		Domain: "d", Group: g, Log: event.Discard(), Metrics: metric.New(), Retries: retry.NewWindows(time.Second, 0, 0),
+	})}
 	v.config = mirror.New(mirror.Parts[directory.Config]{Take: func(replica.Snapshot[directory.Config]) {}, Metrics: metric.New(), Log: event.Discard()})
 	v.servers = mirror.New(mirror.Parts[roster.Server]{Take: func(replica.Snapshot[roster.Server]) {}, Metrics: metric.New(), Log: event.Discard()})
 	v.Mesh = mesh.New(mesh.Parts{
