--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -63,6 +63,8 @@
 	at      api.Version
 	changed api.Version
 	objects map[string]Object[T]
+	// names are those of the objects, in order.
+	names []string
 	// seen is when this store learned of each object's present form.
 	seen     map[string]api.Version
 	removals []removal
@@ -148,6 +150,9 @@
 	if x, ok := s.objects[o.Name]; ok && x.Version >= o.Version {
 		return false
 	}
+	if i, ok := slices.BinarySearch(s.names, o.Name); !ok {
+		s.names = slices.Insert(s.names, i, o.Name)
+	}
 	s.objects[o.Name] = o
 	s.seen[o.Name] = s.at
 	s.changed = s.at
@@ -155,6 +160,9 @@
 }
 
 func (s *Store[T]) remove(name string) {
+	if i, ok := slices.BinarySearch(s.names, name); ok {
+		s.names = slices.Delete(s.names, i, i+1)
+	}
 	delete(s.objects, name)
 	delete(s.seen, name)
 	s.changed = s.at
@@ -207,9 +215,8 @@
 // Snapshot gives every object in order of name.
 func (s *Store[T]) Snapshot() Snapshot[T] {
 	l := make([]Object[T], 0, len(s.objects))
-	for _, o := range s.objects {
-		l = append(l, o)
+	for _, n := range s.names {
+		l = append(l, s.objects[n])
 	}
-	slices.SortFunc(l, func(a, b Object[T]) int { return cmp.Compare(a.Name, b.Name) })
 	return Snapshot[T]{At: s.at, Items: l}
 }
--- a/internal/decide/roster/closure.go
+++ b/internal/decide/roster/closure.go
@@ -36,6 +36,7 @@
 		}
 	}
 	r.closed = is
+	clear(r.services)
 	for _, m := range r.members {
 		if w := now.Add(warmup(m.Service)); slices.Contains(opened, m.Domain) && w.After(m.Warm) {
 			m.Warm = w
--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -65,6 +65,8 @@
 	// Closed is set while operators have closed the server's failure domain.
 	Closed bool
 
+	// update is the last update whose entries told of the server.
+	update int
 	// said is set when the server itself told that it is leaving, which a late
 	// entry does not take back.
 	said bool
@@ -89,6 +91,11 @@
 	members map[api.ServerName]*Member
 	lives   lives
 	closed  map[api.DomainName]bool
+	// services keeps the members of services in order until something of them changes:
+	// a choice looks at all of them, and to sort 3,000 anew took 1.8 ms.
+	services map[api.ServiceName][]Member
+	// updates counts the updates.
+	updates int
 	away    bool
 	// lost is when the store's last outage began, back when it answered again.
 	lost time.Time
@@ -99,7 +106,7 @@
 
 // New makes a roster without servers, which the store has not answered yet.
 func New() *Roster {
-	return &Roster{members: map[api.ServerName]*Member{}, lives: lives{}, closed: map[api.DomainName]bool{}, away: true}
+	return &Roster{members: map[api.ServerName]*Member{}, lives: lives{}, closed: map[api.DomainName]bool{}, services: map[api.ServiceName][]Member{}, away: true}
 }
 
 // Away notes whether the store is unreachable.
@@ -120,22 +127,13 @@
 	if vouched {
 		r.vouched = now
 	}
+	r.updates++
 	var l []Member
-	seen := make(map[api.ServerName]bool, len(entries))
 	for _, e := range entries {
-		if r.lives.stale(e) {
-			// It says nothing of the life that is known: that one stays as it is.
-			seen[r.lives[e.ID].Name] = true
-			continue
-		}
-		seen[e.Name] = true
-		l = append(l, r.begin(now, e)...)
-		if r.set(now, e, r.stated(e)) {
-			l = append(l, r.seen(e.Name))
-		}
+		l = append(l, r.take(now, e)...)
 	}
 	for n, m := range r.members {
-		if !seen[n] && r.set(now, m.Server, r.missing(now, m)) {
+		if m.update != r.updates && r.set(now, m.Server, r.missing(now, m)) {
 			l = append(l, r.seen(n))
 		}
 	}
@@ -143,6 +141,28 @@
 	return l
 }
 
+// take takes one entry and gives the servers whose state has changed by it.
+func (r *Roster) take(now time.Time, e Server) []Member {
+	if m, ok := r.members[e.Name]; ok && m.State == Ready && m.Server == e && !e.Draining {
+		// Nearly all entries of an update say nothing new.
+		m.update = r.updates
+		return nil
+	}
+	if r.lives.stale(e) {
+		// It says nothing of the life that is known: that one stays as it is.
+		if m, ok := r.members[r.lives[e.ID].Name]; ok {
+			m.update = r.updates
+		}
+		return nil
+	}
+	l := r.begin(now, e)
+	if r.set(now, e, r.stated(e)) {
+		l = append(l, r.seen(e.Name))
+	}
+	r.members[e.Name].update = r.updates
+	return l
+}
+
 // begin notes the life of a server, and gives the one that it ends.
 func (r *Roster) begin(now time.Time, s Server) []Member {
 	e, ok := r.lives.begin(s)
@@ -217,6 +237,9 @@
 	if m.Server != s {
 		m.Warm = now.Add(s.Cold)
 	}
+	if changed || m.Server != s {
+		clear(r.services)
+	}
 	m.Server = s
 	m.State = t
 	return changed
@@ -231,10 +254,12 @@
 		case m.State == Lapsed && !r.unsure(now):
 			m.State = Leaving
 			m.Since = now
+			clear(r.services)
 			l = append(l, r.seen(n))
 		case m.State.Going() && now.Sub(m.Since) > keepTime:
 			r.lives.forget(m.Server)
 			delete(r.members, n)
+			clear(r.services)
 		}
 	}
 	sortMembers(l)
@@ -250,6 +275,7 @@
 	m.State = Leaving
 	m.Since = now
 	m.said = true
+	clear(r.services)
 	return r.seen(n), true
 }
 
@@ -273,8 +299,12 @@
 	return r.seen(n), true
 }
 
-// Service lists the servers of a service in order of name.
+// Service lists the servers of a service in order of name; the list is not to be
+// changed.
 func (r *Roster) Service(s api.ServiceName) []Member {
+	if l, ok := r.services[s]; ok {
+		return l
+	}
 	var l []Member
 	for n, m := range r.members {
 		if m.Service == s {
@@ -282,6 +312,7 @@
 		}
 	}
 	sortMembers(l)
+	r.services[s] = l
 	return l
 }
 
--- a/internal/decide/roster/roster_test.go
+++ b/internal/decide/roster/roster_test.go
@@ -34,6 +34,43 @@
 	return m.State
 }
 
+// The list of a service's servers tells what is known of each, whatever changed last.
+func TestServiceFollowsEachChange(t *testing.T) {
+	r := settled()
+	all := two()
+	for i, change := range []func(){
+		func() { r.Update(at(0), all, false) },
+		func() { r.Update(at(10), all[:1], false) },
+		func() { r.Update(at(20), all, false) },
+		func() { r.Leave(at(30), "a") },
+		func() { r.Close(at(40), []roster.Closure{{Domain: "y"}}, warmup) },
+		func() { r.Close(at(50), nil, warmup) },
+		func() { r.End(at(60), "b") },
+		func() { r.Step(at(60000)) },
+		func() { r.Update(at(60010), all, false) },
+		func() {
+			all[1].Slots++
+			r.Update(at(60020), all, false)
+		},
+	} {
+		change()
+		for _, m := range r.Service("s") {
+			if x, ok := r.Find(m.Name); !ok || x != m {
+				t.Errorf("after change %d: got %+v, want %+v", i, m, x)
+			}
+		}
+		n := 0
+		for _, s := range all {
+			if _, ok := r.Find(s.Name); ok {
+				n++
+			}
+		}
+		if got := len(r.Service("s")); got != n {
+			t.Errorf("after change %d: got %d servers, want %d", i, got, n)
+		}
+	}
+}
+
 func TestUpdate(t *testing.T) {
 	tests := []struct {
 		name string
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"slices"
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
@@ -65,7 +64,14 @@
 
 // members lists the servers of a service that are kept; the mutex is held.
 func (g *Gateway) members(n api.ServiceName, keep func(m roster.Member) bool) []roster.Member {
-	return slices.DeleteFunc(g.roster.Service(n), func(m roster.Member) bool { return !keep(m) })
+	all := g.roster.Service(n)
+	l := make([]roster.Member, 0, len(all))
+	for _, m := range all {
+		if keep(m) {
+			l = append(l, m)
+		}
+	}
+	return l
 }
 
 // pick chooses an engine for a demand at once, unless others wait for it; the
