test: a request that crashes what runs it is sent on without end

Cause, as far as reproduced: what a broken run teaches is kept of the server alone and by each entry VM for itself; nothing counts what a content has done. Streams with copies and repeatable calls carry it to further servers by themselves.

--- /dev/null
+++ b/fleet/pool_test.go
@@ -0,0 +1,241 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/directory"
+	"github.com/wardridge/wardridge/internal/decide/replica"
+	"github.com/wardridge/wardridge/internal/decide/roster"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/port"
+)
+
+const (
+	// crashAfter is how long a server runs a request that crashes it.
+	crashAfter = 100 * time.Millisecond
+	// lapseAfter is when the entry of a server that has crashed is gone, and
+	// returnAfter when its successor starts.
+	lapseAfter  = 3500 * time.Millisecond
+	returnAfter = 3 * time.Second
+	// workTime is what a plain request takes, stepTime the time between two events
+	// of a stream, and steps their number.
+	workTime = 15 * time.Millisecond
+	stepTime = 30 * time.Millisecond
+	steps    = 30
+)
+
+// reached is one request that a server began to run.
+type reached struct {
+	at   time.Time
+	body string
+}
+
+// pool stands for all backend servers: what runs a deadly body crashes.
+type pool struct {
+	config  *kind[directory.Config]
+	entries *kind[roster.Server]
+	group   *duty.Group
+	deadly  string
+
+	mutex sync.Mutex
+	// live holds what ends with each server.
+	live    map[api.ServerName]context.CancelFunc
+	ends    map[api.ServerName]context.Context
+	made    int
+	began   []reached
+	crashed []time.Time
+}
+
+// newPool makes engines and plain servers, so many each, in three failure domains.
+func newPool(engines, plain int) *pool {
+	route := func(p string, k directory.Kind, s api.ServiceName) directory.Route {
+		return directory.Route{Name: p, Host: "h", Prefix: p, Kind: k, Timeout: 30 * time.Second, Aim: 2 * time.Second, GapAim: 180 * time.Millisecond, MaxServers: 2, Anonymous: true, Targets: []directory.Target{{Service: s, Weight: 1}}}
+	}
+	c := directory.Config{
+		Version: 1,
+		Routes: []directory.Route{
+			route("/stream/", directory.Stream, "engines"), route("/safe/", directory.Safe, "plain"), route("/unsafe/", directory.Unsafe, "plain"),
+		},
+		Services: []directory.Service{{Name: "engines", Engine: &directory.Engine{Slots: 24, Memory: 34000, Moves: true, Backups: true, Stride: 4}}, {Name: "plain"}},
+	}
+	p := &pool{
+		config:  newKind(replica.Object[directory.Config]{Name: "main", Version: 1, Value: c}),
+		entries: newKind[roster.Server](), deadly: "deadly",
+		live: map[api.ServerName]context.CancelFunc{}, ends: map[api.ServerName]context.Context{},
+	}
+	for range engines {
+		p.add("engines")
+	}
+	for range plain {
+		p.add("plain")
+	}
+	return p
+}
+
+// add starts a server of a service.
+func (p *pool) add(s api.ServiceName) {
+	p.mutex.Lock()
+	p.made++
+	n := api.ServerName(fmt.Sprintf("i-%03d", p.made))
+	p.ends[n], p.live[n] = context.WithCancel(context.Background())
+	x := roster.Server{Name: n, ID: api.ServerID(n), Service: s, Address: string(n), Domain: api.DomainName(fmt.Sprintf("hall-%d", p.made%3)), Slots: 24}
+	p.mutex.Unlock()
+	p.entries.put(string(n), x)
+}
+
+// crash ends a server without a word; its entry lapses, and another one starts.
+func (p *pool) crash(s roster.Server) {
+	p.mutex.Lock()
+	end, ok := p.live[s.Name]
+	delete(p.live, s.Name)
+	if ok {
+		p.crashed = append(p.crashed, time.Now())
+	}
+	p.mutex.Unlock()
+	if !ok {
+		return
+	}
+	end()
+	p.group.Go(func(ctx context.Context) error {
+		duty.Sleep(ctx, returnAfter)
+		p.add(s.Service)
+		duty.Sleep(ctx, lapseAfter-returnAfter)
+		p.entries.drop(string(s.Name))
+		return nil
+	})
+}
+
+// begin notes that a server begins to run a request; it reports false for a server that
+// has ended.
+func (p *pool) begin(a port.Attempt) (context.Context, bool) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if _, ok := p.live[a.Server.Name]; !ok {
+		return nil, false
+	}
+	p.began = append(p.began, reached{time.Now(), string(a.Request.Body)})
+	return p.ends[a.Server.Name], true
+}
+
+// after counts the deadly requests that reached a server more than a time after the n-th
+// crash.
+func (p *pool) after(n int, d time.Duration) int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.crashed) < n {
+		return 0
+	}
+	late := 0
+	for _, x := range p.began {
+		if x.body == p.deadly && x.at.Sub(p.crashed[n-1]) > d {
+			late++
+		}
+	}
+	return late
+}
+
+// crashes counts the servers that have crashed.
+func (p *pool) crashes() int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return len(p.crashed)
+}
+
+// Send runs a request on a server.
+func (p *pool) Send(ctx context.Context, a port.Attempt) (port.Answer, error) {
+	end, ok := p.begin(a)
+	if !ok {
+		err := &net.OpError{Op: "dial", Net: "memory", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+		return port.Answer{}, fault.Wrap(fault.NotStarted, err, "connecting to "+a.Server.Address)
+	}
+	deadly := string(a.Request.Body) == p.deadly
+	if deadly {
+		p.group.Go(func(ctx context.Context) error {
+			duty.Sleep(ctx, crashAfter)
+			p.crash(a.Server)
+			return nil
+		})
+	}
+	if a.Stream {
+		s := &poolStream{end: end, deadly: deadly, closed: make(chan struct{})}
+		if x := a.Resume; x != nil {
+			s.made, _ = strconv.Atoi(x.After)
+		}
+		return port.Answer{Head: port.Head{Status: http.StatusOK}, Stream: s}, nil
+	}
+	work := workTime
+	if deadly {
+		work = 2 * crashAfter
+	}
+	select {
+	case <-time.After(work):
+		return port.Answer{Head: port.Head{Status: http.StatusOK}, Body: []byte("done")}, nil
+	case <-end.Done():
+		return port.Answer{}, fault.Wrap(fault.OutcomeUnknown, io.EOF, "the connection was closed without a whole answer")
+	case <-ctx.Done():
+		return port.Answer{}, fault.Wrap(fault.OutcomeUnknown, ctx.Err(), "no answer in time")
+	}
+}
+
+// Copy has no room for copies on order.
+func (*pool) Copy(context.Context, port.CopyOrder) (port.Copy, error) {
+	return port.Copy{}, fault.New(fault.ServerRefused, "no room")
+}
+
+// Report tells that the server serves.
+func (p *pool) Report(_ context.Context, s roster.Server, _ bool) (port.Report, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if _, ok := p.live[s.Name]; !ok {
+		return port.Report{}, fault.New(fault.NotStarted, "ended")
+	}
+	return port.Report{Made: map[api.RequestID]int{}}, nil
+}
+
+// Release frees nothing.
+func (*pool) Release(context.Context, roster.Server, string) error { return nil }
+
+// poolStream is the stream of one run; a deadly one has no event.
+type poolStream struct {
+	end    context.Context
+	deadly bool
+	made   int
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (s *poolStream) Next() (port.Event, error) {
+	step := stepTime
+	if s.deadly {
+		step = time.Minute
+	}
+	t := time.NewTimer(step)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-s.end.Done():
+		return port.Event{}, fault.Wrap(fault.GenerationLost, io.ErrUnexpectedEOF, "the stream broke off")
+	case <-s.closed:
+		return port.Event{}, fault.New(fault.GenerationLost, "closed")
+	}
+	if s.made == steps {
+		return port.Event{}, io.EOF
+	}
+	s.made++
+	return port.Event{ID: strconv.Itoa(s.made)}, nil
+}
+
+func (*poolStream) Waiting() bool { return false }
+
+func (s *poolStream) Close() { s.once.Do(func() { close(s.closed) }) }
