fix: the own interface refuses contents that end its engines and services too

A completion without a token is begun again on another engine, and its caller may ask at any entry VM; nothing was kept of the content. Change: contents.Guard serves both request paths. On the own interface entry VMs tell each other in their heartbeats, also of what is refused, so that one that starts later learns it within two seconds; a poll that finds an engine gone proves its end. The time of a refusal counts from the last break, so that VMs which hear of it later agree.

--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -1,9 +1,14 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"slices"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -11,8 +16,10 @@
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/fault"
 	"github.com/wardridge/wardridge/internal/port"
+	"github.com/wardridge/wardridge/internal/standin/engine"
 )
 
 // Engineers saw their chats break off, several at one moment, again and again: twenty-five
@@ -185,3 +192,122 @@
 		}
 	})
 }
+
+// fragile is an engine of the own interface that a deadly prompt crashes, and that is back
+// after some seconds.
+type fragile struct {
+	bed     *bed
+	name    api.ServerName
+	address string
+
+	mutex   sync.Mutex
+	server  *http.Server
+	crashes []time.Time
+	began   []time.Time
+}
+
+// start serves a new life of the engine.
+func (f *fragile) start() {
+	o := engine.Defaults()
+	o.Name = f.name
+	o.Loaded = []string{"model/desk@2026-10", "adapter/permits@7"}
+	e := engine.New(o, event.Discard())
+	f.bed.group.Go(e.Run)
+	h := e.Handler()
+	s := f.bed.serve(f.address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		if strings.Contains(string(b), "deadly") {
+			f.crash()
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(b))
+		h.ServeHTTP(w, r)
+	}))
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.server = s
+}
+
+// crash ends the engine a moment after it has begun a deadly prompt.
+func (f *fragile) crash() {
+	f.mutex.Lock()
+	f.began = append(f.began, time.Now())
+	f.mutex.Unlock()
+	time.Sleep(crashAfter)
+	f.mutex.Lock()
+	s := f.server
+	f.server = nil
+	if s != nil {
+		f.crashes = append(f.crashes, time.Now())
+	}
+	f.mutex.Unlock()
+	if s == nil {
+		return
+	}
+	f.bed.group.Go(func(ctx context.Context) error {
+		duty.Sleep(ctx, returnAfter)
+		f.start()
+		return nil
+	})
+	_ = s.Close()
+}
+
+// The same on the own interface, where a completion without a token is begun again on
+// another engine by the entry VM itself.
+func TestCrashingCompletionIsStopped(t *testing.T) {
+	fleet(t, 3, func(t *testing.T, b *bed) {
+		var l []*fragile
+		for i := range 2 {
+			f := &fragile{bed: b, name: api.ServerName(fmt.Sprintf("engine-%d", i+1)), address: fmt.Sprintf("127.0.0.1:701%d", i+1)}
+			f.start()
+			l = append(l, f)
+		}
+		b.within(time.Minute, "the engines to be seen", func() bool { return b.every(func(s api.NodeStatus) bool { return len(s.Servers) > 1 }) })
+		c := &http.Client{Transport: &http.Transport{DialContext: machine{b.net, "callers"}.dial, DisableKeepAlives: true}}
+		refused := 0
+		for i := range comebacks {
+			u := "http://" + b.vms[i%3].host + ":80/v1/chat/completions"
+			r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, u, strings.NewReader(`{"model":"desk","max_tokens":50,"messages":[{"role":"user","content":"deadly"}]}`))
+			if err != nil {
+				t.Fatal(err)
+			}
+			r.Header.Set("Authorization", "Bearer dispatch-key")
+			a, err := c.Do(r)
+			if err != nil {
+				t.Fatal(err)
+			}
+			body, err := io.ReadAll(a.Body)
+			_ = a.Body.Close()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if strings.Contains(string(body), "quarantined") {
+				refused++
+			}
+			time.Sleep(comebackEvery)
+		}
+		var crashes, began []time.Time
+		for _, f := range l {
+			f.mutex.Lock()
+			crashes, began = append(crashes, f.crashes...), append(began, f.began...)
+			f.mutex.Unlock()
+		}
+		slices.SortFunc(crashes, time.Time.Compare)
+		t.Logf("%d crashes, %d of %d refused", len(crashes), refused, comebacks)
+		if refused == 0 {
+			t.Error("refused: got none, want the content to be refused in the end")
+		}
+		late := 0
+		for _, x := range began {
+			if len(crashes) > 2 && x.Sub(crashes[2]) > settleTime {
+				late++
+			}
+		}
+		if late > lateMost {
+			t.Errorf("requests to engines %v after the third crash: got %d, want at most %d", settleTime, late, lateMost)
+		}
+	})
+}
--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -611,6 +611,9 @@
 	// Configuration in force at the sender.
 	ConfigVersion Version `json:"config_version"`
 
+	// What the sender knows of contents that may end servers.
+	Contents []ContentWord `json:"contents,omitempty,omitzero"`
+
 	// Failure domain of the sender.
 	Domain DomainName `json:"domain"`
 
--- /dev/null
+++ b/internal/contents/guard.go
@@ -0,0 +1,154 @@
+package contents
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/quarantine"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/metric"
+	"github.com/wardridge/wardridge/internal/port"
+)
+
+// Name names a request's content; it is called only where something is held against
+// any, since it reads the whole request.
+type Name func() api.ContentHash
+
+// Guard guards one table of contents.
+type Guard struct {
+	log     *event.Log
+	metrics *metric.Set
+
+	mutex sync.Mutex
+	table *quarantine.Table
+}
+
+// New makes a guard that knows of no content.
+func New(l *event.Log, m *metric.Set) *Guard {
+	return &Guard{log: l, metrics: m, table: quarantine.New()}
+}
+
+// idle reports whether nothing is held against any content.
+func (g *Guard) idle() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.table.Empty()
+}
+
+// Barred refuses a content that ends the servers which run it, as not run, with the time
+// to come back. It is asked at the last moment before each send: another entry VM may
+// have learned of it while the request waited.
+func (g *Guard) Barred(n Name) *fault.Error {
+	if g.idle() {
+		return nil
+	}
+	c := n()
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := time.Now()
+	u, ok := g.table.Refused(now, c)
+	if !ok {
+		return nil
+	}
+	return fault.New(fault.Quarantined, "servers ended while they ran requests of this content").After(u.Sub(now))
+}
+
+// Broke takes the failure of a run in its beginning, at a server that had given no notice
+// of its end.
+func (g *Guard) Broke(n Name, s api.ServerName, err error) {
+	switch {
+	case port.Refused(err):
+		g.Ended(s)
+	case port.BrokeOff(err):
+		c := n()
+		g.mutex.Lock()
+		defer g.mutex.Unlock()
+		g.table.Broke(time.Now(), c, s)
+	}
+}
+
+// Ended notes that a server has ended without notice.
+func (g *Guard) Ended(s api.ServerName) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.table.Ended(time.Now(), s)
+}
+
+// Answered notes that a server has survived a request.
+func (g *Guard) Answered(n Name) {
+	if g.idle() {
+		return
+	}
+	c := n()
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.table.Answered(time.Now(), c)
+}
+
+// MayGoOn reports whether a run that broke off may be taken to a further server.
+func (g *Guard) MayGoOn(n Name) bool {
+	c := n()
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.table.MayGoOn(c)
+}
+
+// Step refuses the contents that have come to be proven, and gives them.
+func (g *Guard) Step() []quarantine.Verdict {
+	g.mutex.Lock()
+	l := g.table.Step(time.Now())
+	g.mutex.Unlock()
+	for _, v := range l {
+		g.metrics.Add(metric.Quarantined, 1)
+		g.log.Emit(event.ContentQuarantined, zap.String("content", string(v.Content)), zap.Any("servers", v.Servers), zap.Bool("own", v.Own), zap.Time("until", v.Until))
+	}
+	return l
+}
+
+// Refused reports whether a content is sent to no server.
+func (g *Guard) Refused(c api.ContentHash) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	_, ok := g.table.Refused(time.Now(), c)
+	return ok
+}
+
+// Declare takes the contents that the platform keeps as refused.
+func (g *Guard) Declare(l []quarantine.Entry) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.table.Declare(l)
+}
+
+// Expired lists the contents that the platform keeps beyond their time.
+func (g *Guard) Expired() []api.ContentHash {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.table.Expired(time.Now())
+}
+
+// News gives what peers may not know yet.
+func (g *Guard) News() []api.ContentWord {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.table.Tell(time.Now())
+}
+
+// All gives the news and, for peers without a platform that keeps them, the contents that
+// are refused.
+func (g *Guard) All() []api.ContentWord {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.table.TellAll(time.Now())
+}
+
+// Hear takes the words of a peer.
+func (g *Guard) Hear(l []api.ContentWord) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.table.Hear(time.Now(), l)
+}
--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -18,7 +18,8 @@
 	// harmless by a whole answer elsewhere: two exchanges from there to here by way of a
 	// hub.
 	proveTime = time.Second
-	// keepTime is how long a content that ends servers is refused. An operator can
+	// keepTime is how long a content that ends servers is refused, from its last break,
+	// so that entry VMs which hear of it later agree. An operator can
 	// release it before; a caller that was wronged is let in again after it.
 	keepTime = time.Hour
 	// rememberTime is how long a break counts. Callers that come again do so within
@@ -136,9 +137,6 @@
 
 // Ended notes that a server has ended without notice.
 func (t *Table) Ended(now time.Time, s api.ServerName) {
-	if _, ok := t.ended[s]; ok {
-		return
-	}
 	t.ended[s] = now
 	for _, x := range t.contents {
 		if r, ok := x.crashes[s]; ok && now.Sub(r.at) <= endTime {
@@ -244,7 +242,7 @@
 	if !x.until.IsZero() || n < crashesMost || now.Sub(last) < proveTime {
 		return Verdict{}, false
 	}
-	x.until = now.Add(keepTime)
+	x.until = last.Add(keepTime)
 	v := Verdict{Entry: Entry{Content: c, Until: x.until}, Own: x.own}
 	for s, r := range x.crashes {
 		if r.proven {
--- a/internal/decide/quarantine/word.go
+++ b/internal/decide/quarantine/word.go
@@ -25,9 +25,19 @@
 
 // Tell gives the words that peers may not know yet.
 func (t *Table) Tell(now time.Time) []api.ContentWord {
+	return t.tell(now, func(x *content) bool { return now.Sub(x.learned) <= tellTime })
+}
+
+// TellAll gives the words that peers may not know yet, and those of refused contents.
+func (t *Table) TellAll(now time.Time) []api.ContentWord {
+	return t.tell(now, func(x *content) bool { return now.Sub(x.learned) <= tellTime || x.until.After(now) })
+}
+
+// tell gives the words of some contents, in turns where they are too many.
+func (t *Table) tell(now time.Time, is func(x *content) bool) []api.ContentWord {
 	var l []api.ContentWord
 	for c, x := range t.contents {
-		if now.Sub(x.learned) <= tellTime {
+		if is(x) {
 			l = append(l, x.words(now, c)...)
 		}
 	}
@@ -56,7 +66,7 @@
 // Hear takes the words of a peer.
 func (t *Table) Hear(now time.Time, l []api.ContentWord) {
 	for _, w := range l[:min(len(l), hearMost)] {
-		if w.Content == "" || w.AgeMS < 0 || w.AgeMS > api.ToMilliseconds(rememberTime) {
+		if w.Content == "" || w.AgeMS < 0 || w.AgeMS > api.ToMilliseconds(keepTime) {
 			continue
 		}
 		at := now.Add(-w.AgeMS.Duration())
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -35,7 +35,7 @@
 // whenever all events that arrived have been taken, before it waits for more.
 // It returns nil only if take ended it, and the failure of idle or take as it is.
 func (s *Stream) Each(idle func() error, take func(api.TokenEvent) (bool, error)) error {
-	var out error = fault.New(fault.BadAnswer, "the stream ended early")
+	var out error = fault.Wrap(fault.BadAnswer, io.ErrUnexpectedEOF, "the stream ended early")
 	r := &beforeRead{reader: s.body, idle: idle}
 	sse.Read(r, nil)(func(e sse.Event, err error) bool {
 		if r.failed != nil {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -30,8 +30,10 @@
 	engine api.ServerName
 
 	address string
-	last    time.Time
-	watch   *time.Timer
+	// begun is when the engine began to stream the generation.
+	begun time.Time
+	last  time.Time
+	watch *time.Timer
 }
 
 // run generates until the answer is whole, has failed, or has to be tried
@@ -106,6 +108,9 @@
 	}
 	defer s.Close()
 	t.answer.Opened()
+	if t.begun.IsZero() {
+		t.begun = time.Now()
+	}
 	err = s.Each(t.sink.Flush, t.take)
 	switch {
 	case err == nil:
@@ -118,9 +123,16 @@
 	case fault.Has(err, fault.CallerGone):
 		return answer.Next{Move: answer.Fail, Fault: fault.From(err).WithRan(t.answer.Ran())}, true
 	}
+	if x.Err() == nil && time.Since(t.begun) < beginning {
+		t.server.Contents.Broke(t.chat.content, t.engine, err)
+	}
 	return t.broke(answer.Broken)
 }
 
+// beginning is how long a stream that breaks off counts as one that may have ended its
+// engine: a content that ends what begins it does so within a fraction of a second.
+const beginning = 5 * time.Second
+
 // patience is the silence after which a stream counts as broken.
 func (t *attempt) patience() time.Duration {
 	if t.answer.Next() == 0 {
@@ -143,6 +155,7 @@
 	if ctx.Err() != nil && b.Cause != answer.Refused {
 		return t.ended(ctx), true
 	}
+	t.server.Contents.Broke(t.chat.content, t.engine, b)
 	t.refused(b)
 	n, done := t.broke(b.Cause)
 	if t.answer.Unsent() && t.chat.permit != nil {
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -50,6 +50,9 @@
 		return
 	}
 	s.admitted(w, r, q, func(ctx context.Context) error {
+		if f := s.Contents.Barred(c.content); f != nil {
+			return f
+		}
 		if served, err := s.claimChat(ctx, w, c); err != nil || served {
 			return err
 		}
@@ -173,6 +176,7 @@
 	}
 	s.settle(ctx, c, k, f)
 	if f == nil {
+		s.Contents.Answered(c.content)
 		s.done(c.request)
 		return
 	}
@@ -223,12 +227,19 @@
 		if err != nil {
 			return s.unplaced(ctx, a, err)
 		}
+		if f := s.Contents.Barred(c.content); f != nil {
+			s.Broker.Finish(c.id, 0, false)
+			return f.WithRan(a.Ran())
+		}
 		s.note(c.request, "dispatch", string(g.Server)+": "+g.Reason)
 		c.engine = g.Server
 		t := &attempt{server: s, chat: c, answer: a, sink: k, engine: g.Server}
 		n := t.run(ctx)
 		switch n.Move {
 		case answer.Retry:
+			if !s.Contents.MayGoOn(c.content) {
+				return fault.New(fault.OutcomeUnknown, "servers ended while they ran requests of this content").WithRan(a.Ran())
+			}
 			s.Metrics.Add(metric.Retries, 1)
 			s.Log.Emit(event.GenerationRetried, zap.String("request", string(c.id)), zap.String("content", string(c.content())), zap.String("server", string(g.Server)))
 			s.note(c.request, "retry", "the attempt on "+string(g.Server)+" broke before its first token")
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -14,6 +14,7 @@
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/broker"
 	"github.com/wardridge/wardridge/internal/claims"
+	"github.com/wardridge/wardridge/internal/contents"
 	"github.com/wardridge/wardridge/internal/decide/backend"
 	"github.com/wardridge/wardridge/internal/decide/config"
 	"github.com/wardridge/wardridge/internal/decide/limit"
@@ -49,6 +50,8 @@
 	Claims   *claims.Keeper
 	Explain  *explain.Recorder
 	Group    *duty.Group
+	// Contents knows the contents that end servers; nil makes a guard of its own.
+	Contents *contents.Guard
 	// Reused sends calls over connections that are kept.
 	Reused *http.Client
 	// Single sends each call over a connection of its own.
@@ -71,6 +74,9 @@
 
 // New makes the callers' side.
 func New(p Parts) *Server {
+	if p.Contents == nil {
+		p.Contents = contents.New(p.Log, p.Metrics)
+	}
 	return &Server{
 		Parts: p, settings: p.Settings.Entry, engine: p.Settings.Engine,
 		limiter: limit.New(), services: backend.New(),
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -15,6 +15,7 @@
 	"github.com/wardridge/wardridge/internal/claims"
 	decide "github.com/wardridge/wardridge/internal/decide/call"
 	"github.com/wardridge/wardridge/internal/decide/config"
+	"github.com/wardridge/wardridge/internal/decide/quarantine"
 	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/fault"
 	"github.com/wardridge/wardridge/internal/metric"
@@ -89,6 +90,11 @@
 	return c, nil
 }
 
+// content names what the call asks for, the same for every attempt of its caller.
+func (c *call) content() api.ContentHash {
+	return quarantine.Hash(c.workspace.Name, c.method, string(c.service.Name), c.path+"?"+c.query, c.body)
+}
+
 // claimCall claims a call that is not repeatable and has a key; a call without
 // a key is sent at most once by this entry VM, and asking again is a new call.
 func (s *Server) claimCall(ctx context.Context, c *call) (*claims.Answer, error) {
@@ -130,6 +136,9 @@
 func (s *Server) try(ctx context.Context, c *call) (*claims.Answer, error) {
 	d := decide.New(c.once)
 	for {
+		if f := s.Contents.Barred(c.content); f != nil {
+			return nil, d.Withheld(f)
+		}
 		n, ok := s.pick(c)
 		if !ok {
 			return nil, d.NoServer()
@@ -137,8 +146,10 @@
 		a, err := s.send(ctx, c, n)
 		s.release(n, err)
 		if err == nil {
+			s.Contents.Answered(c.content)
 			return a, nil
 		}
+		s.Contents.Broke(c.content, n, err)
 		s.note(c.request, "failed", string(n)+": "+err.Error())
 		o := outcome(err)
 		if m, f := d.Failed(o, err, ctx.Err() != nil, s.again); m == decide.Fail {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -53,7 +53,7 @@
 // lines a second, what was late, retried or moved by all of its lines.
 func (g *Gateway) done(q *request, late lateness, figures ...zap.Field) {
 	g.Metrics.Add(metric.RequestsDone, 1)
-	g.noteAnswered(q)
+	g.Contents.Answered(q.content)
 	took := time.Since(q.Arrived)
 	id := event.RequestDone
 	q.outcome = "done"
@@ -103,7 +103,7 @@
 		if p.fault != nil {
 			return settle(failed, p.fault)
 		}
-		if f := g.barred(q); f != nil {
+		if f := g.Contents.Barred(q.content); f != nil {
 			p.end()
 			return settle(failed, c.Withheld(f))
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/contents"
 	"github.com/wardridge/wardridge/internal/decide/backlog"
 	"github.com/wardridge/wardridge/internal/decide/directory"
 	"github.com/wardridge/wardridge/internal/decide/drain"
@@ -48,6 +49,9 @@
 	Metrics *metric.Set
 	// Retries bounds the sends beyond the first of each request, by service.
 	Retries *retry.Windows
+	// Contents knows the contents that end servers; nil makes a guard of its
+	// own.
+	Contents *contents.Guard
 	// Quarantines keeps refused contents; nil where only entry VMs remember them.
 	Quarantines port.Quarantines
 	// Closable is set where operators may close failure domains to new work: who does
@@ -71,8 +75,6 @@
 	runs   map[api.ServerName]map[*run]bool
 	// admissions let requests in, by service.
 	admissions map[api.ServiceName]*admission
-	// contents is what is known of contents that end servers.
-	contents *quarantine.Table
 	// domains is what the allocators of other failure domains tell, contacts which
 	// of them did not answer.
 	domains  *placement.Domains
@@ -96,11 +98,14 @@
 	if p.Peers == nil {
 		p.Peers = alone{}
 	}
+	if p.Contents == nil {
+		p.Contents = contents.New(p.Log, p.Metrics)
+	}
 	return &Gateway{
 		domains: placement.NewDomains(), contacts: holder.NewContacts(), reports: holder.NewReports(), observations: holder.NewObservations(), incarnation: api.Incarnation(p.Seed),
 		Parts: p, roster: roster.New(), picker: placement.NewPicker(rand.NewPCG(p.Seed, 0)),
 		runs: map[api.ServerName]map[*run]bool{}, admissions: map[api.ServiceName]*admission{},
-		answers: silence.NewAnswers(), watchdog: newWatchdog(), contents: quarantine.New(),
+		answers: silence.NewAnswers(), watchdog: newWatchdog(),
 	}
 }
 
@@ -244,7 +249,7 @@
 		Request: r, route: x, workspace: w, service: v, sink: s,
 		deadline: r.Arrived.Add(holdTime(x.Timeout, r.Wait)),
 	}
-	return q, g.barred(q)
+	return q, g.Contents.Barred(q.content)
 }
 
 // holdDefault is how long a request is held where neither its route nor its
--- a/internal/gateway/inquiry.go
+++ b/internal/gateway/inquiry.go
@@ -36,7 +36,7 @@
 	g.answers.Note(s.Name, a)
 	g.mutex.Unlock()
 	if port.Refused(err) {
-		g.noteGone(s)
+		g.Contents.Ended(s.Name)
 	}
 	if a.Dark() {
 		g.note(s, placement.Lost)
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -50,7 +50,7 @@
 	g.picker.Engines.Expire(now)
 	g.Retries.Members(g.picker.Table.Members(now))
 	g.mutex.Unlock()
-	g.judge(now)
+	g.judge()
 	g.watchdog.sweep()
 	g.changed(c)
 }
@@ -63,7 +63,7 @@
 	g.noteLeaving(l)
 	for _, m := range l {
 		if m.Silent() {
-			g.noteGone(m.Server)
+			g.Contents.Ended(m.Name)
 		}
 		g.Log.Emit(event.ServerState, zap.String("server", string(m.Name)), zap.String("address", m.Address), zap.String("state", m.State.String()))
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,6 +41,7 @@
 		State:         c.Life.State(),
 		ConfigVersion: c.Follow.View().Version,
 		InFlight:      c.Life.InFlight(),
+		Contents:      c.Contents.All(),
 	}
 }
 
@@ -92,6 +93,7 @@
 		c.Log.Emit(event.ClockJump)
 		c.confirm(ctx)
 	}
+	c.Contents.Step()
 	c.Entry.Members(c.Beat.Serving())
 	for _, l := range c.Leaders {
 		l.Want(c.Life.State() == api.PeerStateServing && c.Beat.Candidate(l.Duty()))
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -10,6 +10,7 @@
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/broker"
 	"github.com/wardridge/wardridge/internal/claims"
+	"github.com/wardridge/wardridge/internal/contents"
 	"github.com/wardridge/wardridge/internal/control"
 	"github.com/wardridge/wardridge/internal/decide/admit"
 	"github.com/wardridge/wardridge/internal/decide/config"
@@ -30,6 +31,7 @@
 	"github.com/wardridge/wardridge/internal/orders"
 	"github.com/wardridge/wardridge/internal/peer"
 	"github.com/wardridge/wardridge/internal/poll"
+	"github.com/wardridge/wardridge/internal/port"
 	"github.com/wardridge/wardridge/internal/step"
 	"github.com/wardridge/wardridge/internal/upkeep"
 	"github.com/wardridge/wardridge/internal/wire"
@@ -88,6 +90,7 @@
 		Seed:          uint64(c.Owner.Incarnation),
 	}))
 	const kilo = 1024
+	c.Contents = contents.New(c.Log, c.Metrics)
 	c.Claims = claims.New(c.Owner, c.Platform, release{c}, s.Claim.AnswerLimitKB*kilo, c.Log, c.Metrics)
 	return nil
 }
@@ -143,20 +146,28 @@
 	// Duties outlive the signal to stop: they end with the clean-up.
 	c.Group, closer = duty.New(context.WithoutCancel(c.Context))
 	c.cleanup(closer)
-	c.Poll = poll.New(c.Group, c.Engines, c.Log, c.Metrics, c.Settings.Engine.ReportPollMS.Duration(), c.Broker.Lost)
+	c.Poll = poll.New(c.Group, c.Engines, c.Log, c.Metrics, c.Settings.Engine.ReportPollMS.Duration(), c.lost)
 	c.Entry = entry.New(entry.Parts{
 		Settings: c.Settings, Log: c.Log, Metrics: c.Metrics, Life: c.Life,
 		View: func() *config.View { return c.Follow.View() }, Broker: c.Broker,
-		Engines: c.Engines, Claims: c.Claims, Explain: c.Explain, Group: c.Group,
+		Engines: c.Engines, Claims: c.Claims, Explain: c.Explain, Group: c.Group, Contents: c.Contents,
 		Reused: c.Reused, Single: c.Single,
 	})
 	c.Follow = follow.New(c.Platform, c.Life, c.Log, c.Metrics, c.Settings.Platform.WatchWaitMS.Duration(), c.declare, c.Poll.Declare, c.Entry.Declare)
-	c.Beat = heartbeat.New(c.heartbeat, c.catchUp, c.Peers, c.Log, c.Metrics)
+	c.Beat = heartbeat.New(c.heartbeat, c.catchUp, c.Contents.Hear, c.Peers, c.Log, c.Metrics)
 	c.lead()
 	c.startDuties()
 	return nil
 }
 
+// lost notes an engine that can't be connected to.
+func (c *Context) lost(n api.ServerName, err error) {
+	c.Broker.Lost(n)
+	if port.Refused(err) {
+		c.Contents.Ended(n)
+	}
+}
+
 // lead makes the leases and what is done under them.
 func (c *Context) lead() {
 	t := lease.Timing{Duration: c.Settings.Lease.DurationMS.Duration(), Skew: c.Settings.Lease.SkewMS.Duration()}
--- a/internal/poll/poll.go
+++ b/internal/poll/poll.go
@@ -34,7 +34,7 @@
 	log     *event.Log
 	metrics *metric.Set
 	every   time.Duration
-	lost    func(api.ServerName)
+	lost    Lost
 	reports *ring.Ring[api.LoadReport]
 
 	mutex   sync.Mutex
@@ -42,9 +42,12 @@
 	last    map[api.ServerName]api.LoadReport
 }
 
+// Lost is told of an engine that can't be connected to, and how that failed.
+type Lost func(n api.ServerName, err error)
+
 // New makes a poller whose duties run in a group; lost is told of an engine
 // that can't be connected to.
-func New(g *duty.Group, c *engine.Client, l *event.Log, m *metric.Set, every time.Duration, lost func(api.ServerName)) *Poller {
+func New(g *duty.Group, c *engine.Client, l *event.Log, m *metric.Set, every time.Duration, lost Lost) *Poller {
 	return &Poller{
 		group: g, client: c, log: l, metrics: m, every: every, lost: lost,
 		reports: ring.New[api.LoadReport](ringSize),
@@ -136,7 +139,7 @@
 	}
 	p.metrics.Add(metric.ReportsFailed, 1)
 	if fault.Has(err, fault.NotStarted) {
-		p.lost(x.name)
+		p.lost(x.name, err)
 	}
 	if !x.failed {
 		p.log.Emit(event.ServerUnreachable, zap.String("server", string(x.name)), zap.Error(err))
