fix: on the hosting platform, too, a request's time runs on while the VM is suspended

Cause: deadlines were kept by the steady clock, which stands still in a suspension. A request that was under way then gave servers more time than its caller had left, and was answered that much after its route's time. The own interface had its views and leases by the boot clock, the gateway had not. Change: clock.Deadlines ends requests' contexts and brings them forward by what the boot clock is ahead, looked at each round; after a suspension the configuration, servers, closed domains and refused contents are asked for at once, and the jump is logged and counted.

--- /dev/null
+++ b/internal/clock/deadline_test.go
@@ -0,0 +1,65 @@
+package clock_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/clock"
+)
+
+// A suspension of three seconds is one by which the boot clock is ahead; what was to end
+// within it ends at its end, the rest three seconds earlier.
+func TestDeadlinesPassWhileSuspended(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		lead := time.Duration(0)
+		l := clock.NewDeadlines(func() time.Time { return time.Now().Add(lead) })
+		start := time.Now()
+		end := func(after time.Duration) (context.Context, *clock.Deadline) {
+			ctx, d, stop := l.Context(t.Context(), start.Add(after))
+			t.Cleanup(stop)
+			return ctx, d
+		}
+		soon, _ := end(2 * time.Second)
+		later, d := end(10 * time.Second)
+		time.Sleep(time.Second)
+		if got := l.Check(); got != 0 {
+			t.Errorf("without a suspension: got %v, want none", got)
+		}
+		lead = 3 * time.Second
+		if got := l.Check(); got != lead {
+			t.Errorf("got a suspension of %v, want %v", got, lead)
+		}
+		synctest.Wait()
+		if got := context.Cause(soon); got != context.DeadlineExceeded {
+			t.Errorf("a deadline within it: got %v, want it exceeded", got)
+		}
+		if got := d.Left(); got != 6*time.Second {
+			t.Errorf("a later deadline: got %v left, want 6 s", got)
+		}
+		if got := l.Check(); got != 0 {
+			t.Errorf("the same suspension again: got %v, want none", got)
+		}
+		time.Sleep(6*time.Second - time.Millisecond)
+		if later.Err() != nil {
+			t.Errorf("just before: got %v, want it open", context.Cause(later))
+		}
+		time.Sleep(2 * time.Millisecond)
+		if got := context.Cause(later); got != context.DeadlineExceeded {
+			t.Errorf("after it: got %v, want it exceeded", got)
+		}
+	})
+}
+
+func TestCallersLeaveBeforeDeadlines(t *testing.T) {
+	l := clock.NewDeadlines(clock.Boot)
+	p, leave := context.WithCancel(t.Context())
+	ctx, _, stop := l.Context(p, time.Now().Add(time.Hour))
+	defer stop()
+	leave()
+	<-ctx.Done()
+	if got := context.Cause(ctx); got != context.Canceled {
+		t.Errorf("got %v, want the caller's leaving", got)
+	}
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -127,7 +127,7 @@
 		g.Log.Emit(event.AttemptFailed, zap.String("request", string(q.ID)), zap.String("server", string(s.Name)), zap.String("content", string(q.content())), zap.Error(err))
 		m, f := c.Failed(outcome(err), err, ctx.Err() != nil, again)
 		if m == call.Fail {
-			if errors.Is(ctx.Err(), context.Canceled) {
+			if errors.Is(context.Cause(ctx), context.Canceled) {
 				f = fault.Wrap(fault.CallerGone, err, "the caller closed its connection")
 			}
 			return settle(failed, f)
@@ -183,7 +183,7 @@
 
 // attempt sends a request to one server.
 func (g *Gateway) attempt(ctx context.Context, q *request, s roster.Server, b *backup) (port.Answer, error) {
-	left := time.Until(q.deadline)
+	left := q.deadline.Left()
 	if q.route.Kind == directory.Safe && len(q.tried) < q.route.MaxServers && q.route.Aim > 0 {
 		left = min(left, time.Duration(hangAims*float64(q.route.Aim)))
 		c, cancel := context.WithTimeout(ctx, left)
@@ -202,7 +202,7 @@
 // protect, with all the time that is left.
 func (q *request) attempt(s roster.Server, b *backup) port.Attempt {
 	a := port.Attempt{
-		Request: q.Request, Server: s, Workspace: q.workspace.Name, Left: time.Until(q.deadline),
+		Request: q.Request, Server: s, Workspace: q.workspace.Name, Left: q.deadline.Left(),
 		Stream: q.route.Kind == directory.Stream,
 	}
 	if b != nil {
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/clock"
 	"github.com/wardridge/wardridge/internal/decide/directory"
 	"github.com/wardridge/wardridge/internal/decide/replica"
 	"github.com/wardridge/wardridge/internal/decide/retry"
@@ -81,6 +82,10 @@
 	log *event.Log
 	// backups lets servers keep copies of runs as they grow.
 	backups bool
+	// lefts are the times that servers were given, in order; lead is by how much the
+	// boot clock is ahead.
+	lefts []time.Duration
+	lead  time.Duration
 }
 
 func newFake() *fake {
@@ -90,11 +95,19 @@
 	}
 }
 
+// boot reads the clock that goes on while the VM is suspended.
+func (f *fake) boot() time.Time {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return time.Now().Add(f.lead)
+}
+
 func (f *fake) Send(ctx context.Context, a port.Attempt) (port.Answer, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	n := string(a.Server.Name)
 	f.sends = append(f.sends, n)
+	f.lefts = append(f.lefts, a.Left)
 	if l := f.answers[n]; len(l) > 0 {
 		f.answers[n] = l[1:]
 		if err, ok := l[0].(error); ok {
@@ -362,7 +375,8 @@
 	g, closer := duty.New(context.Background())
 	t.Cleanup(closer)
 	b := &bed{fake: f, Gateway: gateway.New(gateway.Parts{
-		Domain: "x", Backends: f, Group: g, Log: f.log, Metrics: metric.New(),
+		Deadlines: clock.NewDeadlines(f.boot),
+		Domain:    "x", Backends: f, Group: g, Log: f.log, Metrics: metric.New(),
 		Retries: retry.NewWindows(10*time.Second, 0, slack),
 	})}
 	e := &directory.Engine{Slots: 24, Memory: 34000, Moves: true, Backups: f.backups, Stride: 4}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/clock"
 	"github.com/wardridge/wardridge/internal/contents"
 	"github.com/wardridge/wardridge/internal/decide/backlog"
 	"github.com/wardridge/wardridge/internal/decide/directory"
@@ -49,6 +50,8 @@
 	Metrics *metric.Set
 	// Retries bounds the sends beyond the first of each request, by service.
 	Retries *retry.Windows
+	// Deadlines end requests at their callers' times; nil makes some by the boot clock.
+	Deadlines *clock.Deadlines
 	// Contents knows the contents that end servers; nil makes a guard of its
 	// own.
 	Contents *contents.Guard
@@ -98,6 +101,9 @@
 	if p.Peers == nil {
 		p.Peers = alone{}
 	}
+	if p.Deadlines == nil {
+		p.Deadlines = clock.NewDeadlines(clock.Boot)
+	}
 	if p.Contents == nil {
 		p.Contents = contents.New(p.Log, p.Metrics)
 	}
@@ -162,9 +168,12 @@
 	route     *directory.Route
 	workspace directory.Workspace
 	service   *directory.Service
-	deadline  time.Time
-	sink      port.Sink
-	tried     []api.ServerName
+	// hold is how long the request is held at most, and deadline the end of that, once
+	// it is admitted.
+	hold     time.Duration
+	deadline *clock.Deadline
+	sink     port.Sink
+	tried    []api.ServerName
 	// choices are the log lines of the servers chosen, which are written at the
 	// end where the request did not go well.
 	choices [][]zap.Field
@@ -202,8 +211,9 @@
 		g.Metrics.Observe(string(q.route.Kind), q.outcome, time.Since(began))
 		g.Metrics.Count(metric.ByWorkspace, string(q.workspace.Name), q.outcome)
 	}()
-	ctx, cancel := context.WithDeadline(ctx, q.deadline)
-	defer cancel()
+	var stop func()
+	ctx, q.deadline, stop = g.Deadlines.Context(ctx, r.Arrived.Add(q.hold))
+	defer stop()
 	g.mutex.Lock()
 	g.Retries.Fresh(time.Now(), q.service.Name)
 	g.mutex.Unlock()
@@ -247,7 +257,7 @@
 	}
 	q := &request{
 		Request: r, route: x, workspace: w, service: v, sink: s,
-		deadline: r.Arrived.Add(holdTime(x.Timeout, r.Wait)),
+		hold: holdTime(x.Timeout, r.Wait),
 	}
 	return q, g.Contents.Barred(q.content)
 }
@@ -294,7 +304,7 @@
 func (g *Gateway) fail(q *request, f *fault.Error) {
 	q.outcome = f.Code.Kind().Type
 	g.tell(q)
-	l := []zap.Field{zap.String("route", q.route.Name), zap.Duration("took", time.Since(q.Arrived)), zap.Duration("allowed", q.deadline.Sub(q.Arrived))}
+	l := []zap.Field{zap.String("route", q.route.Name), zap.Duration("took", time.Since(q.Arrived)), zap.Duration("allowed", q.hold)}
 	g.refuse(q.Request, q.sink, f, append(l, q.figures()...)...)
 }
 
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -171,7 +171,7 @@
 	_, n := m.run.progress()
 	x := q.service.Engine
 	p := m.gateway.obtain(ctx, demand{
-		service: q.service, purpose: api.PlaceAskPurposeMove, domain: m.source.Domain, deadline: q.deadline,
+		service: q.service, purpose: api.PlaceAskPurposeMove, domain: m.source.Domain, deadline: q.deadline.At(),
 		need:  placement.Need{Tokens: need(q).Tokens + api.Tokens(n*x.Stride/2), Unread: moveUnread},
 		tried: append(slices.Clone(m.tried), m.source.Name),
 	})
--- a/internal/gateway/obtain.go
+++ b/internal/gateway/obtain.go
@@ -45,7 +45,7 @@
 // demand is what a new run of a request asks for.
 func (g *Gateway) demand(q *request, n placement.Need, waits bool) demand {
 	d := demand{
-		service: q.service, purpose: api.PlaceAskPurposeRun, domain: g.Domain, need: n, deadline: q.deadline, waits: waits, tried: q.tried,
+		service: q.service, purpose: api.PlaceAskPurposeRun, domain: g.Domain, need: n, deadline: q.deadline.At(), waits: waits, tried: q.tried,
 		ask: backlog.Ask{
 			Workspace: q.workspace.Name, Rank: backlog.Rank(q.workspace.Priority, q.route.Priority),
 			Cost: float64(n.Tokens), Aim: q.aim(),
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -97,7 +97,7 @@
 
 // overdue types the end of a request that waited for a server.
 func overdue(ctx context.Context) *fault.Error {
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if errors.Is(context.Cause(ctx), context.Canceled) {
 		return fault.New(fault.CallerGone, "the caller closed its connection")
 	}
 	return fault.New(fault.DeadlinePassed, "the deadline passed while the request waited for a server")
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/clock"
 	"github.com/wardridge/wardridge/internal/decide/directory"
 	"github.com/wardridge/wardridge/internal/decide/quarantine"
 	"github.com/wardridge/wardridge/internal/decide/roster"
@@ -69,6 +70,7 @@
 	// quarantines is nil where the platform keeps no refused contents.
 	quarantines           *mirror.Mirror[quarantine.Entry]
 	mesh                  *mesh.Mesh
+	deadlines             *clock.Deadlines
 	ticks, rounds         int
 	leftBound, leftOutput int64
 	// telling is set while changes are gathered for peers.
--- a/internal/node/hosted_start.go
+++ b/internal/node/hosted_start.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/clock"
 	"github.com/wardridge/wardridge/internal/decide/directory"
 	"github.com/wardridge/wardridge/internal/decide/gossip"
 	"github.com/wardridge/wardridge/internal/decide/quarantine"
@@ -72,8 +73,10 @@
 
 func (hostedDecisions) Run(h *Hosted) error {
 	s := h.Settings.Gateway
+	h.deadlines = clock.NewDeadlines(h.Machine.Now)
 	h.gateway = gateway.New(gateway.Parts{
-		VM: h.Settings.Node.Name, Domain: h.Settings.Node.Domain, Seed: uint64(time.Now().UnixNano()), Peers: allocators{h}, Backends: h.adapter.Backends, Group: h.group, Log: h.Log, Metrics: h.Metrics,
+		Deadlines: h.deadlines,
+		VM:        h.Settings.Node.Name, Domain: h.Settings.Node.Domain, Seed: uint64(time.Now().UnixNano()), Peers: allocators{h}, Backends: h.adapter.Backends, Group: h.group, Log: h.Log, Metrics: h.Metrics,
 		Closable:    s.CloseMS > 0,
 		Quarantines: h.adapter.Quarantines,
 		Retries:     retry.NewWindows(seconds(s.RetryWindowS), s.RetryRatio, s.RetrySlack),
@@ -311,6 +314,7 @@
 // round is one round of the small duties.
 func (h *Hosted) round() {
 	h.rounds++
+	h.awake()
 	h.gateway.Step()
 	h.gateway.Contents.Verify(h.group, connects(h.Machine.Dial, h.gateway.Address))
 	h.Metrics.Put(metric.RequestsInFlight, int64(h.gateway.InFlight()))
@@ -331,6 +335,25 @@
 	}
 }
 
+// awake notices that the VM was suspended: what it follows is asked for at once, since
+// nothing that was on its way before says how things stand.
+func (h *Hosted) awake() {
+	d := h.deadlines.Check()
+	if d == 0 {
+		return
+	}
+	h.Metrics.Add(metric.ClockJumps, 1)
+	h.Log.Emit(event.ClockJump, zap.Duration("suspended", d))
+	h.config.Refresh()
+	h.servers.Refresh()
+	if h.closures != nil {
+		h.closures.Refresh()
+	}
+	if h.quarantines != nil {
+		h.quarantines.Refresh()
+	}
+}
+
 // reload is the duty that takes changed settings. Bounds and the time to stop
 // change at once; addresses need a restart, and settings that are wrong change
 // nothing.
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		stop()
 		_ = n.Close()
-		if n.reused && errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		if n.reused && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 			// Others that are idle may have gone silent with it.
 			p.drop(c.Address)
 		}
