fix: on the own interface requests end at their callers' times after a suspension as well

Cause: as on the hosting platform; leases and views went by the boot clock, deadlines of requests did not. Measured: TestDeadlinesPassWhileSuspended holds the clock; the contract and fleet tests hold the interface as it was. Not tested on this path by a suspension of its own.

--- a/fleet/pool_test.go
+++ b/fleet/pool_test.go
@@ -121,13 +121,10 @@
 		panic(err)
 	}
 	p.group.Go(func(context.Context) error {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return nil
-			}
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
 			_ = c.Close()
 		}
+		return nil
 	})
 	return func() {
 		_ = l.Close()
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -178,7 +178,7 @@
 // ended types the end of the caller's own context.
 func (t *attempt) ended(ctx context.Context) answer.Next {
 	f := fault.New(fault.CallerGone, "the caller closed its connection")
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		f = fault.New(fault.DeadlinePassed, "the deadline passed")
 	}
 	return answer.Next{Move: answer.Fail, Fault: f.WithRan(t.answer.Ran())}
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"strings"
@@ -257,7 +258,7 @@
 // have run all the same.
 func (s *Server) unplaced(ctx context.Context, a *answer.Answer, err error) *fault.Error {
 	f := fault.From(err)
-	if f.Code == fault.CallerGone && ctx.Err() == context.DeadlineExceeded {
+	if f.Code == fault.CallerGone && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		f = fault.New(fault.DeadlinePassed, "the deadline passed while the request waited").After(time.Second)
 	}
 	return f.WithRan(a.Ran())
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -14,6 +14,7 @@
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/broker"
 	"github.com/wardridge/wardridge/internal/claims"
+	"github.com/wardridge/wardridge/internal/clock"
 	"github.com/wardridge/wardridge/internal/contents"
 	"github.com/wardridge/wardridge/internal/decide/backend"
 	"github.com/wardridge/wardridge/internal/decide/config"
@@ -50,6 +51,8 @@
 	Claims   *claims.Keeper
 	Explain  *explain.Recorder
 	Group    *duty.Group
+	// Deadlines end requests at their callers' times; nil makes some by the boot clock.
+	Deadlines *clock.Deadlines
 	// Contents knows the contents that end servers; nil makes a guard of its own.
 	Contents *contents.Guard
 	// Reused sends calls over connections that are kept.
@@ -74,6 +77,9 @@
 
 // New makes the callers' side.
 func New(p Parts) *Server {
+	if p.Deadlines == nil {
+		p.Deadlines = clock.NewDeadlines(clock.Boot)
+	}
 	if p.Contents == nil {
 		p.Contents = contents.New(p.Log, p.Metrics)
 	}
@@ -215,8 +221,8 @@
 		return
 	}
 	defer done()
-	ctx, cancel := context.WithDeadline(r.Context(), q.deadline)
-	defer cancel()
+	ctx, _, stop := s.Deadlines.Context(r.Context(), q.deadline)
+	defer stop()
 	if err := f(ctx); err != nil {
 		s.refuse(w, q, err)
 	}
--- a/internal/node/context.go
+++ b/internal/node/context.go
@@ -8,6 +8,7 @@
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/broker"
 	"github.com/wardridge/wardridge/internal/claims"
+	"github.com/wardridge/wardridge/internal/clock"
 	"github.com/wardridge/wardridge/internal/contents"
 	"github.com/wardridge/wardridge/internal/control"
 	"github.com/wardridge/wardridge/internal/decide/lease"
@@ -46,18 +47,19 @@
 	Reused   *http.Client
 	Single   *http.Client
 
-	Group    *duty.Group
-	Broker   *broker.Broker
-	Follow   *follow.Follower
-	Poll     *poll.Poller
-	Beat     *heartbeat.Keeper
-	Claims   *claims.Keeper
-	Contents *contents.Guard
-	Leaders  []*leader.Leader
-	Orders   *orders.Sender
-	Upkeep   *upkeep.Keeper
-	Entry    *entry.Server
-	Control  *control.Server
+	Group     *duty.Group
+	Broker    *broker.Broker
+	Follow    *follow.Follower
+	Poll      *poll.Poller
+	Beat      *heartbeat.Keeper
+	Claims    *claims.Keeper
+	Deadlines *clock.Deadlines
+	Contents  *contents.Guard
+	Leaders   []*leader.Leader
+	Orders    *orders.Sender
+	Upkeep    *upkeep.Keeper
+	Entry     *entry.Server
+	Control   *control.Server
 
 	CallerServer  *http.Server
 	ControlServer *http.Server
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -10,6 +10,7 @@
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/broker"
 	"github.com/wardridge/wardridge/internal/claims"
+	"github.com/wardridge/wardridge/internal/clock"
 	"github.com/wardridge/wardridge/internal/contents"
 	"github.com/wardridge/wardridge/internal/control"
 	"github.com/wardridge/wardridge/internal/decide/admit"
@@ -91,6 +92,7 @@
 	}))
 	const kilo = 1024
 	c.Contents = contents.New(c.Log, c.Metrics)
+	c.Deadlines = clock.NewDeadlines(c.Machine.Now)
 	c.Claims = claims.New(c.Owner, c.Platform, release{c}, s.Claim.AnswerLimitKB*kilo, c.Log, c.Metrics)
 	return nil
 }
@@ -150,7 +152,7 @@
 	c.Entry = entry.New(entry.Parts{
 		Settings: c.Settings, Log: c.Log, Metrics: c.Metrics, Life: c.Life,
 		View: func() *config.View { return c.Follow.View() }, Broker: c.Broker,
-		Engines: c.Engines, Claims: c.Claims, Explain: c.Explain, Group: c.Group, Contents: c.Contents,
+		Engines: c.Engines, Claims: c.Claims, Explain: c.Explain, Group: c.Group, Contents: c.Contents, Deadlines: c.Deadlines,
 		Reused: c.Reused, Single: c.Single,
 	})
 	c.Follow = follow.New(c.Platform, c.Life, c.Log, c.Metrics, c.Settings.Platform.WatchWaitMS.Duration(), c.declare, c.Poll.Declare, c.Entry.Declare)
