fix: a content whose requests are given up before their servers end counts as well

Cause, found in reading: a safe call is given up after 2.5 times its aim, and a stream that falls silent is closed here; a server that ends after that left no trace of the content. Ruled out: to count every request that is given up as news, which under overload would fill the exchange. Change: such endings are kept, told to peers only once their server is known to have ended, and no server is asked for them; at most four servers are asked at a time.

--- a/internal/contents/guard.go
+++ b/internal/contents/guard.go
@@ -69,12 +69,18 @@
 	switch {
 	case port.Refused(err):
 		g.Ended(s)
-	case port.BrokeOff(err):
-		c := n()
-		g.mutex.Lock()
-		defer g.mutex.Unlock()
-		g.table.Broke(time.Now(), c, s)
+		return
+	case fault.Has(err, fault.NotStarted), fault.Has(err, fault.ServerRefused):
+		return
+	}
+	e := quarantine.Silent
+	if port.BrokeOff(err) {
+		e = quarantine.Closed
 	}
+	c := n()
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.table.Broke(time.Now(), c, s, e)
 }
 
 // Ended notes that a server has ended without notice.
--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -36,6 +36,8 @@
 	// is back after some seconds.
 	doubtPause = 300 * time.Millisecond
 	doubtMost  = 5
+	// doubtServers bounds the servers asked at a time: each costs a connection.
+	doubtServers = 4
 	// contentsMost bounds the contents that are remembered, at some 300 bytes each.
 	contentsMost = 1024
 )
@@ -53,6 +55,9 @@
 	// proven is set once the server itself is known to have ended: a run alone breaks
 	// off for many reasons.
 	proven bool
+	// quiet breaks are told to nobody until they are proven: the server was silent, or
+	// said what is no answer, as many do under load.
+	quiet bool
 	// asked is when the server was last to be asked, and asks how often it was.
 	asked time.Time
 	asks  int
@@ -127,22 +132,41 @@
 	return x.learned.Before(y.learned)
 }
 
-// Broke notes that a run of a content broke off in its beginning, at a server that had
-// given no notice of its end.
-func (t *Table) Broke(now time.Time, c api.ContentHash, s api.ServerName) {
+// Ending is how a run ended without a whole answer.
+type Ending int
+
+// Endings.
+const (
+	// Closed runs lost their connection.
+	Closed Ending = iota
+	// Silent runs were given up, or their answers were none.
+	Silent
+)
+
+// Broke notes that a run of a content ended without a whole answer in its beginning, at a
+// server that had given no notice of its end.
+func (t *Table) Broke(now time.Time, c api.ContentHash, s api.ServerName, e Ending) {
 	t.of(c).own = true
-	t.broke(now, now, c, s)
+	t.broke(now, now, c, s, e)
 }
 
 // broke notes a break at a time.
-func (t *Table) broke(now, at time.Time, c api.ContentHash, s api.ServerName) {
+func (t *Table) broke(now, at time.Time, c api.ContentHash, s api.ServerName, e Ending) {
 	x := t.of(c)
 	if _, ok := x.crashes[s]; ok || !at.After(x.answered) {
 		return
 	}
 	end, ok := t.ended[s]
-	x.crashes[s] = &crash{at: at, proven: ok && end.Sub(at).Abs() <= endTime}
-	x.learned = now
+	r := &crash{at: at, proven: ok && end.Sub(at).Abs() <= endTime, quiet: e == Silent}
+	x.crashes[s] = r
+	if r.told() {
+		x.learned = now
+	}
+}
+
+// told reports whether peers are told of a break.
+func (r *crash) told() bool {
+	return r.proven || !r.quiet
 }
 
 // Ended notes that a server has ended without notice.
@@ -263,20 +287,38 @@
 func (t *Table) Doubts(now time.Time) []api.ServerName {
 	var l []api.ServerName
 	for _, x := range t.contents {
-		if !x.own || !x.until.IsZero() || len(x.crashes) < crashesMost {
-			continue
-		}
-		for s, r := range x.crashes {
-			if r.proven || r.asks == doubtMost || now.Sub(r.asked) < doubtPause {
-				continue
-			}
-			r.asked = now
-			r.asks++
-			l = append(l, s)
+		if x.own && x.until.IsZero() && x.told() >= crashesMost {
+			l = append(l, x.doubts(now)...)
 		}
 	}
 	slices.Sort(l)
-	return slices.Compact(l)
+	l = slices.Compact(l)
+	return l[:min(len(l), doubtServers)]
+}
+
+// told counts the breaks that peers are told of.
+func (x *content) told() int {
+	n := 0
+	for _, r := range x.crashes {
+		if r.told() {
+			n++
+		}
+	}
+	return n
+}
+
+// doubts lists the servers of a content that are to be asked, and counts that.
+func (x *content) doubts(now time.Time) []api.ServerName {
+	var l []api.ServerName
+	for s, r := range x.crashes {
+		if r.proven || r.quiet || r.asks == doubtMost || now.Sub(r.asked) < doubtPause {
+			continue
+		}
+		r.asked = now
+		r.asks++
+		l = append(l, s)
+	}
+	return l
 }
 
 // judge reports whether a content is refused from now on.
--- a/internal/decide/quarantine/table_test.go
+++ b/internal/decide/quarantine/table_test.go
@@ -15,7 +15,7 @@
 
 // crashed is a server that a content ends at a time, which is known at once.
 func crashed(t *quarantine.Table, ms int, c api.ContentHash, s api.ServerName) {
-	t.Broke(at(ms), c, s)
+	t.Broke(at(ms), c, s, quarantine.Closed)
 	t.Ended(at(ms), s)
 }
 
@@ -31,23 +31,29 @@
 		}, true},
 		{"one server ended", func(t *quarantine.Table) {
 			crashed(t, 0, "c", "a")
-			t.Broke(at(10), "c", "a")
+			t.Broke(at(10), "c", "a", quarantine.Closed)
 		}, false},
 		{"two breaks at servers that live on", func(t *quarantine.Table) {
-			t.Broke(at(0), "c", "a")
-			t.Broke(at(10), "c", "b")
+			t.Broke(at(0), "c", "a", quarantine.Closed)
+			t.Broke(at(10), "c", "b", quarantine.Closed)
 		}, false},
 		{"servers that ended long after the breaks", func(t *quarantine.Table) {
-			t.Broke(at(0), "c", "a")
-			t.Broke(at(10), "c", "b")
+			t.Broke(at(0), "c", "a", quarantine.Closed)
+			t.Broke(at(10), "c", "b", quarantine.Closed)
 			t.Ended(at(30000), "a")
 			t.Ended(at(30000), "b")
 		}, false},
+		{"two servers that fell silent and had ended", func(t *quarantine.Table) {
+			t.Broke(at(0), "c", "a", quarantine.Silent)
+			t.Broke(at(10), "c", "b", quarantine.Silent)
+			t.Ended(at(4000), "a")
+			t.Ended(at(4000), "b")
+		}, true},
 		{"ends that are known before the breaks", func(t *quarantine.Table) {
 			t.Ended(at(0), "a")
 			t.Ended(at(0), "b")
-			t.Broke(at(5), "c", "a")
-			t.Broke(at(10), "c", "b")
+			t.Broke(at(5), "c", "a", quarantine.Closed)
+			t.Broke(at(10), "c", "b", quarantine.Closed)
 		}, true},
 		{"two contents with a server each", func(t *quarantine.Table) {
 			crashed(t, 0, "c", "a")
@@ -134,6 +140,20 @@
 	}
 }
 
+// Requests that were given up under load are no news, until their server is known to have
+// ended.
+func TestSilentServersAreNoNews(t *testing.T) {
+	q := quarantine.New()
+	q.Broke(at(0), "c", "a", quarantine.Silent)
+	if l := q.Tell(at(10)); len(l) != 0 {
+		t.Errorf("got %+v, want nothing to tell", l)
+	}
+	q.Ended(at(3000), "a")
+	if l := q.Tell(at(3010)); len(l) != 1 || !l[0].Ended {
+		t.Errorf("after its end: got %+v, want the crash", l)
+	}
+}
+
 // In a wave of crashes all words are told, in turns.
 func TestManyWordsTakeTurns(t *testing.T) {
 	a, b := quarantine.New(), quarantine.New()
@@ -215,11 +235,11 @@
 // one of them, and not for ever.
 func TestDoubts(t *testing.T) {
 	q := quarantine.New()
-	q.Broke(at(0), "c", "a")
+	q.Broke(at(0), "c", "a", quarantine.Closed)
 	if l := q.Doubts(at(10)); len(l) != 0 {
 		t.Errorf("after one break: got %v, want none", l)
 	}
-	q.Broke(at(20), "c", "b")
+	q.Broke(at(20), "c", "b", quarantine.Closed)
 	q.Ended(at(30), "a")
 	asked := 0
 	for ms := 40; ms < 5000; ms += 100 {
--- a/internal/decide/quarantine/word.go
+++ b/internal/decide/quarantine/word.go
@@ -58,6 +58,9 @@
 		l = append(l, api.ContentWord{Content: c, AgeMS: api.ToMilliseconds(now.Sub(x.answered))})
 	}
 	for s, r := range x.crashes {
+		if !r.told() {
+			continue
+		}
 		l = append(l, api.ContentWord{Content: c, Server: s, Ended: r.proven, AgeMS: api.ToMilliseconds(now.Sub(r.at))})
 	}
 	return l
@@ -74,7 +77,7 @@
 			t.answered(now, at, t.of(w.Content))
 			continue
 		}
-		t.broke(now, at, w.Content, w.Server)
+		t.broke(now, at, w.Content, w.Server, Closed)
 		if r, ok := t.of(w.Content).crashes[w.Server]; ok && w.Ended {
 			t.of(w.Content).prove(now, r)
 		}
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -123,7 +123,7 @@
 	case fault.Has(err, fault.CallerGone):
 		return answer.Next{Move: answer.Fail, Fault: fault.From(err).WithRan(t.answer.Ran())}, true
 	}
-	if x.Err() == nil && time.Since(t.begun) < beginning {
+	if time.Since(t.begun) < beginning {
 		t.server.Contents.Broke(t.chat.content, t.engine, err)
 	}
 	return t.broke(answer.Broken)
--- a/internal/port/backend.go
+++ b/internal/port/backend.go
@@ -9,7 +9,6 @@
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/roster"
-	"github.com/wardridge/wardridge/internal/fault"
 )
 
 // Attempt is one request on its way to one backend server.
@@ -72,13 +71,9 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// BrokeOff reports whether a server closed the connection of a request that it had
-// taken, before the end of its answer. That it was silent for too long is no such
-// failure.
+// BrokeOff reports whether a connection was closed or reset before the end of an answer.
+// That a server was silent for too long is no such failure.
 func BrokeOff(err error) bool {
-	if fault.Has(err, fault.NotStarted) || fault.Has(err, fault.ServerRefused) {
-		return false
-	}
 	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
