feat: the soak plays requests that crash the servers which run them

A caller comes again and again with one body, at any entry VM; stand-in servers crash 50 ms after they began it and others take their places.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -30,13 +30,14 @@
 	NoRevert Property = "no-revert"
 	Recovery Property = "recovery"
 	Alive    Property = "alive"
+	Crashes  Property = "crashes"
 )
 
 // Timed reports whether checking the property compares times, which a machine
 // that is shared may stretch.
 func (p Property) Timed() bool {
 	switch p {
-	case Leaving, Closed, Gone, InForce, Recovery, Stop:
+	case Leaving, Closed, Gone, InForce, Recovery, Stop, Crashes:
 		return true
 	}
 	return false
@@ -95,6 +96,7 @@
 		c.reply(&r.Sent[i])
 	}
 	c.versions()
+	c.crashes()
 	c.recovery()
 	for _, d := range r.Failures {
 		c.add(Alive, "", r.End, d)
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -1,6 +1,7 @@
 package soak_test
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -140,3 +141,39 @@
 		})
 	}
 }
+
+// What crashes servers may reach three of them more, not a fourth, once every entry VM has
+// had the time to learn of the third crash.
+func TestCrashesAreChecked(t *testing.T) {
+	r := soak.Record{Crashes: map[string][]time.Time{"deadly": {at(1000), at(2000), at(3000)}}, Calm: at(0), End: at(60000)}
+	for i := range 5 {
+		s := soak.Sent{VM: 0, Kind: directory.Unsafe, Call: hosted.Call{ID: api.RequestID(strconv.Itoa(i)), Body: "deadly", Target: "/orders/x"}, At: at(5000 + 1000*i)}
+		s.Whole = true
+		r.Sent = append(r.Sent, s)
+	}
+	arrive := func(n int) []soak.Violation {
+		x := r
+		x.Services = map[string][]api.ServiceName{"orders": {"plain"}}
+		x.Servers = map[api.ServerName]api.ServiceName{"p": "plain"}
+		for i := range n {
+			x.Arrivals = append(x.Arrivals, hosted.Arrival{Asked: hosted.Asked{Request: api.RequestID(strconv.Itoa(i)), Body: "deadly", Target: "/orders/x"}, By: "p", At: at(6500 + 1000*i)})
+		}
+		var l []soak.Violation
+		for _, v := range soak.Check(x) {
+			if v.Property == soak.Crashes {
+				l = append(l, v)
+			}
+		}
+		return l
+	}
+	if l := arrive(3); len(l) != 0 {
+		t.Errorf("three late requests: got %v, want none broken", l)
+	}
+	if l := arrive(5); len(l) != 1 {
+		t.Errorf("five late requests: got %v, want the property broken once", l)
+	}
+	r.Injected = []soak.Injection{{Fault: soak.Fault{Kind: soak.PauseVM}, VM: 0, Span: soak.Span{From: at(5000), Until: at(20000)}}}
+	if l := arrive(5); len(l) != 0 {
+		t.Errorf("at an entry VM that was paused: got %v, want none broken", l)
+	}
+}
--- /dev/null
+++ b/internal/soak/deadly.go
@@ -0,0 +1,110 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/directory"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/standin/hosted"
+	"github.com/wardridge/wardridge/internal/upstream"
+)
+
+const (
+	// comebackPause is the mean pause of a caller that comes again with a deadly request,
+	// and comebackTime how long it does so beyond its fault: the entry VMs have to know it
+	// by then.
+	comebackPause = 400 * time.Millisecond
+	comebackTime  = 5 * time.Second
+	// deadlyMost is how many deadly requests may reach servers once their third one has
+	// crashed and settleTime has passed.
+	deadlyMost = 3
+)
+
+// deadlyPaths are the routes of deadly requests.
+var deadlyPaths = []struct {
+	path string
+	kind directory.Kind
+}{{pathChat, directory.Stream}, {pathOrders, directory.Unsafe}, {pathParts, directory.Safe}}
+
+// comeBack sends a request that crashes servers again and again, to any entry VM.
+func (b *bed) comeBack(ctx context.Context, f Fault) {
+	body := fmt.Sprintf("deadly %d %d", f.At, f.Target)
+	b.fleet.Kill(body, b.crashed)
+	d := &net.Dialer{Timeout: time.Second}
+	p, closer := upstream.New(d.DialContext)
+	defer closer()
+	c := hosted.NewCaller(b.Wire, p)
+	r := rand.New(rand.NewPCG(uint64(f.At), uint64(f.Target)))
+	x := deadlyPaths[f.Target%len(deadlyPaths)]
+	end := time.Now().Add(f.For.Duration() + comebackTime)
+	for n := 0; time.Now().Before(end) && ctx.Err() == nil; n++ {
+		v := b.choose(r)
+		s := Sent{VM: v.place, Kind: x.kind, Workspace: mainWorkspace, Call: hosted.Call{
+			ID: api.RequestID(fmt.Sprintf("d%d-%d-%d", f.At, f.Target, n)), Method: http.MethodPost, Host: host, Target: "/" + x.path + "/" + body[:6],
+			Key: mainKey, Wait: callWait, Body: body,
+		}}
+		if x.kind == directory.Stream {
+			s.Tokens = hosted.Stride * answerMost
+		}
+		s.At = time.Now()
+		s.Reply = c.Do(context.WithoutCancel(ctx), v.callers.address(), s.Call)
+		s.Done = time.Now()
+		b.recorder.note(func(y *Record) { y.Sent = append(y.Sent, s) })
+		duty.Sleep(ctx, time.Duration(r.ExpFloat64()*float64(comebackPause)))
+	}
+}
+
+// crashed takes a server that a deadly request has crashed; another one takes its place.
+func (b *bed) crashed(x *hosted.Server, body string) {
+	for _, s := range b.servers {
+		if live, _ := s.current(); live != x {
+			continue
+		}
+		f := Fault{Kind: CrashServer, Target: s.place}
+		now := time.Now()
+		b.recorder.note(func(r *Record) {
+			r.Crashes[body] = append(r.Crashes[body], now)
+			r.Injected = append(r.Injected, Injection{Fault: f, VM: noVM, Server: x.Name, Span: Span{From: now, Until: now.Add(lapseTime)}})
+		})
+		b.group.Go(func(ctx context.Context) error {
+			duty.Sleep(ctx, lapseTime)
+			b.failed(x.Unregister())
+			b.failed(b.begin(s, x, newName))
+			return nil
+		})
+	}
+}
+
+// crashes checks that what crashes servers is stopped.
+func (c *checker) crashes() {
+	late := map[string]int{}
+	for _, a := range c.Arrivals {
+		l := c.Crashes[a.Body]
+		s, ok := c.sent[a.Request]
+		if !ok || a.Refused || len(l) < 3 || a.At.Sub(l[2]) <= settleTime || c.troubled(Span{l[2], a.At}, s.VM) {
+			continue
+		}
+		late[a.Body]++
+		if late[a.Body] == deadlyMost+1 {
+			c.add(Crashes, a.Request, a.At, fmt.Sprintf("%s reached servers %d times more, %s after its third crash; %d crashed in all", a.Body, late[a.Body], a.At.Sub(l[2]), len(l)))
+		}
+	}
+}
+
+// troubled reports whether an unplanned fault met an entry VM itself in a span or shortly
+// before it.
+func (c *checker) troubled(s Span, vm int) bool {
+	s.From = s.From.Add(-settleTime)
+	for _, t := range c.Injected {
+		if (t.VM == All || t.VM == vm) && !t.Kind.Planned() && t.overlaps(s) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -43,12 +43,18 @@
 	CloseDomain   Kind = "close-domain"
 	RebirthServer Kind = "rebirth-server"
 	ForeignEntry  Kind = "foreign-entry"
+	// DeadlyRequest is a caller that comes again and again with a request that crashes
+	// the servers which run it.
+	DeadlyRequest Kind = "deadly-request"
 )
 
 // widerFrom is the first seed whose plan draws from the wider kinds too: the plan of an
 // earlier one stays what it was.
 const widerFrom = 3000
 
+// deadlyFrom is the first seed whose plan draws deadly requests too.
+const deadlyFrom = 6000
+
 // widerPlanned and widerUnplanned are the kinds that only later seeds draw.
 var (
 	widerPlanned   = []Kind{CloseDomain, ForeignEntry}
@@ -133,6 +139,9 @@
 	if seed >= widerFrom {
 		plannedKinds, all = slices.Concat(planned, widerPlanned), slices.Concat(all, widerPlanned, widerUnplanned)
 	}
+	if seed >= deadlyFrom {
+		all = append(all, DeadlyRequest)
+	}
 	kinds := all
 	if r.Float64() < plannedShare {
 		kinds = plannedKinds
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -85,6 +85,8 @@
 	Servers map[api.ServerName]api.ServiceName
 	// Domains tells the failure domain of each server.
 	Domains map[api.ServerName]api.DomainName
+	// Crashes tells when servers crashed under each deadly body.
+	Crashes map[string][]time.Time
 	// Failures are the VMs whose processes ended by themselves or wrote that they
 	// are broken.
 	Failures []string
@@ -102,7 +104,7 @@
 func newRecorder() *recorder {
 	return &recorder{record: Record{
 		Configs: map[int64]time.Time{}, Services: map[string][]api.ServiceName{}, Servers: map[api.ServerName]api.ServiceName{},
-		Domains: map[api.ServerName]api.DomainName{},
+		Domains: map[api.ServerName]api.DomainName{}, Crashes: map[string][]time.Time{},
 	}}
 }
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -180,6 +180,8 @@
 		b.rebirth(s)
 	case ForeignEntry:
 		b.foreignEntry(s)
+	case DeadlyRequest:
+		b.comeBack(ctx, f)
 	case LoseAnswers:
 		b.lose(ctx, s, f.For.Duration())
 	case StoreForget:
@@ -240,7 +242,7 @@
 	case CrashServer, DarkServer, ServerLink, LeaveServer, LoseAnswers, RebirthServer:
 		x, _ := s.current()
 		t.Server = x.Name
-	case ChangeRoute, RevokeKey, StoreForget, CloseDomain, ForeignEntry:
+	case ChangeRoute, RevokeKey, StoreForget, CloseDomain, ForeignEntry, DeadlyRequest:
 	default:
 		t.VM = v.place
 		if f.Target == All {
--- a/internal/standin/hosted/fleet.go
+++ b/internal/standin/hosted/fleet.go
@@ -31,11 +31,14 @@
 
 	mutex   sync.Mutex
 	servers map[string]*Server
+	// deadly bodies crash the servers that run them, of which crashed is told.
+	deadly  map[string]bool
+	crashed func(s *Server, body string)
 }
 
 // NewFleet makes a fleet without servers.
 func NewFleet(s *Store, p Pace) *Fleet {
-	return &Fleet{Store: s, Journal: NewJournal(), Pace: p, servers: map[string]*Server{}}
+	return &Fleet{Store: s, Journal: NewJournal(), Pace: p, servers: map[string]*Server{}, deadly: map[string]bool{}}
 }
 
 // at finds the server that others reach at an address.
@@ -46,6 +49,21 @@
 	return s, ok
 }
 
+// Kill lets requests of a body crash the servers that run them; told is told of each.
+func (f *Fleet) Kill(body string, told func(s *Server, body string)) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.deadly[body] = true
+	f.crashed = told
+}
+
+// kills reports whether a body crashes what runs it, and who is to be told.
+func (f *Fleet) kills(body string) (func(s *Server, body string), bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.crashed, f.deadly[body]
+}
+
 // headTime bounds the time that the head of a request may take.
 const headTime = 5 * time.Second
 
--- a/internal/standin/hosted/server.go
+++ b/internal/standin/hosted/server.go
@@ -107,7 +107,19 @@
 	}
 }
 
+// crashTime is how long a server runs a request that crashes it.
+const crashTime = 50 * time.Millisecond
+
 func (s *Server) run(ctx context.Context, a Asked, w Answer) {
+	if told, ok := s.fleet.kills(a.Body); ok {
+		x := s.fleet.Journal.began(a.Request, s.Name, 0)
+		defer s.fleet.Journal.ended(x)
+		s.sleep(ctx, crashTime)
+		s.Crash()
+		told(s, a.Body)
+		w.Abort()
+		return
+	}
 	if s.engine {
 		s.stream(ctx, a, w)
 		return
