--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -163,27 +163,14 @@
 		b.signal(ctx, f, v)
 	case CallerLink:
 		b.link(ctx, v.callers, f)
-	case ServerLink:
-		_, p := s.current()
-		b.link(ctx, p, f)
-	case DarkServer:
-		_, p := s.current()
-		p.set(Silent)
-		b.crash(ctx, s, f.For.Duration())
-	case CrashServer:
-		b.crash(ctx, s, f.For.Duration())
-	case LeaveServer:
-		b.leave(ctx, s, f.For.Duration())
+	case ServerLink, DarkServer, CrashServer, LeaveServer, RebirthServer, LoseAnswers:
+		b.serverFault(ctx, f, s)
 	case CloseDomain:
 		b.closeDomain(ctx, s, f.For.Duration())
-	case RebirthServer:
-		b.rebirth(s)
 	case ForeignEntry:
 		b.foreignEntry(s)
 	case DeadlyRequest:
 		b.comeBack(ctx, f)
-	case LoseAnswers:
-		b.lose(ctx, s, f.For.Duration())
 	case StoreForget:
 		b.store.Forget()
 	case ChangeRoute:
@@ -202,6 +189,26 @@
 	b.recorder.note(func(r *Record) { r.Injected[i].Until = until })
 }
 
+// serverFault brings a fault of one server about and ends it.
+func (b *bed) serverFault(ctx context.Context, f Fault, s *server) {
+	_, p := s.current()
+	switch f.Kind {
+	case ServerLink:
+		b.link(ctx, p, f)
+	case DarkServer:
+		p.set(Silent)
+		b.crash(ctx, s, f.For.Duration())
+	case CrashServer:
+		b.crash(ctx, s, f.For.Duration())
+	case LeaveServer:
+		b.leave(ctx, s, f.For.Duration())
+	case RebirthServer:
+		b.rebirth(s)
+	default:
+		b.lose(ctx, s, f.For.Duration())
+	}
+}
+
 // signal sends a fault's signals to an entry VM's process.
 func (b *bed) signal(ctx context.Context, f Fault, v *vm) {
 	p := v.current()
