test: servers that cut requests off and live on make nobody refused

The wave of crashes could not tell whether the proof of a server's end matters, since all its servers did end.

--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -213,6 +213,45 @@
 	})
 }
 
+// Servers that cut requests off and live on end nobody's requests for good: callers who ask
+// for the same up to five times are not refused, whichever servers cut them off.
+func TestServersThatResetRefuseNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n, callers, tries = 6, 40, 5
+		p := newPool(12, 12)
+		b := newHostedBed(t, n, p)
+		p.mutex.Lock()
+		p.resetting = true
+		p.mutex.Unlock()
+		var cut, refused atomic.Int64
+		for i := range callers {
+			b.group.Go(func(ctx context.Context) error {
+				for k := range tries {
+					a := b.ask((i+k)%n, short(call(fmt.Sprintf("%d-%d", i, k), "/stream/", fmt.Sprint(i))))
+					switch {
+					case a.refused(fault.Quarantined):
+						refused.Add(1)
+					case a.broken:
+						cut.Add(1)
+						duty.Sleep(ctx, comebackEvery)
+						continue
+					}
+					break
+				}
+				return nil
+			})
+		}
+		time.Sleep(30 * time.Second)
+		t.Logf("%d streams cut off", cut.Load())
+		if cut.Load() < callers {
+			t.Errorf("streams cut off: got %d, want more than one a caller", cut.Load())
+		}
+		if got := refused.Load(); got > 0 {
+			t.Errorf("refused contents: got %d, want none", got)
+		}
+	})
+}
+
 // fragile is an engine of the own interface that a deadly prompt crashes, and that is back
 // after some seconds.
 type fragile struct {
--- a/fleet/pool_test.go
+++ b/fleet/pool_test.go
@@ -48,6 +48,8 @@
 	group   *duty.Group
 	net     *network
 	deadly  string
+	// resetting servers cut two of three requests off, and live on.
+	resetting bool
 	// size is how many servers each service starts with.
 	size map[api.ServiceName]int
 
@@ -57,6 +59,7 @@
 	ends    map[api.ServerName]context.Context
 	made    int
 	began   []reached
+	cancels []func()
 	crashed []time.Time
 }
 
@@ -99,6 +102,9 @@
 	for _, end := range p.live {
 		end()
 	}
+	for _, cancel := range p.cancels {
+		cancel()
+	}
 }
 
 // add starts a server of a service.
@@ -165,6 +171,11 @@
 		return nil, false
 	}
 	p.began = append(p.began, reached{time.Now(), string(a.Request.Body)})
+	if p.resetting && len(p.began)%3 != 0 {
+		ctx, cancel := context.WithTimeout(p.ends[a.Server.Name], workTime/2)
+		p.cancels = append(p.cancels, cancel)
+		return ctx, true
+	}
 	return p.ends[a.Server.Name], true
 }
 
