--- a/internal/mesh/allocate_test.go
+++ b/internal/mesh/allocate_test.go
@@ -143,3 +143,46 @@
 		}
 	})
 }
+
+// Whatever bytes a peer sends as its word, the next proper exchange is answered, and what it
+// said of contents makes nobody refused who was not before.
+func FuzzExchange(f *testing.F) {
+	add := func(e api.Exchange) {
+		b, err := json.Marshal(e)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	proper := api.Exchange{Protocol: gossip.Protocol, VM: "b", Self: api.MeshMember{Address: "127.0.0.1:1", Domain: "d"}}
+	add(proper)
+	x := proper
+	x.Contents = []api.ContentWord{{Content: "c", Server: "e", Ended: true, AgeMS: 1 << 62}, {Content: "c", AgeMS: -1}, {}}
+	x.Loads, x.Members = map[string]api.ServerLoad{"e": {Requests: -5, Tokens: -1 << 62}}, -7
+	x.ConfigAt, x.ServersAt, x.QuarantinesAt = 1<<62, 1<<62, 1<<62
+	add(x)
+	f.Add([]byte(`{"protocol":4,"self":null,"peers":[{}],"leaving":[""],"contents":[null]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		a := newAllocator(t)
+		r := chi.NewRouter()
+		a.Routes(r)
+		post := func(b []byte) int {
+			w := httptest.NewRecorder()
+			r.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodPost, mesh.PathExchange, bytes.NewReader(b)))
+			return w.Code
+		}
+		if c := post(body); c >= http.StatusInternalServerError {
+			t.Errorf("got status %d, want an answer or a refusal", c)
+		}
+		b, err := json.Marshal(proper)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if c := post(b); c != http.StatusOK {
+			t.Errorf("a proper exchange after it: got status %d, want 200", c)
+		}
+		if p, err := a.table.Place(t.Context(), placeAsk(100)); err != nil || p.Server != "e" && p.Refused == nil {
+			t.Errorf("an ask after it: got %+v and %v, want the engine or a refusal", p, err)
+		}
+	})
+}
