--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -275,9 +275,9 @@
 // host, target and body, in hex.
 type ContentHash string
 
-// ContentWord is a run of a content that broke off at a server or, without one, an
-// answer that was whole.
-type ContentWord struct {
+// ContentReport tells of a run of a content that broke off at a server or, without
+// one, of an answer that was whole.
+type ContentReport struct {
 	// Time since then.
 	AgeMS Milliseconds `json:"age_ms"`
 
@@ -287,7 +287,7 @@
 	// Whether that server is known to have ended.
 	Ended bool `json:"ended,omitempty,omitzero"`
 
-	// Backend server that ran it, empty in a word of a whole answer.
+	// Backend server that ran it, empty for a whole answer.
 	Server ServerName `json:"server,omitempty,omitzero"`
 }
 
@@ -445,7 +445,7 @@
 	ConfigAt Version `json:"config_at"`
 
 	// What was lately learned of contents that may end servers.
-	Contents []ContentWord `json:"contents,omitempty,omitzero"`
+	Contents []ContentReport `json:"contents,omitempty,omitzero"`
 
 	// Whether the platform itself answers the sender.
 	Direct bool `json:"direct,omitempty,omitzero"`
@@ -612,7 +612,7 @@
 	ConfigVersion Version `json:"config_version"`
 
 	// What the sender knows of contents that may end servers.
-	Contents []ContentWord `json:"contents,omitempty,omitzero"`
+	Contents []ContentReport `json:"contents,omitempty,omitzero"`
 
 	// Failure domain of the sender.
 	Domain DomainName `json:"domain"`
--- a/internal/contents/guard.go
+++ b/internal/contents/guard.go
@@ -19,7 +19,7 @@
 // Name names a request's content; it reads the whole request.
 type Name func() api.ContentHash
 
-// verifyTime bounds the time to connect to a server in doubt, as long as a connection
+// verifyTime bounds the time to connect to a server that may have ended, as long as a connection
 // takes that waits for a lost packet.
 const verifyTime = time.Second
 
@@ -44,10 +44,10 @@
 	return g.table.Empty()
 }
 
-// Barred refuses a content that ends the servers which run it, as not run, with the time
+// Check refuses a content that ends the servers which run it, as not run, with the time
 // to come back. It is asked at the last moment before each send: another entry VM may
 // have learned of it while the request waited.
-func (g *Guard) Barred(n Name) *fault.Error {
+func (g *Guard) Check(n Name) *fault.Error {
 	if g.idle() {
 		return nil
 	}
@@ -105,7 +105,7 @@
 	return g.table.MayGoOn(c)
 }
 
-// Step refuses the contents that have come to be proven, and gives them.
+// Step refuses the contents that have come to be confirmed, and gives them.
 func (g *Guard) Step() []quarantine.Verdict {
 	g.mutex.Lock()
 	l := g.table.Step(time.Now())
@@ -120,10 +120,10 @@
 // Connect tries to connect to a server, and fails with that of the connection.
 type Connect func(ctx context.Context, s api.ServerName) error
 
-// Verify asks the servers in doubt whether they still listen, side by side.
+// Verify asks the servers that may have ended whether they still listen, side by side.
 func (g *Guard) Verify(d *duty.Group, connect Connect) {
 	g.mutex.Lock()
-	l := g.table.Doubts(time.Now())
+	l := g.table.Unconfirmed(time.Now())
 	g.mutex.Unlock()
 	for _, s := range l {
 		d.Go(func(ctx context.Context) error {
@@ -160,23 +160,23 @@
 }
 
 // News gives what peers may not know yet.
-func (g *Guard) News() []api.ContentWord {
+func (g *Guard) Recent() []api.ContentReport {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.table.Tell(time.Now())
+	return g.table.Recent(time.Now())
 }
 
 // All gives the news and, for peers without a platform that keeps them, the contents that
 // are refused.
-func (g *Guard) All() []api.ContentWord {
+func (g *Guard) All() []api.ContentReport {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.table.TellAll(time.Now())
+	return g.table.All(time.Now())
 }
 
-// Hear takes the words of a peer.
-func (g *Guard) Hear(l []api.ContentWord) {
+// Merge takes the reports of a peer.
+func (g *Guard) Merge(l []api.ContentReport) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.table.Hear(time.Now(), l)
+	g.table.Merge(time.Now(), l)
 }
--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -19,9 +19,9 @@
 	// caller whose request was on a server that crashed for another reason would be
 	// refused.
 	crashesMost = 2
-	// proveTime is how long after that a content may still be shown to be harmless by a
+	// confirmTime is how long after that a content may still be shown to be harmless by a
 	// whole answer elsewhere: two exchanges from there to here by way of a hub.
-	proveTime = time.Second
+	confirmTime = time.Second
 	// crashesClear is how many crashes need no such wait: callers who come back every
 	// 150 ms ended 12 servers of 24 in the meantime, and end 7 so
 	// (TestHastyCrashingRequestIsStopped).
@@ -44,15 +44,15 @@
 	// each, twice.
 	answersMost = 2048
 	// endTime is how far a break and the end of its server may lie apart: an entry lapses
-	// after three missed heartbeats, and the word of it takes a second or two.
+	// after three missed heartbeats, and to hear of it takes a second or two.
 	endTime = 10 * time.Second
-	// doubtPause is the time between questions whether a server still listens, and
-	// doubtMost bounds them: one that has crashed takes no connection from then on, and
+	// probePause is the time between questions whether a server still listens, and
+	// probesMost bounds them: one that has crashed takes no connection from then on, and
 	// is back after some seconds.
-	doubtPause = 300 * time.Millisecond
-	doubtMost  = 5
-	// doubtServers bounds the servers asked at a time: each costs a connection.
-	doubtServers = 4
+	probePause = 300 * time.Millisecond
+	probesMost = 5
+	// probeServers bounds the servers probed at a time: each costs a connection.
+	probeServers = 4
 	// contentsMost bounds the contents that are remembered, at some 300 bytes each.
 	contentsMost = 1024
 )
@@ -67,15 +67,15 @@
 // crash is the end of a content's run at one server.
 type crash struct {
 	at time.Time
-	// proven is set once the server itself is known to have ended: a run alone breaks
+	// confirmed is set once the server itself is known to have ended: a run alone breaks
 	// off for many reasons.
-	proven bool
-	// quiet breaks are told to nobody until they are proven: the server was silent, or
+	confirmed bool
+	// silent breaks are reported to nobody until they are confirmed: the server was silent, or
 	// said what is no answer, as many do under load.
-	quiet bool
-	// asked is when the server was last to be asked, and asks how often it was.
-	asked time.Time
-	asks  int
+	silent bool
+	// probed is when the server was last to be probed, and probes how often it was.
+	probed time.Time
+	probes int
 }
 
 // content is what is known of one content.
@@ -102,7 +102,7 @@
 	answers answers
 	// learned is when the newest of all came to be known here.
 	learned time.Time
-	// turn is where the next words for peers begin.
+	// turn is where the next reports to peers begin.
 	turn int
 }
 
@@ -179,22 +179,22 @@
 		return
 	}
 	end, ok := t.ended[s]
-	r := &crash{at: at, proven: ok && end.Sub(at).Abs() <= endTime, quiet: e == Silent}
+	r := &crash{at: at, confirmed: ok && end.Sub(at).Abs() <= endTime, silent: e == Silent}
 	x.crashes[s] = r
-	if r.told() {
+	if r.reported() {
 		t.note(now, x)
 	}
 }
 
-// note notes that something to tell came to be known of a content.
+// note notes that something to report came to be known of a content.
 func (t *Table) note(now time.Time, x *content) {
 	x.learned = now
 	t.learned = now
 }
 
-// told reports whether peers are told of a break.
-func (r *crash) told() bool {
-	return r.proven || !r.quiet
+// reported tells whether a break is reported to peers.
+func (r *crash) reported() bool {
+	return r.confirmed || !r.silent
 }
 
 // Ended notes that a server has ended without notice.
@@ -202,15 +202,15 @@
 	t.ended[s] = now
 	for _, x := range t.contents {
 		if r, ok := x.crashes[s]; ok && now.Sub(r.at) <= endTime {
-			t.prove(now, x, r)
+			t.confirm(now, x, r)
 		}
 	}
 }
 
-// prove notes that the server of a break has ended.
-func (t *Table) prove(now time.Time, x *content, r *crash) {
-	if !r.proven {
-		r.proven = true
+// confirm notes that the server of a break has ended.
+func (t *Table) confirm(now time.Time, x *content, r *crash) {
+	if !r.confirmed {
+		r.confirmed = true
 		t.note(now, x)
 	}
 }
@@ -228,7 +228,7 @@
 	}
 }
 
-// answered takes a whole answer at a time. One that is refused stays so: a late word
+// answered takes a whole answer at a time. One that is refused stays so: a late report
 // must not send it on.
 func (t *Table) answered(now, at time.Time, x *content) {
 	if !x.until.IsZero() || !at.After(x.answered) {
@@ -243,11 +243,11 @@
 	}
 }
 
-// proven gives the breaks whose servers ended, the first one first.
-func (x *content) proven() []time.Time {
+// confirmed gives the breaks whose servers ended, the first one first.
+func (x *content) confirmed() []time.Time {
 	var l []time.Time
 	for _, r := range x.crashes {
-		if r.proven {
+		if r.confirmed {
 			l = append(l, r.at)
 		}
 	}
@@ -263,7 +263,7 @@
 	case len(l) >= crashesClear:
 		return true
 	default:
-		return now.Sub(l[crashesMost-1]) >= proveTime
+		return now.Sub(l[crashesMost-1]) >= confirmTime
 	}
 }
 
@@ -312,42 +312,42 @@
 	return l
 }
 
-// Doubts lists the servers that are to be asked now whether they still listen: those of
+// Unconfirmed lists the servers that are to be probed for whether they still listen: those of
 // contents that broke off at as many as they may end, of which this entry VM saw one. Most
 // servers that end are found out by other requests; where these are rare, the lapse of an
 // entry takes four seconds, in which a content that comes again ends further ones.
-func (t *Table) Doubts(now time.Time) []api.ServerName {
+func (t *Table) Unconfirmed(now time.Time) []api.ServerName {
 	var l []api.ServerName
 	for _, x := range t.contents {
-		if x.own && x.until.IsZero() && x.told() >= crashesMost {
-			l = append(l, x.doubts(now)...)
+		if x.own && x.until.IsZero() && x.reported() >= crashesMost {
+			l = append(l, x.unconfirmed(now)...)
 		}
 	}
 	slices.Sort(l)
 	l = slices.Compact(l)
-	return l[:min(len(l), doubtServers)]
+	return l[:min(len(l), probeServers)]
 }
 
-// told counts the breaks that peers are told of.
-func (x *content) told() int {
+// reported counts the breaks that are reported to peers.
+func (x *content) reported() int {
 	n := 0
 	for _, r := range x.crashes {
-		if r.told() {
+		if r.reported() {
 			n++
 		}
 	}
 	return n
 }
 
-// doubts lists the servers of a content that are to be asked, and counts that.
-func (x *content) doubts(now time.Time) []api.ServerName {
+// unconfirmed lists the servers of a content that are to be probed, and counts that.
+func (x *content) unconfirmed(now time.Time) []api.ServerName {
 	var l []api.ServerName
 	for s, r := range x.crashes {
-		if r.proven || r.quiet || r.asks == doubtMost || now.Sub(r.asked) < doubtPause {
+		if r.confirmed || r.silent || r.probes == probesMost || now.Sub(r.probed) < probePause {
 			continue
 		}
-		r.asked = now
-		r.asks++
+		r.probed = now
+		r.probes++
 		l = append(l, s)
 	}
 	return l
@@ -355,14 +355,14 @@
 
 // judge reports whether a content is refused from now on.
 func (t *Table) judge(now time.Time, c api.ContentHash, x *content) (Verdict, bool) {
-	l := x.proven()
+	l := x.confirmed()
 	if !x.until.IsZero() || !due(now, l) {
 		return Verdict{}, false
 	}
 	x.until = l[len(l)-1].Add(keepTime)
 	v := Verdict{Entry: Entry{Content: c, Until: x.until}, Own: x.own}
 	for s, r := range x.crashes {
-		if r.proven {
+		if r.confirmed {
 			v.Servers = append(v.Servers, s)
 		}
 	}
--- a/internal/decide/quarantine/table_test.go
+++ b/internal/decide/quarantine/table_test.go
@@ -67,17 +67,17 @@
 		{"answered elsewhere just after", func(t *quarantine.Table) {
 			crashed(t, 0, "c", "a")
 			crashed(t, 10, "c", "b")
-			t.Hear(at(800), []api.ContentWord{{Content: "c", AgeMS: 100}})
+			t.Merge(at(800), []api.ContentReport{{Content: "c", AgeMS: 100}})
 		}, false},
 		{"answered elsewhere just before", func(t *quarantine.Table) {
 			crashed(t, 1000, "c", "a")
 			crashed(t, 1010, "c", "b")
-			t.Hear(at(1020), []api.ContentWord{{Content: "c", AgeMS: 500}})
+			t.Merge(at(1020), []api.ContentReport{{Content: "c", AgeMS: 500}})
 		}, false},
 		{"answered elsewhere long before", func(t *quarantine.Table) {
 			crashed(t, 20000, "c", "a")
 			crashed(t, 20010, "c", "b")
-			t.Hear(at(20020), []api.ContentWord{{Content: "c", AgeMS: 15000}})
+			t.Merge(at(20020), []api.ContentReport{{Content: "c", AgeMS: 15000}})
 		}, true},
 		{"answered here just before", func(t *quarantine.Table) {
 			t.Answered(at(0), "c")
@@ -91,15 +91,15 @@
 		}, true},
 		{"one crash here and one elsewhere", func(t *quarantine.Table) {
 			crashed(t, 0, "c", "a")
-			t.Hear(at(10), []api.ContentWord{{Content: "c", Server: "b", Ended: true, AgeMS: 5}})
+			t.Merge(at(10), []api.ContentReport{{Content: "c", Server: "b", Ended: true, AgeMS: 5}})
 		}, true},
 		{"the same crash seen by two", func(t *quarantine.Table) {
 			crashed(t, 0, "c", "a")
-			t.Hear(at(10), []api.ContentWord{{Content: "c", Server: "a", Ended: true, AgeMS: 5}})
+			t.Merge(at(10), []api.ContentReport{{Content: "c", Server: "a", Ended: true, AgeMS: 5}})
 		}, false},
-		{"words that say nothing", func(t *quarantine.Table) {
+		{"reports that say nothing", func(t *quarantine.Table) {
 			crashed(t, 0, "c", "a")
-			t.Hear(at(10), []api.ContentWord{{Content: "c", Server: "b", Ended: true, AgeMS: -5}, {Server: "b", Ended: true}})
+			t.Merge(at(10), []api.ContentReport{{Content: "c", Server: "b", Ended: true, AgeMS: -5}, {Server: "b", Ended: true}})
 		}, false},
 	}
 	for _, c := range tests {
@@ -136,66 +136,66 @@
 	}
 }
 
-// What one entry VM tells makes another one know it, and what is known is not told for ever.
-func TestWordsBetweenEntryVMs(t *testing.T) {
+// What one entry VM reports another one knows, and it is not reported for ever.
+func TestReportsBetweenEntryVMs(t *testing.T) {
 	a, b := quarantine.New(), quarantine.New()
 	crashed(a, 0, "c", "x")
-	b.Hear(at(100), a.Tell(at(100)))
+	b.Merge(at(100), a.Recent(at(100)))
 	crashed(b, 200, "c", "y")
-	a.Hear(at(300), b.Tell(at(300)))
+	a.Merge(at(300), b.Recent(at(300)))
 	a.Step(at(2000))
 	b.Step(at(2000))
 	for i, q := range []*quarantine.Table{a, b} {
 		if _, got := q.Refused(at(2000), "c"); !got {
 			t.Errorf("entry VM %d: got the content let in, want it refused", i)
 		}
-		if l := q.Tell(at(9000)); len(l) != 0 {
-			t.Errorf("entry VM %d after 9 s: got words %+v, want none", i, l)
+		if l := q.Recent(at(9000)); len(l) != 0 {
+			t.Errorf("entry VM %d after 9 s: got reports %+v, want none", i, l)
 		}
 	}
 }
 
-// Requests that were given up under load are no news, until their server is known to have
+// Requests that were given up under load are not reported until their server is known to have
 // ended.
-func TestSilentServersAreNoNews(t *testing.T) {
+func TestSilentServersAreNotReported(t *testing.T) {
 	q := quarantine.New()
 	q.Broke(at(0), "c", "a", quarantine.Silent)
-	if l := q.Tell(at(10)); len(l) != 0 {
-		t.Errorf("got %+v, want nothing to tell", l)
+	if l := q.Recent(at(10)); len(l) != 0 {
+		t.Errorf("got %+v, want nothing to report", l)
 	}
 	q.Ended(at(3000), "a")
-	if l := q.Tell(at(3010)); len(l) != 1 || !l[0].Ended {
+	if l := q.Recent(at(3010)); len(l) != 1 || !l[0].Ended {
 		t.Errorf("after its end: got %+v, want the crash", l)
 	}
 }
 
-// Who has had an answer says so on hearing of a break, so that those who lost all their
+// Who has had an answer reports it on hearing of a break, so that those who lost all their
 // requests of a content do not refuse it.
-func TestAnswersAreToldOnHearingOfABreak(t *testing.T) {
+func TestAnswersAreReportedOnHearingOfABreak(t *testing.T) {
 	a, b := quarantine.New(), quarantine.New()
 	b.Answered(at(0), "c")
 	crashed(a, 100, "c", "x")
 	crashed(a, 110, "c", "y")
-	b.Hear(at(400), a.Tell(at(400)))
-	a.Hear(at(700), b.Tell(at(700)))
+	b.Merge(at(400), a.Recent(at(400)))
+	a.Merge(at(700), b.Recent(at(700)))
 	if l := a.Step(at(2000)); len(l) != 0 {
 		t.Errorf("got %+v, want nothing refused", l)
 	}
 }
 
-// In a wave of crashes all words are told, in turns.
-func TestManyWordsTakeTurns(t *testing.T) {
+// In a wave of crashes all are reported, in turns.
+func TestManyReportsTakeTurns(t *testing.T) {
 	a, b := quarantine.New(), quarantine.New()
 	const n = 100
 	for i := range n {
 		crashed(a, 0, api.ContentHash(fmt.Sprint(i)), "x")
 	}
 	for i := range 6 {
-		l := a.Tell(at(100 * i))
+		l := a.Recent(at(100 * i))
 		if len(l) > 24 {
-			t.Errorf("got a message of %d words, want at most 24", len(l))
+			t.Errorf("got a message of %d reports, want at most 24", len(l))
 		}
-		b.Hear(at(100*i), l)
+		b.Merge(at(100*i), l)
 	}
 	for i := range n {
 		crashed(b, 700, api.ContentHash(fmt.Sprint(i)), "y")
@@ -237,65 +237,65 @@
 	}
 }
 
-// Whatever a peer sends, memory stays bounded and what was proven stays refused.
-func FuzzWords(f *testing.F) {
+// Whatever a peer sends, memory stays bounded and what was confirmed stays refused.
+func FuzzReports(f *testing.F) {
 	f.Add("c", "s", true, int64(5), 3)
 	f.Add("", "", false, int64(-1), 5000)
 	f.Fuzz(func(t *testing.T, c, s string, ended bool, age int64, n int) {
 		q := quarantine.New()
-		crashed(q, 0, "proven", "a")
-		crashed(q, 0, "proven", "b")
+		crashed(q, 0, "confirmed", "a")
+		crashed(q, 0, "confirmed", "b")
 		q.Step(at(1500))
 		for i := range min(max(n, 0), 3000) {
-			q.Hear(at(1500), []api.ContentWord{{Content: api.ContentHash(fmt.Sprint(c, i)), Server: api.ServerName(s), Ended: ended, AgeMS: api.Milliseconds(age)}})
+			q.Merge(at(1500), []api.ContentReport{{Content: api.ContentHash(fmt.Sprint(c, i)), Server: api.ServerName(s), Ended: ended, AgeMS: api.Milliseconds(age)}})
 		}
-		q.Hear(at(1600), []api.ContentWord{{Content: "proven", AgeMS: 0}})
+		q.Merge(at(1600), []api.ContentReport{{Content: "confirmed", AgeMS: 0}})
 		q.Step(at(1700))
-		if _, ok := q.Refused(at(1700), "proven"); !ok {
-			t.Error("a content that was proven: got it let in, want it refused")
+		if _, ok := q.Refused(at(1700), "confirmed"); !ok {
+			t.Error("a content that was confirmed: got it let in, want it refused")
 		}
-		if got := len(q.Tell(at(1700))); got > 24 {
-			t.Errorf("got %d words, want at most 24", got)
+		if got := len(q.Recent(at(1700))); got > 24 {
+			t.Errorf("got %d reports, want at most 24", got)
 		}
 	})
 }
 
-// Servers are asked for only where a second break makes the content suspect, by who saw
+// Servers are probed only where a second break makes the content suspect, by who saw
 // one of them, and not for ever.
-func TestDoubts(t *testing.T) {
+func TestServersAreProbed(t *testing.T) {
 	q := quarantine.New()
 	q.Broke(at(0), "c", "a", quarantine.Closed)
-	if l := q.Doubts(at(10)); len(l) != 0 {
+	if l := q.Unconfirmed(at(10)); len(l) != 0 {
 		t.Errorf("after one break: got %v, want none", l)
 	}
 	q.Broke(at(20), "c", "b", quarantine.Closed)
 	q.Ended(at(30), "a")
-	asked := 0
+	probed := 0
 	for ms := 40; ms < 5000; ms += 100 {
-		l := q.Doubts(at(ms))
+		l := q.Unconfirmed(at(ms))
 		if len(l) > 1 || len(l) == 1 && l[0] != "b" {
 			t.Fatalf("got %v, want the server that is not known to have ended", l)
 		}
-		asked += len(l)
+		probed += len(l)
 	}
-	if asked != 5 {
-		t.Errorf("got it asked %d times, want 5", asked)
+	if probed != 5 {
+		t.Errorf("got it probed %d times, want 5", probed)
 	}
 	o := quarantine.New()
-	o.Hear(at(100), q.Tell(at(100)))
-	if l := o.Doubts(at(110)); len(l) != 0 {
+	o.Merge(at(100), q.Recent(at(100)))
+	if l := o.Unconfirmed(at(110)); len(l) != 0 {
 		t.Errorf("who saw neither break: got %v, want none", l)
 	}
 }
 
-// What a hub tells each of its members while a thousand contents are remembered and nothing
+// What a hub reports to each of its members while a thousand contents are remembered and nothing
 // is new: 30 us where all were looked at, 27 ns now.
-func BenchmarkTellNothing(b *testing.B) {
+func BenchmarkRecentNothing(b *testing.B) {
 	q := quarantine.New()
 	for i := range 1000 {
 		crashed(q, 0, api.ContentHash(fmt.Sprint(i)), "x")
 	}
 	for range b.N {
-		q.Tell(at(10000))
+		q.Recent(at(10000))
 	}
 }
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -51,7 +51,7 @@
 		return
 	}
 	s.admitted(w, r, q, func(ctx context.Context) error {
-		if f := s.Contents.Barred(c.content); f != nil {
+		if f := s.Contents.Check(c.content); f != nil {
 			return f
 		}
 		if served, err := s.claimChat(ctx, w, c); err != nil || served {
@@ -228,7 +228,7 @@
 		if err != nil {
 			return s.unplaced(ctx, a, err)
 		}
-		if f := s.Contents.Barred(c.content); f != nil {
+		if f := s.Contents.Check(c.content); f != nil {
 			s.Broker.Finish(c.id, 0, false)
 			return f.WithRan(a.Ran())
 		}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -136,7 +136,7 @@
 func (s *Server) try(ctx context.Context, c *call) (*claims.Answer, error) {
 	d := decide.New(c.once)
 	for {
-		if f := s.Contents.Barred(c.content); f != nil {
+		if f := s.Contents.Check(c.content); f != nil {
 			return nil, d.Withheld(f)
 		}
 		n, ok := s.pick(c)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -111,7 +111,7 @@
 		if p.fault != nil {
 			return settle(failed, p.fault)
 		}
-		if f := g.Contents.Barred(q.content); f != nil {
+		if f := g.Contents.Check(q.content); f != nil {
 			p.end()
 			return settle(failed, c.Withheld(f))
 		}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -259,7 +259,7 @@
 		Request: r, route: x, workspace: w, service: v, sink: s,
 		hold: holdTime(x.Timeout, r.Wait),
 	}
-	return q, g.Contents.Barred(q.content)
+	return q, g.Contents.Check(q.content)
 }
 
 // holdDefault is how long a request is held where neither its route nor its
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -84,12 +84,12 @@
 	}
 }
 
-// News gives what peers may not know of contents that end servers.
-func (g *Gateway) News() []api.ContentWord {
-	return g.Contents.News()
+// ContentReports gives what peers may not know of contents that end servers.
+func (g *Gateway) ContentReports() []api.ContentReport {
+	return g.Contents.Recent()
 }
 
-// Hear takes what a peer knows of contents that end servers.
-func (g *Gateway) Hear(l []api.ContentWord) {
-	g.Contents.Hear(l)
+// MergeContents takes what a peer knows of contents that end servers.
+func (g *Gateway) MergeContents(l []api.ContentReport) {
+	g.Contents.Merge(l)
 }
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -29,14 +29,14 @@
 // Lag is told of a peer that has a newer configuration in force.
 type Lag func(ctx context.Context, address string)
 
-// Hear is told what a peer knows of contents that end servers.
-type Hear func(l []api.ContentWord)
+// Merge is told what a peer knows of contents that end servers.
+type Merge func(l []api.ContentReport)
 
 // Keeper keeps this entry VM's view of the others.
 type Keeper struct {
 	self    Self
 	lag     Lag
-	hear    Hear
+	merge   Merge
 	client  *peer.Client
 	log     *event.Log
 	metrics *metric.Set
@@ -46,8 +46,8 @@
 }
 
 // New makes a keeper that knows no peer yet.
-func New(self Self, lag Lag, hear Hear, c *peer.Client, l *event.Log, m *metric.Set) *Keeper {
-	return &Keeper{self: self, lag: lag, hear: hear, client: c, log: l, metrics: m, members: member.New(self().VM, Suspect)}
+func New(self Self, lag Lag, merge Merge, c *peer.Client, l *event.Log, m *metric.Set) *Keeper {
+	return &Keeper{self: self, lag: lag, merge: merge, client: c, log: l, metrics: m, members: member.New(self().VM, Suspect)}
 }
 
 // Run is the duty that sends heartbeats.
@@ -96,7 +96,7 @@
 		return
 	}
 	k.heard(b)
-	k.hear(b.Contents)
+	k.merge(b.Contents)
 	if b.ConfigVersion > own.ConfigVersion {
 		k.lag(ctx, address)
 	}
@@ -126,7 +126,7 @@
 	if b.Protocol != member.Protocol {
 		return own, fault.New(fault.PeerProtocol, "this entry VM speaks another protocol version")
 	}
-	k.hear(b.Contents)
+	k.merge(b.Contents)
 	return own, nil
 }
 
--- a/internal/mesh/allocate_test.go
+++ b/internal/mesh/allocate_test.go
@@ -157,7 +157,7 @@
 	proper := api.Exchange{Protocol: gossip.Protocol, VM: "b", Self: api.MeshMember{Address: "127.0.0.1:1", Domain: "d"}}
 	add(proper)
 	x := proper
-	x.Contents = []api.ContentWord{{Content: "c", Server: "e", Ended: true, AgeMS: 1 << 62}, {Content: "c", AgeMS: -1}, {}}
+	x.Contents = []api.ContentReport{{Content: "c", Server: "e", Ended: true, AgeMS: 1 << 62}, {Content: "c", AgeMS: -1}, {}}
 	x.Loads, x.Members = map[string]api.ServerLoad{"e": {Requests: -5, Tokens: -1 << 62}}, -7
 	x.ConfigAt, x.ServersAt, x.QuarantinesAt = 1<<62, 1<<62, 1<<62
 	add(x)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -31,10 +31,10 @@
 	Leaving() []api.ServerName
 	// NoteLeaving takes those that a peer knows.
 	NoteLeaving(l []api.ServerName)
-	// News gives what was lately learned of contents that end servers.
-	News() []api.ContentWord
-	// Hear takes what a peer learned of them.
-	Hear(l []api.ContentWord)
+	// ContentReports gives what was lately learned of contents that end servers.
+	ContentReports() []api.ContentReport
+	// MergeContents takes what a peer learned of them.
+	MergeContents(l []api.ContentReport)
 }
 
 // Loads is where reports on loads come from and go to.
@@ -204,7 +204,7 @@
 	e := api.Exchange{
 		Protocol: gossip.Protocol, VM: m.VM, ConfigAt: m.Config.Changed(), ServersAt: m.Servers.Changed(),
 		Direct: m.direct(), Relation: relations[r], Members: x.Members,
-		Leaving: m.Notices.Leaving(), Contents: m.Notices.News(),
+		Leaving: m.Notices.Leaving(), Contents: m.Notices.ContentReports(),
 	}
 	if m.Closures != nil {
 		e.ClosuresAt = m.Closures.Changed()
@@ -287,7 +287,7 @@
 	m.Loads.UpdateLoads(e.VM, r, x)
 	m.notePools(e, r)
 	m.Notices.NoteLeaving(e.Leaving)
-	m.Notices.Hear(e.Contents)
+	m.Notices.MergeContents(e.Contents)
 	catchUp(m, e.Self.Address, PathConfig, e.ConfigAt, m.Config)
 	catchUp(m, e.Self.Address, PathServers, e.ServersAt, m.Servers)
 	if m.Closures != nil {
