--- a/internal/contents/guard.go
+++ b/internal/contents/guard.go
@@ -159,14 +159,14 @@
 	return g.table.Expired(time.Now())
 }
 
-// News gives what peers may not know yet.
+// Recent gives the reports that peers may not know yet.
 func (g *Guard) Recent() []api.ContentReport {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	return g.table.Recent(time.Now())
 }
 
-// All gives the news and, for peers without a platform that keeps them, the contents that
+// All gives these reports and, for peers without a platform that keeps them, those of contents that
 // are refused.
 func (g *Guard) All() []api.ContentReport {
 	g.mutex.Lock()
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// judge refuses the contents that have come to be proven, and has the platform keep
+// judge refuses the contents that have come to be confirmed, and has the platform keep
 // them: an entry VM that peers don't reach, or that starts later, learns of them there.
 func (g *Gateway) judge() {
 	for _, v := range g.Contents.Step() {
