--- /dev/null
+++ b/internal/contents/guard_test.go
@@ -0,0 +1,88 @@
+package contents_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/contents"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/metric"
+)
+
+// refused is the failure of a connection to a server that listens no more.
+var refused = &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+
+func name() api.ContentHash { return "c" }
+
+// What the failures of two attempts, each at another server that ends, say of a content.
+func TestFailuresOfAttempts(t *testing.T) {
+	tests := []struct {
+		name string
+		err  error
+		want bool
+	}{
+		{"closed without an answer", fault.Wrap(fault.OutcomeUnknown, io.EOF, "closed"), true},
+		{"reset", fault.Wrap(fault.OutcomeUnknown, syscall.ECONNRESET, "reset"), true},
+		{"no answer in time", fault.Wrap(fault.OutcomeUnknown, context.DeadlineExceeded, "late"), true},
+		{"cut inside the answer", fault.Wrap(fault.BadAnswer, io.ErrUnexpectedEOF, "cut"), true},
+		{"no connection was made", fault.Wrap(fault.NotStarted, refused, "refused"), false},
+		{"the server said that it did not run it", fault.New(fault.ServerRefused, "full"), false},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := contents.New(event.Discard(), metric.New())
+				for _, s := range []api.ServerName{"a", "b"} {
+					g.Broke(name, s, c.err)
+					g.Ended(s)
+				}
+				time.Sleep(2 * time.Second)
+				g.Step()
+				f := g.Check(name)
+				if got := f != nil; got != c.want {
+					t.Fatalf("got refused %v, want %v", got, c.want)
+				}
+				if f != nil && (f.Code != fault.Quarantined || f.Ran != api.RanNo || f.RetryAfter <= 0) {
+					t.Errorf("got %+v, want it refused as not run, with a time to come back", f)
+				}
+			})
+		})
+	}
+}
+
+// Servers that may have ended are connected to; only a refused connection confirms it.
+func TestVerify(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		err  error
+		want bool
+	}{{"nothing listens", refused, true}, {"no answer", context.DeadlineExceeded, false}, {"it listens", nil, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				d, end := duty.New(context.Background())
+				defer end()
+				g := contents.New(event.Discard(), metric.New())
+				for _, s := range []api.ServerName{"a", "b"} {
+					g.Broke(name, s, fault.Wrap(fault.OutcomeUnknown, io.EOF, "closed"))
+				}
+				for range 10 {
+					g.Verify(d, func(context.Context, api.ServerName) error { return c.err })
+					time.Sleep(300 * time.Millisecond)
+					g.Step()
+				}
+				if got := g.Check(name) != nil; got != c.want {
+					t.Errorf("got refused %v, want %v", got, c.want)
+				}
+			})
+		})
+	}
+}
