fix: what was removed and made again within one batch is not gone for peers

Operators had opened it (29) and closed it again (30); the VM that follows the platform took both in one batch, and its delta for peers named the object as made and as removed, both of version 30, in an order by chance. A peer that took the removal last kept the domain open until the next change. The same holds for servers whose entry lapses and comes back in one batch. Change: a delta names no removal of what is there. Measured: TestMadeAgainWithinOneBatch fails before and passes now.

--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -204,6 +204,11 @@
 		}
 	}
 	for _, r := range s.removals {
+		if _, again := s.objects[r.name]; again {
+			// It was made again. Within one batch both have the version of the batch, and
+			// which of them would come last is not known.
+			continue
+		}
 		if from > 0 && r.at > from {
 			d.Items = append(d.Items, Change[T]{Object: Object[T]{Name: r.name, Version: r.at}, Gone: true})
 		}
--- a/internal/decide/replica/replica_test.go
+++ b/internal/decide/replica/replica_test.go
@@ -147,3 +147,25 @@
 		t.Errorf("changed after a removal: got %d, want 13", got)
 	}
 }
+
+// What was removed and made again within one batch is there for a peer that catches up, and
+// what was removed for good is not: a failure domain that operators opened and closed
+// again at once stayed open for the peers of the entry VM that had followed it.
+func TestMadeAgainWithinOneBatch(t *testing.T) {
+	object := func(v api.Version) replica.Object[int] {
+		return replica.Object[int]{Name: "a", Version: v, Value: int(v)}
+	}
+	a, b := replica.New[int](), replica.New[int]()
+	first := replica.Snapshot[int]{At: 27, Items: []replica.Object[int]{object(27), {Name: "b", Version: 20}}}
+	a.Replace(first)
+	b.Replace(first)
+	a.Apply(replica.Changes[int]{At: 30, Items: []replica.Change[int]{
+		{Object: object(29), Gone: true}, {Object: object(30)}, {Object: replica.Object[int]{Name: "b", Version: 30}, Gone: true},
+	}})
+	if !b.Offer(a.Since(27)) {
+		t.Fatal("the delta: got nothing new of it, want the changes")
+	}
+	if l := b.Snapshot().Items; len(l) != 1 || l[0] != object(30) {
+		t.Errorf("got %+v, want the object that was made again alone", l)
+	}
+}
