feat: logs tell which history of the platform an answer is of

An answer of the platform said nothing in the logs but its version, so that a platform that went back to a copy could not be told from a stale answer. The adapter reads the era of each answer; lines of dropped lists name it beside the one held, and era_changed says that a watch went on in another history. Nothing is decided by it yet.

Tested: TestAnswersTellTheirEra (platform).

--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -408,6 +408,10 @@
 	SlowReaderMS Milliseconds `json:"slow_reader_ms,omitempty,omitzero"`
 }
 
+// Era counts how often the platform came back from a copy of its objects, which
+// loses the changes since the copy.
+type Era int
+
 // ErrorBody is the body of every refusal.
 type ErrorBody struct {
 	// What went wrong.
--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -17,7 +17,9 @@
 
 // Snapshot is every object of a kind at a version of the platform.
 type Snapshot[T any] struct {
-	At    api.Version
+	At api.Version
+	// Era is the history of the platform that the snapshot is of.
+	Era   api.Era
 	Items []Object[T]
 	// Settled is set on what a peer has passed on where the platform has answered
 	// it for so long that nothing is missing for an outage.
@@ -34,7 +36,9 @@
 
 // Changes are what happened up to a version.
 type Changes[T any] struct {
-	At    api.Version
+	At api.Version
+	// Era is the history of the platform that the changes are of.
+	Era   api.Era
 	Items []Change[T]
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -80,6 +80,8 @@
 
 	mutex sync.Mutex
 	store *replica.Store[T]
+	// era is that of the last answer that was taken.
+	era api.Era
 	// away is set while the platform does not answer; it has since a time.
 	away  bool
 	since time.Time
@@ -191,10 +193,11 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if s.At < m.store.At() {
-		m.Log.Emit(event.ConfigStale, zap.String("kind", m.Name), zap.Int("offered", int(s.At)), zap.Int("version", int(m.store.At())))
+		m.Log.Emit(event.ConfigStale, zap.String("kind", m.Name), zap.Int("offered", int(s.At)), zap.Int("version", int(m.store.At())), zap.Int("offered_era", int(s.Era)), zap.Int("era", int(m.era)))
 		return nil
 	}
 	before := m.store.Changed()
+	m.era = s.Era
 	m.store.Replace(s)
 	if m.store.Changed() != before {
 		m.Take(m.store.Snapshot())
@@ -220,6 +223,7 @@
 func (m *Mirror[T]) apply(x replica.Changes[T]) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	m.noteEra(x.Era)
 	if m.store.Apply(x) == 0 {
 		return false
 	}
@@ -227,6 +231,15 @@
 	return true
 }
 
+// noteEra logs that a watch went on in another history of the platform than the one it
+// began in; the mutex is held.
+func (m *Mirror[T]) noteEra(e api.Era) {
+	if e != m.era {
+		m.Log.Emit(event.EraChanged, zap.String("kind", m.Name), zap.Int("from", int(m.era)), zap.Int("era", int(e)), zap.Int("version", int(m.store.At())))
+	}
+	m.era = e
+}
+
 // Offer takes what a peer has passed on.
 func (m *Mirror[T]) Offer(d replica.Delta[T]) {
 	m.mutex.Lock()
