fix: a platform that came back from a copy begins a later era, and eras are compared first

What callers saw: for seconds after operators had a change confirmed, requests ran by the configuration before, and under a key that was gone.

Cause: entry VMs compared the platform's revisions, which order changes within one history. The platform came back from a copy at revision 21; entry VMs held 25, dropped its lists as older, and went on from 25 once that number was given out again, without what had led to it.

Why it holds: the adapter makes a version of an answer's era and its revision, and the era is in the high bits, so that whatever compares versions (copies, peers' words, what a peer is asked for) orders eras first. A watch that is answered in another era than it began in, and a list whose pages are of two, begin again; changes never lead from one era into another; peers give whole copies across eras. Entry VMs that pass on bare revisions are refused by the protocol's version.

--- a/fleet/restored_test.go
+++ b/fleet/restored_test.go
@@ -216,3 +216,44 @@
 		b.want("after the one that follows", n, 11, 10)
 	})
 }
+
+// The platform has given out the versions that entry VMs hold, and later ones, before any
+// of them asks again, and no call of theirs fails: what happened below them is not missed.
+func TestStoreBackFromACopyBeyondKnownVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 6
+		b := newStoreBed(t, n)
+		c := b.store.Copy()
+		b.configure(t, 2)
+		time.Sleep(inForceTime)
+		b.store.Restore(c)
+		b.unregister(t, plainServer("4", "hall-0"))
+		for v := range int64(8) {
+			b.configure(t, v+3)
+		}
+		time.Sleep(restoredSlow + inForceTime)
+		b.want("after the copy came back", n, 10, 2)
+		b.sent.to("4")
+		b.load(n)
+		if got := b.sent.to("4"); got > 0 {
+			t.Errorf("requests to a server that left: got %d, want none", got)
+		}
+	})
+}
+
+// load sends thirty requests to each entry VM, by which every server in use gets some.
+func (b *storeBed) load(n int) {
+	for i := range 30 * n {
+		b.ask(i%n, call(fmt.Sprint("load-", i), "/always/", ""))
+	}
+}
+
+// unregister removes a server's entry as its end does.
+func (b *storeBed) unregister(t *testing.T, s roster.Server) {
+	t.Helper()
+	e, err := standin.Wire{}.Server(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.store.Drop(e)
+}
--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -1127,6 +1127,10 @@
 const ResourceKindStatus ResourceKind = "status"
 const ResourceKindWorkspace ResourceKind = "workspace"
 
+// Revision is the platform's own number of a change, which orders changes within
+// one era.
+type Revision int
+
 // ServerID is what all lives of a backend server have in common on a hosting
 // platform.
 type ServerID string
@@ -1350,7 +1354,7 @@
 const VMStateLeaving VMState = "leaving"
 const VMStateLive VMState = "live"
 
-// Version is the platform's order of changes.
+// Version is the order of the platform's changes over all of its eras.
 type Version int
 
 // WorkspaceName names one customer's workspace.
--- a/internal/decide/gossip/peers.go
+++ b/internal/decide/gossip/peers.go
@@ -30,7 +30,7 @@
 
 // Protocol is the version of the exchange between entry VMs; those of another
 // one are refused.
-const Protocol = 4
+const Protocol = 5
 
 // Member is an entry VM as peers pass it on.
 type Member struct {
--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -17,9 +17,7 @@
 
 // Snapshot is every object of a kind at a version of the platform.
 type Snapshot[T any] struct {
-	At api.Version
-	// Era is the history of the platform that the snapshot is of.
-	Era   api.Era
+	At    api.Version
 	Items []Object[T]
 	// Settled is set on what a peer has passed on where the platform has answered
 	// it for so long that nothing is missing for an outage.
@@ -36,9 +34,7 @@
 
 // Changes are what happened up to a version.
 type Changes[T any] struct {
-	At api.Version
-	// Era is the history of the platform that the changes are of.
-	Era   api.Era
+	At    api.Version
 	Items []Change[T]
 }
 
@@ -62,7 +58,9 @@
 	at api.Version
 }
 
-// Store is a copy of a kind; the zero value of At means that nothing is known.
+// Store is a copy of a kind; the zero value of At means that nothing is known. A snapshot of a
+// later era replaces all that is known of an earlier one: its versions are above, however low
+// the platform's own numbers begin again.
 type Store[T any] struct {
 	at      api.Version
 	changed api.Version
@@ -123,8 +121,9 @@
 // newer than the object known is dropped; a removal carries the version of the
 // object that it removes.
 func (s *Store[T]) Apply(c Changes[T]) int {
-	if c.At <= s.at {
-		// All of it is known, and what is gone since must not come back.
+	if c.At <= s.at || c.At.Era() != s.at.Era() {
+		// All of it is known, and what is gone since must not come back; or it goes on from
+		// another era than this copy, which takes a snapshot.
 		return 0
 	}
 	s.at = c.At
@@ -178,9 +177,9 @@
 }
 
 // Offer takes a peer's delta; it reports whether anything was new. A delta from
-// a version that is not yet known here is dropped.
+// a version that is not yet known here is dropped, as is one from another era than its own.
 func (s *Store[T]) Offer(d Delta[T]) bool {
-	if d.At <= s.at || d.From > s.at {
+	if d.At <= s.at || d.From > s.at || d.From > 0 && d.From.Era() != d.At.Era() {
 		return false
 	}
 	before := s.changed
@@ -199,7 +198,8 @@
 // Since gives what a peer that knows everything up to a version has missed.
 func (s *Store[T]) Since(from api.Version) Delta[T] {
 	d := Delta[T]{From: from, At: s.at}
-	if from == 0 || from < s.floor || from > s.at {
+	if from < s.floor || from > s.at || from.Era() != s.at.Era() {
+		// What the peer has of an earlier era may never have been in this one.
 		d.From, from = 0, 0
 	}
 	for name, o := range s.objects {
--- a/internal/decide/replica/replica_test.go
+++ b/internal/decide/replica/replica_test.go
@@ -92,7 +92,7 @@
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			at += api.Version(rapid.IntRange(1, 3).Draw(t, "more"))
 			n := string(rune('a' + rapid.IntRange(0, 4).Draw(t, "name")))
-			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
 			case 0:
 				a.Apply(replica.Changes[string]{At: at, Items: []replica.Change[string]{{Object: object(n, at, n)}}})
 			case 1:
@@ -102,6 +102,10 @@
 			case 3:
 				b.Offer(a.Since(b.At()))
 				same(t, a, b)
+			case 4:
+				// The platform comes back from a copy, which has one object alone.
+				at = api.NewVersion(at.Era()+1, api.Revision(rapid.IntRange(1, 9).Draw(t, "copy")))
+				a.Replace(replica.Snapshot[string]{At: at, Items: []replica.Object[string]{object(n, at, n)}})
 			}
 		}
 		b.Offer(a.Since(b.At()))
@@ -169,3 +173,51 @@
 		t.Errorf("got %+v, want the object that was made again alone", l)
 	}
 }
+
+// A snapshot of a later era replaces what an earlier one had, whatever the platform's own
+// numbers; nothing of the earlier era is taken after it, nor changes without a snapshot.
+func TestLaterEraReplacesEarlierOne(t *testing.T) {
+	v := api.NewVersion
+	one := func(at, version api.Version, x string) replica.Snapshot[string] {
+		return replica.Snapshot[string]{At: at, Items: []replica.Object[string]{object("a", version, x)}}
+	}
+	tests := []struct {
+		name string
+		do   func(s *replica.Store[string])
+		want string
+	}{
+		{"list of the later era at a lower revision", func(s *replica.Store[string]) { s.Replace(one(v(2, 21), v(2, 20), "restored")) }, "restored"},
+		{"list of the earlier era that comes late", func(s *replica.Store[string]) {
+			s.Replace(one(v(2, 21), v(2, 20), "restored"))
+			s.Replace(one(v(1, 40), v(1, 40), "late"))
+		}, "restored"},
+		{"changes of the earlier era that come late", func(s *replica.Store[string]) {
+			s.Replace(one(v(2, 21), v(2, 20), "restored"))
+			s.Apply(replica.Changes[string]{At: v(1, 40), Items: []replica.Change[string]{{Object: object("a", v(1, 40), "late")}}})
+		}, "restored"},
+		{"changes of a later era without its list", func(s *replica.Store[string]) {
+			s.Apply(replica.Changes[string]{At: v(2, 30), Items: []replica.Change[string]{{Object: object("a", v(2, 30), "part")}}})
+		}, "known"},
+		{"a peer's changes from an earlier era into a later one", func(s *replica.Store[string]) {
+			s.Offer(replica.Delta[string]{From: v(1, 25), At: v(2, 30), Items: []replica.Change[string]{{Object: object("a", v(2, 30), "part")}}})
+		}, "known"},
+		{"a peer's whole copy of a later era", func(s *replica.Store[string]) {
+			s.Offer(replica.Delta[string]{At: v(2, 3), Items: []replica.Change[string]{{Object: object("a", v(2, 2), "restored")}}})
+		}, "restored"},
+		{"two eras in a row", func(s *replica.Store[string]) {
+			s.Replace(one(v(2, 21), v(2, 20), "restored"))
+			s.Replace(one(v(3, 5), v(3, 4), "again"))
+			s.Replace(one(v(2, 99), v(2, 99), "late"))
+		}, "again"},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			s := replica.New[string]()
+			s.Replace(one(v(1, 25), v(1, 25), "known"))
+			c.do(s)
+			if got := value(s, "a"); got != c.want {
+				t.Errorf("got %q, want %q", got, c.want)
+			}
+		})
+	}
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -107,7 +107,7 @@
 	{PlatformLost, "platform_lost", zapcore.WarnLevel, "The platform does not answer; serving goes on."},
 	{PlatformBack, "platform_back", zapcore.InfoLevel, "The platform answers again."},
 	{WatchRestarted, "watch_restarted", zapcore.InfoLevel, "The watch started again from a list."},
-	{EraChanged, "era_changed", zapcore.WarnLevel, "The platform came back from a copy of its objects: versions begin again, and what changed since the copy may be missing."},
+	{EraChanged, "era_changed", zapcore.WarnLevel, "The platform came back from a copy of its objects: its numbers begin again, and what changed since the copy may be missing."},
 	{RequestRefused, "request_refused", zapcore.InfoLevel, "A request was refused before it ran."},
 	{RequestDone, "request_done", zapcore.InfoLevel, "A request was answered."},
 	{RequestFailed, "request_failed", zapcore.WarnLevel, "A request failed after it may have run."},
--- a/internal/gateway/closure.go
+++ b/internal/gateway/closure.go
@@ -27,10 +27,10 @@
 	g.closures.Store(true)
 	g.Metrics.Put(metric.DomainsClosed, int64(len(l)))
 	for _, d := range closed {
-		g.Log.Emit(event.DomainClosed, zap.String("domain", string(d)), zap.Int("version", int(s.At)))
+		g.Log.Emit(event.DomainClosed, zap.String("domain", string(d)), zap.Stringer("version", s.At))
 	}
 	for _, d := range opened {
-		g.Log.Emit(event.DomainOpened, zap.String("domain", string(d)), zap.Int("version", int(s.At)))
+		g.Log.Emit(event.DomainOpened, zap.String("domain", string(d)), zap.Stringer("version", s.At))
 	}
 	if len(closed) == 0 {
 		return
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -158,7 +158,7 @@
 		g.directory.Store(n)
 		g.keep(n)
 		g.Metrics.Put(metric.ConfigVersion, o.Value.Version)
-		g.Log.Emit(event.ConfigApplied, zap.Int64("number", o.Value.Version), zap.Int("version", int(s.At)), zap.Int("routes", len(o.Value.Routes)))
+		g.Log.Emit(event.ConfigApplied, zap.Int64("number", o.Value.Version), zap.Stringer("version", s.At), zap.Int("routes", len(o.Value.Routes)))
 	}
 }
 
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -67,7 +67,7 @@
 		l = append(l, o.Value)
 	}
 	g.Contents.Declare(l)
-	g.Log.Emit(event.ContentDeclared, zap.Int("contents", len(l)), zap.Int("version", int(s.At)))
+	g.Log.Emit(event.ContentDeclared, zap.Int("contents", len(l)), zap.Stringer("version", s.At))
 }
 
 // ReleaseExpired removes from the platform what it keeps beyond its time; it is for the
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -44,6 +44,7 @@
 	PlatformWrites   Name = "platform_writes_total"
 	PlatformWatches  Name = "platform_watches_total"
 	PlatformFailures Name = "platform_failures_total"
+	PlatformRestores Name = "platform_restores_total"
 	ReportsTaken     Name = "load_reports_total"
 	ReportsFailed    Name = "load_report_failures_total"
 	HeartbeatsSent   Name = "heartbeats_sent_total"
@@ -96,6 +97,7 @@
 	{PlatformWrites, "calls", "Writes sent to the platform."},
 	{PlatformWatches, "calls", "Watches sent to the platform."},
 	{PlatformFailures, "calls", "Platform calls that failed."},
+	{PlatformRestores, "kinds", "Kinds of objects whose history began again because the platform came back from a copy."},
 	{ReportsTaken, "reports", "Load reports read."},
 	{ReportsFailed, "reports", "Load reports that could not be read."},
 	{HeartbeatsSent, "heartbeats", "Heartbeats sent to peers."},
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -80,8 +80,6 @@
 
 	mutex sync.Mutex
 	store *replica.Store[T]
-	// era is that of the last answer that was taken.
-	era api.Era
 	// away is set while the platform does not answer; it has since a time.
 	away  bool
 	since time.Time
@@ -123,7 +121,7 @@
 		// After any failure the history may be lost without a word.
 		list = true
 		if fault.Has(err, fault.WatchTooOld) {
-			m.Log.Emit(event.WatchRestarted, zap.String("kind", m.Name), zap.Int("version", int(m.At())))
+			m.Log.Emit(event.WatchRestarted, zap.String("kind", m.Name), zap.Stringer("version", m.At()))
 			forgotten++
 			if forgotten > 1 {
 				// A store that forgets at once is not asked at once again.
@@ -193,12 +191,13 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if s.At < m.store.At() {
-		m.Log.Emit(event.ConfigStale, zap.String("kind", m.Name), zap.Int("offered", int(s.At)), zap.Int("version", int(m.store.At())), zap.Int("offered_era", int(s.Era)), zap.Int("era", int(m.era)))
+		m.Log.Emit(event.ConfigStale, zap.String("kind", m.Name), zap.Stringer("offered", s.At), zap.Stringer("version", m.store.At()))
 		return nil
 	}
 	before := m.store.Changed()
-	m.era = s.Era
+	known := m.store.At()
 	m.store.Replace(s)
+	m.enter(known)
 	if m.store.Changed() != before {
 		m.Take(m.store.Snapshot())
 	}
@@ -223,7 +222,6 @@
 func (m *Mirror[T]) apply(x replica.Changes[T]) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	m.noteEra(x.Era)
 	if m.store.Apply(x) == 0 {
 		return false
 	}
@@ -231,22 +229,26 @@
 	return true
 }
 
-// noteEra logs that a watch went on in another history of the platform than the one it
-// began in; the mutex is held.
-func (m *Mirror[T]) noteEra(e api.Era) {
-	if e != m.era {
-		m.Log.Emit(event.EraChanged, zap.String("kind", m.Name), zap.Int("from", int(m.era)), zap.Int("era", int(e)), zap.Int("version", int(m.store.At())))
+// enter notes that the platform came back from a copy, where what is known now is of a later
+// era than what was known before; the mutex is held.
+func (m *Mirror[T]) enter(known api.Version) {
+	now := m.store.At()
+	if known == 0 || now.Era() == known.Era() {
+		return
 	}
-	m.era = e
+	m.Metrics.Add(metric.PlatformRestores, 1)
+	m.Log.Emit(event.EraChanged, zap.String("kind", m.Name), zap.Stringer("from", known), zap.Stringer("version", now))
 }
 
 // Offer takes what a peer has passed on.
 func (m *Mirror[T]) Offer(d replica.Delta[T]) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	known := m.store.At()
 	if !m.store.Offer(d) {
 		return
 	}
+	m.enter(known)
 	m.Metrics.Add(metric.ConfigFromPeers, 1)
 	v := m.store.Snapshot()
 	v.Settled = d.Settled
--- a/internal/standin/hosted/endpoint.go
+++ b/internal/standin/hosted/endpoint.go
@@ -70,8 +70,8 @@
 	return e.store.list(kind, after), Answered
 }
 
-// Watch waits for the changes of a kind after a version.
-func (e *Endpoint) Watch(ctx context.Context, kind string, from api.Version, wait time.Duration) (Changes, Outcome) {
+// Watch waits for the changes of a kind after a revision.
+func (e *Endpoint) Watch(ctx context.Context, kind string, from api.Revision, wait time.Duration) (Changes, Outcome) {
 	if o := e.take(); o != Answered {
 		return Changes{}, o
 	}
@@ -111,7 +111,7 @@
 	if o := e.take(); o != Answered {
 		return o
 	}
-	if !e.store.drop(Entry{Kind: kind, Name: name}) {
+	if !e.store.Drop(Entry{Kind: kind, Name: name}) {
 		return Missing
 	}
 	return Answered
--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -28,7 +28,6 @@
 type Page struct {
 	Items []Object
 	At    api.Version
-	Era   api.Era
 	More  bool
 }
 
@@ -43,9 +42,8 @@
 	wire Wire
 
 	mutex   sync.Mutex
-	era     api.Era
 	at      api.Version
-	floor   api.Version
+	floor   api.Revision
 	objects map[string]map[string]Object
 	changes []change
 	wake    chan struct{}
@@ -53,7 +51,7 @@
 
 // NewStore makes an empty store that is written over a wire.
 func NewStore(w Wire) *Store {
-	return &Store{wire: w, era: 1, at: 1, objects: map[string]map[string]Object{}, wake: make(chan struct{})}
+	return &Store{wire: w, at: api.NewVersion(1, 1), objects: map[string]map[string]Object{}, wake: make(chan struct{})}
 }
 
 // Configure writes a configuration, which is its acknowledgement.
@@ -82,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	s.drop(e)
+	s.Drop(e)
 	return nil
 }
 
@@ -107,12 +105,12 @@
 	if err != nil {
 		return err
 	}
-	s.drop(e)
+	s.Drop(e)
 	return nil
 }
 
-// drop removes an object; it reports false where it is not there.
-func (s *Store) drop(e Entry) bool {
+// Drop removes an object as another writer would; it reports false where it is not there.
+func (s *Store) Drop(e Entry) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	o, ok := s.objects[e.Kind][e.Name]
@@ -172,7 +170,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.changes = nil
-	s.floor = s.at
+	s.floor = s.at.Revision()
 	s.wakeAll()
 }
 
@@ -186,26 +184,30 @@
 func (s *Store) Copy() Copy {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return Copy{at: s.at, objects: clone(s.objects)}
-}
-
-func clone(m map[string]map[string]Object) map[string]map[string]Object {
-	c := make(map[string]map[string]Object, len(m))
-	for k, l := range m {
-		c[k] = maps.Clone(l)
+	c := Copy{at: s.at, objects: map[string]map[string]Object{}}
+	for k, l := range s.objects {
+		c.objects[k] = maps.Clone(l)
 	}
 	return c
 }
 
-// Restore brings the store back from a copy: what was written since is gone, and versions
-// are given out again. Who waits for changes learns that the history is gone.
+// Restore brings the store back from a copy: what was written since is gone, and revisions
+// are given out again in a new era. Who waits for changes learns that the history is gone.
 func (s *Store) Restore(c Copy) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.era++
-	s.at, s.objects = c.at, clone(c.objects)
-	s.changes = slices.DeleteFunc(s.changes, func(x change) bool { return x.Version > c.at })
-	s.floor = min(s.floor, c.at)
+	e := s.at.Era() + 1
+	s.at = api.NewVersion(e, c.at.Revision())
+	s.objects = map[string]map[string]Object{}
+	for k, l := range c.objects {
+		s.objects[k] = map[string]Object{}
+		for n, o := range l {
+			o.Version = api.NewVersion(e, o.Version.Revision())
+			s.objects[k][n] = o
+		}
+	}
+	s.changes = nil
+	s.floor = s.at.Revision()
 	s.wakeAll()
 }
 
@@ -213,7 +215,7 @@
 func (s *Store) Era() api.Era {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.era
+	return s.at.Era()
 }
 
 // list gives a page of a kind behind a name.
@@ -227,24 +229,24 @@
 		}
 	}
 	slices.Sort(names)
-	p := Page{At: s.at, Era: s.era, More: len(names) > pageSize}
+	p := Page{At: s.at, More: len(names) > pageSize}
 	for _, n := range names[:min(len(names), pageSize)] {
 		p.Items = append(p.Items, s.objects[kind][n])
 	}
 	return p
 }
 
-// since gives the changes of a kind after a version, or false where they are
-// forgotten or the version was not reached yet, and what is closed at the next change.
-func (s *Store) since(kind string, from api.Version) (Changes, <-chan struct{}, bool) {
+// since gives the changes of a kind after a revision, or false where they are forgotten or
+// the revision was not reached yet, and what is closed at the next change.
+func (s *Store) since(kind string, from api.Revision) (Changes, <-chan struct{}, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	c := Changes{At: s.at, Era: s.era}
-	if from < s.floor || from > s.at {
+	c := Changes{At: s.at}
+	if from < s.floor || from > s.at.Revision() {
 		return c, nil, false
 	}
 	for _, x := range s.changes {
-		if x.kind == kind && x.Version > from {
+		if x.kind == kind && x.Version.Revision() > from {
 			c.Items = append(c.Items, x.Change)
 		}
 	}
