test: an entry VM that starts after a restore of the platform serves by an older configuration

What callers see: at an entry VM that has just started, requests run by a configuration that operators replaced before the platform came back from a copy, while its peers serve by the one in force.

--- a/fleet/restored_test.go
+++ b/fleet/restored_test.go
@@ -257,3 +257,29 @@
 	}
 	b.store.Drop(e)
 }
+
+// An entry VM that starts after the platform came back from a copy finds an older
+// configuration there than the others have in force: callers met routes and keys at it that
+// operators had replaced, for as long as they did not write again. It takes what is in force
+// from its peers.
+func TestVMStartedAfterTheStoreCameBackFromACopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 6
+		b := newStoreBed(t, n)
+		c := b.store.Copy()
+		b.configure(t, 2)
+		b.configure(t, 3)
+		time.Sleep(inForceTime)
+		b.restore(c)
+		time.Sleep(restoredSlow)
+		for _, i := range []int{0, 5} {
+			b.stops[i]()
+			b.start(i)
+		}
+		time.Sleep(inForceTime)
+		b.want("after two VMs started", n, 3, 1)
+		b.configure(t, 4)
+		time.Sleep(inForceTime)
+		b.want("after the next change", n, 4, 3)
+	})
+}
