fix: entry VMs tell each other which configuration is in force, by the operators' number

What callers saw: at an entry VM that started after the platform had come back from a copy, routes and keys that operators had replaced; its peers served by the configuration in force.

Cause: in force is what each VM had taken before; a VM without a memory has the platform's copy alone, and peers passed on that copy too, whose versions are all equal. Ruled out: an exchange that came late (the VM stayed so for the whole test).

Why it holds: an exchange names the operators' number of the configuration in force; who has a lower one though its copy of the platform is no older asks for it, after the time that a change takes on the ordinary way, so that ordinary changes cost no call. The operators' number rises with each configuration, so that neither way takes an older one.

--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -271,6 +271,10 @@
 const ClaimStateClaimed ClaimState = "claimed"
 const ClaimStateDone ClaimState = "done"
 
+// ConfigNumber is the operators' own number of a configuration, which rises with
+// each.
+type ConfigNumber int
+
 // ContentHash is the same for requests of one workspace with the same method,
 // host, target and body, in hex.
 type ContentHash string
@@ -448,6 +452,10 @@
 	// Version at which the configuration last changed.
 	ConfigAt Version `json:"config_at"`
 
+	// Configuration that the sender has in force, which may be newer than what the
+	// platform holds; zero for none.
+	ConfigNumber ConfigNumber `json:"config_number,omitempty,omitzero"`
+
 	// What was lately learned of contents that may end servers.
 	Contents []ContentReport `json:"contents,omitempty,omitzero"`
 
--- a/internal/decide/gossip/gossip_test.go
+++ b/internal/decide/gossip/gossip_test.go
@@ -18,7 +18,7 @@
 
 // A peer that is behind as well must not hide that another one is ahead.
 func TestLagSeesPeerAheadBesidePeerBehind(t *testing.T) {
-	var l gossip.Lag
+	var l gossip.Lag[api.Version]
 	got := false
 	for ms := 0; ms <= 1000; ms += 250 {
 		got = got || l.Ask(at(ms), 22, 40, false)
@@ -30,7 +30,7 @@
 }
 
 func TestLagWaitsForOwnWatch(t *testing.T) {
-	var l gossip.Lag
+	var l gossip.Lag[api.Version]
 	if got := l.Ask(at(0), 22, 40, false); got {
 		t.Error("first word of more: got true, want false")
 	}
@@ -40,7 +40,7 @@
 }
 
 func TestLagAsksAtOnceWithoutPlatform(t *testing.T) {
-	var l gossip.Lag
+	var l gossip.Lag[api.Version]
 	if got := l.Ask(at(0), 22, 40, true); !got {
 		t.Error("platform away: got false, want true")
 	}
--- a/internal/decide/gossip/lag.go
+++ b/internal/decide/gossip/lag.go
@@ -10,17 +10,17 @@
 // watch brings most changes.
 const lagTime = 300 * time.Millisecond
 
-// Lag notices that peers know more of a kind than this entry VM does.
-type Lag struct {
-	own   api.Version
+// Lag notices that peers know more of something numbered than this entry VM does.
+type Lag[N api.Version | api.ConfigNumber] struct {
+	own   N
 	since time.Time
 }
 
-// Ask reports whether a peer that knows a kind up to a version is to be asked
+// Ask reports whether a peer that knows something up to a number is to be asked
 // for it: at once while the platform is away, the first peer and then one after
 // each while where nothing is known yet, and else once the own view stood still
 // behind a peer for long enough.
-func (l *Lag) Ask(now time.Time, own, theirs api.Version, away bool) bool {
+func (l *Lag[N]) Ask(now time.Time, own, theirs N, away bool) bool {
 	if own != l.own {
 		l.own = own
 		l.since = time.Time{}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,7 +19,6 @@
 	"github.com/wardridge/wardridge/internal/decide/holder"
 	"github.com/wardridge/wardridge/internal/decide/placement"
 	"github.com/wardridge/wardridge/internal/decide/quarantine"
-	"github.com/wardridge/wardridge/internal/decide/replica"
 	"github.com/wardridge/wardridge/internal/decide/retry"
 	"github.com/wardridge/wardridge/internal/decide/roster"
 	"github.com/wardridge/wardridge/internal/decide/silence"
@@ -67,6 +66,8 @@
 	Parts
 
 	directory atomic.Pointer[directory.Directory]
+	// configuring is held while a configuration comes into force.
+	configuring sync.Mutex
 	// closures is set once it is known which failure domains are closed.
 	closures atomic.Bool
 	stop     atomic.Pointer[drain.Stop]
@@ -147,21 +148,6 @@
 	return int(g.inFlight.Load())
 }
 
-// Configure brings a configuration into force unless a newer one is.
-func (g *Gateway) Configure(s replica.Snapshot[directory.Config]) {
-	for _, o := range s.Items {
-		d := g.directory.Load()
-		if d != nil && o.Value.Version <= d.Version {
-			continue
-		}
-		n := directory.New(o.Value)
-		g.directory.Store(n)
-		g.keep(n)
-		g.Metrics.Put(metric.ConfigVersion, o.Value.Version)
-		g.Log.Emit(event.ConfigApplied, zap.Int64("number", o.Value.Version), zap.Stringer("version", s.At), zap.Int("routes", len(o.Value.Routes)))
-	}
-}
-
 // request is a request with what the configuration says of it.
 type request struct {
 	*port.Request
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -37,6 +37,17 @@
 	MergeContents(l []api.ContentReport)
 }
 
+// Applied is the configuration in force. It may be newer than the platform's: one that came
+// back from a copy holds an older one until operators write again.
+type Applied interface {
+	// AppliedNumber is its number, zero for none.
+	AppliedNumber() api.ConfigNumber
+	// Applied gives it.
+	Applied() directory.Config
+	// Apply takes a peer's, unless a newer one is in force.
+	Apply(c directory.Config)
+}
+
 // Loads is where reports on loads come from and go to.
 type Loads interface {
 	// ReportLoads gives the report on plain servers for a peer.
@@ -76,6 +87,7 @@
 	Loads       Loads
 	Engines     Allocator
 	Notices     Notices
+	Applied     Applied
 }
 
 // Mesh is one entry VM's side of the exchange.
@@ -85,16 +97,18 @@
 	mutex sync.Mutex
 	peers *gossip.Peers
 	busy  map[string]bool
-	// lag notices kinds that stand still behind a peer.
-	lag  map[string]*gossip.Lag
-	live map[string]bool
+	// lag notices kinds that stand still behind a peer, and behind that the configuration
+	// in force does.
+	lag    map[string]*gossip.Lag[api.Version]
+	behind gossip.Lag[api.ConfigNumber]
+	live   map[string]bool
 }
 
 // New makes a mesh that knows the addresses in the settings.
 func New(p Parts) *Mesh {
 	return &Mesh{
 		Parts: p, peers: gossip.New(time.Now(), p.Self, p.Seeds, p.Hubs),
-		busy: map[string]bool{}, lag: map[string]*gossip.Lag{PathConfig: {}, PathServers: {}, PathClosures: {}, PathQuarantines: {}}, live: map[string]bool{},
+		busy: map[string]bool{}, lag: map[string]*gossip.Lag[api.Version]{PathConfig: {}, PathServers: {}, PathClosures: {}, PathQuarantines: {}}, live: map[string]bool{},
 	}
 }
 
@@ -204,7 +218,7 @@
 	e := api.Exchange{
 		Protocol: gossip.Protocol, VM: m.VM, ConfigAt: m.Config.Changed(), ServersAt: m.Servers.Changed(),
 		Direct: m.direct(), Relation: relations[r], Members: x.Members,
-		Leaving: m.Notices.Leaving(), Contents: m.Notices.ContentReports(),
+		Leaving: m.Notices.Leaving(), Contents: m.Notices.ContentReports(), ConfigNumber: m.Applied.AppliedNumber(),
 	}
 	if m.Closures != nil {
 		e.ClosuresAt = m.Closures.Changed()
@@ -289,6 +303,7 @@
 	m.Notices.NoteLeaving(e.Leaving)
 	m.Notices.MergeContents(e.Contents)
 	catchUp(m, e.Self.Address, PathConfig, e.ConfigAt, m.Config)
+	m.apply(e)
 	catchUp(m, e.Self.Address, PathServers, e.ServersAt, m.Servers)
 	if m.Closures != nil {
 		catchUp(m, e.Self.Address, PathClosures, e.ClosuresAt, m.Closures)
@@ -320,3 +335,15 @@
 		fetch(m, address, path, k)
 	}
 }
+
+// apply asks a peer for the configuration that it has in force, where that is newer than the
+// own one though the platform's copy tells nothing of it.
+func (m *Mesh) apply(e api.Exchange) {
+	own, at := m.Applied.AppliedNumber(), m.Config.At()
+	m.mutex.Lock()
+	ask := at >= e.ConfigAt && m.behind.Ask(time.Now(), own, e.ConfigNumber, false)
+	m.mutex.Unlock()
+	if ask {
+		m.fetchApplied(e.Self.Address)
+	}
+}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -55,7 +55,7 @@
 	v.servers = mirror.New(mirror.Parts[roster.Server]{Take: func(replica.Snapshot[roster.Server]) {}, Metrics: metric.New(), Log: event.Discard()})
 	v.Mesh = mesh.New(mesh.Parts{
 		VM: api.VMName(name), Self: gossip.Member{Address: v.address, Domain: "d"}, Seeds: seeds, Hubs: 2,
-		Client: c, Group: g, Log: event.Discard(), Metrics: metric.New(), Config: v.config, Servers: v.servers, Loads: v.table, Engines: v.table, Notices: v.table,
+		Client: c, Group: g, Log: event.Discard(), Metrics: metric.New(), Config: v.config, Servers: v.servers, Loads: v.table, Engines: v.table, Notices: v.table, Applied: v.table,
 	})
 	v.Routes(r)
 	return v
@@ -167,3 +167,20 @@
 		offer(v + 1)
 	}
 }
+
+// A configuration that a peer has in force and the platform's copy lost is passed on; an older
+// one is not taken, nor asked for.
+func TestPeersPassOnTheConfigurationInForce(t *testing.T) {
+	a := newVM(t, "a")
+	b := newVM(t, "b", a.address)
+	a.table.Apply(directory.Config{Version: 9})
+	b.table.Apply(directory.Config{Version: 4})
+	until(t, "the newer configuration at both", []*vm{a, b}, func() bool {
+		return b.table.AppliedNumber() == 9
+	})
+	b.table.Apply(directory.Config{Version: 4})
+	b.table.Apply(directory.Config{})
+	if x, y := a.table.AppliedNumber(), b.table.AppliedNumber(); x != 9 || y != 9 {
+		t.Errorf("got %d and %d in force, want 9 at both", x, y)
+	}
+}
--- a/internal/mesh/serve.go
+++ b/internal/mesh/serve.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/directory"
 	"github.com/wardridge/wardridge/internal/decide/placement"
 	"github.com/wardridge/wardridge/internal/decide/replica"
 	"github.com/wardridge/wardridge/internal/event"
@@ -24,6 +25,7 @@
 	PathServers     = "/mesh/v1/servers"
 	PathClosures    = "/mesh/v1/closures"
 	PathQuarantines = "/mesh/v1/quarantines"
+	PathApplied     = "/mesh/v1/applied"
 	PathPlace       = "/mesh/v1/place"
 	PathHolding     = "/mesh/v1/holding"
 )
@@ -36,6 +38,7 @@
 	r.Post(PathExchange, m.answer)
 	r.Post(PathPlace, m.place)
 	r.Post(PathHolding, m.hold)
+	r.Get(PathApplied, m.applied)
 	r.Get(PathConfig, pass(newPacker(m.Config)))
 	r.Get(PathServers, pass(newPacker(m.Servers)))
 	if m.Closures != nil {
@@ -84,6 +87,26 @@
 	}
 }
 
+// applied answers a peer with the configuration in force.
+func (m *Mesh) applied(w http.ResponseWriter, _ *http.Request) {
+	wire.Write(w, http.StatusOK, m.Applied.Applied())
+}
+
+// fetchApplied takes the configuration that a peer has in force.
+func (m *Mesh) fetchApplied(address string) {
+	m.Group.Go(func(ctx context.Context) error {
+		c, cancel := context.WithTimeout(ctx, callTime)
+		defer cancel()
+		var d directory.Config
+		if err := wire.Call(c, m.Client, http.MethodGet, "http://"+address+PathApplied, nil, &d); err != nil {
+			m.Log.Emit(event.PeerSilent, zap.String("address", address), zap.Error(err))
+			return nil
+		}
+		m.Applied.Apply(d)
+		return nil
+	})
+}
+
 // fetch takes what a peer knows of a kind.
 func fetch[T any](m *Mesh, address, path string, k *mirror.Mirror[T]) {
 	m.Group.Go(func(ctx context.Context) error {
