test: a failure domain closed before the platform came back from a copy gets requests again

What callers and operators see: servers of a domain that operators are emptying get 85 to 92 of 180 requests from the return of the platform until operators write again.

--- a/fleet/hosted_test.go
+++ b/fleet/hosted_test.go
@@ -31,8 +31,10 @@
 	// kept holds the refused contents in the platform's store.
 	kept *kind[quarantine.Entry]
 
-	// over makes the wire of an entry VM in place of adapt.
-	over func(i int, l node.Links) node.Adapter
+	// over makes the wire of an entry VM in place of adapt, and settings are added to those
+	// of its gateway.
+	over     func(i int, l node.Links) node.Adapter
+	settings string
 
 	mutex sync.Mutex
 	vms   map[int]*gateway.Gateway
@@ -74,8 +76,8 @@
 	for k := range 3 {
 		seeds = append(seeds, hostedHost(k)+":2")
 	}
-	text := fmt.Sprintf("[node]\nname = vm-%d\ndomain = hall-%d\nlisten = %s:1\ncontrol = %s:2\n[platform]\naddress = %s:80\nwire = hosted\n[gateway]\nready = %s:3\nseeds = %s\ngrace_s = 1\n",
-		i, i%3, h, h, platformHost, h, strings.Join(seeds, ","))
+	text := fmt.Sprintf("[node]\nname = vm-%d\ndomain = hall-%d\nlisten = %s:1\ncontrol = %s:2\n[platform]\naddress = %s:80\nwire = hosted\n[gateway]\nready = %s:3\nseeds = %s\ngrace_s = 1\n%s",
+		i, i%3, h, h, platformHost, h, strings.Join(seeds, ","), b.settings)
 	s, err := settings.Parse("hosted", []byte(text))
 	if err != nil {
 		b.t.Fatal(err)
--- a/fleet/restored_test.go
+++ b/fleet/restored_test.go
@@ -37,6 +37,9 @@
 // inForceTime is the time within which operators may count on a confirmed change.
 const inForceTime = 2 * time.Second
 
+// closeTime is the time within which a closed failure domain has to get nothing new.
+const closeTime = 5 * time.Second
+
 // storeBed is a fleet of hosted entry VMs over a platform's store that can come back from a
 // copy.
 type storeBed struct {
@@ -110,7 +113,7 @@
 		b.register(t, plainServer(fmt.Sprint(i+1), fmt.Sprintf("hall-%d", i%3)))
 	}
 	b.hostedBed = prepareHostedBed(t, newPool(0, 0))
-	b.over = b.adapt
+	b.over, b.settings = b.adapt, fmt.Sprintf("close_ms = %d\n", closeTime.Milliseconds())
 	b.serve(t)
 	for i := range n {
 		b.start(i)
@@ -332,3 +335,73 @@
 		})
 	}
 }
+
+// Operators closed a failure domain, and the platform came back from a copy in which it was
+// open: its servers, which were being emptied, got requests again. It stays closed, also
+// at an entry VM that starts then, until operators have written it again or had the time to,
+// and what they write then holds.
+func TestClosedDomainBeforeTheStoreCameBackFromACopy(t *testing.T) {
+	for _, w := range []struct {
+		name string
+		// again is when operators write it again, and open when they take it back; zero for never.
+		again, open time.Duration
+		// opened is how long after the return the domain may be closed at most.
+		opened time.Duration
+	}{
+		{"written again and opened", 8 * time.Second, 12 * time.Second, 12*time.Second + closeTime},
+		{"written again and opened at once", 8 * time.Second, 8 * time.Second, time.Minute},
+		{"never written again", 0, 0, time.Minute},
+	} {
+		t.Run(w.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const n = 6
+				b := newStoreBed(t, n)
+				c := b.store.Copy()
+				b.close(t, true)
+				time.Sleep(closeTime)
+				b.restore(c)
+				back := time.Now()
+				b.stops[n-1]()
+				b.start(n - 1)
+				time.Sleep(2 * time.Second)
+				closed := func(when string) {
+					b.sent.to("1", "4")
+					b.load(n)
+					if got := b.sent.to("1", "4"); got > 0 {
+						t.Errorf("%s: got %d requests to the closed domain, want none", when, got)
+					}
+				}
+				closed("after the copy came back")
+				if w.again > 0 {
+					time.Sleep(time.Until(back.Add(w.again)))
+					closed("before operators write again")
+					b.close(t, true)
+					if w.open > w.again {
+						time.Sleep(closeTime / 2)
+						closed("after they did")
+						time.Sleep(time.Until(back.Add(w.open)))
+					}
+					b.close(t, false)
+				}
+				time.Sleep(time.Until(back.Add(w.opened)))
+				b.sent.to("1", "4")
+				b.load(n)
+				if got := b.sent.to("1", "4"); got == 0 {
+					t.Error("after it was opened: got no request there, want some")
+				}
+			})
+		})
+	}
+}
+
+// close closes the failure domain of servers 1 and 4, or opens it.
+func (b *storeBed) close(t *testing.T, closed bool) {
+	t.Helper()
+	f := b.store.Close
+	if !closed {
+		f = b.store.Open
+	}
+	if err := f("hall-0"); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/decide/roster/era_test.go
+++ b/internal/decide/roster/era_test.go
@@ -46,7 +46,7 @@
 			r.Update(at(20000), c.copy, false)
 			r.Enter(at(20000+c.at), 2)
 			r.Update(at(20000+c.at), c.later, false)
-			r.Step(at(20000+c.at))
+			r.Step(at(20000 + c.at))
 			if got := state(t, r, "a"); got != c.want {
 				t.Errorf("got %v, want %v", got, c.want)
 			}
