fix: a closed failure domain stays closed when the platform's copy has lost it

What callers and operators saw: a domain that was being emptied got requests again after the platform had come back from a copy, until operators closed it once more; their requests were cut off with its servers.

Cause: that an object is not there was taken for operators having removed it. In a later era it may never have been written.

Why it holds: what is missing in a later era stays closed for 30 s, or until operators write of the domain in that era; from then on the platform's word holds at once. Entry VMs pass on what they keep closed, with the time left, so that one that starts then knows; a peer's word never lengthens that time, nor closes what was written in the era. Ruled out: to keep it until it is written again whatever that takes, since operators who gave the closure up have nothing to remove. A domain that operators opened after the copy was made is closed by the platform's own word until they open it again; they see it there.

--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -465,6 +465,10 @@
 	// Whether the sender has word from the platform or from a hub that has.
 	Informed bool `json:"informed,omitempty,omitzero"`
 
+	// Failure domains that the sender keeps closed though the platform, which came
+	// back from a copy, has lost it.
+	KeptClosures []KeptClosure `json:"kept_closures,omitempty,omitzero"`
+
 	// Backend servers that told the sender or its peers themselves that they are
 	// leaving.
 	Leaving []ServerName `json:"leaving,omitempty,omitzero"`
@@ -679,6 +683,16 @@
 // Incarnation tells two lives of one VM apart, in Unix nanoseconds at start.
 type Incarnation int
 
+// KeptClosure is a failure domain that stays closed until operators had the time
+// to write it again.
+type KeptClosure struct {
+	// Failure domain.
+	Domain DomainName `json:"domain"`
+
+	// Time for which it stays closed.
+	LeftMS Milliseconds `json:"left_ms"`
+}
+
 // LeaseSettings times the leases on duties.
 type LeaseSettings struct {
 	// Length of a lease, ms.
--- a/internal/decide/roster/era_test.go
+++ b/internal/decide/roster/era_test.go
@@ -1,9 +1,11 @@
 package roster_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/roster"
 )
 
@@ -88,3 +90,68 @@
 		t.Errorf("after it wrote again: got warm at %v, want %v", m.Warm, at(3500))
 	}
 }
+
+// A closure that a copy of the store has lost holds until it is written again, or for its
+// time; what operators write in the later era holds at once.
+func TestClosuresOfACopy(t *testing.T) {
+	x := []roster.Closure{{Domain: "x"}}
+	tests := []struct {
+		name string
+		do   func(r *roster.Roster)
+		want bool
+	}{
+		{"lost with the copy", func(r *roster.Roster) { r.Close(at(100), 2, nil, warmup) }, true},
+		{"until its time is over", func(r *roster.Roster) {
+			r.Close(at(100), 2, nil, warmup)
+			r.Reopen(at(30200), warmup)
+		}, false},
+		{"written again", func(r *roster.Roster) {
+			r.Close(at(100), 2, nil, warmup)
+			r.Close(at(200), 2, x, warmup)
+			r.Reopen(at(60000), warmup)
+		}, true},
+		{"written again and opened", func(r *roster.Roster) {
+			r.Close(at(100), 2, nil, warmup)
+			r.Close(at(200), 2, x, warmup)
+			r.Close(at(300), 2, nil, warmup)
+		}, false},
+		{"a peer's older word of it after that", func(r *roster.Roster) {
+			r.Close(at(100), 2, x, warmup)
+			r.Close(at(200), 2, nil, warmup)
+			r.KeepClosed(at(300), []api.KeptClosure{{Domain: "x", LeftMS: 20000}}, warmup)
+		}, false},
+		{"opened in the same era", func(r *roster.Roster) { r.Close(at(100), 1, nil, warmup) }, false},
+		{"lost twice", func(r *roster.Roster) {
+			r.Close(at(100), 2, nil, warmup)
+			r.Close(at(5000), 3, nil, warmup)
+		}, true},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			r := settled()
+			r.Close(at(0), 1, x, warmup)
+			c.do(r)
+			if got := r.Closed("x"); got != c.want {
+				t.Errorf("closed: got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// An entry VM that knows the copy alone learns from peers what stays closed, for as long as
+// they keep it.
+func TestKeptClosuresArePassedOn(t *testing.T) {
+	a, b := settled(), settled()
+	a.Close(at(0), 1, []roster.Closure{{Domain: "x"}}, warmup)
+	a.Close(at(100), 2, nil, warmup)
+	b.Close(at(5000), 2, nil, warmup)
+	if got := b.KeepClosed(at(10100), a.KeptClosed(at(10100)), warmup); !slices.Equal(got, []api.DomainName{"x"}) {
+		t.Fatalf("closed by a peer's word: got %v, want x", got)
+	}
+	if got := b.KeptClosed(at(10200)); len(got) != 1 || got[0].LeftMS != 19900 {
+		t.Errorf("kept: got %+v, want x for 19,900 ms", got)
+	}
+	if _, opened := b.Reopen(at(30101), warmup); !slices.Equal(opened, []api.DomainName{"x"}) {
+		t.Errorf("after its time: got opened %v, want x", opened)
+	}
+}
--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -96,7 +96,9 @@
 type Roster struct {
 	members map[api.ServerName]*Member
 	lives   lives
-	closed  map[api.DomainName]bool
+	// closed holds the domains that are closed, as closures say.
+	closed   map[api.DomainName]bool
+	closures *closures
 	// services keeps the members of services in order until something of them changes:
 	// a choice looks at all of them, and to sort 3,000 anew took 1.8 ms.
 	services map[api.ServiceName][]Member
@@ -119,7 +121,7 @@
 
 // New makes a roster without servers, which the store has not answered yet.
 func New() *Roster {
-	return &Roster{members: map[api.ServerName]*Member{}, lives: lives{}, closed: map[api.DomainName]bool{}, services: map[api.ServiceName][]Member{}, left: map[api.ServerName]Member{}, away: true}
+	return &Roster{members: map[api.ServerName]*Member{}, lives: lives{}, closed: map[api.DomainName]bool{}, closures: newClosures(), services: map[api.ServiceName][]Member{}, left: map[api.ServerName]Member{}, away: true}
 }
 
 // Away notes whether the store is unreachable.
--- a/internal/gateway/closure.go
+++ b/internal/gateway/closure.go
@@ -21,16 +21,52 @@
 	}
 	now := time.Now()
 	g.mutex.Lock()
-	closed, opened := g.roster.Close(now, l, g.warmUp)
+	closed, opened := g.roster.Close(now, s.At.Era(), l, g.warmUp)
 	g.letIn(now)
 	g.mutex.Unlock()
 	g.closures.Store(true)
-	g.Metrics.Put(metric.DomainsClosed, int64(len(l)))
+	g.noteClosed(closed, opened, zap.Stringer("version", s.At))
+}
+
+// KeptClosures gives the domains that stay closed though the platform has lost it.
+func (g *Gateway) KeptClosures() []api.KeptClosure {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.roster.KeptClosed(time.Now())
+}
+
+// KeepClosures takes those of a peer.
+func (g *Gateway) KeepClosures(l []api.KeptClosure) {
+	if len(l) == 0 {
+		return
+	}
+	g.mutex.Lock()
+	closed := g.roster.KeepClosed(time.Now(), l, g.warmUp)
+	g.mutex.Unlock()
+	g.noteClosed(closed, nil, zap.Bool("of_peer", true))
+}
+
+// reopen opens the domains that were kept closed for long enough.
+func (g *Gateway) reopen(now time.Time) {
+	g.mutex.Lock()
+	closed, opened := g.roster.Reopen(now, g.warmUp)
+	if len(opened) > 0 {
+		g.letIn(now)
+	}
+	g.mutex.Unlock()
+	g.noteClosed(closed, opened, zap.Bool("kept", true))
+}
+
+// noteClosed logs which domains were closed and opened, and gives up copies in those that
+// were closed.
+func (g *Gateway) noteClosed(closed, opened []api.DomainName, why zap.Field) {
 	for _, d := range closed {
-		g.Log.Emit(event.DomainClosed, zap.String("domain", string(d)), zap.Stringer("version", s.At))
+		g.Metrics.Add(metric.DomainsClosed, 1)
+		g.Log.Emit(event.DomainClosed, zap.String("domain", string(d)), why)
 	}
 	for _, d := range opened {
-		g.Log.Emit(event.DomainOpened, zap.String("domain", string(d)), zap.Stringer("version", s.At))
+		g.Metrics.Add(metric.DomainsClosed, -1)
+		g.Log.Emit(event.DomainOpened, zap.String("domain", string(d)), why)
 	}
 	if len(closed) == 0 {
 		return
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -52,6 +52,7 @@
 	g.picker.Engines.Expire(now)
 	g.Retries.Members(g.picker.Table.Members(now))
 	g.mutex.Unlock()
+	g.reopen(now)
 	g.judge()
 	g.watchdog.sweep()
 	g.changed(c)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -31,6 +31,10 @@
 	Leaving() []api.ServerName
 	// NoteLeaving takes those that a peer knows.
 	NoteLeaving(l []api.ServerName)
+	// KeptClosures lists the failure domains that stay closed though the platform lost it.
+	KeptClosures() []api.KeptClosure
+	// KeepClosures takes those of a peer.
+	KeepClosures(l []api.KeptClosure)
 	// ContentReports gives what was lately learned of contents that end servers.
 	ContentReports() []api.ContentReport
 	// MergeContents takes what a peer learned of them.
@@ -221,7 +225,7 @@
 		Leaving: m.Notices.Leaving(), Contents: m.Notices.ContentReports(), ConfigNumber: m.Applied.AppliedNumber(),
 	}
 	if m.Closures != nil {
-		e.ClosuresAt = m.Closures.Changed()
+		e.ClosuresAt, e.KeptClosures = m.Closures.Changed(), m.Notices.KeptClosures()
 	}
 	if m.Quarantines != nil {
 		e.QuarantinesAt = m.Quarantines.Changed()
@@ -306,6 +310,7 @@
 	m.apply(e)
 	catchUp(m, e.Self.Address, PathServers, e.ServersAt, m.Servers)
 	if m.Closures != nil {
+		m.Notices.KeepClosures(e.KeptClosures)
 		catchUp(m, e.Self.Address, PathClosures, e.ClosuresAt, m.Closures)
 	}
 	if m.Quarantines != nil {
