test: a content that ends servers is sent again after the platform came back from a copy

What callers see: servers end under a content that all entry VMs refused a moment before, and a content that operators had released is refused again.

--- a/fleet/restored_test.go
+++ b/fleet/restored_test.go
@@ -12,7 +12,9 @@
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/directory"
+	"github.com/wardridge/wardridge/internal/decide/quarantine"
 	"github.com/wardridge/wardridge/internal/decide/roster"
+	"github.com/wardridge/wardridge/internal/fault"
 	"github.com/wardridge/wardridge/internal/gateway"
 	"github.com/wardridge/wardridge/internal/node"
 	"github.com/wardridge/wardridge/internal/port"
@@ -405,3 +407,76 @@
 		t.Fatal(err)
 	}
 }
+
+// quarantines writes refused contents to the store as an entry VM does.
+func (b *storeBed) quarantines(t *testing.T) (platform.Quarantines, *platform.Kind[quarantine.Entry]) {
+	t.Helper()
+	c, closer := wire.NewClientOver(machine{b.net, "operator"}.dial, false)
+	t.Cleanup(closer)
+	o := platform.NewObjects(c, platformHost+":80")
+	return platform.NewQuarantines(o), platform.Quarantined(o, func(_, name string, err error) { t.Errorf("%s: %v", name, err) })
+}
+
+// content names a request's content as entry VMs do.
+func content(r *port.Request) api.ContentHash {
+	return quarantine.Hash("", r.Method, r.Host, r.Target, r.Body)
+}
+
+// The platform came back from a copy without a content that ends servers, and entry VMs took it
+// for released: it was sent to servers again, and would end them one after the other. One
+// that operators had released came back with the copy, and was refused again. Both are as
+// entry VMs know them, and the platform's objects are put right by the one that follows it.
+func TestRefusedContentsOutlastTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 6
+		b := newStoreBed(t, n)
+		q, kept := b.quarantines(t)
+		ctx := context.Background()
+		deadly, released := call("x", "/always/", "deadly"), call("y", "/always/", "released")
+		until := time.Now().Add(time.Hour)
+		if err := q.Keep(ctx, quarantine.Entry{Content: content(released), Until: until}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(inForceTime)
+		c := b.store.Copy()
+		if err := q.Keep(ctx, quarantine.Entry{Content: content(deadly), Until: until}); err != nil {
+			t.Fatal(err)
+		}
+		if err := q.Release(ctx, content(released)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(inForceTime)
+		want := func(when string) {
+			t.Helper()
+			for i := range n {
+				if !b.ask(i, call("x", "/always/", "deadly")).refused(fault.Quarantined) {
+					t.Errorf("%s, entry VM %d: got the content that ends servers sent, want it refused", when, i)
+				}
+				if !b.ask(i, call("y", "/always/", "released")).served() {
+					t.Errorf("%s, entry VM %d: got the released content not served, want it served", when, i)
+				}
+			}
+		}
+		want("before")
+		b.restore(c)
+		time.Sleep(restoredSlow)
+		want("after the copy came back")
+		b.stops[0]()
+		b.start(0)
+		time.Sleep(restoredSlow)
+		want("after a VM started")
+		l, err := kept.List(ctx)
+		if err != nil || len(l.Items) != 1 || l.Items[0].Value.Content != content(deadly) {
+			t.Errorf("the platform's objects: got %+v, %v, want the content that ends servers alone", l.Items, err)
+		}
+		if err := q.Release(ctx, content(deadly)); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(restoredSlow)
+		for i := range n {
+			if !b.ask(i, call("x", "/always/", "deadly")).served() {
+				t.Errorf("released in the later era, entry VM %d: got it refused, want it served", i)
+			}
+		}
+	})
+}
