fix: refused contents outlast a platform that comes back from a copy, and releases do too

What callers saw: a content that all entry VMs refused was sent again after the platform's return, and would have ended servers one after the other; a content that operators had released was refused again.

Cause: an object that is missing was taken for operators having released it, and one that is there for what the system had written. In a later era the one may have been lost, the other revived; and what the system wrote nobody else writes again.

Why it holds: the table compares the objects of a later era with what it knows. What is missing and still refused stays so; what was released, for as long as it could be refused, stays released. The entry VM that follows the platform writes the one and removes the other, once; the others keep the same order in mind and do it if they come to follow. A later era is told of even where nothing of the kind is left in it.

--- a/internal/contents/guard.go
+++ b/internal/contents/guard.go
@@ -145,11 +145,18 @@
 	return ok
 }
 
-// Declare takes the contents that the platform keeps as refused.
-func (g *Guard) Declare(l []quarantine.Entry) {
+// Declare takes the contents that the platform keeps as refused, in an era.
+func (g *Guard) Declare(e api.Era, l []quarantine.Entry) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.table.Declare(l)
+	g.table.Declare(time.Now(), e, l)
+}
+
+// Correct gives what has to be put right on the platform after it came back from a copy.
+func (g *Guard) Correct() quarantine.Correction {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.table.Correct(time.Now())
 }
 
 // Expired lists the contents that the platform keeps beyond their time.
--- a/internal/decide/quarantine/judge.go
+++ b/internal/decide/quarantine/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -57,6 +58,7 @@
 			delete(t.ended, s)
 		}
 	}
+	maps.DeleteFunc(t.platform.released, func(_ api.ContentHash, at time.Time) bool { return now.Sub(at) > keepTime })
 	slices.SortFunc(l, func(a, b Verdict) int { return cmp.Compare(a.Content, b.Content) })
 	return l
 }
--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -95,8 +95,10 @@
 	contents map[api.ContentHash]*content
 	// ended is when servers were found to have ended.
 	ended map[api.ServerName]time.Time
-	// declared holds what the platform keeps.
+	// declared holds what the platform keeps, and platform how that compares with what is
+	// known here.
 	declared map[api.ContentHash]time.Time
+	platform platform
 	// answers holds when contents were answered whole here, lately.
 	answers answers
 	// learned is when the newest of all came to be known here.
@@ -107,7 +109,7 @@
 
 // New makes a table that knows nothing.
 func New() *Table {
-	return &Table{contents: map[api.ContentHash]*content{}, ended: map[api.ServerName]time.Time{}, declared: map[api.ContentHash]time.Time{}, answers: newAnswers()}
+	return &Table{contents: map[api.ContentHash]*content{}, ended: map[api.ServerName]time.Time{}, declared: map[api.ContentHash]time.Time{}, platform: newPlatform(), answers: newAnswers()}
 }
 
 // Empty reports whether nothing is known of any content.
@@ -258,21 +260,6 @@
 	return !ok || len(x.crashes) < crashesMost
 }
 
-// Declare takes the contents that the platform keeps as refused. One that was there and
-// is no more was released by operators: all that is held against it is forgotten.
-func (t *Table) Declare(l []Entry) {
-	is := make(map[api.ContentHash]time.Time, len(l))
-	for _, e := range l {
-		is[e.Content] = e.Until
-	}
-	for c := range t.declared {
-		if _, ok := is[c]; !ok {
-			delete(t.contents, c)
-		}
-	}
-	t.declared = is
-}
-
 // Expired lists the contents that the platform keeps beyond their time.
 func (t *Table) Expired(now time.Time) []api.ContentHash {
 	var l []api.ContentHash
--- a/internal/decide/quarantine/table_test.go
+++ b/internal/decide/quarantine/table_test.go
@@ -219,14 +219,14 @@
 		t.Error("after a late answer: got it let in, want it refused")
 	}
 	e := []quarantine.Entry{l[0].Entry}
-	q.Declare(e)
-	q.Declare(nil)
+	q.Declare(at(0), 1, e)
+	q.Declare(at(0), 1, nil)
 	if refused(q, 4000) {
 		t.Error("after operators released it: got it refused, want it let in")
 	}
 	// Another entry VM knows it from the platform alone.
 	o := quarantine.New()
-	o.Declare(e)
+	o.Declare(at(0), 1, e)
 	// An hour from the last break.
 	hour := 3600*1000 + 10
 	if !refused(o, hour-100) || refused(o, hour+100) {
--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -95,9 +95,10 @@
 	if n.At < s.at {
 		return false
 	}
-	if s.at == 0 {
+	if s.at == 0 || n.At.Era() != s.at.Era() {
 		s.floor = n.At
-		// That there is nothing of a kind is news to who knows nothing.
+		s.removals = nil
+		// That there is nothing of a kind is news to who knows nothing, or an earlier era.
 		s.changed = n.At
 	}
 	s.at = n.At
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -61,6 +61,7 @@
 	ContentQuarantined  ID = 411
 	ContentDeclared     ID = 412
 	QuarantineUnkept    ID = 413
+	ContentsCorrected   ID = 414
 	LeaseTaken          ID = 501
 	LeaseLost           ID = 502
 	LeaseReleased       ID = 503
@@ -135,6 +136,7 @@
 	{ContentQuarantined, "content_quarantined", zapcore.WarnLevel, "Servers ended while they ran requests of one content; it is refused from now on."},
 	{ContentDeclared, "content_declared", zapcore.InfoLevel, "The contents that the platform keeps as refused have changed."},
 	{QuarantineUnkept, "quarantine_unkept", zapcore.WarnLevel, "A refused content could not be written to, or removed from, the platform; it is tried again."},
+	{ContentsCorrected, "contents_corrected", zapcore.InfoLevel, "The platform came back from a copy that lacked refused contents or had released ones; they are written and removed again."},
 	{LeaseTaken, "lease_taken", zapcore.InfoLevel, "This entry VM holds the lease on a duty."},
 	{LeaseLost, "lease_lost", zapcore.WarnLevel, "This entry VM no longer holds the lease on a duty."},
 	{LeaseReleased, "lease_released", zapcore.InfoLevel, "This entry VM gave a lease back at its stop."},
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -45,28 +45,59 @@
 
 // keepEntry writes a refused content to the platform, however long that is away.
 func (g *Gateway) keepEntry(ctx context.Context, e quarantine.Entry) {
-	for pause := keepFirst; g.Contents.Refused(e.Content); pause = min(2*pause, keepLast) {
-		c, cancel := context.WithTimeout(ctx, keepTime)
+	g.persist(ctx, e.Content, func() bool { return g.Contents.Refused(e.Content) }, func(c context.Context) error { return g.Quarantines.Keep(c, e) })
+}
+
+// release removes a content from the platform, however long that is away.
+func (g *Gateway) release(ctx context.Context, c api.ContentHash) {
+	g.persist(ctx, c, func() bool { return !g.Contents.Refused(c) }, func(x context.Context) error { return g.Quarantines.Release(x, c) })
+}
+
+// persist makes a write about a content again until it is done or not wanted any more.
+func (g *Gateway) persist(ctx context.Context, c api.ContentHash, wanted func() bool, write func(ctx context.Context) error) {
+	for pause := keepFirst; wanted(); pause = min(2*pause, keepLast) {
+		x, cancel := context.WithTimeout(ctx, keepTime)
 		g.Metrics.Add(metric.PlatformWrites, 1)
-		err := g.Quarantines.Keep(c, e)
+		err := write(x)
 		cancel()
 		if err == nil {
 			return
 		}
-		g.Log.Emit(event.QuarantineUnkept, zap.String("content", string(e.Content)), zap.Error(err))
+		g.Log.Emit(event.QuarantineUnkept, zap.String("content", string(c)), zap.Error(err))
 		if !duty.Sleep(ctx, pause) {
 			return
 		}
 	}
 }
 
+// Correct puts the platform's objects right after it came back from a copy; it is for the
+// entry VM that follows the platform, so that one writes and not all.
+func (g *Gateway) Correct() {
+	x := g.Contents.Correct()
+	for _, e := range x.Write {
+		g.Group.Go(func(ctx context.Context) error {
+			g.keepEntry(ctx, e)
+			return nil
+		})
+	}
+	for _, c := range x.Release {
+		g.Group.Go(func(ctx context.Context) error {
+			g.release(ctx, c)
+			return nil
+		})
+	}
+	if len(x.Write)+len(x.Release) > 0 {
+		g.Log.Emit(event.ContentsCorrected, zap.Int("written", len(x.Write)), zap.Int("released", len(x.Release)))
+	}
+}
+
 // Quarantine takes the contents that the platform keeps as refused.
 func (g *Gateway) Quarantine(s replica.Snapshot[quarantine.Entry]) {
 	l := make([]quarantine.Entry, 0, len(s.Items))
 	for _, o := range s.Items {
 		l = append(l, o.Value)
 	}
-	g.Contents.Declare(l)
+	g.Contents.Declare(s.At.Era(), l)
 	g.Log.Emit(event.ContentDeclared, zap.Int("contents", len(l)), zap.Stringer("version", s.At))
 }
 
--- a/internal/node/hosted_start.go
+++ b/internal/node/hosted_start.go
@@ -324,6 +324,9 @@
 	if h.rounds%sweepRounds == 0 {
 		h.pool.Sweep()
 	}
+	if h.quarantines != nil && h.quarantines.Direct() {
+		h.gateway.Correct()
+	}
 	if h.rounds%releaseRounds == 0 && h.quarantines != nil && h.quarantines.Direct() {
 		h.group.Go(func(ctx context.Context) error {
 			h.gateway.ReleaseExpired(ctx)
