fix: leaves before an outage are remembered until the platform is back

A copy that the platform comes back from is older than the outage before it. Leaves were remembered for a minute whatever the platform did, so that after an outage of an hour the copy's entries of servers that had left counted again. They are kept through an outage and a minute beyond. Test: a case of TestEntriesOfACopy (ready before, leaving now).

--- a/internal/decide/roster/era.go
+++ b/internal/decide/roster/era.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"maps"
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
@@ -46,3 +47,14 @@
 	}
 	return w
 }
+
+// forgetLeft drops the servers that left before any copy that the store may come back from. In
+// an outage none is dropped: the copy is older than the outage, however long that lasts.
+func (r *Roster) forgetLeft(now time.Time) {
+	if r.away {
+		return
+	}
+	maps.DeleteFunc(r.left, func(_ api.ServerName, m Member) bool {
+		return now.Sub(m.Since) > copyTime && now.Sub(r.back) > copyTime
+	})
+}
--- a/internal/decide/roster/era_test.go
+++ b/internal/decide/roster/era_test.go
@@ -37,6 +37,14 @@
 			r.Update(at(10), nil, false)
 			r.Step(at(16000))
 		}, entries(a), 4000, entries(a), roster.Leaving},
+		{"forgotten in an outage that lasts", func(r *roster.Roster) {
+			r.Update(at(-3600000), entries(a), false)
+			r.Update(at(-3599000), nil, false)
+			r.Away(at(-3598000), true)
+			r.Step(at(-3500000))
+			r.Step(at(0))
+			r.Away(at(19000), false)
+		}, entries(a), 4000, entries(a), roster.Leaving},
 		{"known to have started again stays so", func(r *roster.Roster) { r.Update(at(0), entries(a), false) }, entries(a), 1000, entries(a), roster.Ready},
 	}
 	for _, c := range tests {
--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -278,7 +277,7 @@
 			clear(r.services)
 		}
 	}
-	maps.DeleteFunc(r.left, func(_ api.ServerName, m Member) bool { return now.Sub(m.Since) > copyTime })
+	r.forgetLeft(now)
 	sortMembers(l)
 	return l
 }
--- a/internal/decide/roster/roster_test.go
+++ b/internal/decide/roster/roster_test.go
@@ -21,7 +21,7 @@
 // settled gives a roster that the store has answered for long.
 func settled() *roster.Roster {
 	r := roster.New()
-	r.Away(at(-10000), false)
+	r.Away(at(-10000000), false)
 	return r
 }
 
