test: the own interface takes accepted changes back when the platform comes back from a copy

What callers see: models, workspaces and keys as they were some seconds before, though the change had been in force on every entry VM. The own platform's stand-in learns to come back from a copy: versions go on above all that it gave, in a later era, and what was written since the copy is gone.

--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -693,6 +693,19 @@
 	LeftMS Milliseconds `json:"left_ms"`
 }
 
+// KeptObject is an object that stays in force until operators had the time to
+// write it again.
+type KeptObject struct {
+	// Time for which it stays so.
+	LeftMS Milliseconds `json:"left_ms"`
+
+	// Object as it is in force; without contents where it stays removed.
+	Object Object `json:"object"`
+
+	// Whether it stays removed.
+	Removed bool `json:"removed,omitempty,omitzero"`
+}
+
 // LeaseSettings times the leases on duties.
 type LeaseSettings struct {
 	// Length of a lease, ms.
@@ -903,6 +916,10 @@
 	// Objects in order of kind and name.
 	Items []Object `json:"items"`
 
+	// What an entry VM keeps in force in spite of the platform, which came back from
+	// a copy; the platform itself keeps nothing.
+	Kept []KeptObject `json:"kept,omitempty,omitzero"`
+
 	// Version the list was read at.
 	Version Version `json:"version"`
 }
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -1,6 +1,7 @@
 package platform
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -17,10 +18,14 @@
 	name string
 }
 
-// Store is the platform's objects in one order of versions.
+// Store is the platform's objects in one order of versions. When it comes back from a copy
+// its versions go on in a later era, above all that it gave before; objects of the copy keep
+// the version of their last write.
 type Store struct {
 	mutex   sync.Mutex
 	version api.Version
+	// floor is the version from which changes are kept.
+	floor   api.Version
 	objects map[key]api.Object
 	changes []api.Change
 	wake    chan struct{}
@@ -31,6 +36,31 @@
 	return &Store{objects: map[key]api.Object{}, wake: make(chan struct{})}
 }
 
+// Copy is a copy of a store's objects.
+type Copy struct {
+	version api.Version
+	objects map[key]api.Object
+}
+
+// Copy makes a copy of the store, to come back from later.
+func (s *Store) Copy() Copy {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return Copy{version: s.version, objects: maps.Clone(s.objects)}
+}
+
+// Restore brings the store back from a copy: what was written since is gone. Who waits for
+// changes learns that the history is gone.
+func (s *Store) Restore(c Copy) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.version = api.NewVersion(s.version.Era()+1, c.version.Revision())
+	s.floor = s.version
+	s.objects = maps.Clone(c.objects)
+	s.changes = nil
+	s.wakeAll()
+}
+
 // Get reads one object.
 func (s *Store) Get(k api.ResourceKind, n string) (api.Object, error) {
 	s.mutex.Lock()
@@ -99,6 +129,11 @@
 	if len(s.changes) > history {
 		s.changes = slices.Clone(s.changes[len(s.changes)-history:])
 	}
+	s.wakeAll()
+}
+
+// wakeAll wakes who waits for a change; the mutex is held.
+func (s *Store) wakeAll() {
 	close(s.wake)
 	s.wake = make(chan struct{})
 }
@@ -108,7 +143,7 @@
 func (s *Store) Changes(from api.Version, kinds []api.ResourceKind) (api.ChangeList, <-chan struct{}, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if len(s.changes) > 0 && from < s.changes[0].Version-1 {
+	if from < s.floor || len(s.changes) > 0 && from < s.changes[0].Version-1 {
 		return api.ChangeList{}, nil, fault.New(fault.WatchTooOld, "the version is no longer kept")
 	}
 	l := api.ChangeList{Version: s.version, Changes: []api.Change{}}
