fix: on the own interface accepted changes outlast a platform that comes back from a copy

What callers saw: models, workspaces and keys of some seconds before, though operators had been told that the change was in force everywhere.

Cause: the list of a later era replaced all that was known, and the copy that it is of lacks what operators wrote since.

Why it holds: an object has the version of its last write, so that an older one in the list is one of the copy. What was in force and is newer stays in force, and what was removed stays removed, until the platform has it in a newer form, it is removed in the later era, or 30 s have passed; then the platform's word holds, with a line in the log. Peers pass on what they keep, with the time left, and an entry VM that starts then asks for it.

--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -624,6 +624,10 @@
 
 // Heartbeat is sent between entry VMs and answered by one.
 type Heartbeat struct {
+	// Objects that the sender keeps in force in spite of the platform, which came
+	// back from a copy.
+	ConfigKept int `json:"config_kept,omitempty,omitzero"`
+
 	// Configuration in force at the sender.
 	ConfigVersion Version `json:"config_version"`
 
--- a/internal/capacity/slopes_test.go
+++ b/internal/capacity/slopes_test.go
@@ -112,9 +112,8 @@
 func BenchmarkConfigChange(b *testing.B) {
 	for _, n := range []int{10, 200, 1600} {
 		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
-			s := config.New()
 			l := objects(n, n*3/2)
-			s.Replace(l)
+			s := config.Of(l)
 			v, _ := config.Build(s, nil, resource.Decode)
 			text, err := json.Marshal(l)
 			if err != nil {
@@ -225,8 +224,7 @@
 		return p
 	})
 	measure("declared-object", 250, 2500, func(n int) any {
-		s := config.New()
-		s.Replace(objects(n/2, n/2))
+		s := config.Of(objects(n/2, n/2))
 		v, _ := config.Build(s, nil, resource.Decode)
 		return [2]any{s, v}
 	})
--- a/internal/decide/config/config_test.go
+++ b/internal/decide/config/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"testing"
+	"time"
 
 	"pgregory.net/rapid"
 
@@ -24,8 +25,8 @@
 
 func TestStaleListIsDropped(t *testing.T) {
 	s := config.New()
-	s.Replace(api.ObjectList{Version: 5, Items: []api.Object{model("m", 5, `{"weights":"new"}`)}})
-	if got := s.Replace(api.ObjectList{Version: 4}); got {
+	s.Replace(time.Time{}, api.ObjectList{Version: 5, Items: []api.Object{model("m", 5, `{"weights":"new"}`)}})
+	if got := s.Replace(time.Time{}, api.ObjectList{Version: 4}); got {
 		t.Errorf("Replace with an older list: got %v, want false", got)
 	}
 	v, _ := config.Build(s, nil, plain)
@@ -36,7 +37,7 @@
 
 func TestUnreadableObjectKeepsItsLastGoodForm(t *testing.T) {
 	s := config.New()
-	s.Replace(api.ObjectList{Version: 1, Items: []api.Object{model("m", 1, `{"weights":"1"}`), model("n", 1, `{"weights":"1"}`)}})
+	s.Replace(time.Time{}, api.ObjectList{Version: 1, Items: []api.Object{model("m", 1, `{"weights":"1"}`), model("n", 1, `{"weights":"1"}`)}})
 	v, _ := config.Build(s, nil, plain)
 	s.Apply(api.ChangeList{Version: 3, Changes: []api.Change{
 		{Version: 2, Object: model("m", 2, `{"bad":1}`)},
@@ -60,7 +61,7 @@
 	object := func(k api.ResourceKind, name, spec string) api.Object {
 		return api.Object{Kind: k, Name: name, Version: 1, Spec: json.RawMessage(spec)}
 	}
-	s.Replace(api.ObjectList{Version: 1, Items: []api.Object{
+	s.Replace(time.Time{}, api.ObjectList{Version: 1, Items: []api.Object{
 		object(api.ResourceKindBackendServer, "a", `{"domain":"hall-a","state":"active"}`),
 		object(api.ResourceKindBackendServer, "b", `{"domain":"hall-b","state":"active"}`),
 		object(api.ResourceKindBackendServer, "c", `{"domain":"hall-c","state":"draining"}`),
@@ -86,7 +87,7 @@
 			v := api.Version(rapid.IntRange(0, 30).Draw(t, "version"))
 			o := model("m", v, `{}`)
 			if rapid.Bool().Draw(t, "list") {
-				s.Replace(api.ObjectList{Version: v, Items: []api.Object{o}})
+				s.Replace(time.Time{}, api.ObjectList{Version: v, Items: []api.Object{o}})
 			} else {
 				s.Apply(api.ChangeList{Version: v, Changes: []api.Change{{Version: v, Object: o}}})
 			}
@@ -94,7 +95,7 @@
 				t.Fatalf("version went from %d to %d", last, s.Version())
 			}
 			last = s.Version()
-			if l := s.List().Items; len(l) == 1 && l[0].Version > last {
+			if l := s.List(time.Time{}).Items; len(l) == 1 && l[0].Version > last {
 				t.Fatalf("object at %d in a store at %d", l[0].Version, last)
 			}
 		}
--- a/internal/decide/config/store.go
+++ b/internal/decide/config/store.go
@@ -1,6 +1,9 @@
 package config
 
 import (
+	"maps"
+	"time"
+
 	"github.com/wardridge/wardridge/internal/api"
 )
 
@@ -26,15 +29,26 @@
 	api.ResourceKindFailureDomain,
 }
 
-// Store holds declared objects at one version.
+// Store holds declared objects at one version of the platform, and those that stay in
+// force in spite of it.
 type Store struct {
 	version api.Version
 	objects map[Key]api.Object
+	// gone holds the versions of lately removed objects, which a copy may still have.
+	gone map[Key]api.Version
+	kept map[Key]kept
 }
 
 // New makes an empty store.
 func New() *Store {
-	return &Store{objects: map[Key]api.Object{}}
+	return &Store{objects: map[Key]api.Object{}, gone: map[Key]api.Version{}, kept: map[Key]kept{}}
+}
+
+// Of makes a store of a list, which nothing was known before.
+func Of(l api.ObjectList) *Store {
+	s := New()
+	s.Replace(time.Time{}, l)
+	return s
 }
 
 // Version is the version up to which the store knows every change.
@@ -42,17 +56,24 @@
 	return s.version
 }
 
-// Replace takes a whole list; it reports false for a list that is older than
-// what is known, which is dropped.
-func (s *Store) Replace(l api.ObjectList) bool {
+// Replace takes a whole list at a time; it reports false for a list that is older than what
+// is known, which is dropped. In a later era than what is known, the platform came back
+// from a copy: what was known and is newer than in the list stays in force.
+func (s *Store) Replace(now time.Time, l api.ObjectList) bool {
 	if l.Version < s.version {
 		return false
 	}
+	before := *s
 	s.objects = make(map[Key]api.Object, len(l.Items))
 	for _, o := range l.Items {
 		s.objects[Key{o.Kind, o.Name}] = o
 	}
 	s.version = l.Version
+	if before.version > 0 && l.Version.Era() > before.version.Era() {
+		s.keep(now, before)
+	}
+	s.settle()
+	s.take(now, l.Kept)
 	return true
 }
 
@@ -66,9 +87,11 @@
 		k := Key{c.Object.Kind, c.Object.Name}
 		if c.Deleted {
 			delete(s.objects, k)
+			s.remove(k, c.Version)
 		} else {
 			s.objects[k] = c.Object
 		}
+		delete(s.kept, k)
 		s.version = c.Version
 		n++
 	}
@@ -76,7 +99,24 @@
 	return n
 }
 
-// List gives every object in order of kind and name, for a peer.
-func (s *Store) List() api.ObjectList {
-	return api.ObjectList{Version: s.version, Items: sorted(s.objects)}
+// List gives the platform's objects in order of kind and name, and what is kept in spite of
+// them, for a peer.
+func (s *Store) List(now time.Time) api.ObjectList {
+	return api.ObjectList{Version: s.version, Items: sorted(s.objects), Kept: s.keptList(now)}
+}
+
+// inForce gives the objects in force in order of kind and name.
+func (s *Store) inForce() []api.Object {
+	if len(s.kept) == 0 {
+		return sorted(s.objects)
+	}
+	m := maps.Clone(s.objects)
+	for k, x := range s.kept {
+		if x.removed {
+			delete(m, k)
+			continue
+		}
+		m[k] = x.object
+	}
+	return sorted(m)
 }
--- a/internal/decide/config/view.go
+++ b/internal/decide/config/view.go
@@ -64,10 +64,10 @@
 		Servers:    map[api.ServerName]Server{},
 		Services:   map[api.ServiceName]Service{},
 		Domains:    map[api.DomainName]api.FailureDomainSpec{},
-		taken:      make(map[Key]taken, len(s.objects)),
+		taken:      make(map[Key]taken, len(s.objects)+len(s.kept)),
 	}
 	var l []Problem
-	for _, o := range sorted(s.objects) {
+	for _, o := range s.inForce() {
 		if p := v.take(o, before, decode); p != nil {
 			l = append(l, *p)
 		}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -34,6 +34,7 @@
 	PlatformBack        ID = 205
 	WatchRestarted      ID = 206
 	EraChanged          ID = 207
+	KeptExpired         ID = 208
 	RequestRefused      ID = 301
 	RequestDone         ID = 302
 	RequestFailed       ID = 303
@@ -109,6 +110,7 @@
 	{PlatformBack, "platform_back", zapcore.InfoLevel, "The platform answers again."},
 	{WatchRestarted, "watch_restarted", zapcore.InfoLevel, "The watch started again from a list."},
 	{EraChanged, "era_changed", zapcore.WarnLevel, "The platform came back from a copy of its objects: its numbers begin again, and what changed since the copy may be missing."},
+	{KeptExpired, "kept_expired", zapcore.WarnLevel, "What stayed in force though the platform came back from a copy without it was not written again; the platform holds."},
 	{RequestRefused, "request_refused", zapcore.InfoLevel, "A request was refused before it ran."},
 	{RequestDone, "request_done", zapcore.InfoLevel, "A request was answered."},
 	{RequestFailed, "request_failed", zapcore.WarnLevel, "A request failed after it may have run."},
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -87,7 +87,14 @@
 func (f *Follower) List() api.ObjectList {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.store.List()
+	return f.store.List(f.life.Now())
+}
+
+// Kept counts the objects that stay in force in spite of the platform.
+func (f *Follower) Kept() int {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.store.Kept()
 }
 
 // Age is the time since the platform last answered.
@@ -138,7 +145,7 @@
 		if !fault.Has(err, fault.WatchTooOld) {
 			return update{changes: &l, sent: sent}, err
 		}
-		f.log.Emit(event.WatchRestarted, zap.Int("version", int(from)))
+		f.log.Emit(event.WatchRestarted, zap.Stringer("version", from))
 	}
 	f.metrics.Add(metric.PlatformReads, 1)
 	l, err := f.source.List(ctx, config.Declared)
@@ -249,26 +256,41 @@
 	}
 }
 
-// merge reports whether the store changed and whether the update was older
-// than it; the follower's mutex is held.
+// merge reports whether the objects in force changed and whether the update was older than
+// them; the follower's mutex is held.
 func (f *Follower) merge(u update) (changed, stale bool) {
-	before := f.store.Version()
+	expired := f.expire()
 	if u.changes != nil {
 		n := f.store.Apply(*u.changes)
 		f.metrics.Add(metric.ConfigChanges, int64(n))
-		if n == 0 {
+		if n == 0 && !expired {
 			f.advance()
 		}
-		return n > 0, false
+		return n > 0 || expired, false
 	}
-	if !f.store.Replace(*u.list) {
-		f.log.Emit(event.ConfigStale, zap.Int("offered", int(u.list.Version)), zap.Int("version", int(before)))
-		return false, true
+	before, kept := f.store.Version(), f.store.Kept()
+	if !f.store.Replace(f.life.Now(), *u.list) {
+		f.log.Emit(event.ConfigStale, zap.Stringer("offered", u.list.Version), zap.Stringer("version", before))
+		return expired, true
 	}
 	if u.peer {
 		f.metrics.Add(metric.ConfigFromPeers, 1)
 	}
-	return f.store.Version() != before || f.view.Load().Models == nil, false
+	now := f.store.Version()
+	if before > 0 && now.Era() > before.Era() {
+		f.metrics.Add(metric.PlatformRestores, 1)
+		f.log.Emit(event.EraChanged, zap.Stringer("from", before), zap.Stringer("version", now), zap.Int("kept", f.store.Kept()))
+	}
+	return expired || now != before || f.store.Kept() != kept || f.view.Load().Models == nil, false
+}
+
+// expire drops what stayed in force in spite of the platform for its time; the mutex is held.
+func (f *Follower) expire() bool {
+	if !f.store.Expire(f.life.Now()) {
+		return false
+	}
+	f.log.Emit(event.KeptExpired, zap.Stringer("version", f.store.Version()))
+	return true
 }
 
 // advance moves the view's version on past changes of other kinds.
@@ -288,5 +310,5 @@
 	}
 	f.view.Store(v)
 	f.metrics.Put(metric.ConfigVersion, int64(v.Version))
-	f.log.Emit(event.ConfigApplied, zap.Int("version", int(v.Version)))
+	f.log.Emit(event.ConfigApplied, zap.Stringer("version", v.Version))
 }
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -97,7 +97,7 @@
 	}
 	k.heard(b)
 	k.merge(b.Contents)
-	if b.ConfigVersion > own.ConfigVersion {
+	if b.ConfigVersion > own.ConfigVersion || b.ConfigKept > own.ConfigKept {
 		k.lag(ctx, address)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,7 @@
 		Domain:        c.Settings.Node.Domain,
 		State:         c.Life.State(),
 		ConfigVersion: c.Follow.View().Version,
+		ConfigKept:    c.Follow.Kept(),
 		InFlight:      c.Life.InFlight(),
 		Contents:      c.Contents.All(),
 	}
