fix: the status of backend servers is written again after the platform came back from a copy

What operators saw: engines that served shown as out of reach, for as long as nothing changed: the entry VM that writes statuses held the last one for written, though the platform had lost it. What is held for written is of an era now.

--- a/fleet/own_restored_test.go
+++ b/fleet/own_restored_test.go
@@ -68,3 +68,28 @@
 		all("after the next change", "third")
 	})
 }
+
+// What entry VMs say of backend servers went back with the platform, and nobody wrote it again
+// until something changed: operators saw engines that served as out of reach.
+func TestStatusOutlastsTheStore(t *testing.T) {
+	fleet(t, 3, func(t *testing.T, b *bed) {
+		status := func() string {
+			text := ""
+			for _, o := range b.store.List([]api.ResourceKind{api.ResourceKindStatus}).Items {
+				text += o.Name + string(o.Spec)
+			}
+			return text
+		}
+		b.within(time.Minute, "a status", func() bool { return status() != "" })
+		time.Sleep(10 * time.Second)
+		c, before := b.store.Copy(), status()
+		b.work()
+		time.Sleep(10 * time.Second)
+		now := status()
+		if now == before {
+			t.Fatalf("got status %s still, want another one of engines that serve", now)
+		}
+		b.restoreBed(c)
+		b.within(time.Minute, "the status after the copy came back", func() bool { return status() == now })
+	})
+}
--- a/internal/upkeep/status.go
+++ b/internal/upkeep/status.go
@@ -47,9 +47,11 @@
 	metrics *metric.Set
 
 	// written is the last status of each object and its version; it is
-	// forgotten when the lease is lost.
+	// forgotten when the lease is lost, or the platform came back from a copy that
+	// may lack it.
 	written map[string]api.Object
 	fence   api.Fence
+	era     api.Era
 	swept   time.Time
 }
 
@@ -68,9 +70,9 @@
 	if !ok {
 		return
 	}
-	if f != k.fence {
+	if e := k.view().Version.Era(); f != k.fence || e != k.era {
 		k.written = map[string]api.Object{}
-		k.fence = f
+		k.fence, k.era = f, e
 		k.swept = time.Time{}
 	}
 	k.writeStatus(ctx)
