fix: claims outlast a platform that comes back from a copy

What callers saw: an order that had been confirmed went out once more when it was asked for again with its key at another entry VM, in the seconds after the platform's return.

Cause: a claim was taken for kept once it was acknowledged, and an attempt that its VM no longer knew for one that was not sent. A copy has neither the claim nor its outcome.

Why it holds: owners remember their claims until no copy can lack them, with the outcome, and write again what the platform has lost, after the first sight of a later era. Nobody claims in the 6 s after that sight; a claim that was made before a VM saw the era is abandoned as not run. A claim allows to send for 5 s from its write, so that a VM that was suspended does not send by one that others have made anew. Ruled out: to copy claims to peers, which would be a store of our own. Not covered: an owner that ends, or is cut off from the platform for longer, in the same seconds, after it sent; its claim is lost with both.

--- a/fleet/bed_test.go
+++ b/fleet/bed_test.go
@@ -17,6 +17,7 @@
 	"github.com/wardridge/wardridge/internal/sample"
 	"github.com/wardridge/wardridge/internal/settings"
 	"github.com/wardridge/wardridge/internal/standin/platform"
+	"github.com/wardridge/wardridge/internal/standin/service"
 	"github.com/wardridge/wardridge/internal/wire"
 )
 
@@ -40,6 +41,8 @@
 	group    *duty.Group
 	vms      []*vm
 	peers    *peer.Client
+	// orders is the plain service, once there is work.
+	orders *service.Service
 }
 
 // newBed starts a platform and n entry VMs in three failure domains; it has to
--- a/fleet/own_restored_test.go
+++ b/fleet/own_restored_test.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/sample"
 	"github.com/wardridge/wardridge/internal/standin/platform"
+	"github.com/wardridge/wardridge/internal/standin/service"
+	"github.com/wardridge/wardridge/internal/wire"
 )
 
 // restoreBed has the platform go away for a moment and come back from a copy.
@@ -93,3 +97,62 @@
 		b.within(time.Minute, "the status after the copy came back", func() bool { return status() == now })
 	})
 }
+
+// confirm asks an entry VM to confirm an order under a key and gives the status of the answer,
+// zero for none.
+func (b *bed) confirm(v *vm, key string) int {
+	t := &http.Transport{DialContext: machine{b.net, "callers"}.dial, DisableKeepAlives: true}
+	defer t.CloseIdleConnections()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+v.host+":80/services/orders/confirm", strings.NewReader("compressor 7"))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+sample.KeyField)
+	r.Header.Set(wire.HeaderIdempotency, key)
+	a, err := t.RoundTrip(r)
+	if err != nil {
+		return 0
+	}
+	_ = a.Body.Close()
+	return a.StatusCode
+}
+
+// A caller asked once more, at another entry VM, for an order that had been confirmed, with its
+// key: the platform had come back from a copy without the claim, and the order went out twice.
+// It is answered again from the claim, which its owner writes again, or refused as long
+// as that may not have been done; a first request under a key is served after that time.
+func TestClaimsOutlastTheStore(t *testing.T) {
+	for _, lost := range []bool{false, true} {
+		t.Run(fmt.Sprintf("answer lost %v", lost), func(t *testing.T) {
+			fleet(t, 4, func(t *testing.T, b *bed) {
+				b.work()
+				c := b.store.Copy()
+				if lost {
+					b.orders.Set(service.Faults{LoseAnswers: 1})
+				}
+				if got := b.confirm(b.vms[0], "k"); (got == http.StatusOK) == lost {
+					t.Fatalf("the first request: got status %d, want an answer %v", got, !lost)
+				}
+				time.Sleep(time.Second)
+				b.restoreBed(c)
+				for range 30 {
+					for _, v := range b.vms {
+						b.confirm(v, "k")
+					}
+					time.Sleep(500 * time.Millisecond)
+				}
+				if got := b.orders.Counts()["k"]; got != 1 {
+					t.Errorf("confirmations of one order: got %d, want 1", got)
+				}
+				if got := b.confirm(b.vms[1], "k"); (got == http.StatusOK) == lost {
+					t.Errorf("the claimed request in the end: got status %d, want its answer %v", got, !lost)
+				}
+				if got := b.confirm(b.vms[1], "another"); got != http.StatusOK {
+					t.Errorf("a first request: got status %d, want 200", got)
+				}
+			})
+		})
+	}
+}
--- a/internal/claims/keeper.go
+++ b/internal/claims/keeper.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/clock"
 	"github.com/wardridge/wardridge/internal/decide/claim"
 	"github.com/wardridge/wardridge/internal/decide/lease"
 	"github.com/wardridge/wardridge/internal/decide/member"
@@ -47,14 +48,20 @@
 	log     *event.Log
 	metrics *metric.Set
 	limit   int
+	now     clock.Now
 
 	mutex    sync.Mutex
 	attempts *claim.Attempts
+	eras     claim.Eras
+	// lost is set while claims are to be written again, since the platform came back from a
+	// copy.
+	lost bool
 }
 
-// New makes a keeper that keeps answers of at most limit bytes.
-func New(o lease.Owner, s Store, p Peers, limit int, l *event.Log, m *metric.Set) *Keeper {
-	return &Keeper{owner: o, store: s, peers: p, limit: limit, log: l, metrics: m, attempts: claim.NewAttempts(o.Incarnation)}
+// New makes a keeper that keeps answers of at most limit bytes; now has to be a clock that
+// goes on while the VM is suspended.
+func New(o lease.Owner, s Store, p Peers, limit int, now clock.Now, l *event.Log, m *metric.Set) *Keeper {
+	return &Keeper{owner: o, store: s, peers: p, limit: limit, now: now, log: l, metrics: m, attempts: claim.NewAttempts(o.Incarnation)}
 }
 
 // Name names the claim of a workspace's idempotency key.
@@ -77,6 +84,8 @@
 	name    string
 	spec    api.ClaimSpec
 	version api.Version
+	// until is when the claim no longer allows to send.
+	until time.Time
 }
 
 // Make claims a request. It gives a permit, or the kept answer of an earlier
@@ -85,6 +94,10 @@
 	s.Owner = k.owner.VM
 	s.Incarnation = k.owner.Incarnation
 	s.CreatedMS = api.UnixMilliseconds(time.Now())
+	if !k.settled() {
+		k.metrics.Add(metric.ClaimsRefused, 1)
+		return nil, nil, claim.Unsettled()
+	}
 	k.add(s.Request)
 	p, a, err := k.course(ctx, name, s)
 	if p == nil {
@@ -106,7 +119,12 @@
 			m = k.read(ctx, p, c)
 		case claim.AskOwner:
 			m = c.Answered(k.ask(ctx, name, m.Spec), m.Version)
+		case claim.Abandon:
+			k.claimed(p)
+			p.Abandon(ctx)
+			return nil, nil, k.refused(s, name, m.Fault)
 		case claim.Send:
+			k.claimed(p)
 			k.metrics.Add(metric.ClaimsMade, 1)
 			k.log.Emit(event.ClaimMade, zap.String("request", string(s.Request)), zap.String("claim", name))
 			return p, nil, nil
@@ -115,19 +133,35 @@
 			k.metrics.Add(metric.ClaimsReplayed, 1)
 			return nil, a, err
 		default:
-			k.metrics.Add(metric.ClaimsRefused, 1)
-			k.log.Emit(event.ClaimRefused, zap.String("request", string(s.Request)), zap.String("claim", name), zap.Error(m.Fault))
-			return nil, nil, m.Fault
+			return nil, nil, k.refused(s, name, m.Fault)
 		}
 	}
 }
 
+// refused counts and logs a refusal.
+func (k *Keeper) refused(s api.ClaimSpec, name string, f *fault.Error) error {
+	k.metrics.Add(metric.ClaimsRefused, 1)
+	k.log.Emit(event.ClaimRefused, zap.String("request", string(s.Request)), zap.String("claim", name), zap.Error(f))
+	return f
+}
+
+// claimed remembers a claim that was written.
+func (k *Keeper) claimed(p *Permit) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.attempts.Claimed(p.spec.Request, claim.Record{Name: p.name, Spec: p.spec})
+}
+
 func (k *Keeper) write(ctx context.Context, p *Permit, m claim.Move) claim.Written {
 	k.metrics.Add(metric.PlatformWrites, 1)
+	p.until = k.now().Add(claim.PermitTime)
 	o, err := k.put(ctx, p.name, m.Spec, m.Version, k.store.Put)
 	switch {
 	case err == nil:
 		p.spec, p.version = m.Spec, o.Version
+		if !k.seen(o.Version) {
+			return claim.Early
+		}
 		return claim.Done
 	case fault.Has(err, fault.VersionConflict):
 		return claim.Conflict
@@ -153,7 +187,7 @@
 	k.metrics.Add(metric.PlatformReads, 1)
 	o, err := k.store.Get(ctx, api.ResourceKindClaim, p.name)
 	if fault.Has(err, fault.NotFound) {
-		return c.Found(false, api.ClaimSpec{}, 0)
+		return c.Found(false, api.ClaimSpec{}, 0, true)
 	}
 	var s api.ClaimSpec
 	if err == nil {
@@ -163,7 +197,7 @@
 		return c.Unreadable()
 	}
 	p.version = o.Version
-	return c.Found(true, s, o.Version)
+	return c.Found(true, s, o.Version, k.seen(o.Version))
 }
 
 // ask asks the owner of a claim to give its attempt up unsent.
@@ -207,12 +241,12 @@
 	k.metrics.Put(metric.ClaimsKept, int64(k.attempts.Len()))
 }
 
-// Send reports whether the request may be sent; it has to be asked at the last
-// moment before the send, and says yes once.
+// Send reports whether the request may be sent; it has to be asked at the
+// last moment before the send, and says yes once.
 func (p *Permit) Send() bool {
 	p.keeper.mutex.Lock()
 	defer p.keeper.mutex.Unlock()
-	return p.keeper.attempts.Send(p.spec.Request)
+	return p.keeper.now().Before(p.until) && p.keeper.attempts.Send(p.spec.Request)
 }
 
 // Unsent takes a send back that provably reached nobody, so that the request
@@ -245,10 +279,18 @@
 // so that the request is never sent again.
 func (p *Permit) record(ctx context.Context, s api.ClaimSpec) {
 	k := p.keeper
+	k.mutex.Lock()
+	k.attempts.Over(s.Request, s)
+	k.mutex.Unlock()
 	k.metrics.Add(metric.PlatformWrites, 1)
-	if _, err := k.put(ctx, p.name, s, p.version, k.store.PutConfirmed); err != nil {
+	o, err := k.put(ctx, p.name, s, p.version, k.store.PutConfirmed)
+	if err != nil {
 		k.log.Emit(event.ClaimNotRecorded, zap.String("request", string(s.Request)), zap.Error(err))
 		return
 	}
-	k.remove(s.Request)
+	k.seen(o.Version)
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.attempts.Recorded(k.now(), s.Request)
+	k.metrics.Put(metric.ClaimsKept, int64(k.attempts.Len()))
 }
--- /dev/null
+++ b/internal/claims/restore.go
@@ -0,0 +1,134 @@
+package claims
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/claim"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/metric"
+)
+
+// Enter notes the platform's era. A later one than was known has the claims of this entry
+// VM written again: nobody else knows of those that the platform has lost, and the requests
+// were sent a second time (spec, TestClaimThroughARestore).
+func (k *Keeper) Enter(e api.Era) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.enter(e)
+}
+
+// enter is Enter under the mutex.
+func (k *Keeper) enter(e api.Era) {
+	if k.eras.Enter(k.now(), e) {
+		k.lost = true
+	}
+}
+
+// seen notes the era of a version and reports whether claims of it can be relied on.
+func (k *Keeper) seen(v api.Version) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.enter(v.Era())
+	return k.eras.Settled(k.now())
+}
+
+// settled reports whether requests may be claimed.
+func (k *Keeper) settled() bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.eras.Settled(k.now())
+}
+
+const (
+	// lookEvery is the pause between looks whether claims were lost, a small part of the time
+	// in which they have to be written again.
+	lookEvery = 200 * time.Millisecond
+	// rewriteTime bounds the calls for one claim.
+	rewriteTime = 2 * time.Second
+)
+
+// Run is the duty that writes claims again which the platform has lost, and forgets those that
+// no copy of it can lack; answered is for how long it has answered.
+func (k *Keeper) Run(answered func() time.Duration) func(ctx context.Context) error {
+	return func(ctx context.Context) error {
+		return duty.Loop(ctx, func() time.Duration { return lookEvery }, func(ctx context.Context) {
+			for _, r := range k.due(answered()) {
+				k.rewrite(ctx, r)
+			}
+		})
+	}
+}
+
+// due gives the claims to write again, once after each time that the platform came back.
+func (k *Keeper) due(answered time.Duration) []claim.Record {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if !k.lost {
+		k.attempts.Forget(k.now(), answered)
+		return nil
+	}
+	k.lost = false
+	return k.attempts.Records()
+}
+
+// rewrite writes one claim again, where the platform lacks it or has it in an earlier form.
+func (k *Keeper) rewrite(ctx context.Context, r claim.Record) {
+	c, cancel := context.WithTimeout(ctx, rewriteTime)
+	defer cancel()
+	m, err := k.compare(c, r)
+	if err == nil && m.Kind == claim.AskOwner {
+		m = k.displace(c, r, m)
+	}
+	if err == nil && (m.Kind == claim.Create || m.Kind == claim.TakeOver) {
+		k.metrics.Add(metric.PlatformWrites, 1)
+		_, err = k.put(c, r.Name, m.Spec, m.Version, k.store.PutConfirmed)
+	}
+	if err != nil {
+		k.log.Emit(event.ClaimNotRecorded, zap.String("request", string(r.Spec.Request)), zap.Error(err))
+		k.again()
+		return
+	}
+	if m.Kind != claim.Keep {
+		k.log.Emit(event.ClaimRewritten, zap.String("request", string(r.Spec.Request)), zap.String("claim", r.Name), zap.String("state", string(m.Spec.State)))
+	}
+}
+
+// again has the claims looked through once more.
+func (k *Keeper) again() {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.lost = true
+}
+
+// compare decides what to do about one claim by what the platform has.
+func (k *Keeper) compare(ctx context.Context, r claim.Record) (claim.Move, error) {
+	k.metrics.Add(metric.PlatformReads, 1)
+	o, err := k.store.Get(ctx, api.ResourceKindClaim, r.Name)
+	if fault.Has(err, fault.NotFound) {
+		return claim.Rewrite(r.Spec, false, api.ClaimSpec{}, 0), nil
+	}
+	if err != nil {
+		return claim.Move{}, err
+	}
+	var s api.ClaimSpec
+	if err := json.Unmarshal(o.Spec, &s); err != nil {
+		return claim.Move{}, fault.Wrap(fault.InvalidResource, err, "reading a claim")
+	}
+	return claim.Rewrite(r.Spec, true, s, o.Version), nil
+}
+
+// displace asks the owner of a claim that came after this one to give its attempt up unsent.
+func (k *Keeper) displace(ctx context.Context, r claim.Record, m claim.Move) claim.Move {
+	if k.ask(ctx, r.Name, m.Spec) {
+		return claim.Move{Kind: claim.TakeOver, Spec: r.Spec, Version: m.Version}
+	}
+	k.log.Emit(event.ClaimHeldTwice, zap.String("request", string(r.Spec.Request)), zap.String("other", string(m.Spec.Request)), zap.String("claim", r.Name))
+	return claim.Move{Kind: claim.Keep}
+}
--- a/internal/decide/claim/attempts.go
+++ b/internal/decide/claim/attempts.go
@@ -1,18 +1,43 @@
 package claim
 
-import "github.com/wardridge/wardridge/internal/api"
+import (
+	"slices"
+	"strings"
+	"time"
 
-// attempt is how far an attempt of this life of the entry VM has come.
-type attempt int
+	"github.com/wardridge/wardridge/internal/api"
+)
+
+// progress is how far an attempt of this life of the entry VM has come.
+type progress int
 
 const (
-	pending attempt = iota
+	pending progress = iota
 	sent
 )
 
-// Attempts knows which claimed requests of this life were sent. A request is
-// added before its claim is written and stays until its outcome is recorded,
-// so one that is not known was never sent or has its outcome recorded.
+// attempt is one attempt with the claim that was written for it.
+type attempt struct {
+	progress progress
+	record   Record
+	// over is when its outcome was recorded, zero until then.
+	over time.Time
+}
+
+// Record is a claim as its owner has written it.
+type Record struct {
+	Name string
+	Spec api.ClaimSpec
+}
+
+// rememberTime is how long an attempt is remembered whose outcome is recorded: a copy that
+// the platform comes back from is some seconds old, and has the claim without its outcome
+// or not at all. At 50 claims a second it is some 2 MB.
+const rememberTime = 2 * time.Minute
+
+// Attempts knows which claimed requests of this life were sent. A request is added before
+// its claim is written and stays until its outcome has been recorded for so long that no
+// copy of the platform can lack it, so one that is not known was never sent or can be read.
 type Attempts struct {
 	incarnation api.Incarnation
 	states      map[api.RequestID]attempt
@@ -23,34 +48,96 @@
 	return &Attempts{incarnation: i, states: map[api.RequestID]attempt{}}
 }
 
-// Add notes an attempt whose claim is about to be written.
+// Add notes an attempt whose claim is about to be written, or whose send reached nobody.
 func (a *Attempts) Add(r api.RequestID) {
-	a.states[r] = pending
+	x := a.states[r]
+	x.progress = pending
+	a.states[r] = x
+}
+
+// Claimed notes the claim that was written for an attempt.
+func (a *Attempts) Claimed(r api.RequestID, c Record) {
+	if x, ok := a.states[r]; ok {
+		x.record = c
+		a.states[r] = x
+	}
 }
 
 // Send reports whether the attempt may be sent, and notes that it is. It has
 // to be asked at the last moment before the send.
 func (a *Attempts) Send(r api.RequestID) bool {
-	s, ok := a.states[r]
-	if !ok || s != pending {
+	x, ok := a.states[r]
+	if !ok || x.progress != pending {
 		return false
 	}
-	a.states[r] = sent
+	x.progress = sent
+	a.states[r] = x
 	return true
 }
 
-// Remove forgets an attempt that was not sent or whose outcome is recorded.
+// Remove forgets an attempt that was not sent.
 func (a *Attempts) Remove(r api.RequestID) {
 	delete(a.states, r)
 }
 
+// Over notes the outcome of an attempt that is about to be recorded. One that was abandoned
+// was not sent, and is forgotten.
+func (a *Attempts) Over(r api.RequestID, s api.ClaimSpec) {
+	x, ok := a.states[r]
+	if !ok {
+		return
+	}
+	if s.State == api.ClaimStateAbandoned {
+		delete(a.states, r)
+		return
+	}
+	x.record.Spec = s
+	a.states[r] = x
+}
+
+// Recorded notes that the platform has the outcome of an attempt.
+func (a *Attempts) Recorded(now time.Time, r api.RequestID) {
+	if x, ok := a.states[r]; ok {
+		x.over = now
+		a.states[r] = x
+	}
+}
+
+// Forget drops the attempts whose outcomes every copy has that the platform, which answered
+// for so long, may come back from.
+func (a *Attempts) Forget(now time.Time, answered time.Duration) {
+	if answered < rememberTime {
+		return
+	}
+	for r, x := range a.states {
+		if !x.over.IsZero() && now.Sub(x.over) > rememberTime {
+			delete(a.states, r)
+		}
+	}
+}
+
+// Records gives the claims that were written, in order of name, for a platform that may have
+// lost them.
+func (a *Attempts) Records() []Record {
+	var l []Record
+	for _, x := range a.states {
+		if x.record.Name != "" {
+			l = append(l, x.record)
+		}
+	}
+	slices.SortFunc(l, func(x, y Record) int {
+		return strings.Compare(x.Name+string(x.Spec.Request), y.Name+string(y.Spec.Request))
+	})
+	return l
+}
+
 // Release gives an attempt up for another entry VM and reports whether it was
 // not sent and never will be. Another life's attempts can't be answered for.
 func (a *Attempts) Release(r api.RequestID, i api.Incarnation) bool {
 	if i != a.incarnation {
 		return false
 	}
-	if s, ok := a.states[r]; ok && s == sent {
+	if x, ok := a.states[r]; ok && x.progress == sent {
 		return false
 	}
 	delete(a.states, r)
--- a/internal/decide/claim/claim.go
+++ b/internal/decide/claim/claim.go
@@ -26,6 +26,10 @@
 	Replay
 	// Refuse answers with Fault.
 	Refuse
+	// Abandon records that the request was not sent, and answers with Fault.
+	Abandon
+	// Keep leaves the object as it is.
+	Keep
 )
 
 // Move is the next thing to do.
@@ -49,6 +53,9 @@
 	Lost
 	// Refused means that the write did not and will not take effect.
 	Refused
+	// Early means that the write took effect, in an era in which owners may not have written
+	// again yet what the platform has lost.
+	Early
 )
 
 // comeback is when a caller may ask again about a claim that is held.
@@ -82,6 +89,8 @@
 		return Move{Kind: Send}
 	case Refused:
 		return c.unavailable()
+	case Early:
+		return c.abandon()
 	default:
 		return c.read()
 	}
@@ -95,24 +104,42 @@
 	return Move{Kind: Read}
 }
 
+// Unsettled refuses a request while claims may be lost that come before its own; nothing of
+// it was sent.
+func Unsettled() *fault.Error {
+	return fault.New(fault.ClaimUnavailable, "the platform came back from a copy; claims are being written again, and the request was not sent").After(comeback)
+}
+
 // unavailable refuses a request of which nothing was sent.
 func (c *Claim) unavailable() Move {
 	f := fault.New(fault.ClaimUnavailable, "the claim could not be recorded; the request was not sent")
 	return Move{Kind: Refuse, Fault: f.After(comeback)}
 }
 
+// abandon gives a claim up that another one may have come before.
+func (c *Claim) abandon() Move {
+	m := c.unavailable()
+	m.Kind, m.Spec = Abandon, c.spec
+	m.Spec.State = api.ClaimStateAbandoned
+	return m
+}
+
 // Unreadable notes that the object could not be read.
 func (c *Claim) Unreadable() Move {
 	return c.unavailable()
 }
 
-// Found takes the object as read; exists is false for none.
-func (c *Claim) Found(exists bool, s api.ClaimSpec, v api.Version) Move {
+// Found takes the object as read; exists is false for none, and settled is false where
+// another claim may have come before it that the platform has lost.
+func (c *Claim) Found(exists bool, s api.ClaimSpec, v api.Version, settled bool) Move {
 	if !exists {
 		// The write may yet land; it is this attempt's and was not sent.
 		return c.unavailable()
 	}
 	if c.own(s) {
+		if !settled {
+			return c.abandon()
+		}
 		return Move{Kind: Send}
 	}
 	if s.BodyHash != c.spec.BodyHash || s.Workspace != c.spec.Workspace {
--- /dev/null
+++ b/internal/decide/claim/era.go
@@ -0,0 +1,61 @@
+package claim
+
+import (
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+)
+
+const (
+	// settleTime is how long after the first sight of a later era no request is claimed:
+	// owners see the era within the longest pause after failed calls and a list, and have
+	// written again what the platform has lost.
+	settleTime = 6 * time.Second
+	// PermitTime is how long a claim allows to send, from when it was written: one that the
+	// platform has lost must not be sent on when others may claim again.
+	PermitTime = 5 * time.Second
+)
+
+// Eras tells when the claims of an era can be relied on.
+type Eras struct {
+	known   bool
+	era     api.Era
+	entered time.Time
+}
+
+// Enter notes the platform's era and reports whether it is a later one than was known, so
+// that what was claimed may be lost.
+func (x *Eras) Enter(now time.Time, e api.Era) bool {
+	if x.known && e <= x.era {
+		return false
+	}
+	later := x.known
+	x.known, x.era, x.entered = true, e, now
+	return later
+}
+
+// Settled reports whether a claim that is not there was not made either. In the first era
+// nothing was ever lost; an entry VM that has just started sees its first era then.
+func (x *Eras) Settled(now time.Time) bool {
+	return x.known && (x.era == 0 || now.Sub(x.entered) >= settleTime)
+}
+
+// Rewrite decides how an owner's claim is written again to a platform that holds another one
+// or none. It gives Create, TakeOver or AskOwner, and Keep where nothing can be done.
+func Rewrite(own api.ClaimSpec, exists bool, found api.ClaimSpec, v api.Version) Move {
+	switch {
+	case !exists:
+		return Move{Kind: Create, Spec: own}
+	case found.Request == own.Request && found.Incarnation == own.Incarnation:
+		if found.State == own.State {
+			return Move{Kind: Keep}
+		}
+		return Move{Kind: TakeOver, Spec: own, Version: v}
+	case found.State == api.ClaimStateAbandoned:
+		return Move{Kind: TakeOver, Spec: own, Version: v}
+	case found.State == api.ClaimStateClaimed:
+		return Move{Kind: AskOwner, Spec: found, Version: v}
+	default:
+		return Move{Kind: Keep}
+	}
+}
--- /dev/null
+++ b/internal/decide/claim/era_test.go
@@ -0,0 +1,92 @@
+package claim_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/claim"
+)
+
+var began = time.Unix(1000, 0)
+
+func TestClaimsSettle(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(e *claim.Eras)
+		// after is how long after the last sight of an era they are asked.
+		after time.Duration
+		want  bool
+	}{
+		{"nothing known", func(*claim.Eras) {}, time.Hour, false},
+		{"a platform that never came back from a copy", func(e *claim.Eras) { e.Enter(began, 0) }, 0, true},
+		{"a VM that has just started", func(e *claim.Eras) { e.Enter(began, 3) }, 5 * time.Second, false},
+		{"and a while later", func(e *claim.Eras) { e.Enter(began, 3) }, 6 * time.Second, true},
+		{"a later era", func(e *claim.Eras) {
+			e.Enter(began.Add(-time.Hour), 0)
+			e.Enter(began, 1)
+		}, 5 * time.Second, false},
+		{"the same one again", func(e *claim.Eras) {
+			e.Enter(began.Add(-time.Hour), 1)
+			e.Enter(began, 1)
+		}, 0, true},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			var e claim.Eras
+			c.do(&e)
+			if got := e.Settled(began.Add(c.after)); got != c.want {
+				t.Errorf("settled: got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+func TestOwnersWriteAgain(t *testing.T) {
+	own := api.ClaimSpec{Request: "r", Incarnation: 1, State: api.ClaimStateDone}
+	earlier, other := own, api.ClaimSpec{Request: "s", Incarnation: 1, State: api.ClaimStateClaimed}
+	earlier.State = api.ClaimStateClaimed
+	abandoned, done := other, other
+	abandoned.State, done.State = api.ClaimStateAbandoned, api.ClaimStateDone
+	tests := []struct {
+		name   string
+		exists bool
+		found  api.ClaimSpec
+		want   claim.Kind
+	}{
+		{"lost", false, api.ClaimSpec{}, claim.Create},
+		{"without its outcome", true, earlier, claim.TakeOver},
+		{"there", true, own, claim.Keep},
+		{"another one's that was not sent", true, abandoned, claim.TakeOver},
+		{"another one's that may be", true, other, claim.AskOwner},
+		{"another one's that is done", true, done, claim.Keep},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			if got := claim.Rewrite(own, c.exists, c.found, 7); got.Kind != c.want {
+				t.Errorf("got move %d, want %d", got.Kind, c.want)
+			}
+		})
+	}
+}
+
+// What was sent is not given up for others once its outcome is recorded: a copy may have the
+// claim without it.
+func TestRecordedAttemptsAreRemembered(t *testing.T) {
+	a := claim.NewAttempts(1)
+	s := api.ClaimSpec{Request: "r", Incarnation: 1, State: api.ClaimStateClaimed}
+	a.Add("r")
+	a.Claimed("r", claim.Record{Name: "c", Spec: s})
+	a.Send("r")
+	s.State = api.ClaimStateDone
+	a.Over("r", s)
+	a.Recorded(began, "r")
+	a.Forget(began.Add(time.Hour), time.Second)
+	if l := a.Records(); a.Release("r", 1) || len(l) != 1 || l[0].Spec.State != api.ClaimStateDone {
+		t.Errorf("while the platform may come back from a copy: got records %+v, want the outcome", l)
+	}
+	a.Forget(began.Add(time.Hour), time.Hour)
+	if got := a.Len(); got != 0 {
+		t.Errorf("long after: got %d attempts kept, want none", got)
+	}
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -71,6 +71,8 @@
 	ClaimRefused        ID = 506
 	ClaimNotRecorded    ID = 507
 	ClaimRemoved        ID = 508
+	ClaimRewritten      ID = 509
+	ClaimHeldTwice      ID = 510
 	PeerJoined          ID = 601
 	PeerLost            ID = 602
 	PeerRefused         ID = 603
@@ -147,6 +149,8 @@
 	{ClaimRefused, "claim_refused", zapcore.InfoLevel, "A not repeatable request met an earlier claim."},
 	{ClaimNotRecorded, "claim_not_recorded", zapcore.WarnLevel, "The outcome of a claimed request could not be recorded."},
 	{ClaimRemoved, "claim_removed", zapcore.DebugLevel, "Claims past their keeping time were removed."},
+	{ClaimRewritten, "claim_rewritten", zapcore.InfoLevel, "A claim that the platform lost, as it came back from a copy, was written again."},
+	{ClaimHeldTwice, "claim_held_twice", zapcore.ErrorLevel, "Two attempts hold one claim after the platform came back from a copy; both may have been sent."},
 	{PeerJoined, "peer_joined", zapcore.InfoLevel, "An entry VM answers heartbeats."},
 	{PeerLost, "peer_lost", zapcore.WarnLevel, "An entry VM stopped answering heartbeats."},
 	{PeerRefused, "peer_refused", zapcore.WarnLevel, "An entry VM of another protocol version was refused."},
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -56,6 +56,8 @@
 	mutex sync.Mutex
 	store *config.Store
 	lost  bool
+	// back is when the platform began to answer, after a failure or the start.
+	back time.Time
 	// ready is closed once a watch has confirmed the first list.
 	ready   chan struct{}
 	watched bool
@@ -102,6 +104,16 @@
 	return time.Since(time.Unix(0, f.heard.Load()))
 }
 
+// Answered is for how long the platform has answered, zero while it does not.
+func (f *Follower) Answered() time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.lost || f.back.IsZero() {
+		return 0
+	}
+	return f.life.Now().Sub(f.back)
+}
+
 // Watch is the duty that asks the platform.
 func (f *Follower) Watch(ctx context.Context) error {
 	failures := 0
@@ -188,6 +200,9 @@
 	f.heard.Store(time.Now().UnixNano())
 	f.mutex.Lock()
 	back := f.lost
+	if back || f.back.IsZero() {
+		f.back = f.life.Now()
+	}
 	f.lost = false
 	f.mutex.Unlock()
 	if back {
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -93,7 +93,7 @@
 	const kilo = 1024
 	c.Contents = contents.New(c.Log, c.Metrics)
 	c.Deadlines = clock.NewDeadlines(c.Machine.Now)
-	c.Claims = claims.New(c.Owner, c.Platform, release{c}, s.Claim.AnswerLimitKB*kilo, c.Log, c.Metrics)
+	c.Claims = claims.New(c.Owner, c.Platform, release{c}, s.Claim.AnswerLimitKB*kilo, c.Machine.Now, c.Log, c.Metrics)
 	return nil
 }
 
@@ -200,13 +200,15 @@
 		g.Go(c.Orders.Work)
 	}
 	g.Go(c.Upkeep.Run)
+	g.Go(c.Claims.Run(c.Follow.Answered))
 	for _, l := range c.Leaders {
 		g.Go(l.Run)
 	}
 }
 
-// declare tells the dispatcher of the engines in a view.
+// declare tells the dispatcher of the engines in a view, and claims of the platform's era.
 func (c *Context) declare(v *config.View) {
+	c.Claims.Enter(v.Version.Era())
 	var l []dispatch.Server
 	for _, s := range v.Engines() {
 		l = append(l, dispatch.Server{Name: s.Name, Draining: v.Draining(s)})
