fix: wardctl prints versions with their era

Versions of a platform that came back from a copy were printed as one large number; they are printed as the platform tells them, era and revision.

--- a/cmd/apply.go
+++ b/cmd/apply.go
@@ -86,7 +86,7 @@
 		if r.Changed {
 			word = "applied"
 		}
-		if err := a.print("%s %s %s at version %d\n", o.Kind, o.Name, word, r.Object.Version); err != nil {
+		if err := a.print("%s %s %s at version %s\n", o.Kind, o.Name, word, r.Object.Version); err != nil {
 			return err
 		}
 	}
@@ -111,7 +111,7 @@
 			return err
 		}
 		if behind = late(s, a.newest); len(behind) == 0 {
-			return a.print("in force on every entry VM at version %d\n", a.newest)
+			return a.print("in force on every entry VM at version %s\n", a.newest)
 		}
 		if !duty.Sleep(a, pause) {
 			return a.Err()
--- a/cmd/drain.go
+++ b/cmd/drain.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return err
 	}
-	if err := e.print("backend-server %s is %s at version %d\n", c.Server, state, o.Object.Version); err != nil {
+	if err := e.print("backend-server %s is %s at version %s\n", c.Server, state, o.Object.Version); err != nil {
 		return err
 	}
 	if !c.Wait || c.Undo {
--- a/cmd/status.go
+++ b/cmd/status.go
@@ -24,11 +24,11 @@
 }
 
 func (e *environment) status(s api.NodeStatus) error {
-	if err := e.print("entry VM %s: %s, configuration %d, platform heard %d ms ago, leases: %s\n", s.VM, s.State, s.ConfigVersion, s.PlatformAgeMS, strings.Join(s.Leases, ", ")); err != nil {
+	if err := e.print("entry VM %s: %s, configuration %s, platform heard %d ms ago, leases: %s\n", s.VM, s.State, s.ConfigVersion, s.PlatformAgeMS, strings.Join(s.Leases, ", ")); err != nil {
 		return err
 	}
 	for _, m := range s.Members {
-		if err := e.print("entry VM %s: %s, configuration %d, %d in flight, heard %d ms ago\n", m.VM, m.State, m.ConfigVersion, m.InFlight, m.AgeMS); err != nil {
+		if err := e.print("entry VM %s: %s, configuration %s, %d in flight, heard %d ms ago\n", m.VM, m.State, m.ConfigVersion, m.InFlight, m.AgeMS); err != nil {
 			return err
 		}
 	}
--- a/cmd/watch.go
+++ b/cmd/watch.go
@@ -76,5 +76,5 @@
 	if c.Deleted {
 		word = "deleted"
 	}
-	return e.print("%d %s %s %s %s\n", c.Version, word, c.Object.Kind, c.Object.Name, c.Object.Spec)
+	return e.print("%s %s %s %s %s\n", c.Version, word, c.Object.Kind, c.Object.Name, c.Object.Spec)
 }
