--- a/fleet/restored_test.go
+++ b/fleet/restored_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,6 +50,7 @@
 	store    *hosted.Store
 	endpoint *hosted.Endpoint
 	sent     *record
+	calls    atomic.Int64
 }
 
 // record is what entry VMs sent to backend servers.
@@ -131,7 +133,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	h := wire.NewServer(standin.Wire{}.Store(b.endpoint), time.Second)
+	store := standin.Wire{}.Store(b.endpoint)
+	h := wire.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		b.calls.Add(1)
+		store.ServeHTTP(w, r)
+	}), time.Second)
 	b.group.Go(func(context.Context) error { _ = h.Serve(l); return nil })
 	t.Cleanup(func() { _ = h.Close() })
 }
@@ -480,3 +486,36 @@
 		}
 	})
 }
+
+// The return of the store from a copy costs no burst of calls: those that follow it list once
+// more, and the others hear from them. Its rates are shared by all, with what has to be
+// written again.
+func TestCallsAfterTheStoreCameBackFromACopy(t *testing.T) {
+	for _, noticed := range []bool{false, true} {
+		t.Run(fmt.Sprintf("noticed %v", noticed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const n, span = 24, 5 * time.Second
+				b := newStoreBed(t, n)
+				c := b.store.Copy()
+				b.configure(t, 2)
+				time.Sleep(inForceTime)
+				before := b.calls.Load()
+				time.Sleep(span)
+				calm := b.calls.Load() - before
+				if noticed {
+					b.restore(c)
+				} else {
+					b.store.Restore(c)
+				}
+				before = b.calls.Load()
+				time.Sleep(span)
+				after := b.calls.Load() - before
+				t.Logf("%d entry VMs: %d calls in %v of calm, %d after the return", n, calm, span, after)
+				// One list and one watch beyond those of calm for each VM and kind.
+				if most := calm + 2*4*n; after > most {
+					t.Errorf("calls after the return: got %d, want at most %d", after, most)
+				}
+			})
+		})
+	}
+}
--- a/internal/soak/bed.go
+++ b/internal/soak/bed.go
@@ -67,6 +67,8 @@
 	config directory.Config
 	extras []versioned
 	keys   []versioned
+	// shut is the failure domain that operators keep closed, empty for none.
+	shut api.DomainName
 }
 
 // newBed starts a system; the clean-up ends all of it.
--- a/internal/soak/closure.go
+++ b/internal/soak/closure.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/standin/hosted"
 )
@@ -14,6 +15,7 @@
 	n := domain(s.place)
 	b.closing.Lock()
 	defer b.closing.Unlock()
+	b.shutting(n)
 	b.failed(b.store.Close(n))
 	at := time.Now()
 	i := 0
@@ -25,9 +27,17 @@
 	// What is sent from now on may meet an open domain.
 	until := time.Now()
 	b.recorder.note(func(r *Record) { r.Closures[i].Until = until })
+	b.shutting("")
 	b.failed(b.store.Open(n))
 }
 
+// shutting notes which failure domain operators keep closed, empty for none.
+func (b *bed) shutting(n api.DomainName) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.shut = n
+}
+
 // rebirth ends a server without notice and starts it again at once under its name.
 func (b *bed) rebirth(s *server) {
 	x, _ := s.current()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -46,6 +46,8 @@
 	// DeadlyRequest is a caller that comes again and again with a request that crashes
 	// the servers which run it.
 	DeadlyRequest Kind = "deadly-request"
+	// StoreRestore has the store come back from a copy.
+	StoreRestore Kind = "store-restore"
 )
 
 // widerFrom is the first seed whose plan draws from the wider kinds too: the plan of an
@@ -55,6 +57,9 @@
 // deadlyFrom is the first seed whose plan draws deadly requests too.
 const deadlyFrom = 6000
 
+// restoreFrom is the first seed whose plan draws restores of the store too.
+const restoreFrom = 7000
+
 // widerPlanned and widerUnplanned are the kinds that only later seeds draw.
 var (
 	widerPlanned   = []Kind{CloseDomain, ForeignEntry}
@@ -142,6 +147,10 @@
 	if seed >= deadlyFrom {
 		all = append(all, DeadlyRequest)
 	}
+	if seed >= restoreFrom {
+		// Twice, as it is the youngest: what holds through it is new.
+		all = append(all, StoreRestore, StoreRestore)
+	}
 	kinds := all
 	if r.Float64() < plannedShare {
 		kinds = plannedKinds
@@ -151,7 +160,7 @@
 		f := Fault{Kind: kinds[r.IntN(len(kinds))], At: milliseconds(at), Target: r.IntN(1 << 16)}
 		d := faultLeast + time.Duration(r.Float64()*float64(faultMost-faultLeast))
 		f.For = milliseconds(min(d, last-at))
-		if r.Float64() < 0.5 && storeKinds[f.Kind] {
+		if r.Float64() < 0.5 && storeKinds[f.Kind] || f.Kind == StoreRestore {
 			f.Target = All
 		}
 		if f.Kind == CallerLink || f.Kind == ServerLink {
--- /dev/null
+++ b/internal/soak/restore.go
@@ -0,0 +1,46 @@
+package soak
+
+import (
+	"context"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/duty"
+)
+
+// rewriteTime is how long after the store's return operators and servers have written again
+// what it lost, at the latest.
+const rewriteTime = time.Second
+
+// restore has the store come back from a copy of so long before. Then servers and operators
+// write again; entries of servers that ended meanwhile lapse.
+func (b *bed) restore(ctx context.Context, d time.Duration) {
+	c := b.store.Copy()
+	duty.Sleep(ctx, d)
+	b.store.Restore(c)
+	duty.Sleep(ctx, rewriteTime)
+	b.mutex.Lock()
+	b.failed(b.store.Configure(b.config))
+	closed := b.shut
+	b.mutex.Unlock()
+	if closed != "" {
+		b.failed(b.store.Close(closed))
+	}
+	live := map[string]bool{}
+	for _, s := range b.servers {
+		x, _ := s.current()
+		b.failed(x.Register())
+		live[string(x.ID)] = true
+	}
+	duty.Sleep(ctx, lapseTime)
+	x, _ := b.servers[0].current()
+	e, err := b.Wire.Server(x.Server)
+	if err != nil {
+		b.failed(err)
+		return
+	}
+	for _, s := range b.servers {
+		x, _ := s.current()
+		live[string(x.ID)] = true
+	}
+	b.store.Prune(e.Kind, live)
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -173,6 +173,8 @@
 		b.comeBack(ctx, f)
 	case StoreForget:
 		b.store.Forget()
+	case StoreRestore:
+		b.restore(ctx, f.For.Duration())
 	case ChangeRoute:
 		b.changeRoute()
 	case RevokeKey:
--- a/internal/standin/hosted/store.go
+++ b/internal/standin/hosted/store.go
@@ -122,6 +122,22 @@
 	return true
 }
 
+// Prune removes the objects of a kind but for those named, as entries lapse that nobody
+// writes any more.
+func (s *Store) Prune(kind string, named map[string]bool) {
+	s.mutex.Lock()
+	var l []Entry
+	for n := range s.objects[kind] {
+		if !named[n] {
+			l = append(l, Entry{Kind: kind, Name: n})
+		}
+	}
+	s.mutex.Unlock()
+	for _, e := range l {
+		s.Drop(e)
+	}
+}
+
 // create makes an object; it reports false where it is there already.
 func (s *Store) create(e Entry) bool {
 	s.mutex.Lock()
