--- a/contract/platform_test.go
+++ b/contract/platform_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -169,3 +170,47 @@
 		t.Errorf("got %s, %v, want both edits", o.Spec, err)
 	}
 }
+
+// A platform that comes back from a copy gives no version out again: what was written since is
+// gone, conditions on it fail, and watches from before begin again.
+func TestPlatformComesBackFromACopy(t *testing.T) {
+	p := platform.New(platform.NewStore(), platform.Options{WritesPerSecond: 100, ReadsPerSecond: 100})
+	address := serve(t, p.Handler())
+	c, closer := client.New(address, time.Second)
+	defer closer()
+	ctx := context.Background()
+	put := func(o api.Object) api.Version {
+		t.Helper()
+		o, err := c.Put(ctx, o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return o.Version
+	}
+	control := func(what string) {
+		t.Helper()
+		r, err := http.Post("http://"+address+"/dev/"+what, "", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = r.Body.Close()
+	}
+	first := put(object("a", "first", 0))
+	control("copy")
+	second := put(object("a", "second", first))
+	control("restore")
+	kinds := []api.ResourceKind{api.ResourceKindModel}
+	l, err := c.List(ctx, kinds)
+	if err != nil || l.Version <= second || l.Version.Era() != 1 || len(l.Items) != 1 || l.Items[0].Version != first {
+		t.Errorf("list: got %+v at %v, %v, want the object at %v, as of a later era", l.Items, l.Version, err, first)
+	}
+	if _, err := c.Put(ctx, object("a", "lost", second)); !fault.Has(err, fault.VersionConflict) {
+		t.Errorf("write on what was lost: got %v, want version_conflict", err)
+	}
+	if _, err := c.Watch(ctx, second, time.Second, kinds); !fault.Has(err, fault.WatchTooOld) {
+		t.Errorf("watch from what was lost: got %v, want watch_too_old", err)
+	}
+	if third := put(object("a", "third", first)); third <= l.Version {
+		t.Errorf("write on what the copy has: got version %v, want one above %v", third, l.Version)
+	}
+}
--- a/internal/api/version.go
+++ b/internal/api/version.go
@@ -7,6 +7,10 @@
 // floating point lose nothing.
 const revisionBits = 40
 
+// EraBits are the bits that are left for its era: what does not fit would order as an
+// earlier one.
+const EraBits = 63 - revisionBits
+
 // RevisionMost is the largest revision that a version holds.
 const RevisionMost Revision = 1<<revisionBits - 1
 
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -55,6 +55,7 @@
 	mutex  sync.Mutex
 	faults Faults
 	stale  api.ObjectList
+	saved  Copy
 	vms    []listing
 }
 
@@ -90,6 +91,8 @@
 	})
 	r.Put("/dev/faults", s.setFaults)
 	r.Get("/dev/calls", s.getCalls)
+	r.Post("/dev/copy", s.copy)
+	r.Post("/dev/restore", s.restore)
 	r.Put("/dev/vms/{name}", s.putVM)
 	r.Delete("/dev/vms/{name}", s.removeVM)
 	return r
@@ -109,6 +112,24 @@
 	s.faults = f
 }
 
+// copy makes a copy of the store, for restore.
+func (s *Server) copy(w http.ResponseWriter, _ *http.Request) {
+	c := s.store.Copy()
+	s.mutex.Lock()
+	s.saved = c
+	s.mutex.Unlock()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// restore has the store come back from the last copy, or from nothing where none was made.
+func (s *Server) restore(w http.ResponseWriter, _ *http.Request) {
+	s.mutex.Lock()
+	c := s.saved
+	s.mutex.Unlock()
+	s.store.Restore(c)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // Calls counts the calls so far.
 func (s *Server) Calls() Calls {
 	s.mutex.Lock()
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -56,7 +56,8 @@
 	defer s.mutex.Unlock()
 	s.version = api.NewVersion(s.version.Era()+1, c.version.Revision())
 	s.floor = s.version
-	s.objects = maps.Clone(c.objects)
+	s.objects = map[key]api.Object{}
+	maps.Copy(s.objects, c.objects)
 	s.changes = nil
 	s.wakeAll()
 }
