fix: nobody claims in a later era before all owners have written their claims again

What callers saw: an order confirmed twice, at another entry VM, when the one that had confirmed it was cut off while the platform came back from a copy of before.

Cause: the wait for owners was a time alone; an owner that is cut off has not written again when it is over. Found by drawn courses of restores, cuts and orders on the own interface: one of 20 failed, in which the owner of an order is cut off before the copy comes back.

Why it holds: each heartbeat tells the era in which its sender has written its claims again, and requests are claimed only once every listed entry VM is at the present one, or after two minutes, beyond which callers do not ask again. Costs: with a VM missing after a restore such requests are refused for that time, as not run. An owner that ends and starts again in those seconds has forgotten its claims: still open.

Tests: TestOwnRestoresAmongOtherFaults (one course of 20 red before, none since), TestClaimsSettle.

--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -624,6 +624,9 @@
 
 // Heartbeat is sent between entry VMs and answered by one.
 type Heartbeat struct {
+	// Era of the platform in which the sender has written its claims again.
+	ClaimsEra Era `json:"claims_era,omitempty,omitzero"`
+
 	// Objects that the sender keeps in force in spite of the platform, which came
 	// back from a copy.
 	ConfigKept int `json:"config_kept,omitempty,omitzero"`
--- a/internal/claims/keeper.go
+++ b/internal/claims/keeper.go
@@ -31,6 +31,8 @@
 // Peers asks other entry VMs.
 type Peers interface {
 	Release(ctx context.Context, vm api.VMName, q api.AttemptQuery) (bool, error)
+	// Rewritten reports whether all of them have written their claims again in an era.
+	Rewritten(e api.Era) bool
 }
 
 // Answer is the answer of a claimed request.
@@ -56,6 +58,8 @@
 	// lost is set while claims are to be written again, since the platform came back from a
 	// copy.
 	lost bool
+	// rewritten is the era in which they have been.
+	rewritten api.Era
 }
 
 // New makes a keeper that keeps answers of at most limit bytes; now has to be a clock that
--- a/internal/claims/restore.go
+++ b/internal/claims/restore.go
@@ -36,14 +36,14 @@
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	k.enter(v.Era())
-	return k.eras.Settled(k.now())
+	return k.eras.Settled(k.now(), k.peers.Rewritten)
 }
 
 // settled reports whether requests may be claimed.
 func (k *Keeper) settled() bool {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	return k.eras.Settled(k.now())
+	return k.eras.Settled(k.now(), k.peers.Rewritten)
 }
 
 const (
@@ -59,23 +59,42 @@
 func (k *Keeper) Run(answered func() time.Duration) func(ctx context.Context) error {
 	return func(ctx context.Context) error {
 		return duty.Loop(ctx, func() time.Duration { return lookEvery }, func(ctx context.Context) {
-			for _, r := range k.due(answered()) {
+			e, l := k.due(answered())
+			for _, r := range l {
 				k.rewrite(ctx, r)
 			}
+			k.done(e)
 		})
 	}
 }
 
-// due gives the claims to write again, once after each time that the platform came back.
-func (k *Keeper) due(answered time.Duration) []claim.Record {
+// due gives the claims to write again, once after each time that the platform came back, and
+// its era.
+func (k *Keeper) due(answered time.Duration) (api.Era, []claim.Record) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
 	if !k.lost {
 		k.attempts.Forget(k.now(), answered)
-		return nil
+		return k.eras.Era(), nil
 	}
 	k.lost = false
-	return k.attempts.Records()
+	return k.eras.Era(), k.attempts.Records()
+}
+
+// done notes that all claims have been looked through in an era, unless one has to be again.
+func (k *Keeper) done(e api.Era) {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	if !k.lost {
+		k.rewritten = e
+	}
+}
+
+// Rewritten is the era in which this entry VM has written its claims again.
+func (k *Keeper) Rewritten() api.Era {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.rewritten
 }
 
 // rewrite writes one claim again, where the platform lacks it or has it in an earlier form.
--- a/internal/decide/claim/era.go
+++ b/internal/decide/claim/era.go
@@ -11,6 +11,9 @@
 	// owners see the era within the longest pause after failed calls and a list, and have
 	// written again what the platform has lost.
 	settleTime = 6 * time.Second
+	// missingTime is how long nobody claims while an owner is missing: a caller that got no
+	// answer asks again within its deadline, below two minutes.
+	missingTime = 2 * time.Minute
 	// PermitTime is how long a claim allows to send, from when it was written: one that the
 	// platform has lost must not be sent on when others may claim again.
 	PermitTime = 5 * time.Second
@@ -34,10 +37,22 @@
 	return later
 }
 
-// Settled reports whether a claim that is not there was not made either. In the first era
-// nothing was ever lost; an entry VM that has just started sees its first era then.
-func (x *Eras) Settled(now time.Time) bool {
-	return x.known && (x.era == 0 || now.Sub(x.entered) >= settleTime)
+// Settled reports whether a claim that is not there was not made either; all tells for an
+// era whether every entry VM has written its claims again. One that is cut off with what the
+// platform has lost held an order that was confirmed twice
+// (TestOwnRestoresAmongOtherFaults). In the first era nothing was ever lost; an entry VM that
+// has just started sees its first era then.
+func (x *Eras) Settled(now time.Time, all func(e api.Era) bool) bool {
+	if !x.known || x.era == 0 {
+		return x.known
+	}
+	d := now.Sub(x.entered)
+	return d >= missingTime || d >= settleTime && all(x.era)
+}
+
+// Era is the platform's, as far as known.
+func (x *Eras) Era() api.Era {
+	return x.era
 }
 
 // Rewrite decides how an owner's claim is written again to a platform that holds another one
--- a/internal/decide/member/member.go
+++ b/internal/decide/member/member.go
@@ -148,6 +148,17 @@
 	return n
 }
 
+// Rewritten reports whether every other entry VM has written its claims again in an era of
+// the platform; one that was never heard has not.
+func (m *Members) Rewritten(e api.Era) bool {
+	for _, p := range m.peers {
+		if p.beat.ClaimsEra < e {
+			return false
+		}
+	}
+	return true
+}
+
 // Newest is the highest configuration version that a peer has in force.
 func (m *Members) Newest() api.Version {
 	var v api.Version
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -130,6 +130,13 @@
 	return own, nil
 }
 
+// Rewritten reports whether every other entry VM has written its claims again in an era.
+func (k *Keeper) Rewritten(e api.Era) bool {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	return k.members.Rewritten(e)
+}
+
 // Listed takes the platform's list of VMs.
 func (k *Keeper) Listed(l []api.VM) {
 	k.mutex.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -41,6 +41,7 @@
 		State:         c.Life.State(),
 		ConfigVersion: c.Follow.View().Version,
 		ConfigKept:    c.Follow.Kept(),
+		ClaimsEra:     c.Claims.Rewritten(),
 		InFlight:      c.Life.InFlight(),
 		Contents:      c.Contents.All(),
 	}
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -138,6 +138,11 @@
 	return r.node.Peers.Release(ctx, a, q)
 }
 
+// Rewritten reports whether all other entry VMs have written their claims again in an era.
+func (r release) Rewritten(e api.Era) bool {
+	return r.node.Beat.Rewritten(e)
+}
+
 // duties makes and starts the duties.
 type duties struct{}
 
