fix: a lease in the first era keeps no time of its first sight

In the first era that time decides nothing, and it is not kept; the worlds are as large as they were.

--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -59,8 +59,10 @@
 	exists  bool
 	spec    api.LeaseSpec
 	version api.Version
-	// era is the platform's, which was first seen at entered.
+	// era is the platform's, once seen; entered is when it was, but for the first, in which
+	// nothing was ever lost.
 	era     api.Era
+	seen    bool
 	entered time.Time
 	// lapsed is set where the object names this entry VM by a hold that is over: a copy that
 	// the platform came back from may be of an earlier one.
@@ -208,11 +210,14 @@
 
 // enter notes the platform's era, and reports whether it is a later one than was known.
 func (l *Lease) enter(now time.Time, e api.Era) bool {
-	if !l.entered.IsZero() && e <= l.era {
+	later := l.seen && e > l.era
+	if l.seen && !later {
 		return false
 	}
-	later := !l.entered.IsZero()
-	l.era, l.entered = e, now
+	l.seen, l.era = true, e
+	if e > 0 {
+		l.entered = now
+	}
 	return later
 }
 
