--- a/internal/claims/keeper.go
+++ b/internal/claims/keeper.go
@@ -99,8 +99,7 @@
 	s.Incarnation = k.owner.Incarnation
 	s.CreatedMS = api.UnixMilliseconds(time.Now())
 	if !k.settled() {
-		k.metrics.Add(metric.ClaimsRefused, 1)
-		return nil, nil, claim.Unsettled()
+		return nil, nil, k.refused(s, name, claim.Unsettled())
 	}
 	k.add(s.Request)
 	p, a, err := k.course(ctx, name, s)
