fix: that a kept closure is over is told also when a peer's word finds it out

A domain whose time of being kept closed was over just as a peer's word came was opened without a line in the log, and domains_closed stayed one too high: the opened ones were thrown away there. Test: TestKeptClosuresArePassedOn, which gets none opened before.

--- a/internal/decide/roster/closure.go
+++ b/internal/decide/roster/closure.go
@@ -99,13 +99,12 @@
 }
 
 // KeepClosed takes the domains that peers keep closed though the store has lost it, and gives
-// those that were closed by it, in order.
-func (r *Roster) KeepClosed(now time.Time, l []api.KeptClosure, w WarmUp) (closed []api.DomainName) {
+// what has changed since the last look, as Reopen does.
+func (r *Roster) KeepClosed(now time.Time, l []api.KeptClosure, w WarmUp) (closed, opened []api.DomainName) {
 	for _, k := range l {
 		r.closures.keep(now, k.Domain, k.LeftMS.Duration())
 	}
-	closed, _ = r.Reopen(now, w)
-	return closed
+	return r.Reopen(now, w)
 }
 
 // KeptClosed gives the domains that stay closed though the store has lost it, for peers, in
--- a/internal/decide/roster/era_test.go
+++ b/internal/decide/roster/era_test.go
@@ -153,13 +153,16 @@
 	a.Close(at(0), 1, []roster.Closure{{Domain: "x"}}, warmup)
 	a.Close(at(100), 2, nil, warmup)
 	b.Close(at(5000), 2, nil, warmup)
-	if got := b.KeepClosed(at(10100), a.KeptClosed(at(10100)), warmup); !slices.Equal(got, []api.DomainName{"x"}) {
+	if got, _ := b.KeepClosed(at(10100), a.KeptClosed(at(10100)), warmup); !slices.Equal(got, []api.DomainName{"x"}) {
 		t.Fatalf("closed by a peer's word: got %v, want x", got)
 	}
 	if got := b.KeptClosed(at(10200)); len(got) != 1 || got[0].LeftMS != 19900 {
 		t.Errorf("kept: got %+v, want x for 19,900 ms", got)
 	}
-	if _, opened := b.Reopen(at(30101), warmup); !slices.Equal(opened, []api.DomainName{"x"}) {
-		t.Errorf("after its time: got opened %v, want x", opened)
+	// A peer's word of another domain comes first after its time: that x is open is told with it.
+	y := []api.KeptClosure{{Domain: "y", LeftMS: 1000}}
+	closed, opened := b.KeepClosed(at(30101), y, warmup)
+	if !slices.Equal(closed, []api.DomainName{"y"}) || !slices.Equal(opened, []api.DomainName{"x"}) {
+		t.Errorf("after its time: got closed %v and opened %v, want y and x", closed, opened)
 	}
 }
--- a/internal/gateway/closure.go
+++ b/internal/gateway/closure.go
@@ -40,10 +40,14 @@
 	if len(l) == 0 {
 		return
 	}
+	now := time.Now()
 	g.mutex.Lock()
-	closed := g.roster.KeepClosed(time.Now(), l, g.warmUp)
+	closed, opened := g.roster.KeepClosed(now, l, g.warmUp)
+	if len(opened) > 0 {
+		g.letIn(now)
+	}
 	g.mutex.Unlock()
-	g.noteClosed(closed, nil, zap.Bool("of_peer", true))
+	g.noteClosed(closed, opened, zap.Bool("of_peer", true))
 }
 
 // reopen opens the domains that were kept closed for long enough.
