fix: a removal that only a list showed outlasts a copy too, on the own interface

What callers would see: a workspace or key that operators had removed is in force again after the platform came back from a copy, at entry VMs that had learned of the removal by a list after an outage, and not by a watch. Cause: only watches noted removals. A list of the same era notes what it no longer has.

Test: a case of TestAcceptedChangesOutlastACopy (in force again before, removed now).

--- a/internal/decide/config/kept.go
+++ b/internal/decide/config/kept.go
@@ -64,6 +64,16 @@
 	}
 }
 
+// missing remembers what a list of the same era no longer has: a copy may have it still,
+// though no watch told of the removal.
+func (s *Store) missing(before Store) {
+	for k := range before.objects {
+		if _, ok := s.objects[k]; !ok {
+			s.remove(k, s.version)
+		}
+	}
+}
+
 // remove remembers a removal.
 func (s *Store) remove(k Key, v api.Version) {
 	s.gone[k] = v
--- a/internal/decide/config/kept_test.go
+++ b/internal/decide/config/kept_test.go
@@ -61,6 +61,10 @@
 			s.Apply(removed(v(1, 50), "m"))
 			s.Replace(began, restored)
 		}, "", 1},
+		{"removed while nobody watched, and in the copy still", func(s *config.Store) {
+			s.Replace(began, list(v(1, 50)))
+			s.Replace(began, restored)
+		}, "", 1},
 		{"lost twice", func(s *config.Store) {
 			s.Replace(began, restored)
 			s.Replace(began.Add(time.Second), list(v(3, 38), first))
--- a/internal/decide/config/store.go
+++ b/internal/decide/config/store.go
@@ -44,7 +44,7 @@
 	return &Store{objects: map[Key]api.Object{}, gone: map[Key]api.Version{}, kept: map[Key]kept{}}
 }
 
-// Of makes a store of a list, which nothing was known before.
+// Of makes a store that knows one list.
 func Of(l api.ObjectList) *Store {
 	s := New()
 	s.Replace(time.Time{}, l)
@@ -71,6 +71,8 @@
 	s.version = l.Version
 	if before.version > 0 && l.Version.Era() > before.version.Era() {
 		s.keep(now, before)
+	} else {
+		s.missing(before)
 	}
 	s.settle()
 	s.take(now, l.Kept)
