feat: the log tells the limits that backend servers name in their answers

Cause looked for: two servers that had named a limit went on getting three times as many requests, and no line tells whether an entry VM knew. Nothing is decided by it yet.

--- a/fleet/pool_test.go
+++ b/fleet/pool_test.go
@@ -269,7 +269,9 @@
 }
 
 // Release frees nothing.
-func (*pool) Release(context.Context, roster.Server, string) error { return nil }
+func (*pool) Release(context.Context, roster.Server, string) (port.Signals, error) {
+	return port.Signals{}, nil
+}
 
 // poolStream is the stream of one run; a deadly one has no event.
 type poolStream struct {
--- /dev/null
+++ b/internal/decide/throttle/limits.go
@@ -0,0 +1,60 @@
+package throttle
+
+import (
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+)
+
+// Rate is in requests a second.
+type Rate float64
+
+// Limit is what one answer of a server says: the rate that it takes from all entry VMs
+// together, or that it names none.
+type Limit struct {
+	Named bool
+	Rate  Rate
+}
+
+// word is the newest word on one server's limit.
+type word struct {
+	Limit
+	at time.Time
+}
+
+// Limits keeps the limits that servers have named.
+type Limits struct {
+	words map[api.ServerName]word
+}
+
+// NewLimits makes a record of no limits.
+func NewLimits() *Limits {
+	return &Limits{words: map[api.ServerName]word{}}
+}
+
+// Note takes what an answer says that came now to a request sent at a time, and reports
+// whether that is new. Answers overtake one another: one without a limit takes a limit back
+// only where its request was sent after the limit was last named.
+func (l *Limits) Note(now, sent time.Time, n api.ServerName, x Limit) bool {
+	w, ok := l.words[n]
+	if !x.Named && (!ok || !w.Named || !sent.After(w.at)) {
+		return false
+	}
+	l.words[n] = word{Limit: x, at: now}
+	return w.Limit != x
+}
+
+// Find gives the limit that a server has in force.
+func (l *Limits) Find(n api.ServerName) (Rate, bool) {
+	w := l.words[n]
+	return w.Rate, w.Named
+}
+
+// Forget drops what servers that are gone have named.
+func (l *Limits) Forget(keep func(n api.ServerName) bool) {
+	for n := range l.words {
+		if !keep(n) {
+			delete(l.words, n)
+		}
+	}
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -63,6 +63,8 @@
 	ContentDeclared     ID = 412
 	QuarantineUnkept    ID = 413
 	ContentsCorrected   ID = 414
+	ServerLimit         ID = 415
+	SignalUnreadable    ID = 416
 	LeaseTaken          ID = 501
 	LeaseLost           ID = 502
 	LeaseReleased       ID = 503
@@ -141,6 +143,8 @@
 	{ContentDeclared, "content_declared", zapcore.InfoLevel, "The contents that the platform keeps as refused have changed."},
 	{QuarantineUnkept, "quarantine_unkept", zapcore.WarnLevel, "A refused content could not be written to, or removed from, the platform; it is tried again."},
 	{ContentsCorrected, "contents_corrected", zapcore.InfoLevel, "The platform came back from a copy that lacked refused contents or had released ones; they are written and removed again."},
+	{ServerLimit, "server_limit", zapcore.InfoLevel, "A backend server names a rate that it takes from all entry VMs together, another one than before, or no longer any."},
+	{SignalUnreadable, "signal_unreadable", zapcore.WarnLevel, "A backend server said something of itself that can't be read; it changes nothing."},
 	{LeaseTaken, "lease_taken", zapcore.InfoLevel, "This entry VM holds the lease on a duty."},
 	{LeaseLost, "lease_lost", zapcore.WarnLevel, "This entry VM no longer holds the lease on a duty."},
 	{LeaseReleased, "lease_released", zapcore.InfoLevel, "This entry VM gave a lease back at its stop."},
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -269,11 +269,11 @@
 	return p, nil
 }
 
-func (f *fake) Release(_ context.Context, _ roster.Server, handle string) error {
+func (f *fake) Release(_ context.Context, _ roster.Server, handle string) (port.Signals, error) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.released = append(f.released, handle)
-	return nil
+	return port.Signals{}, nil
 }
 
 // caller collects one answer.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/wardridge/wardridge/internal/decide/retry"
 	"github.com/wardridge/wardridge/internal/decide/roster"
 	"github.com/wardridge/wardridge/internal/decide/silence"
+	"github.com/wardridge/wardridge/internal/decide/throttle"
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/ending"
 	"github.com/wardridge/wardridge/internal/event"
@@ -83,6 +84,8 @@
 	// of them did not answer.
 	domains  *placement.Domains
 	contacts *holder.Contacts
+	// limits are what servers have said that they take.
+	limits *throttle.Limits
 	// incarnation, sequence, asks, reports and observations are of what this entry VM
 	// tells allocators.
 	incarnation  api.Incarnation
@@ -108,12 +111,15 @@
 	if p.Contents == nil {
 		p.Contents = contents.New(p.Log, p.Metrics)
 	}
-	return &Gateway{
+	g := &Gateway{
+		limits:  throttle.NewLimits(),
 		domains: placement.NewDomains(), contacts: holder.NewContacts(), reports: holder.NewReports(), observations: holder.NewObservations(), incarnation: api.Incarnation(p.Seed),
 		Parts: p, roster: roster.New(), picker: placement.NewPicker(rand.NewPCG(p.Seed, 0)),
 		runs: map[api.ServerName]map[*run]bool{}, admissions: map[api.ServiceName]*admission{},
 		answers: silence.NewAnswers(), watchdog: newWatchdog(),
 	}
+	g.Backends = heard{p.Backends, g}
+	return g
 }
 
 // Ready reports whether new callers may come.
--- a/internal/gateway/load_test.go
+++ b/internal/gateway/load_test.go
@@ -137,7 +137,9 @@
 	return port.Report{}, nil
 }
 
-func (e *engines) Release(context.Context, roster.Server, string) error { return nil }
+func (e *engines) Release(context.Context, roster.Server, string) (port.Signals, error) {
+	return port.Signals{}, nil
+}
 
 type engineStream struct {
 	engine *engine
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -258,7 +258,7 @@
 	g.Group.Go(func(ctx context.Context) error {
 		x, cancel := context.WithTimeout(ctx, dropTime)
 		defer cancel()
-		if err := g.Backends.Release(x, c.at, c.resume.Handle); err != nil {
+		if _, err := g.Backends.Release(x, c.at, c.resume.Handle); err != nil {
 			g.Log.Emit(event.CopyKept, zap.String("server", string(c.at.Name)), zap.Error(err))
 		}
 		return nil
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -48,6 +48,7 @@
 	g.picker.Health.Forget(known)
 	g.picker.Sends.Forget(known)
 	g.answers.Forget(known)
+	g.limits.Forget(known)
 	g.Metrics.Retain(metric.ByServer, func(n string) bool { return known(api.ServerName(n)) })
 	g.picker.Engines.Expire(now)
 	g.Retries.Members(g.picker.Table.Members(now))
--- /dev/null
+++ b/internal/gateway/signals.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/decide/roster"
+	"github.com/wardridge/wardridge/internal/decide/throttle"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/port"
+)
+
+// heard passes on what backend servers say of themselves in any of their answers, so that no
+// caller of them has to.
+type heard struct {
+	port.Backends
+	gateway *Gateway
+}
+
+// Send sends a request and gives its answer.
+func (h heard) Send(ctx context.Context, a port.Attempt) (port.Answer, error) {
+	began := time.Now()
+	x, err := h.Backends.Send(ctx, a)
+	h.gateway.heed(began, a.Server, x.Signals)
+	return x, err
+}
+
+// Copy copies a run's memory.
+func (h heard) Copy(ctx context.Context, o port.CopyOrder) (port.Copy, error) {
+	began := time.Now()
+	x, err := h.Backends.Copy(ctx, o)
+	h.gateway.heed(began, o.Source, x.Signals)
+	return x, err
+}
+
+// Report asks a server about itself.
+func (h heard) Report(ctx context.Context, s roster.Server, fresh bool) (port.Report, error) {
+	began := time.Now()
+	x, err := h.Backends.Report(ctx, s, fresh)
+	h.gateway.heed(began, s, x.Signals)
+	return x, err
+}
+
+// Release frees a copy that nothing will use.
+func (h heard) Release(ctx context.Context, s roster.Server, handle string) (port.Signals, error) {
+	began := time.Now()
+	x, err := h.Backends.Release(ctx, s, handle)
+	h.gateway.heed(began, s, x)
+	return x, err
+}
+
+// heed takes what a server says of itself in the answer to a call that was sent at a time.
+func (g *Gateway) heed(sent time.Time, s roster.Server, x port.Signals) {
+	if !x.Answered {
+		return
+	}
+	if x.Unreadable != "" {
+		g.Log.Emit(event.SignalUnreadable, zap.String("server", string(s.Name)), zap.String("text", x.Unreadable))
+		return
+	}
+	g.mutex.Lock()
+	changed := g.limits.Note(time.Now(), sent, s.Name, throttle.Limit{Named: x.Limited, Rate: throttle.Rate(x.Limit)})
+	g.mutex.Unlock()
+	if changed {
+		g.Log.Emit(event.ServerLimit, zap.String("server", string(s.Name)), zap.Bool("limited", x.Limited), zap.Float64("per_second", x.Limit))
+	}
+}
--- a/internal/port/answer.go
+++ b/internal/port/answer.go
@@ -35,8 +35,9 @@
 // not nil.
 type Answer struct {
 	Head
-	Body   []byte
-	Stream Stream
+	Body    []byte
+	Stream  Stream
+	Signals Signals
 }
 
 // SlowReader bounds one write to a caller that does not read; callers give a
--- a/internal/port/backend.go
+++ b/internal/port/backend.go
@@ -51,7 +51,8 @@
 
 // Copy is a copy of a run's memory.
 type Copy struct {
-	Handle string
+	Handle  string
+	Signals Signals
 }
 
 // Report is what a backend server tells of itself.
@@ -62,7 +63,8 @@
 	Born api.Birth
 	// Made is the number of events that each of its runs had made some hundred
 	// ms before.
-	Made map[api.RequestID]int
+	Made    map[api.RequestID]int
+	Signals Signals
 }
 
 // Refused reports whether an attempt failed since nothing listens at the server's
@@ -78,7 +80,8 @@
 }
 
 // Backends sends to backend servers. Failures are faults: NotStarted and
-// ServerRefused say that the request did not run, all others that it may have.
+// ServerRefused say that the request did not run, all others that it may have. What a
+// server says of itself is given with failures as well.
 type Backends interface {
 	// Send sends a request and gives its answer.
 	Send(ctx context.Context, a Attempt) (Answer, error)
@@ -90,5 +93,5 @@
 	// nothing was sent on before, since one in use may have gone silent.
 	Report(ctx context.Context, s roster.Server, fresh bool) (Report, error)
 	// Release frees a copy that nothing will use.
-	Release(ctx context.Context, s roster.Server, handle string) error
+	Release(ctx context.Context, s roster.Server, handle string) (Signals, error)
 }
