--- /dev/null
+++ b/fleet/signals_test.go
@@ -0,0 +1,238 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/roster"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/gateway"
+	"github.com/wardridge/wardridge/internal/node"
+	"github.com/wardridge/wardridge/internal/port"
+	"github.com/wardridge/wardridge/internal/standin/hosted"
+	"github.com/wardridge/wardridge/platform"
+	"github.com/wardridge/wardridge/platform/standin"
+)
+
+const (
+	// limitSettle is how long after a server first named its limit it has to hold.
+	limitSettle = 3 * time.Second
+	// toldTime is how long after its first answer with a limit an entry VM has to keep to it.
+	toldTime = 500 * time.Millisecond
+	// limitSpan is the time over which a limit is judged, and limitSlack the requests that
+	// may come in it beyond one and a half times the limit.
+	limitSpan  = 4 * time.Second
+	limitSlack = 5
+)
+
+// arrival is one request of an entry VM at a server.
+type arrival struct {
+	vm       int
+	at, done time.Time
+	signals  port.Signals
+}
+
+// signalBed is a fleet of hosted entry VMs before stand-ins of backend servers that are
+// reached over the platform's own wire.
+type signalBed struct {
+	*hostedBed
+	servers []*hosted.Server
+
+	mutex    sync.Mutex
+	arrivals map[api.ServerName][]arrival
+}
+
+// watched notes what entry VM vm sends.
+type watched struct {
+	port.Backends
+	bed *signalBed
+	vm  int
+}
+
+// Send notes the request and its answer.
+func (w watched) Send(ctx context.Context, a port.Attempt) (port.Answer, error) {
+	began := time.Now()
+	x, err := w.Backends.Send(ctx, a)
+	if fault.Has(err, fault.NotStarted) {
+		return x, err
+	}
+	w.bed.mutex.Lock()
+	defer w.bed.mutex.Unlock()
+	n := a.Server.Name
+	w.bed.arrivals[n] = append(w.bed.arrivals[n], arrival{vm: w.vm, at: began, done: time.Now(), signals: x.Signals})
+	return x, err
+}
+
+// newSignalBed starts n entry VMs before so many plain servers and engines, in three failure
+// domains.
+func newSignalBed(t *testing.T, n, plain, engines int) *signalBed {
+	t.Helper()
+	b := &signalBed{hostedBed: prepareHostedBed(t, newPool(0, 0)), arrivals: map[api.ServerName][]arrival{}}
+	f := hosted.NewFleet(hosted.NewStore(standin.Wire{}), hosted.Pace{Work: workTime, Event: stepTime, Copy: stepTime})
+	for i := range plain + engines {
+		b.serve(t, f, i, i >= plain)
+	}
+	b.over = b.adapt
+	for i := range n {
+		b.start(i)
+	}
+	time.Sleep(10 * time.Second)
+	return b
+}
+
+// serve starts server i.
+func (b *signalBed) serve(t *testing.T, f *hosted.Fleet, i int, engine bool) {
+	t.Helper()
+	a := fmt.Sprintf("10.0.4.%d:80", i+1)
+	s := roster.Server{ID: api.ServerID(fmt.Sprintf("s-%d", i)), Address: a, Domain: api.DomainName(fmt.Sprintf("hall-%d", i%3)), Service: "plain", Slots: 24}
+	if engine {
+		s.Service = "engines"
+	}
+	s.Name = roster.LifeName(s.ID, s.Born)
+	l, err := machine{b.net, host(a)}.listen(context.Background(), a)
+	if err != nil {
+		t.Fatal(err)
+	}
+	x, end := f.Start(s, engine, l)
+	t.Cleanup(end)
+	b.servers = append(b.servers, x)
+	b.pool.entries.put(string(s.ID), s)
+}
+
+func (b *signalBed) adapt(i int, l node.Links) node.Adapter {
+	a := b.hostedBed.adapt(i)
+	a.Backends = watched{platform.NewBackends(l.Pool), b, i}
+	a.Ingress = func(g *gateway.Gateway) http.Handler { return b.ingress(i, g) }
+	return a
+}
+
+// outcomes count what callers got.
+type outcomes struct {
+	mutex                   sync.Mutex
+	served, refused, failed int
+	// slowest is the longest time that a refusal took, and hints how many told when to
+	// come back.
+	slowest time.Duration
+	hints   int
+}
+
+// load sends so many requests a second at n entry VMs for a time and waits for the answers.
+func (b *signalBed) load(n int, perSecond float64, d time.Duration, path string) *outcomes {
+	var o outcomes
+	g, end := duty.New(context.Background())
+	defer end()
+	for i := range int(perSecond * d.Seconds()) {
+		r := call(fmt.Sprintf("%s-%d-%d", path, time.Now().UnixNano(), i), path, fmt.Sprint(i))
+		g.Go(func(context.Context) error {
+			o.note(b.ask(i%n, r), time.Since(r.Arrived))
+			return nil
+		})
+		time.Sleep(time.Duration(float64(time.Second) / perSecond))
+	}
+	time.Sleep(10 * time.Second)
+	return &o
+}
+
+func (o *outcomes) note(a *asker, took time.Duration) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	switch {
+	case a.served():
+		o.served++
+	case a.fault != nil && a.fault.Ran == api.RanNo:
+		o.refused++
+		o.slowest = max(o.slowest, took)
+		if a.fault.RetryAfter > 0 {
+			o.hints++
+		}
+	default:
+		o.failed++
+	}
+}
+
+// most gives the most requests that a server got in a span from entry VMs that it had told
+// its limit, from a time on.
+func (b *signalBed) most(n api.ServerName, from time.Time) int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	told := map[int]time.Time{}
+	var l []time.Time
+	for _, a := range b.arrivals[n] {
+		if t, ok := told[a.vm]; a.signals.Limited && (!ok || a.done.Before(t)) {
+			told[a.vm] = a.done
+		}
+	}
+	for _, a := range b.arrivals[n] {
+		if t, ok := told[a.vm]; ok && a.at.Sub(t) >= toldTime && !a.at.Before(from) {
+			l = append(l, a.at)
+		}
+	}
+	slices.SortFunc(l, time.Time.Compare)
+	most := 0
+	for i, t := range l {
+		k := i
+		for k < len(l) && l[k].Sub(t) < limitSpan {
+			k++
+		}
+		most = max(most, k-i)
+	}
+	return most
+}
+
+// name lets the servers from one on to another one name a limit, or none.
+func (b *signalBed) name(perSecond *float64, from, to int) time.Time {
+	for _, s := range b.servers[from:to] {
+		s.Limit(perSecond)
+	}
+	return time.Now()
+}
+
+// keeps checks that the servers from one on to another one got no more than they take.
+func (b *signalBed) keeps(from, to int, perSecond float64, since time.Time) {
+	b.t.Helper()
+	allowed := int(1.5*perSecond*limitSpan.Seconds()) + limitSlack
+	for _, s := range b.servers[from:to] {
+		if got := b.most(s.Name, since.Add(limitSettle)); got > allowed {
+			b.t.Errorf("requests to %s in %v, which takes %.1f a second: got %d, want at most %d", s.Name, limitSpan, perSecond, got, allowed)
+		}
+	}
+}
+
+func TestServersGetNoMoreThanTheyNamed(t *testing.T) {
+	tests := []struct {
+		name                string
+		vms, plain, engines int
+		// limited servers of those name a limit.
+		limited   int
+		perSecond float64
+		load      float64
+		path      string
+	}{
+		{"two plain servers of three", 6, 3, 0, 2, 3.2, 30, "/safe/"},
+		{"requests that may run once", 6, 3, 0, 2, 3.2, 30, "/unsafe/"},
+		{"all plain servers", 6, 3, 0, 3, 3.2, 30, "/safe/"},
+		{"many entry VMs, a low limit", 24, 3, 0, 3, 1, 60, "/safe/"},
+		{"two engines of three", 6, 0, 3, 2, 1, 12, "/stream/"},
+		{"all engines", 6, 0, 3, 3, 1, 12, "/stream/"},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newSignalBed(t, c.vms, c.plain, c.engines)
+				b.load(c.vms, c.load, 2*time.Second, c.path)
+				since := b.name(&c.perSecond, 0, c.limited)
+				o := b.load(c.vms, c.load, 20*time.Second, c.path)
+				t.Logf("%d served, %d refused, %d failed; the slowest refusal took %v", o.served, o.refused, o.failed, o.slowest)
+				b.keeps(0, c.limited, c.perSecond, since)
+			})
+		})
+	}
+}
--- a/internal/standin/hosted/server.go
+++ b/internal/standin/hosted/server.go
@@ -14,6 +14,9 @@
 
 // Answer takes what a server answers to one request.
 type Answer interface {
+	// Limit names the requests a second that the server takes from all entry VMs; it comes
+	// before the answer itself.
+	Limit(perSecond float64)
 	// Misdirected says that another server was meant, NotRun that this one did not
 	// run the request.
 	Misdirected()
@@ -48,6 +51,8 @@
 	// ran, in place of an answer.
 	losing bool
 	plains int
+	// limit is the requests a second that the server names, nil for none.
+	limit  *float64
 	runs   map[api.RequestID]*generation
 	copies map[string]*memory
 }
@@ -95,7 +100,11 @@
 func (s *Server) Serve(ctx context.Context, a Asked, w Answer) {
 	misdirected := a.Server != "" && a.Server != s.ID
 	taken := !misdirected && s.take()
-	s.fleet.Journal.arrived(Arrival{Asked: a, By: s.Name, Refused: !taken})
+	limit := s.named()
+	s.fleet.Journal.arrived(Arrival{Asked: a, By: s.Name, Refused: !taken, Limited: limit != nil})
+	if limit != nil {
+		w.Limit(*limit)
+	}
 	switch {
 	case misdirected:
 		w.Misdirected()
@@ -168,6 +177,19 @@
 	s.losing = losing
 }
 
+// Limit lets the server name the requests a second that it takes, or nil for none.
+func (s *Server) Limit(perSecond *float64) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.limit = perSecond
+}
+
+func (s *Server) named() *float64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.limit
+}
+
 // loses reports whether the answer of the present request is lost.
 func (s *Server) loses() bool {
 	s.mutex.Lock()
