fix: servers get no more requests than the limit that they name

What callers saw: hardly anything; servers in need got several times the requests a second that they said they take. Cause: what a server says of itself in an answer reached no decision.

A limit holds over all entry VMs, so one of them paces each server: the one that allocates the engines of its failure domain. It spaces turns by the limit, the next in its place by 0.4 of it, those that reach neither by 0.1 together: at most one and a half times the limit while two take themselves for the first. Engines were placed by it already; for a plain server that has named a limit, its turn is asked for. Others are chosen first, and where all are at their limits, a request waits for its turn within half of its aim or is refused at once, as not run, with a time to come back. Peers pass limits on; an answer without one takes it back where its request was sent after it was last named. Copies that grow with runs are kept off such engines.

Why it works: turns are counted where they are given, so that neither the number of entry VMs nor where callers are matters. New tests: callers of servers at their limits, limits taken back, entry VMs that come and go meanwhile.

--- a/fleet/signals_test.go
+++ b/fleet/signals_test.go
@@ -236,3 +236,83 @@
 		})
 	}
 }
+
+// What servers at their limits can't take is refused at once, and all that they take is used,
+// wherever callers are.
+func TestCallersOfServersAtTheirLimits(t *testing.T) {
+	tests := []struct {
+		name string
+		// at is how many of the six entry VMs callers reach.
+		at   int
+		load float64
+		path string
+	}{
+		{"callers everywhere", 6, 30, "/safe/"},
+		{"callers at one entry VM", 1, 30, "/unsafe/"},
+		{"less than servers take", 6, 6, "/safe/"},
+	}
+	const perSecond, servers, seconds = 3.0, 3, 20
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newSignalBed(t, 6, servers, 0)
+				rate := perSecond
+				b.name(&rate, 0, servers)
+				b.load(6, 30, time.Second, c.path)
+				o := b.load(c.at, c.load, seconds*time.Second, c.path)
+				t.Logf("%d served, %d refused", o.served, o.refused)
+				if got, want := o.served, int(0.9*seconds*min(c.load, perSecond*servers)); got < want {
+					t.Errorf("served: got %d, want at least %d", got, want)
+				}
+				if o.failed > 0 || o.hints != o.refused {
+					t.Errorf("got %d failed and %d of %d refusals that tell when to come back, want none and all", o.failed, o.hints, o.refused)
+				}
+				// A route's aim is two seconds, of which half may be waited for a turn.
+				if o.slowest > time.Second/2 {
+					t.Errorf("slowest refusal: got %v, want it at once", o.slowest)
+				}
+			})
+		})
+	}
+}
+
+func TestLimitIsTakenBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 6
+		b := newSignalBed(t, n, 3, 0)
+		rate := 1.0
+		b.name(&rate, 0, 3)
+		b.load(n, 30, 5*time.Second, "/safe/")
+		b.name(nil, 0, 3)
+		b.load(n, 30, 3*time.Second, "/safe/")
+		if o := b.load(n, 30, 5*time.Second, "/safe/"); o.refused+o.failed > 0 {
+			t.Errorf("after the limits were taken back: got %d of %d not served, want none", o.refused+o.failed, o.refused+o.failed+o.served)
+		}
+	})
+}
+
+// Limits hold while entry VMs end and start, those among them that pace the servers, and one
+// is cut off from all others.
+func TestLimitsHoldWhileEntryVMsComeAndGo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 6
+		b := newSignalBed(t, n, 3, 0)
+		b.load(n, 30, time.Second, "/safe/")
+		rate := 2.0
+		since := b.name(&rate, 0, 3)
+		b.group.Go(func(context.Context) error {
+			time.Sleep(5 * time.Second)
+			for i := range 3 {
+				b.stops[i]()
+				time.Sleep(3 * time.Second)
+				b.start(i)
+				time.Sleep(3 * time.Second)
+			}
+			b.isolate(n-1, n)
+			return nil
+		})
+		o := b.load(n, 30, 40*time.Second, "/safe/")
+		t.Logf("%d served, %d refused, %d failed", o.served, o.refused, o.failed)
+		b.keeps(0, 3, rate, since)
+	})
+}
--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -473,6 +473,10 @@
 	// leaving.
 	Leaving []ServerName `json:"leaving,omitempty,omitzero"`
 
+	// Limits that backend servers have named to the sender or its peers, or lately
+	// taken back.
+	Limits []ServerLimit `json:"limits,omitempty,omitzero"`
+
 	// Loads by backend server that the sender reports to the receiver.
 	Loads map[string]ServerLoad `json:"loads,omitempty,omitzero"`
 
@@ -979,6 +983,37 @@
 const PeerStateStarting PeerState = "starting"
 const PeerStateStopping PeerState = "stopping"
 
+// PermitAnswer tells when a request may be sent to a backend server with a limit.
+type PermitAnswer struct {
+	// Whether the request may be sent.
+	Granted bool `json:"granted,omitempty,omitzero"`
+
+	// Time until it may be sent, or until it is worth asking again.
+	WaitMS Milliseconds `json:"wait_ms,omitempty,omitzero"`
+}
+
+// PermitAsk asks the entry VM that paces a backend server for the time of one
+// request.
+type PermitAsk struct {
+	// Time that the request may wait.
+	PatienceMS Milliseconds `json:"patience_ms,omitempty,omitzero"`
+
+	// That limit, in requests a second.
+	PerSecond float64 `json:"per_second"`
+
+	// Version of the protocol between entry VMs.
+	Protocol int `json:"protocol"`
+
+	// Backend server that has named a limit.
+	Server ServerName `json:"server"`
+
+	// Whether the receiver is asked since the first choice does not answer.
+	Standby bool `json:"standby,omitempty,omitzero"`
+
+	// Sender.
+	VM VMName `json:"vm"`
+}
+
 // PlaceAnswer gives a place, or says why there is none.
 type PlaceAnswer struct {
 	// Engine that is to keep a copy of the run as it grows; empty for none.
@@ -1046,6 +1081,9 @@
 	// Service of the engines.
 	Service ServiceName `json:"service"`
 
+	// Whether the receiver is asked since the first choice does not answer.
+	Standby bool `json:"standby,omitempty,omitzero"`
+
 	// Engine memory that is needed.
 	Tokens Tokens `json:"tokens,omitempty,omitzero"`
 
@@ -1181,6 +1219,22 @@
 // platform.
 type ServerID string
 
+// ServerLimit is what a backend server last said of the rate that it takes from
+// all entry VMs together.
+type ServerLimit struct {
+	// Time since it said so.
+	AgeMS Milliseconds `json:"age_ms"`
+
+	// Whether it names a limit at all.
+	Named bool `json:"named,omitempty,omitzero"`
+
+	// Requests a second.
+	PerSecond float64 `json:"per_second,omitempty,omitzero"`
+
+	// Backend server.
+	Server ServerName `json:"server"`
+}
+
 // ServerLoad is what one entry VM has in flight at a backend server.
 type ServerLoad struct {
 	// Requests in flight.
--- a/internal/decide/call/call.go
+++ b/internal/decide/call/call.go
@@ -69,6 +69,12 @@
 	return c.Fault(fault.NoServer, nil, "no server of the service takes work").After(comeback)
 }
 
+// AtLimit is the failure of a call that servers take none of for so long, since they are at the
+// limits that they have named.
+func (c *Call) AtLimit(wait time.Duration) *fault.Error {
+	return c.Fault(fault.NoServer, nil, "all servers of the service are at their limits").After(max(wait, comeback))
+}
+
 // Withheld is a refusal in place of a further attempt.
 func (c *Call) Withheld(f *fault.Error) *fault.Error {
 	if c.maybe {
--- a/internal/decide/placement/domains.go
+++ b/internal/decide/placement/domains.go
@@ -111,11 +111,11 @@
 	}
 }
 
-// Sum adds up the loads of the engines that take new requests.
-func (p *Picker) Sum(l []roster.Member) api.PoolLoad {
+// Sum adds up the loads of the engines of a pool that take new requests now.
+func (p *Picker) Sum(now time.Time, l Pool) api.PoolLoad {
 	var x api.PoolLoad
-	for _, m := range l {
-		if m.State == roster.Ready && !m.Closed {
+	for _, m := range l.Members {
+		if m.State == roster.Ready && !m.Closed && p.within(now, l, m) {
 			t := p.Engines.Total(m.Name)
 			x.Engines++
 			x.Tokens += t.Tokens
--- a/internal/decide/placement/pick.go
+++ b/internal/decide/placement/pick.go
@@ -8,6 +8,7 @@
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/roster"
+	"github.com/wardridge/wardridge/internal/decide/throttle"
 )
 
 // Need is what a request asks of a server.
@@ -44,6 +45,12 @@
 	UnreadMost api.Tokens
 	// Warmup bounds what is sent to servers that are cold.
 	Warmup Warmup
+	// Standby is set where the servers' allocator is asked since the first choice does not
+	// answer.
+	Standby bool
+	// Unlimited leaves out servers that have named a limit: what goes on from a copy can't be
+	// held up there.
+	Unlimited bool
 }
 
 // Scores are in units of a server's whole capacity.
@@ -60,6 +67,8 @@
 	// cold is the price of a server that has just started and is still slow: it
 	// takes work before one that is a quarter fuller.
 	cold = 0.25
+	// limited is the price of a server that has named a limit, which it does in need.
+	limited = 0.25
 	// avoid puts servers that cool down, fail or lapsed behind all others.
 	avoid = 10.0
 	// memoryBound is the share of an engine's memory that may be promised; the
@@ -74,13 +83,16 @@
 	Engines *Ledger
 	Health  *Health
 	Sends   *Sends
-	random  *rand.Rand
+	// Limits are what servers have named, and Pacer keeps to them.
+	Limits *throttle.Limits
+	Pacer  *throttle.Pacer
+	random *rand.Rand
 }
 
 // NewPicker makes a picker without load that draws from a source.
 func NewPicker(s rand.Source) *Picker {
 	r := rand.New(s)
-	return &Picker{Table: NewTable(), Engines: NewLedger(), Health: NewHealth(), Sends: NewSends(r), random: r}
+	return &Picker{Table: NewTable(), Engines: NewLedger(), Health: NewHealth(), Sends: NewSends(r), Limits: throttle.NewLimits(), Pacer: throttle.NewPacer(r), random: r}
 }
 
 // Choice is a server with the figures that decided for it.
@@ -135,11 +147,57 @@
 	return all
 }
 
-// bears reports whether a server may be sent another request: a cold one only so many
-// a second.
+// bears reports whether a server may be sent another request: a cold one, and an engine that
+// has named a limit, only so many a second.
 func (p *Picker) bears(now time.Time, l Pool, m roster.Member) bool {
 	rate := l.warmup(m)
-	return rate == 0 || !now.Before(m.Warm) || p.Sends.allows(now, m.Name, m.Warm, rate)
+	if rate != 0 && now.Before(m.Warm) && !p.Sends.allows(now, m.Name, m.Warm, rate) {
+		return false
+	}
+	return p.within(now, l, m)
+}
+
+// within reports whether another request to a server stays within the limit that it has named.
+func (p *Picker) within(now time.Time, l Pool, m roster.Member) bool {
+	r, ok := p.Limits.Find(m.Name)
+	switch {
+	case !ok:
+		return true
+	case l.Unlimited:
+		return false
+	case l.Memory == 0:
+		// Who paces the server is asked once it is chosen.
+		return true
+	default:
+		return !p.Pacer.Next(now, m.Name, l.terms(m, r)).After(now)
+	}
+}
+
+// terms are those of an engine that has named a limit.
+func (l Pool) terms(m roster.Member, r throttle.Rate) throttle.Terms {
+	t := throttle.Terms{Rate: r, Part: throttle.Alone, Members: l.Warmup.Choosers}
+	switch {
+	case !l.Exact || m.Domain != l.Domain:
+	case l.Standby:
+		t.Part = throttle.Standby
+	default:
+		t.Part = throttle.Whole
+	}
+	return t
+}
+
+// Sent notes a request that is sent to a server, or granted to another entry VM.
+func (p *Picker) Sent(now time.Time, n api.ServerName) {
+	p.Sends.Note(now, n)
+	p.Pacer.Sent(now, n)
+}
+
+// Forget drops what is known of servers that are gone.
+func (p *Picker) Forget(keep func(n api.ServerName) bool) {
+	p.Health.Forget(keep)
+	p.Sends.Forget(keep)
+	p.Limits.Forget(keep)
+	p.Pacer.Forget(keep)
 }
 
 const (
@@ -194,6 +252,9 @@
 	if now.Before(m.Warm) {
 		s += cold
 	}
+	if _, ok := p.Limits.Find(m.Name); ok {
+		s += limited
+	}
 	if m.State == roster.Lapsed {
 		s += avoid
 	}
--- a/internal/decide/throttle/limits.go
+++ b/internal/decide/throttle/limits.go
@@ -1,6 +1,8 @@
 package throttle
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
@@ -50,6 +52,44 @@
 	return w.Rate, w.Named
 }
 
+const (
+	// wayTime is the most that a peer's word was on its way, for which it looks newer than it
+	// is.
+	wayTime = 600 * time.Millisecond
+	// liftTime is how long peers are told that a limit was taken back.
+	liftTime = 10 * time.Second
+)
+
+// Reports gives what peers are to know, in order.
+func (l *Limits) Reports(now time.Time) []api.ServerLimit {
+	var r []api.ServerLimit
+	for n, w := range l.words {
+		if age := now.Sub(w.at); w.Named || age < liftTime {
+			r = append(r, api.ServerLimit{Server: n, Named: w.Named, PerSecond: float64(w.Rate), AgeMS: api.ToMilliseconds(age)})
+		}
+	}
+	slices.SortFunc(r, func(a, b api.ServerLimit) int { return cmp.Compare(a.Server, b.Server) })
+	return r
+}
+
+// Merge takes what a peer tells of a server, where that is newer for certain than what is
+// known, and reports whether it is new.
+func (l *Limits) Merge(now time.Time, r api.ServerLimit) bool {
+	x := Limit{Named: r.Named, Rate: Rate(r.PerSecond)}
+	w, ok := l.words[r.Server]
+	at := now.Add(-r.AgeMS.Duration())
+	switch {
+	case x.Named && !(x.Rate >= 0):
+		return false
+	case !x.Named && !ok:
+		return false
+	case ok && !at.Add(-wayTime).After(w.at):
+		return false
+	}
+	l.words[r.Server] = word{Limit: x, at: at}
+	return w.Limit != x
+}
+
 // Forget drops what servers that are gone have named.
 func (l *Limits) Forget(keep func(n api.ServerName) bool) {
 	for n := range l.words {
--- /dev/null
+++ b/internal/decide/throttle/pacer_test.go
@@ -0,0 +1,198 @@
+package throttle_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/throttle"
+)
+
+func newPacer() *throttle.Pacer {
+	return throttle.NewPacer(rand.New(rand.NewPCG(1, 2)))
+}
+
+// most is the most of some times within a span.
+func most(l []time.Time, span time.Duration) int {
+	slices.SortFunc(l, time.Time.Compare)
+	n := 0
+	for i, t := range l {
+		k := i
+		for k < len(l) && l[k].Sub(t) < span {
+			k++
+		}
+		n = max(n, k-i)
+	}
+	return n
+}
+
+func TestTurnsAreSpaced(t *testing.T) {
+	tests := []struct {
+		name  string
+		terms throttle.Terms
+		// seconds are asked for each 10 ms.
+		seconds, want int
+	}{
+		{"whole", throttle.Terms{Rate: 4, Members: 9}, 10, 40},
+		{"standby", throttle.Terms{Rate: 5, Part: throttle.Standby, Members: 9}, 10, 20},
+		{"a figure below one", throttle.Terms{Rate: 0.5}, 10, 5},
+		{"none at all, to learn of more", throttle.Terms{}, 40, 4},
+		{"alone", throttle.Terms{Rate: 10, Part: throttle.Alone, Members: 4}, 40, 10},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			p, got := newPacer(), 0
+			for ms := 0; ms < 1000*c.seconds; ms += 10 {
+				if _, ok := p.Take(at(ms), "s", c.terms, 0); ok {
+					got++
+				}
+			}
+			if got < c.want-1 || got > c.want+1 {
+				t.Errorf("turns in %d s: got %d, want %d", c.seconds, got, c.want)
+			}
+		})
+	}
+}
+
+func TestTurnIsWaitedFor(t *testing.T) {
+	p, x := newPacer(), throttle.Terms{Rate: 2}
+	p.Take(at(0), "s", x, 0)
+	if next, ok := p.Take(at(100), "s", x, 300*time.Millisecond); ok || !next.Equal(at(500)) {
+		t.Errorf("too long: got %v and %v, want none, and the next at %v", ok, next, at(500))
+	}
+	if next, ok := p.Take(at(100), "s", x, 400*time.Millisecond); !ok || !next.Equal(at(500)) {
+		t.Errorf("in time: got %v and %v, want it at %v", ok, next, at(500))
+	}
+	if next := p.Next(at(100), "s", x); !next.Equal(at(1000)) {
+		t.Errorf("after it: got %v, want %v", next, at(1000))
+	}
+	p.Sent(at(1200), "s")
+	if next := p.Next(at(1210), "s", x); !next.Equal(at(1700)) {
+		t.Errorf("after one that was not asked for: got %v, want %v", next, at(1700))
+	}
+}
+
+// Two that pace one server, of which one takes itself for the successor, stay below one and
+// a half times the limit together.
+func TestTwoPacersKeepTheLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		rate := rapid.Float64Range(0.2, 50).Draw(t, "rate")
+		parts := []throttle.Part{throttle.Whole, throttle.Standby}
+		pacers := []*throttle.Pacer{newPacer(), newPacer()}
+		var sent []time.Time
+		now := 0
+		for range 400 {
+			now += rapid.IntRange(0, 60).Draw(t, "pause")
+			i := rapid.IntRange(0, 1).Draw(t, "pacer")
+			x := throttle.Terms{Rate: throttle.Rate(rate), Part: parts[i]}
+			if next, ok := pacers[i].Take(at(now), "s", x, 75*time.Millisecond); ok {
+				sent = append(sent, next)
+			}
+		}
+		span := 4 * time.Second
+		if got, want := most(sent, span), int(1.5*rate*span.Seconds())+5; got > want {
+			t.Fatalf("in %v at %.2f a second: got %d, want at most %d", span, rate, got, want)
+		}
+	})
+}
+
+// Entry VMs that reach nobody don't begin all at once.
+func TestThoseAloneAreSpread(t *testing.T) {
+	const members = 60
+	x := throttle.Terms{Rate: 10, Part: throttle.Alone, Members: members}
+	var sent []time.Time
+	for i := range members {
+		p := throttle.NewPacer(rand.New(rand.NewPCG(uint64(i), 2)))
+		for ms := 0; ms < 60_000; ms += 50 {
+			if next, ok := p.Take(at(ms), "s", x, 0); ok {
+				sent = append(sent, next)
+			}
+		}
+	}
+	if got, want := most(sent, 4*time.Second), 65; got > want {
+		t.Errorf("in 4 s: got %d, want at most %d", got, want)
+	}
+}
+
+func TestSplit(t *testing.T) {
+	tests := []struct {
+		name string
+		// heard are the entry VMs heard each ten seconds.
+		heard []int
+		want  bool
+	}{
+		{"one alone", []int{1}, false},
+		{"all", []int{1, 3, 6}, false},
+		{"few gone", []int{6, 4}, false},
+		{"half", []int{6, 3}, true},
+		{"cut off", []int{6, 1}, true},
+		{"back", []int{6, 1, 5}, false},
+		{"gone for good", []int{6, 2, 2, 2, 2, 2, 2, 2, 2}, false},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			var f throttle.Fleet
+			for i, n := range c.heard {
+				f.Note(at(10_000*i), n)
+			}
+			if got := f.Split(); got != c.want {
+				t.Errorf("got %v, want %v", got, c.want)
+			}
+		})
+	}
+}
+
+// What peers tell counts where it is newer for certain.
+func TestPeersTellLimits(t *testing.T) {
+	two, none := throttle.Limit{Named: true, Rate: 2}, throttle.Limit{}
+	tests := []struct {
+		name string
+		// own comes at 10,000 ms, nil for nothing; the peer's word at 20,000 ms.
+		own  *throttle.Limit
+		peer api.ServerLimit
+		want throttle.Limit
+	}{
+		{"nothing known", nil, api.ServerLimit{Named: true, PerSecond: 2, AgeMS: 60000}, two},
+		{"nothing known, taken back", nil, api.ServerLimit{}, none},
+		{"newer", &two, api.ServerLimit{Named: true, PerSecond: 5, AgeMS: 5000}, throttle.Limit{Named: true, Rate: 5}},
+		{"newer and taken back", &two, api.ServerLimit{AgeMS: 5000}, none},
+		{"older", &two, api.ServerLimit{AgeMS: 15000}, two},
+		{"perhaps older", &two, api.ServerLimit{AgeMS: 9900}, two},
+		{"a figure that can't be", nil, api.ServerLimit{Named: true, PerSecond: -1}, none},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			l := throttle.NewLimits()
+			if c.own != nil {
+				l.Note(at(10000), at(9990), "s", *c.own)
+			}
+			c.peer.Server = "s"
+			l.Merge(at(20000), c.peer)
+			r, ok := l.Find("s")
+			if got := (throttle.Limit{Named: ok, Rate: r}); got != c.want {
+				t.Errorf("got %+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
+
+// A word that goes back and forth between two entry VMs does not grow younger.
+func TestWordsOfPeersAge(t *testing.T) {
+	a, b := throttle.NewLimits(), throttle.NewLimits()
+	a.Note(at(0), at(-10), "s", throttle.Limit{Named: true, Rate: 2})
+	for ms := 100; ms < 60_000; ms += 250 {
+		for _, r := range a.Reports(at(ms)) {
+			b.Merge(at(ms+200), r)
+		}
+		for _, r := range b.Reports(at(ms + 210)) {
+			a.Merge(at(ms+240), r)
+		}
+	}
+	if !a.Note(at(60_000), at(1000), "s", throttle.Limit{}) {
+		t.Error("an answer to a later request: got the limit kept, want it taken back")
+	}
+}
--- a/internal/gateway/allocate.go
+++ b/internal/gateway/allocate.go
@@ -81,7 +81,8 @@
 	if len(l) == 0 {
 		return placed{}, false
 	}
-	p, ok := g.askAt(ctx, l[0], d)
+	d.standby = l[0].standby
+	p, ok := g.askAt(ctx, l[0].address, d)
 	if !ok || p.fault != nil {
 		// A demand that was let wait there has its answer.
 		return p, ok && d.waits
@@ -131,7 +132,7 @@
 		return demand{}, fault.New(fault.NotFound, "no engines of this service are configured")
 	}
 	return demand{
-		service: s, purpose: a.Purpose, domain: a.Domain, exact: true, forwarded: a.Forwarded, tried: a.Tried, waits: a.Waits, expected: a.Expected, brief: a.Brief,
+		service: s, purpose: a.Purpose, domain: a.Domain, exact: true, standby: a.Standby, forwarded: a.Forwarded, tried: a.Tried, waits: a.Waits, expected: a.Expected, brief: a.Brief,
 		need:     placement.Need{Tokens: a.Tokens, Unread: a.Unread},
 		ask:      backlog.Ask{Workspace: a.Workspace, Rank: a.Rank, Cost: float64(a.Tokens), Aim: a.AimMS.Duration(), Late: a.Late},
 		route:    a.Route,
@@ -188,13 +189,17 @@
 	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	now := time.Now()
 	l := map[api.ServiceName]api.PoolLoad{}
 	for i := range d.Services {
 		s := &d.Services[i]
 		if s.Engine == nil {
 			continue
 		}
-		x := g.picker.Sum(g.members(s.Name, func(m roster.Member) bool { return m.Domain == g.Domain }))
+		x := g.picker.Sum(now, placement.Pool{
+			Domain: g.Domain, Exact: true, Memory: s.Engine.Memory, Warmup: g.warmup(now, s),
+			Members: g.members(s.Name, func(m roster.Member) bool { return m.Domain == g.Domain }),
+		})
 		if a, ok := g.admissions[s.Name]; ok {
 			x.Waiting = a.backlog.Len()
 		}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -154,11 +154,7 @@
 	case q.service.Engine != nil:
 		return g.placeAgain(ctx, q, n, c)
 	}
-	x, l, ok := g.pickPlain(q.service, q.tried)
-	if !ok {
-		return placed{fault: c.NoServer()}
-	}
-	return placed{choice: x, reservation: l}
+	return g.placePlain(ctx, q, c)
 }
 
 // chosen gives the fields of the log line of a choice: the figures that decided.
--- a/internal/gateway/demand.go
+++ b/internal/gateway/demand.go
@@ -34,6 +34,8 @@
 	brief bool
 	// exact is set where this entry VM allocates the domain's engines.
 	exact bool
+	// standby is set where the first choice to allocate them does not answer.
+	standby bool
 	// recipient is the holder of the place, nil for this entry VM.
 	recipient *placement.Recipient
 }
@@ -44,7 +46,7 @@
 // time. The mutex is held.
 func (g *Gateway) engines(now time.Time, d demand) placement.Pool {
 	l := placement.Pool{
-		Domain: d.domain, Exact: d.exact, Memory: d.service.Engine.Memory, Warmup: g.warmup(now, d.service),
+		Domain: d.domain, Exact: d.exact, Standby: d.standby || g.fleet.Split(), Memory: d.service.Engine.Memory, Warmup: g.warmup(now, d.service),
 		Members: g.members(d.service.Name, func(m roster.Member) bool {
 			return m.Domain == d.domain || !g.domains.Known(now, d.service.Name, m.Domain)
 		}),
@@ -58,6 +60,8 @@
 		l.UnreadMost = a.reading.Within(d.ask.Aim)
 	case api.PlaceAskPurposeMove:
 		l.Stay = true
+	case api.PlaceAskPurposeCopy:
+		l.Unlimited = true
 	}
 	return l
 }
@@ -123,7 +127,7 @@
 func (d demand) copied(at roster.Server) demand {
 	return demand{
 		service: d.service, purpose: api.PlaceAskPurposeCopy, domain: at.Domain, need: placement.Need{Tokens: d.need.Tokens},
-		deadline: d.deadline, tried: []api.ServerName{at.Name}, expected: d.expected, exact: d.exact, recipient: d.recipient,
+		deadline: d.deadline, tried: []api.ServerName{at.Name}, expected: d.expected, exact: d.exact, standby: d.standby, recipient: d.recipient,
 	}
 }
 
@@ -152,7 +156,7 @@
 	if d.recipient != nil {
 		g.picker.Engines.Grant(now, *d.recipient, s.Name, d.load())
 		if d.load().Requests > 0 {
-			g.picker.Sends.Note(now, s.Name)
+			g.picker.Sent(now, s.Name)
 		}
 		return nil
 	}
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -104,6 +104,14 @@
 	return x, err
 }
 
+func (p fleetPeers) Permit(ctx context.Context, address string, a api.PermitAsk) (api.PermitAnswer, error) {
+	g, err := p.fleet.reach(ctx, address)
+	if err != nil {
+		return api.PermitAnswer{}, err
+	}
+	return g.Permit(a), nil
+}
+
 func (p fleetPeers) Report(ctx context.Context, address string, h api.Holding) error {
 	g, err := p.fleet.reach(ctx, address)
 	if err != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -84,8 +84,8 @@
 	// of them did not answer.
 	domains  *placement.Domains
 	contacts *holder.Contacts
-	// limits are what servers have said that they take.
-	limits *throttle.Limits
+	// fleet knows whether a part of the entry VMs may be behind a cut.
+	fleet throttle.Fleet
 	// incarnation, sequence, asks, reports and observations are of what this entry VM
 	// tells allocators.
 	incarnation  api.Incarnation
@@ -112,7 +112,6 @@
 		p.Contents = contents.New(p.Log, p.Metrics)
 	}
 	g := &Gateway{
-		limits:  throttle.NewLimits(),
 		domains: placement.NewDomains(), contacts: holder.NewContacts(), reports: holder.NewReports(), observations: holder.NewObservations(), incarnation: api.Incarnation(p.Seed),
 		Parts: p, roster: roster.New(), picker: placement.NewPicker(rand.NewPCG(p.Seed, 0)),
 		runs: map[api.ServerName]map[*run]bool{}, admissions: map[api.ServiceName]*admission{},
--- a/internal/gateway/holding.go
+++ b/internal/gateway/holding.go
@@ -60,10 +60,10 @@
 		u := g.allocators(d)
 		switch {
 		case len(u) == 0:
-		case u[0] == "":
+		case u[0].address == "":
 			g.tellNobody(d)
 		default:
-			g.tellAllocator(d, u[0])
+			g.tellAllocator(d, u[0].address)
 		}
 	}
 }
--- a/internal/gateway/obtain.go
+++ b/internal/gateway/obtain.go
@@ -105,7 +105,7 @@
 	a := api.PlaceAsk{
 		Domain: d.domain, Service: d.service.Name, Purpose: d.purpose, Tokens: d.need.Tokens, Unread: d.need.Unread, Expected: d.expected, Brief: d.brief,
 		Workspace: d.ask.Workspace, Rank: d.ask.Rank, AimMS: api.ToMilliseconds(d.ask.Aim), LeftMS: api.ToMilliseconds(time.Until(d.deadline)),
-		Route: d.route, WaitMS: api.ToMilliseconds(d.wait), Tried: d.tried, Waits: d.waits, Forwarded: d.forwarded, Late: d.ask.Late,
+		Route: d.route, WaitMS: api.ToMilliseconds(d.wait), Tried: d.tried, Waits: d.waits, Forwarded: d.forwarded, Standby: d.standby, Late: d.ask.Late,
 	}
 	if r := d.recipient; r != nil {
 		a.Ask = int(r.Ask)
@@ -118,11 +118,12 @@
 // other; it reports false where none of them answered.
 func (g *Gateway) askAllocators(ctx context.Context, d demand) (placed, bool) {
 	for _, to := range g.allocators(d.domain) {
-		if to == "" {
+		d.standby = to.standby
+		if to.address == "" {
 			d.exact = true
 			return g.allocate(ctx, d), true
 		}
-		if p, ok := g.askAt(ctx, to, d); ok {
+		if p, ok := g.askAt(ctx, to.address, d); ok {
 			return p, true
 		}
 		if ctx.Err() != nil {
@@ -132,13 +133,25 @@
 	return placed{}, false
 }
 
-// allocators lists those that may allocate a domain's engines and did not lately
+// allocator is an entry VM that may allocate the servers of a failure domain.
+type allocator struct {
+	// address is empty for this entry VM.
+	address string
+	// standby is set where another one is the first choice.
+	standby bool
+}
+
+// allocators lists those that may allocate a domain's servers and did not lately
 // fail to answer.
-func (g *Gateway) allocators(d api.DomainName) []string {
-	l := g.Peers.Allocators(d)
+func (g *Gateway) allocators(d api.DomainName) []allocator {
+	all := g.Peers.Allocators(d)
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.contacts.Usable(time.Now(), l)
+	var l []allocator
+	for _, a := range g.contacts.Usable(time.Now(), all) {
+		l = append(l, allocator{address: a, standby: a != all[0]})
+	}
+	return l
 }
 
 // allowed bounds an ask, with the time that it may wait.
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -14,6 +14,8 @@
 	Allocators(d api.DomainName) []string
 	// Ask asks one of them for a place.
 	Ask(ctx context.Context, address string, a api.PlaceAsk) (api.PlaceAnswer, error)
+	// Permit asks one of them for the turn of a request at a server with a limit.
+	Permit(ctx context.Context, address string, a api.PermitAsk) (api.PermitAnswer, error)
 	// Report tells one of them what this entry VM holds there.
 	Report(ctx context.Context, address string, h api.Holding) error
 }
@@ -27,4 +29,8 @@
 	return api.PlaceAnswer{}, fault.New(fault.NotStarted, "there are no other entry VMs")
 }
 
+func (alone) Permit(context.Context, string, api.PermitAsk) (api.PermitAnswer, error) {
+	return api.PermitAnswer{}, fault.New(fault.NotStarted, "there are no other entry VMs")
+}
+
 func (alone) Report(context.Context, string, api.Holding) error { return nil }
--- /dev/null
+++ b/internal/gateway/permit.go
@@ -0,0 +1,183 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/call"
+	"github.com/wardridge/wardridge/internal/decide/directory"
+	"github.com/wardridge/wardridge/internal/decide/gossip"
+	"github.com/wardridge/wardridge/internal/decide/placement"
+	"github.com/wardridge/wardridge/internal/decide/throttle"
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/metric"
+)
+
+const (
+	// permitTime bounds one ask for a permit; a request that asks in vain has most of its aim
+	// left.
+	permitTime = 30 * time.Millisecond
+	// permitShare is the part of its aim that a request may wait for its turn at a server.
+	permitShare = 0.5
+	// unknownWait is when it is worth asking again for a server that the one asked has not
+	// heard of yet.
+	unknownWait = 250 * time.Millisecond
+)
+
+// permit is when a request may be sent to a server, or is worth another ask.
+type permit struct {
+	granted bool
+	at      time.Time
+}
+
+// denied is a server at its limit, and when its next turn is.
+type denied struct {
+	server placement.Choice
+	at     time.Time
+}
+
+// placePlain gives a request a plain server. One that has named a limit is used in its turn;
+// while others can be had no request waits for that.
+func (g *Gateway) placePlain(ctx context.Context, q *request, c *call.Call) placed {
+	var full []denied
+	tried := slices.Clone(q.tried)
+	for {
+		x, ok := g.pickPlain(q.service, tried)
+		if !ok {
+			break
+		}
+		if _, limited := g.limit(x.Name); !limited {
+			return g.takePlain(x)
+		}
+		p := g.permit(ctx, x, 0)
+		if p.granted {
+			return g.takePlain(x)
+		}
+		tried = append(tried, x.Name)
+		full = append(full, denied{server: x, at: p.at})
+	}
+	if len(full) == 0 {
+		return placed{fault: c.NoServer()}
+	}
+	return g.awaitTurn(ctx, q, c, full)
+}
+
+// awaitTurn lets a request wait for its turn at one of some servers that are all at their
+// limits, or refuses it at once where none comes in time.
+func (g *Gateway) awaitTurn(ctx context.Context, q *request, c *call.Call, full []denied) placed {
+	first := slices.MinFunc(full, func(a, b denied) int { return a.at.Compare(b.at) })
+	patience := time.Duration(permitShare*float64(q.aim())) - time.Since(q.Arrived)
+	if time.Until(first.at) > patience {
+		return placed{fault: g.atLimit(c, first.at)}
+	}
+	p := g.permit(ctx, first.server, patience)
+	if !p.granted {
+		return placed{fault: g.atLimit(c, p.at)}
+	}
+	if !duty.Sleep(ctx, time.Until(p.at)) {
+		return placed{fault: overdue(ctx)}
+	}
+	if m, ok := g.member(first.server.Name); !ok || !m.Takes() {
+		return placed{fault: c.NoServer()}
+	}
+	return g.takePlain(first.server)
+}
+
+// atLimit is the refusal of a request since all servers are at their limits.
+func (g *Gateway) atLimit(c *call.Call, next time.Time) *fault.Error {
+	g.Metrics.Add(metric.LimitRefusals, 1)
+	return c.AtLimit(time.Until(next))
+}
+
+// limit is what a server has named.
+func (g *Gateway) limit(n api.ServerName) (throttle.Rate, bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.picker.Limits.Find(n)
+}
+
+// pickPlain chooses a plain server of a service.
+func (g *Gateway) pickPlain(s *directory.Service, tried []api.ServerName) (placement.Choice, bool) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := time.Now()
+	l := placement.Pool{Members: g.roster.Service(s.Name), Domain: g.Domain, Warmup: g.warmup(now, s)}
+	return g.picker.Pick(now, l, placement.Need{}, tried)
+}
+
+// takePlain reserves the load at a plain server.
+func (g *Gateway) takePlain(x placement.Choice) placed {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return placed{choice: x, reservation: g.reserve(time.Now(), x.Server, false, api.ServerLoad{Requests: 1})}
+}
+
+// permit asks who paces a server for the turn of one request: the entry VM that allocates the
+// servers of its failure domain, or the next one. Where neither answers, this entry VM keeps
+// to its own part.
+func (g *Gateway) permit(ctx context.Context, x placement.Choice, patience time.Duration) permit {
+	r, _ := g.limit(x.Name)
+	a := api.PermitAsk{Protocol: gossip.Protocol, VM: g.VM, Server: x.Name, PerSecond: float64(r), PatienceMS: api.ToMilliseconds(patience)}
+	for _, to := range g.allocators(x.Domain) {
+		a.Standby = to.standby
+		if to.address == "" {
+			return g.pace(a, patience)
+		}
+		if p, ok := g.askPermit(ctx, to.address, a); ok {
+			return p
+		}
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := time.Now()
+	t := throttle.Terms{Rate: r, Part: throttle.Alone, Members: g.picker.Table.Members(now)}
+	at, ok := g.picker.Pacer.Take(now, x.Name, t, patience)
+	return permit{granted: ok, at: at}
+}
+
+// askPermit asks another entry VM.
+func (g *Gateway) askPermit(ctx context.Context, to string, a api.PermitAsk) (permit, bool) {
+	c, cancel := context.WithTimeout(ctx, permitTime)
+	defer cancel()
+	x, err := g.Peers.Permit(c, to, a)
+	if err != nil {
+		if ctx.Err() == nil {
+			g.mutex.Lock()
+			defer g.mutex.Unlock()
+			g.noteSilent(to, err)
+		}
+		return permit{}, false
+	}
+	return permit{granted: x.Granted, at: time.Now().Add(x.WaitMS.Duration())}, true
+}
+
+// pace gives the turn of one request at a server that this entry VM paces, by the lower of the
+// limits that it and the asker know.
+func (g *Gateway) pace(a api.PermitAsk, patience time.Duration) permit {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if _, ok := g.roster.Find(a.Server); !ok {
+		// What is sent to a server is remembered only while it is known.
+		return permit{at: time.Now().Add(unknownWait)}
+	}
+	t := throttle.Terms{Rate: throttle.Rate(a.PerSecond), Part: throttle.Whole}
+	if r, ok := g.picker.Limits.Find(a.Server); ok {
+		t.Rate = min(t.Rate, r)
+	}
+	if a.Standby || g.fleet.Split() {
+		t.Part = throttle.Standby
+	}
+	at, ok := g.picker.Pacer.Take(time.Now(), a.Server, t, patience)
+	return permit{granted: ok, at: at}
+}
+
+// Permit answers another entry VM that asks for the turn of one request.
+func (g *Gateway) Permit(a api.PermitAsk) api.PermitAnswer {
+	p := g.pace(a, a.PatienceMS.Duration())
+	// What is left of a ms counts as one: a turn must not come early.
+	wait := max(0, time.Until(p.at)+time.Millisecond-1)
+	return api.PermitAnswer{Granted: p.granted, WaitMS: api.ToMilliseconds(wait)}
+}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -79,6 +79,7 @@
 	b := g.protect(ctx, q, c.at)
 	t := q.attempt(c.at, b)
 	t.Connect, t.Resume = call.ConnectTime(q.route.GapAim), &x
+	g.noteSent(c.at)
 	a, err := g.sendUntilTaken(ctx, t)
 	if err != nil {
 		b.end()
@@ -94,6 +95,13 @@
 	return a.Stream, nil
 }
 
+// noteSent counts a request that only one server can take, whatever that has asked for.
+func (g *Gateway) noteSent(s roster.Server) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.picker.Sent(time.Now(), s.Name)
+}
+
 // sendUntilTaken sends to one server, again while no connection is made.
 func (g *Gateway) sendUntilTaken(ctx context.Context, t port.Attempt) (port.Answer, error) {
 	for n := 1; ; n++ {
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -45,13 +45,13 @@
 		_, ok := g.roster.Find(n)
 		return ok
 	}
-	g.picker.Health.Forget(known)
-	g.picker.Sends.Forget(known)
+	g.picker.Forget(known)
 	g.answers.Forget(known)
-	g.limits.Forget(known)
 	g.Metrics.Retain(metric.ByServer, func(n string) bool { return known(api.ServerName(n)) })
 	g.picker.Engines.Expire(now)
-	g.Retries.Members(g.picker.Table.Members(now))
+	n := g.picker.Table.Members(now)
+	g.Retries.Members(n)
+	g.fleet.Note(now, n)
 	g.mutex.Unlock()
 	g.reopen(now)
 	g.judge()
@@ -120,19 +120,6 @@
 	return !ok || !m.Takes()
 }
 
-// pickPlain chooses a plain server of a service and reserves the load there.
-func (g *Gateway) pickPlain(s *directory.Service, tried []api.ServerName) (placement.Choice, *reservation, bool) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	now := time.Now()
-	l := placement.Pool{Members: g.roster.Service(s.Name), Domain: g.Domain, Warmup: g.warmup(now, s)}
-	x, ok := g.picker.Pick(now, l, placement.Need{}, tried)
-	if !ok {
-		return x, nil, false
-	}
-	return x, g.reserve(now, x.Server, false, api.ServerLoad{Requests: 1}), true
-}
-
 // warmup is what the cold servers of a service bear; the mutex is held.
 func (g *Gateway) warmup(now time.Time, s *directory.Service) placement.Warmup {
 	return placement.Warmup{Rate: s.ColdRate, Choosers: g.picker.Table.Members(now)}
@@ -148,7 +135,7 @@
 	}
 	l.add(x)
 	if x.Requests > 0 {
-		g.picker.Sends.Note(now, s.Name)
+		g.picker.Sent(now, s.Name)
 	}
 	return l
 }
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/roster"
 	"github.com/wardridge/wardridge/internal/decide/throttle"
 	"github.com/wardridge/wardridge/internal/event"
@@ -51,6 +52,31 @@
 	return x, err
 }
 
+// Limits lists what servers have named, for peers.
+func (g *Gateway) Limits() []api.ServerLimit {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.picker.Limits.Reports(time.Now())
+}
+
+// MergeLimits takes what servers have named to a peer.
+func (g *Gateway) MergeLimits(l []api.ServerLimit) {
+	for _, x := range l {
+		g.mutex.Lock()
+		_, known := g.roster.Find(x.Server)
+		changed := known && g.picker.Limits.Merge(time.Now(), x)
+		g.mutex.Unlock()
+		if changed {
+			g.noteLimit(x.Server, x.Named, x.PerSecond, true)
+		}
+	}
+}
+
+// noteLimit logs a limit that is new here.
+func (g *Gateway) noteLimit(n api.ServerName, named bool, perSecond float64, ofPeer bool) {
+	g.Log.Emit(event.ServerLimit, zap.String("server", string(n)), zap.Bool("limited", named), zap.Float64("per_second", perSecond), zap.Bool("of_peer", ofPeer))
+}
+
 // heed takes what a server says of itself in the answer to a call that was sent at a time.
 func (g *Gateway) heed(sent time.Time, s roster.Server, x port.Signals) {
 	if !x.Answered {
@@ -61,9 +87,9 @@
 		return
 	}
 	g.mutex.Lock()
-	changed := g.limits.Note(time.Now(), sent, s.Name, throttle.Limit{Named: x.Limited, Rate: throttle.Rate(x.Limit)})
+	changed := g.picker.Limits.Note(time.Now(), sent, s.Name, throttle.Limit{Named: x.Limited, Rate: throttle.Rate(x.Limit)})
 	g.mutex.Unlock()
 	if changed {
-		g.Log.Emit(event.ServerLimit, zap.String("server", string(s.Name)), zap.Bool("limited", x.Limited), zap.Float64("per_second", x.Limit))
+		g.noteLimit(s.Name, x.Limited, x.Limit, false)
 	}
 }
--- a/internal/mesh/allocate.go
+++ b/internal/mesh/allocate.go
@@ -29,6 +29,13 @@
 	return p, err
 }
 
+// Permit asks the entry VM at an address for the turn of a request at a server with a limit.
+func (m *Mesh) Permit(ctx context.Context, address string, a api.PermitAsk) (api.PermitAnswer, error) {
+	var p api.PermitAnswer
+	err := wire.Call(ctx, m.Client, http.MethodPost, "http://"+address+PathPermit, a, &p)
+	return p, err
+}
+
 // Report tells the entry VM at an address what this one holds there.
 func (m *Mesh) Report(ctx context.Context, address string, h api.Holding) error {
 	return wire.Call(ctx, m.Client, http.MethodPost, "http://"+address+PathHolding, h, nil)
@@ -53,6 +60,33 @@
 	wire.Write(w, http.StatusOK, p)
 }
 
+// permit answers an ask of a peer.
+func (m *Mesh) permit(w http.ResponseWriter, q *http.Request) {
+	var a api.PermitAsk
+	if err := wire.Read(w, q, messageLimit, &a); err != nil {
+		wire.Refuse(w, fault.From(err), "")
+		return
+	}
+	f := m.checkProtocol(a.VM, a.Protocol)
+	if f == nil && (a.PerSecond < 0 || a.PatienceMS < 0) {
+		f = fault.New(fault.InvalidRequest, "the ask has a figure that can't be")
+	}
+	if f != nil {
+		wire.Refuse(w, f, "")
+		return
+	}
+	wire.Write(w, http.StatusOK, m.Engines.Permit(a))
+}
+
+// checkProtocol refuses a peer of another protocol.
+func (m *Mesh) checkProtocol(vm api.VMName, protocol int) *fault.Error {
+	if protocol == gossip.Protocol {
+		return nil
+	}
+	m.Log.Emit(event.PeerRefused, zap.String("vm", string(vm)), zap.Int("protocol", protocol))
+	return fault.New(fault.PeerProtocol, "the peer speaks another version of the protocol")
+}
+
 // hold takes the report of a peer.
 func (m *Mesh) hold(w http.ResponseWriter, q *http.Request) {
 	var h api.Holding
@@ -86,9 +120,8 @@
 // checkHolding refuses a peer of another protocol, and loads that can't be: one
 // below zero would draw all requests to its engine.
 func (m *Mesh) checkHolding(h api.Holding) *fault.Error {
-	if h.Protocol != gossip.Protocol {
-		m.Log.Emit(event.PeerRefused, zap.String("vm", string(h.VM)), zap.Int("protocol", h.Protocol))
-		return fault.New(fault.PeerProtocol, "the peer speaks another version of the protocol")
+	if f := m.checkProtocol(h.VM, h.Protocol); f != nil {
+		return f
 	}
 	for _, l := range h.Loads {
 		if l.Requests < 0 || l.Tokens < 0 || l.Unread < 0 {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -24,8 +24,7 @@
 // callTime bounds one call to a peer.
 const callTime = 600 * time.Millisecond
 
-// Notices is where it is known which servers said themselves that they are leaving, and
-// which contents end servers.
+// Notices is where it is known what servers said of themselves, and which contents end them.
 type Notices interface {
 	// Leaving lists them.
 	Leaving() []api.ServerName
@@ -39,6 +38,10 @@
 	ContentReports() []api.ContentReport
 	// MergeContents takes what a peer learned of them.
 	MergeContents(l []api.ContentReport)
+	// Limits lists what servers have said that they take.
+	Limits() []api.ServerLimit
+	// MergeLimits takes what they have said to a peer.
+	MergeLimits(l []api.ServerLimit)
 }
 
 // Applied is the configuration in force. It may be newer than the platform's: one that came
@@ -70,6 +73,8 @@
 	Place(ctx context.Context, a api.PlaceAsk) (api.PlaceAnswer, error)
 	// Hold takes what a peer holds.
 	Hold(h api.Holding)
+	// Permit answers an ask for the turn of a request at a server with a limit.
+	Permit(a api.PermitAsk) api.PermitAnswer
 }
 
 // Parts are what the mesh works with.
@@ -222,7 +227,7 @@
 	e := api.Exchange{
 		Protocol: gossip.Protocol, VM: m.VM, ConfigAt: m.Config.Changed(), ServersAt: m.Servers.Changed(),
 		Direct: m.direct(), Relation: relations[r], Members: x.Members,
-		Leaving: m.Notices.Leaving(), Contents: m.Notices.ContentReports(), ConfigNumber: m.Applied.AppliedNumber(),
+		Leaving: m.Notices.Leaving(), Contents: m.Notices.ContentReports(), Limits: m.Notices.Limits(), ConfigNumber: m.Applied.AppliedNumber(),
 	}
 	if m.Closures != nil {
 		e.ClosuresAt, e.KeptClosures = m.Closures.Changed(), m.Notices.KeptClosures()
@@ -306,6 +311,7 @@
 	m.notePools(e, r)
 	m.Notices.NoteLeaving(e.Leaving)
 	m.Notices.MergeContents(e.Contents)
+	m.Notices.MergeLimits(e.Limits)
 	catchUp(m, e.Self.Address, PathConfig, e.ConfigAt, m.Config)
 	m.apply(e)
 	catchUp(m, e.Self.Address, PathServers, e.ServersAt, m.Servers)
--- a/internal/mesh/serve.go
+++ b/internal/mesh/serve.go
@@ -28,6 +28,7 @@
 	PathApplied     = "/mesh/v1/applied"
 	PathPlace       = "/mesh/v1/place"
 	PathHolding     = "/mesh/v1/holding"
+	PathPermit      = "/mesh/v1/permit"
 )
 
 // messageLimit bounds one message: 2,500 servers' loads at 60 bytes.
@@ -38,6 +39,7 @@
 	r.Post(PathExchange, m.answer)
 	r.Post(PathPlace, m.place)
 	r.Post(PathHolding, m.hold)
+	r.Post(PathPermit, m.permit)
 	r.Get(PathApplied, m.applied)
 	r.Get(PathConfig, pass(newPacker(m.Config)))
 	r.Get(PathServers, pass(newPacker(m.Servers)))
--- a/internal/node/hosted_start.go
+++ b/internal/node/hosted_start.go
@@ -148,6 +148,10 @@
 	return a.hosted.mesh.Ask(ctx, address, x)
 }
 
+func (a allocators) Permit(ctx context.Context, address string, x api.PermitAsk) (api.PermitAnswer, error) {
+	return a.hosted.mesh.Permit(ctx, address, x)
+}
+
 func (a allocators) Report(ctx context.Context, address string, x api.Holding) error {
 	return a.hosted.mesh.Report(ctx, address, x)
 }
