fix: on the own interface, servers of plain services get no more calls than the limit that they name

What callers saw: nothing; a server in need got 120 calls in 4 s where its limit of 4 a second allows 29. Cause: as behind the hosting platform, what a server says of itself in an answer reached no decision.

X-Wardridge-Limit is the own interface's name of it. Nobody allocates servers there, so that each entry VM has an equal share, with its first turn drawn; the most VMs heard in the last minute share, so that one that is cut off does not take all. Heartbeats pass limits on. Where all servers are at their limits, a call is refused at once, as not run, with the time to come back. Why it works: VMs that keep a gap of members/limit send limit x 4 s + members at most, which stays within what is allowed up to twice the limit and five VMs.

--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -650,6 +650,10 @@
 	// Life of the sender.
 	Incarnation Incarnation `json:"incarnation"`
 
+	// Limits that backend servers have named to the sender or its peers, or lately
+	// taken back.
+	Limits []ServerLimit `json:"limits,omitempty,omitzero"`
+
 	// Version of the protocol between entry VMs.
 	Protocol int `json:"protocol"`
 
--- a/internal/decide/backend/backend.go
+++ b/internal/decide/backend/backend.go
@@ -1,10 +1,12 @@
 package backend
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/throttle"
 )
 
 // Server is a backend server as declared.
@@ -27,11 +29,14 @@
 // Servers is one entry VM's view of the servers of plain services.
 type Servers struct {
 	states map[api.ServerName]*state
+	limits *throttle.Limits
+	pacer  *throttle.Pacer
+	fleet  throttle.Fleet
 }
 
-// New makes a view without servers.
-func New() *Servers {
-	return &Servers{states: map[api.ServerName]*state{}}
+// New makes a view without servers that draws from a source.
+func New(s rand.Source) *Servers {
+	return &Servers{states: map[api.ServerName]*state{}, limits: throttle.NewLimits(), pacer: throttle.NewPacer(rand.New(s))}
 }
 
 // Declare takes the servers in force.
@@ -49,6 +54,9 @@
 			delete(s.states, n)
 		}
 	}
+	known := func(n api.ServerName) bool { return seen[n] }
+	s.limits.Forget(known)
+	s.pacer.Forget(known)
 }
 
 // Listed notes whether the platform's list says that a server is leaving.
@@ -58,25 +66,71 @@
 	}
 }
 
-// Pick takes the server with the fewest calls in flight, leaving out those
-// tried before; it reports false when none takes work.
-func (s *Servers) Pick(now time.Time, servers, tried []api.ServerName) (api.ServerName, bool) {
+// Members sets the number of entry VMs that share the limits of servers.
+func (s *Servers) Members(now time.Time, n int) {
+	s.fleet.Note(now, n)
+}
+
+// Limited takes the limit in an answer, or that it names none, and reports whether that is new.
+func (s *Servers) Limited(now, sent time.Time, n api.ServerName, l throttle.Limit) bool {
+	return s.limits.Note(now, sent, n, l)
+}
+
+// Limits lists what servers have named, for peers.
+func (s *Servers) Limits(now time.Time) []api.ServerLimit {
+	return s.limits.Reports(now)
+}
+
+// MergeLimit takes what a server has named to a peer, and reports whether that is new.
+func (s *Servers) MergeLimit(now time.Time, l api.ServerLimit) bool {
+	_, ok := s.states[l.Server]
+	return ok && s.limits.Merge(now, l)
+}
+
+// Choice is the server that a call was given, or why it was given none.
+type Choice struct {
+	// Name is empty for none.
+	Name api.ServerName
+	// Wait is the time until one takes calls again, zero where none is expected to.
+	Wait time.Duration
+}
+
+// Pick takes the server with the fewest calls in flight, leaving out those tried before.
+func (s *Servers) Pick(now time.Time, servers, tried []api.ServerName) Choice {
 	var best api.ServerName
 	var b *state
+	var wait time.Duration
 	for _, n := range servers {
 		x := s.states[n]
 		if x == nil || x.draining || x.leaving || slices.Contains(tried, n) {
 			continue
 		}
+		if w := s.turn(now, n); w > 0 {
+			if wait == 0 || w < wait {
+				wait = w
+			}
+			continue
+		}
 		if b == nil || x.before(b, now) {
 			best, b = n, x
 		}
 	}
 	if b == nil {
-		return "", false
+		return Choice{Wait: wait}
 	}
 	b.active++
-	return best, true
+	s.pacer.Sent(now, best)
+	return Choice{Name: best}
+}
+
+// turn is the time until a server takes a call of this entry VM.
+func (s *Servers) turn(now time.Time, n api.ServerName) time.Duration {
+	r, ok := s.limits.Find(n)
+	if !ok {
+		return 0
+	}
+	t := throttle.Terms{Rate: r, Part: throttle.Equal, Members: s.fleet.Most()}
+	return s.pacer.Next(now, n, t).Sub(now)
 }
 
 func (x *state) before(y *state, now time.Time) bool {
--- a/internal/decide/backend/backend_test.go
+++ b/internal/decide/backend/backend_test.go
@@ -1,11 +1,13 @@
 package backend_test
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/backend"
+	"github.com/wardridge/wardridge/internal/decide/throttle"
 )
 
 var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -13,7 +15,7 @@
 var both = []api.ServerName{"a", "b"}
 
 func servers() *backend.Servers {
-	s := backend.New()
+	s := backend.New(rand.NewPCG(1, 2))
 	s.Declare([]backend.Server{{Name: "a"}, {Name: "b"}})
 	return s
 }
@@ -37,10 +39,36 @@
 		t.Run(c.name, func(t *testing.T) {
 			s := servers()
 			c.setup(s)
-			got, ok := s.Pick(epoch, both, c.tried)
-			if got != c.want || ok != (c.want != "") {
-				t.Errorf("got %q, %v, want %q", got, ok, c.want)
+			if got := s.Pick(epoch, both, c.tried); got.Name != c.want {
+				t.Errorf("got %+v, want %q", got, c.want)
 			}
 		})
 	}
 }
+
+// A server that has named a limit takes calls in turns, of which this entry VM has its share.
+func TestPickKeepsToLimits(t *testing.T) {
+	s := servers()
+	s.Members(epoch, 4)
+	at := func(ms int) time.Time { return epoch.Add(time.Duration(ms) * time.Millisecond) }
+	s.Limited(epoch, epoch.Add(-time.Millisecond), "a", throttle.Limit{Named: true, Rate: 2})
+	got := 0
+	for ms := 0; ms < 20_000; ms += 50 {
+		if s.Pick(at(ms), []api.ServerName{"a"}, nil).Name == "a" {
+			got++
+		}
+	}
+	if want := 10; got < want-1 || got > want {
+		t.Errorf("calls in 20 s: got %d, want a quarter of 2 a second", got)
+	}
+	if x := s.Pick(at(20_000), []api.ServerName{"a"}, nil); x.Name != "" || x.Wait <= 0 || x.Wait > 2*time.Second {
+		t.Errorf("between two turns: got %+v, want the time until the next", x)
+	}
+	if x := s.Pick(at(20_000), both, nil); x.Name != "b" {
+		t.Errorf("beside another server: got %+v, want that one", x)
+	}
+	s.Limited(at(20_100), at(20_050), "a", throttle.Limit{})
+	if x := s.Pick(at(20_100), []api.ServerName{"a"}, nil); x.Name != "a" {
+		t.Errorf("after the limit was taken back: got %+v, want the server", x)
+	}
+}
--- a/internal/decide/throttle/fleet.go
+++ b/internal/decide/throttle/fleet.go
@@ -22,6 +22,12 @@
 	}
 }
 
+// Most is the most entry VMs that were heard lately: one that is cut off from the others has to
+// share with them all the same.
+func (f *Fleet) Most() int {
+	return max(1, f.most)
+}
+
 // Split reports whether half of the fleet or more is not heard, which may go on by itself
 // behind a cut.
 func (f *Fleet) Split() bool {
--- a/internal/decide/throttle/pacer.go
+++ b/internal/decide/throttle/pacer.go
@@ -20,6 +20,8 @@
 	Standby
 	// Alone is the part of all entry VMs together that reach neither of them.
 	Alone
+	// Equal is the part of each entry VM where nobody paces a server for others.
+	Equal
 )
 
 const (
@@ -34,17 +36,15 @@
 func (p Part) gap(r Rate, members int) time.Duration {
 	switch p {
 	case Standby:
-		r *= standbyShare
+		r = max(standbyShare*r, probeRate)
 	case Alone:
-		r *= Rate(aloneShare / float64(max(1, members)))
-	}
-	if p != Alone {
+		r = aloneShare * max(r, probeRate) / Rate(max(1, members))
+	case Equal:
+		r = max(r, probeRate) / Rate(max(1, members))
+	default:
 		r = max(r, probeRate)
 	}
-	if r <= 0 {
-		return time.Hour
-	}
-	return min(time.Duration(float64(time.Second)/float64(r)), time.Hour)
+	return time.Duration(float64(time.Second) / float64(r))
 }
 
 // Terms are what a request to a server with a limit is judged by.
@@ -71,7 +71,7 @@
 func (p *Pacer) Next(now time.Time, n api.ServerName, t Terms) time.Time {
 	gap := t.Part.gap(t.Rate, t.Members)
 	last, ok := p.last[n]
-	if t.Part == Alone && (!ok || now.Sub(last) > 2*gap) {
+	if spread := t.Part == Alone || t.Part == Equal; spread && (!ok || now.Sub(last) > 2*gap) {
 		// Entry VMs that have not sent for long must not all begin at once.
 		last = now.Add(-time.Duration(p.random.Float64() * float64(gap)))
 		p.last[n], ok = last, true
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"runtime/debug"
 	"sync"
@@ -85,7 +86,7 @@
 	}
 	return &Server{
 		Parts: p, settings: p.Settings.Entry, engine: p.Settings.Engine,
-		limiter: limit.New(), services: backend.New(),
+		limiter: limit.New(), services: backend.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0)),
 		budget: retry.New(p.Settings.Engine.RetryPermille),
 	}
 }
@@ -190,11 +191,14 @@
 	s.services.Listed(n, leaving)
 }
 
-// Members sets the number of entry VMs that share each workspace's limits.
+// Members sets the number of entry VMs that share the limits of workspaces and servers.
 func (s *Server) Members(n int) {
 	s.limitMutex.Lock()
-	defer s.limitMutex.Unlock()
 	s.limiter.Members(n)
+	s.limitMutex.Unlock()
+	s.serviceMutex.Lock()
+	defer s.serviceMutex.Unlock()
+	s.services.Members(time.Now(), n)
 }
 
 // admit holds a workspace to its limits; the clean-up ends the request.
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -13,6 +13,7 @@
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/claims"
+	"github.com/wardridge/wardridge/internal/decide/backend"
 	decide "github.com/wardridge/wardridge/internal/decide/call"
 	"github.com/wardridge/wardridge/internal/decide/config"
 	"github.com/wardridge/wardridge/internal/decide/quarantine"
@@ -139,8 +140,13 @@
 		if f := s.Contents.Check(c.content); f != nil {
 			return nil, d.Withheld(f)
 		}
-		n, ok := s.pick(c)
-		if !ok {
+		x := s.pick(c)
+		n := x.Name
+		switch {
+		case n == "" && x.Wait > 0:
+			s.Metrics.Add(metric.LimitRefusals, 1)
+			return nil, d.AtLimit(x.Wait)
+		case n == "":
 			return nil, d.NoServer()
 		}
 		a, err := s.send(ctx, c, n)
@@ -176,15 +182,15 @@
 	}
 }
 
-func (s *Server) pick(c *call) (api.ServerName, bool) {
+func (s *Server) pick(c *call) backend.Choice {
 	s.serviceMutex.Lock()
 	defer s.serviceMutex.Unlock()
 	if len(c.tried) == 0 {
 		s.budget.Fresh()
 	}
-	n, ok := s.services.Pick(time.Now(), c.service.Servers, c.tried)
-	c.tried = append(c.tried, n)
-	return n, ok
+	x := s.services.Pick(time.Now(), c.service.Servers, c.tried)
+	c.tried = append(c.tried, x.Name)
+	return x
 }
 
 // again takes one retry out of the budget.
@@ -228,7 +234,7 @@
 		return nil, fault.New(fault.ClaimHeld, "another attempt with this key took the claim over").WithRan(api.RanNo)
 	}
 	s.note(c.request, "send", string(n))
-	return s.exchange(r, c)
+	return s.exchange(r, c, n)
 }
 
 // client picks how a call is sent. The transport itself may repeat a call on a
@@ -240,12 +246,14 @@
 	return s.Reused
 }
 
-func (s *Server) exchange(r *http.Request, c *call) (*claims.Answer, error) {
+func (s *Server) exchange(r *http.Request, c *call, n api.ServerName) (*claims.Answer, error) {
+	began := time.Now()
 	a, err := s.client(c).Do(r)
 	if err != nil {
 		return nil, wire.Broken(err)
 	}
 	defer func() { _ = a.Body.Close() }()
+	s.heed(began, n, signals.Signals(a.Header))
 	b, err := io.ReadAll(io.LimitReader(a.Body, answerLimit+1))
 	if err != nil {
 		return nil, fault.Wrap(fault.BadAnswer, err, "the answer was cut short")
--- /dev/null
+++ b/internal/entry/signals.go
@@ -0,0 +1,54 @@
+package entry
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/throttle"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/port"
+	"github.com/wardridge/wardridge/internal/wire"
+)
+
+// signals are the headers in which the servers of plain services say something of themselves.
+var signals = port.SignalHeaders{Limit: wire.HeaderLimit}
+
+// heed takes what a server says of itself in the answer to a call that was sent at a time.
+func (s *Server) heed(sent time.Time, n api.ServerName, x port.Signals) {
+	if x.Unreadable != "" {
+		s.Log.Emit(event.SignalUnreadable, zap.String("server", string(n)), zap.String("text", x.Unreadable))
+		return
+	}
+	s.serviceMutex.Lock()
+	changed := s.services.Limited(time.Now(), sent, n, throttle.Limit{Named: x.Limited, Rate: throttle.Rate(x.Limit)})
+	s.serviceMutex.Unlock()
+	if changed {
+		s.noteLimit(n, x.Limited, x.Limit, false)
+	}
+}
+
+// noteLimit logs a limit that is new here.
+func (s *Server) noteLimit(n api.ServerName, named bool, perSecond float64, ofPeer bool) {
+	s.Log.Emit(event.ServerLimit, zap.String("server", string(n)), zap.Bool("limited", named), zap.Float64("per_second", perSecond), zap.Bool("of_peer", ofPeer))
+}
+
+// Limits lists what servers have named, for peers.
+func (s *Server) Limits() []api.ServerLimit {
+	s.serviceMutex.Lock()
+	defer s.serviceMutex.Unlock()
+	return s.services.Limits(time.Now())
+}
+
+// MergeLimits takes what servers have named to a peer.
+func (s *Server) MergeLimits(l []api.ServerLimit) {
+	for _, x := range l {
+		s.serviceMutex.Lock()
+		changed := s.services.MergeLimit(time.Now(), x)
+		s.serviceMutex.Unlock()
+		if changed {
+			s.noteLimit(x.Server, x.Named, x.PerSecond, true)
+		}
+	}
+}
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -29,8 +29,8 @@
 // Lag is told of a peer that has a newer configuration in force.
 type Lag func(ctx context.Context, address string)
 
-// Merge is told what a peer knows of contents that end servers.
-type Merge func(l []api.ContentReport)
+// Merge is told what a peer knows of backend servers and of contents that end them.
+type Merge func(b api.Heartbeat)
 
 // Keeper keeps this entry VM's view of the others.
 type Keeper struct {
@@ -96,7 +96,7 @@
 		return
 	}
 	k.heard(b)
-	k.merge(b.Contents)
+	k.merge(b)
 	if b.ConfigVersion > own.ConfigVersion || b.ConfigKept > own.ConfigKept {
 		k.lag(ctx, address)
 	}
@@ -126,7 +126,7 @@
 	if b.Protocol != member.Protocol {
 		return own, fault.New(fault.PeerProtocol, "this entry VM speaks another protocol version")
 	}
-	k.merge(b.Contents)
+	k.merge(b)
 	return own, nil
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,9 +44,16 @@
 		ClaimsEra:     c.Claims.Rewritten(),
 		InFlight:      c.Life.InFlight(),
 		Contents:      c.Contents.All(),
+		Limits:        c.Entry.Limits(),
 	}
 }
 
+// merge takes what a peer knows of backend servers and of contents that end them.
+func (c *Context) merge(b api.Heartbeat) {
+	c.Contents.Merge(b.Contents)
+	c.Entry.MergeLimits(b.Limits)
+}
+
 // grace is the time that the own watch is given before a peer is asked.
 const grace = 500 * time.Millisecond
 
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -161,7 +161,7 @@
 		Reused: c.Reused, Single: c.Single,
 	})
 	c.Follow = follow.New(c.Platform, c.Life, c.Log, c.Metrics, c.Settings.Platform.WatchWaitMS.Duration(), c.declare, c.Poll.Declare, c.Entry.Declare)
-	c.Beat = heartbeat.New(c.heartbeat, c.catchUp, c.Contents.Merge, c.Peers, c.Log, c.Metrics)
+	c.Beat = heartbeat.New(c.heartbeat, c.catchUp, c.merge, c.Peers, c.Log, c.Metrics)
 	c.lead()
 	c.startDuties()
 	return nil
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -38,6 +39,9 @@
 	CrossAnswers int `json:"cross_answers"`
 	// Refuse answers so many calls with 503 and does not run them.
 	Refuse int `json:"refuse"`
+	// Limit is named in every answer as the calls a second that the service takes; zero names
+	// none.
+	Limit float64 `json:"limit"`
 }
 
 // Service is the state of one stand-in.
@@ -112,6 +116,15 @@
 	return s.counts[key]
 }
 
+// signal writes what the service says of itself.
+func (s *Service) signal(h http.Header) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if l := s.faults.Limit; l > 0 {
+		h.Set(wire.HeaderLimit, strconv.FormatFloat(l, 'f', -1, 64))
+	}
+}
+
 func (s *Service) delay() time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -123,6 +136,7 @@
 	if err != nil {
 		return
 	}
+	s.signal(w.Header())
 	if s.take(&s.faults.Refuse) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -27,6 +27,9 @@
 	HeaderLastEvent     = "Last-Event-ID"
 	HeaderRetryAfter    = "Retry-After"
 	HeaderType          = "Content-Type"
+	// HeaderLimit names, in the answers of a plain service's server in need, the requests a
+	// second that it takes from all entry VMs together.
+	HeaderLimit = "X-Wardridge-Limit"
 )
 
 // Content types in use.
