feat: the log tells when backend servers say that they leave, and when they ask for rest

Cause looked for: servers that said so in their answers went on getting requests, and no line told whether entry VMs knew. Both are decoded beside the limit: rests with parts of a second, at most a minute; below zero, or a date, can't be read. server_notice and server_rest tell each; nothing is decided by them yet.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -253,7 +253,7 @@
 		return nil, wire.Broken(err)
 	}
 	defer func() { _ = a.Body.Close() }()
-	s.heed(began, n, signals.Signals(a.Header))
+	s.heed(began, n, signals.Signals(a.StatusCode, a.Header))
 	b, err := io.ReadAll(io.LimitReader(a.Body, answerLimit+1))
 	if err != nil {
 		return nil, fault.Wrap(fault.BadAnswer, err, "the answer was cut short")
--- a/internal/entry/signals.go
+++ b/internal/entry/signals.go
@@ -19,6 +19,9 @@
 func (s *Server) heed(sent time.Time, n api.ServerName, x port.Signals) {
 	if x.Unreadable != "" {
 		s.Log.Emit(event.SignalUnreadable, zap.String("server", string(n)), zap.String("text", x.Unreadable))
+	}
+	if !x.Limited && x.Unreadable != "" {
+		// It may be the limit that can't be read.
 		return
 	}
 	s.serviceMutex.Lock()
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -65,6 +65,8 @@
 	ContentsCorrected   ID = 414
 	ServerLimit         ID = 415
 	SignalUnreadable    ID = 416
+	ServerRest          ID = 417
+	ServerNotice        ID = 418
 	LeaseTaken          ID = 501
 	LeaseLost           ID = 502
 	LeaseReleased       ID = 503
@@ -145,6 +147,8 @@
 	{ContentsCorrected, "contents_corrected", zapcore.InfoLevel, "The platform came back from a copy that lacked refused contents or had released ones; they are written and removed again."},
 	{ServerLimit, "server_limit", zapcore.InfoLevel, "A backend server names a rate that it takes from all entry VMs together, another one than before, or no longer any."},
 	{SignalUnreadable, "signal_unreadable", zapcore.WarnLevel, "A backend server said something of itself that can't be read; it changes nothing."},
+	{ServerRest, "server_rest", zapcore.InfoLevel, "A backend server turned a request away and wants none from this entry VM for a time."},
+	{ServerNotice, "server_notice", zapcore.InfoLevel, "A backend server says in an answer that it leaves, which was not known yet."},
 	{LeaseTaken, "lease_taken", zapcore.InfoLevel, "This entry VM holds the lease on a duty."},
 	{LeaseLost, "lease_lost", zapcore.WarnLevel, "This entry VM no longer holds the lease on a duty."},
 	{LeaseReleased, "lease_released", zapcore.InfoLevel, "This entry VM gave a lease back at its stop."},
--- a/internal/port/signals.go
+++ b/internal/port/signals.go
@@ -4,6 +4,8 @@
 	"math"
 	"net/http"
 	"strconv"
+	"strings"
+	"time"
 )
 
 // Signals is what a backend server says of itself in the head of an answer.
@@ -14,6 +16,12 @@
 	// takes from all entry VMs together, for as long as its answers say so.
 	Limited bool
 	Limit   float64
+	// Leaving is set where it says that it is about to end.
+	Leaving bool
+	// Resting is set where it turned the request away and wants no other one from this entry VM
+	// for a time, and Rest is that.
+	Resting bool
+	Rest    time.Duration
 	// Unreadable is the text of a signal that could not be read; empty for none.
 	Unreadable string
 }
@@ -21,24 +29,46 @@
 // SignalHeaders are a wire's names of the headers in which servers say something of
 // themselves.
 type SignalHeaders struct {
-	Limit string
+	Limit, Leaving, Rest string
 }
 
+// leavingValue says that a server leaves.
+const leavingValue = "1"
+
 // Signals decodes what a server says in the head of an answer.
-func (n SignalHeaders) Signals(h http.Header) Signals {
-	s := Signals{Answered: true}
+func (n SignalHeaders) Signals(status int, h http.Header) Signals {
+	s := Signals{Answered: true, Leaving: h.Get(n.Leaving) == leavingValue}
 	if x := h.Get(n.Limit); x != "" {
-		s.Limit, s.Limited = rate(x)
+		s.Limit, s.Limited = number(x)
 		if !s.Limited {
 			s.Unreadable = x
 		}
 	}
+	if x := h.Get(n.Rest); x != "" && status == http.StatusServiceUnavailable {
+		s.Rest, s.Resting = rest(x)
+		if !s.Resting {
+			s.Unreadable = x
+		}
+	}
 	return s
 }
 
-// rate decodes a number of requests a second.
-func rate(x string) (float64, bool) {
-	n, err := strconv.ParseFloat(x, 64)
+// restMost bounds the rest that a server may ask for: a longer one is asked for again by the
+// first request after it.
+const restMost = time.Minute
+
+// rest decodes a time in seconds.
+func rest(x string) (time.Duration, bool) {
+	n, ok := number(x)
+	if !ok {
+		return 0, false
+	}
+	return time.Duration(min(n, restMost.Seconds()) * float64(time.Second)), true
+}
+
+// number decodes a number that is not below zero.
+func number(x string) (float64, bool) {
+	n, err := strconv.ParseFloat(strings.TrimSpace(x), 64)
 	if err != nil || math.IsNaN(n) || math.IsInf(n, 0) || n < 0 {
 		return 0, false
 	}
