--- a/fleet/signals_test.go
+++ b/fleet/signals_test.go
@@ -80,7 +80,7 @@
 	for i := range plain + engines {
 		b.serve(t, f, i, i >= plain)
 	}
-	b.over = b.adapt
+	b.over, b.settings = b.adapt, "retry_window_s = 10\nretry_ratio = 0.2\nretry_slack = 60\n"
 	for i := range n {
 		b.start(i)
 	}
@@ -190,7 +190,7 @@
 // name lets the servers from one on to another one name a limit, or none.
 func (b *signalBed) name(perSecond *float64, from, to int) time.Time {
 	for _, s := range b.servers[from:to] {
-		s.Limit(perSecond)
+		s.Say(hosted.Word{Limit: perSecond})
 	}
 	return time.Now()
 }
@@ -316,3 +316,115 @@
 		b.keeps(0, 3, rate, since)
 	})
 }
+
+// leaveTime is how long after an entry VM had its word a server that leaves may get new
+// requests of it.
+const leaveTime = 2 * time.Second
+
+// sentTo counts the requests that entry VMs sent to a server more than a time after they had
+// an answer that says so, and before another time.
+func (b *signalBed) sentTo(n api.ServerName, says func(x port.Signals) bool, from, until time.Duration) map[int]int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	told := map[int]time.Time{}
+	for _, a := range b.arrivals[n] {
+		if t, ok := told[a.vm]; says(a.signals) && (!ok || a.done.Before(t)) {
+			told[a.vm] = a.done
+		}
+	}
+	sent := map[int]int{}
+	for _, a := range b.arrivals[n] {
+		if t, ok := told[a.vm]; ok && a.at.Sub(t) > from && a.at.Sub(t) < until {
+			sent[a.vm]++
+		}
+	}
+	return sent
+}
+
+// A server says in its answers that it leaves, while its entry still says that it is ready: as
+// where the platform's store is away, and can't take the entry.
+func TestServerThatSaysItLeavesGetsNoMoreRequests(t *testing.T) {
+	for _, path := range []string{"/safe/", "/unsafe/", "/stream/"} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const n = 6
+				plain, engines := 3, 0
+				if path == "/stream/" {
+					plain, engines = 0, 3
+				}
+				b := newSignalBed(t, n, plain, engines)
+				b.load(n, 20, time.Second, path)
+				b.servers[0].Say(hosted.Word{Leaving: true})
+				b.load(n, 20, 3*time.Second, path)
+				// The server writes its entry again, as it is.
+				b.pool.entries.put(string(b.servers[0].ID), b.servers[0].Server)
+				o := b.load(n, 20, 10*time.Second, path)
+				sent := b.sentTo(b.servers[0].Name, func(x port.Signals) bool { return x.Leaving }, leaveTime, time.Hour)
+				if len(sent) > 0 {
+					t.Errorf("requests to it %v after it said that it leaves, by entry VM: got %v, want none", leaveTime, sent)
+				}
+				if o.refused+o.failed > 0 {
+					t.Errorf("got %d refused and %d failed of %d, want all served by the others", o.refused, o.failed, o.refused+o.failed+o.served)
+				}
+			})
+		})
+	}
+}
+
+const (
+	// restTime is the rest that servers ask for, restFrom when it has to be kept at the latest,
+	// and restSlack how many requests may reach the server in it all the same.
+	restTime  = 3 * time.Second
+	restFrom  = 500 * time.Millisecond
+	restSlack = 2
+)
+
+func TestServerThatAskedForRestIsLeftAlone(t *testing.T) {
+	tests := []struct {
+		name string
+		path string
+		// resting servers of three turn all requests away.
+		resting int
+	}{
+		{"a plain server of three", "/safe/", 1},
+		{"requests that may run once", "/unsafe/", 1},
+		{"all plain servers", "/safe/", 3},
+		{"an engine of three", "/stream/", 1},
+		{"all engines", "/stream/", 3},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const n = 6
+				plain, engines := 3, 0
+				if c.path == "/stream/" {
+					plain, engines = 0, 3
+				}
+				b := newSignalBed(t, n, plain, engines)
+				b.load(n, 30, time.Second, c.path)
+				for _, s := range b.servers[:c.resting] {
+					s.Say(hosted.Word{Rest: restTime})
+				}
+				o := b.load(n, 30, restTime, c.path)
+				for _, s := range b.servers[:c.resting] {
+					s.Say(hosted.Word{})
+					for vm, got := range b.sentTo(s.Name, func(x port.Signals) bool { return x.Resting }, restFrom, restTime) {
+						if got > restSlack {
+							t.Errorf("requests of entry VM %d to %s in its rest: got %d, want at most %d", vm, s.Name, got, restSlack)
+						}
+					}
+				}
+				t.Logf("%d served, %d refused, %d failed; the slowest refusal took %v", o.served, o.refused, o.failed, o.slowest)
+				if c.resting < 3 && o.refused+o.failed > 0 {
+					t.Errorf("beside servers that take requests: got %d refused and %d failed, want none", o.refused, o.failed)
+				}
+				if o.hints != o.refused || o.slowest > time.Second/2 {
+					t.Errorf("refusals: got %d of %d with a time to come back, the slowest after %v; want all, at once", o.hints, o.refused, o.slowest)
+				}
+				if o := b.load(n, 30, 3*time.Second, c.path); o.refused+o.failed > 0 {
+					t.Errorf("after the rest: got %d refused and %d failed, want none", o.refused, o.failed)
+				}
+			})
+		})
+	}
+}
--- a/internal/standin/hosted/journal.go
+++ b/internal/standin/hosted/journal.go
@@ -35,8 +35,8 @@
 	By api.ServerName
 	// Refused is set where that said that it did not run it.
 	Refused bool
-	// Limited is set where the answer names a limit.
-	Limited bool
+	// Word is what the server says of itself in its answer.
+	Word Word
 }
 
 // Run is one time that a server worked on a request.
--- a/internal/standin/hosted/server.go
+++ b/internal/standin/hosted/server.go
@@ -14,9 +14,8 @@
 
 // Answer takes what a server answers to one request.
 type Answer interface {
-	// Limit names the requests a second that the server takes from all entry VMs; it comes
-	// before the answer itself.
-	Limit(perSecond float64)
+	// Say gives what the server says of itself; it comes before the answer itself.
+	Say(x Word)
 	// Misdirected says that another server was meant, NotRun that this one did not
 	// run the request.
 	Misdirected()
@@ -31,6 +30,17 @@
 	Abort()
 }
 
+// Word is what a server says of itself in an answer.
+type Word struct {
+	// Limit is the requests a second that it takes from all entry VMs; nil names none.
+	Limit *float64
+	// Leaving says that it is about to end.
+	Leaving bool
+	// Rest is how long it wants nothing from the entry VM that it turns away; zero turns
+	// nobody away.
+	Rest time.Duration
+}
+
 // Server is one life of a backend server.
 type Server struct {
 	roster.Server
@@ -51,8 +61,8 @@
 	// ran, in place of an answer.
 	losing bool
 	plains int
-	// limit is the requests a second that the server names, nil for none.
-	limit  *float64
+	// word is what the server says of itself in its answers.
+	word   Word
 	runs   map[api.RequestID]*generation
 	copies map[string]*memory
 }
@@ -99,12 +109,10 @@
 // Serve answers a request as an entry VM passed it on.
 func (s *Server) Serve(ctx context.Context, a Asked, w Answer) {
 	misdirected := a.Server != "" && a.Server != s.ID
-	taken := !misdirected && s.take()
-	limit := s.named()
-	s.fleet.Journal.arrived(Arrival{Asked: a, By: s.Name, Refused: !taken, Limited: limit != nil})
-	if limit != nil {
-		w.Limit(*limit)
-	}
+	x := s.says()
+	taken := !misdirected && x.Rest == 0 && s.take()
+	s.fleet.Journal.arrived(Arrival{Asked: a, By: s.Name, Refused: !taken, Word: x})
+	w.Say(x)
 	switch {
 	case misdirected:
 		w.Misdirected()
@@ -177,17 +185,17 @@
 	s.losing = losing
 }
 
-// Limit lets the server name the requests a second that it takes, or nil for none.
-func (s *Server) Limit(perSecond *float64) {
+// Say lets the server say something else of itself from now on.
+func (s *Server) Say(x Word) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.limit = perSecond
+	s.word = x
 }
 
-func (s *Server) named() *float64 {
+func (s *Server) says() Word {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.limit
+	return s.word
 }
 
 // loses reports whether the answer of the present request is lost.
