fix: a server's own word that it leaves outlasts its entry

What callers would have seen: requests to a server that is about to end, where it had said so itself while its entry stayed ready, as while the store is away: 15 s after the word the server was forgotten, and its entry made it a new one. The same where its entry had said so first: its own word was not remembered, and a later, older entry took it back. Evidence: TestWordOfALeaveOutlastsTheEntry fails before in these two cases. A server that said that it leaves is kept as long as its entry is there, and its word is noted whatever is known already; its entry's end, or a new life, ends it.

--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -270,7 +270,7 @@
 			m.Since = now
 			clear(r.services)
 			l = append(l, r.seen(n))
-		case m.State.Going() && now.Sub(m.Since) > keepTime:
+		case m.State.Going() && now.Sub(m.Since) > keepTime && !r.contradicted(m):
 			r.lives.forget(m.Server)
 			delete(r.members, n)
 			r.left[n] = *m
@@ -282,15 +282,24 @@
 	return l
 }
 
+// contradicted reports whether a server's entry is still there though the server itself said
+// that it leaves: one that were forgotten would be taken for a new one.
+func (r *Roster) contradicted(m *Member) bool {
+	return m.said && m.State == Leaving && m.update == r.updates
+}
+
 // Leave notes that a server itself said that it is leaving.
 func (r *Roster) Leave(now time.Time, n api.ServerName) (Member, bool) {
 	m, ok := r.members[n]
-	if !ok || m.State.Going() {
+	if !ok || m.State == Ended {
+		return Member{}, false
+	}
+	m.said = true
+	if m.State == Leaving {
 		return Member{}, false
 	}
 	m.State = Leaving
 	m.Since = now
-	m.said = true
 	clear(r.services)
 	return r.seen(n), true
 }
