fix: servers that say in their answers that they leave get no more requests

What callers saw: requests that reached a server about to end, 12 s long, while the platform's store was away and could not take its entry. Cause: as for limits, what an answer says reached no decision; a leave was believed of entries, of a server's report and of peers alone.

On the own interface X-Wardridge-Leaving in answers of plain services does the same for a minute, and heartbeats pass it on (TestPlainServiceThatLeavesGetsNoMoreCalls, TestLeavesThatAnswersTell).

--- a/fleet/own_signals_test.go
+++ b/fleet/own_signals_test.go
@@ -105,3 +105,22 @@
 		}
 	})
 }
+
+// A server of a plain service that says in its answers that it leaves gets no more calls, of
+// entry VMs that had the answer and soon of all; calls are refused where there is no other.
+func TestPlainServiceThatLeavesGetsNoMoreCalls(t *testing.T) {
+	fleet(t, 6, func(t *testing.T, b *bed) {
+		b.work()
+		b.order("before", 30, time.Second)
+		b.orders.Set(service.Faults{Leaving: true})
+		b.order("told", 30, 5*time.Second)
+		before := len(b.orders.Counts())
+		o := b.order("late", 30, 5*time.Second)
+		if got := len(b.orders.Counts()) - before; got > 0 {
+			t.Errorf("calls later than 5 s after it said that it leaves: got %d, want none", got)
+		}
+		if o.served > 0 || o.hints != o.refused {
+			t.Errorf("got %d served and %d of %d refusals with a time to come back, want none and all", o.served, o.hints, o.refused)
+		}
+	})
+}
--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -650,6 +650,9 @@
 	// Life of the sender.
 	Incarnation Incarnation `json:"incarnation"`
 
+	// Servers of plain services that told the sender itself that they are leaving.
+	Leaving []ServerName `json:"leaving,omitempty,omitzero"`
+
 	// Limits that backend servers have named to the sender or its peers, or lately
 	// taken back.
 	Limits []ServerLimit `json:"limits,omitempty,omitzero"`
--- a/internal/decide/backend/backend.go
+++ b/internal/decide/backend/backend.go
@@ -22,8 +22,21 @@
 type state struct {
 	draining bool
 	leaving  bool
-	active   int
-	failed   time.Time
+	// said is when the server last said in an answer that it leaves, zero for never, and
+	// heard is set where that was an answer to this entry VM.
+	said   time.Time
+	heard  bool
+	active int
+	failed time.Time
+}
+
+// sayTime is how long the word of a server that it leaves holds: if it serves on under its
+// name after that, its next answer says whether that is another life of it.
+const sayTime = time.Minute
+
+// gone reports whether the server takes no new calls for good.
+func (x *state) gone(now time.Time) bool {
+	return x.draining || x.leaving || x.says(now)
 }
 
 // Servers is one entry VM's view of the servers of plain services.
@@ -66,6 +79,36 @@
 	}
 }
 
+// Say notes that a server said in an answer, here or to a peer, that it leaves, and reports
+// whether that is new.
+func (s *Servers) Say(now time.Time, n api.ServerName, here bool) bool {
+	x, ok := s.states[n]
+	if !ok || x.says(now) && x.heard {
+		return false
+	}
+	changed := !x.says(now)
+	x.said, x.heard = now, here
+	return changed
+}
+
+// says reports whether the server's word that it leaves still holds.
+func (x *state) says(now time.Time) bool {
+	return !x.said.IsZero() && now.Sub(x.said) < sayTime
+}
+
+// Said lists the servers that said so to this entry VM, in order. What peers told is not
+// passed on: between them it would never end.
+func (s *Servers) Said(now time.Time) []api.ServerName {
+	var l []api.ServerName
+	for n, x := range s.states {
+		if x.heard && x.says(now) {
+			l = append(l, n)
+		}
+	}
+	slices.Sort(l)
+	return l
+}
+
 // Members sets the number of entry VMs that share the limits of servers.
 func (s *Servers) Members(now time.Time, n int) {
 	s.fleet.Note(now, n)
@@ -102,7 +145,7 @@
 	var wait time.Duration
 	for _, n := range servers {
 		x := s.states[n]
-		if x == nil || x.draining || x.leaving || slices.Contains(tried, n) {
+		if x == nil || x.gone(now) || slices.Contains(tried, n) {
 			continue
 		}
 		if w := s.turn(now, n); w > 0 {
--- a/internal/decide/backend/backend_test.go
+++ b/internal/decide/backend/backend_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -72,3 +73,24 @@
 		t.Errorf("after the limit was taken back: got %+v, want the server", x)
 	}
 }
+
+// What a server said to a peer is kept and not passed on, so that it ends.
+func TestLeavesThatAnswersTell(t *testing.T) {
+	s := servers()
+	if !s.Say(epoch, "a", true) || s.Say(epoch.Add(time.Second), "a", true) || !s.Say(epoch, "b", false) {
+		t.Error("what is new: got another, want the first word of each server")
+	}
+	if got, want := s.Said(epoch.Add(2*time.Second)), []api.ServerName{"a"}; !slices.Equal(got, want) {
+		t.Errorf("to be passed on: got %v, want %v", got, want)
+	}
+	if x := s.Pick(epoch.Add(2*time.Second), both, nil); x.Name != "" || x.Wait != 0 {
+		t.Errorf("while they leave: got %+v, want none", x)
+	}
+	s.Say(epoch.Add(50*time.Second), "b", false)
+	if x := s.Pick(epoch.Add(61*time.Second), both, nil); x.Name != "a" {
+		t.Errorf("a minute after its word: got %+v, want the server tried", x)
+	}
+	if x := s.Pick(epoch.Add(61*time.Second), []api.ServerName{"b"}, nil); x.Name != "" {
+		t.Errorf("one that a peer told of again: got %+v, want none", x)
+	}
+}
--- a/internal/entry/signals.go
+++ b/internal/entry/signals.go
@@ -13,13 +13,16 @@
 )
 
 // signals are the headers in which the servers of plain services say something of themselves.
-var signals = port.SignalHeaders{Limit: wire.HeaderLimit}
+var signals = port.SignalHeaders{Limit: wire.HeaderLimit, Leaving: wire.HeaderLeaving}
 
 // heed takes what a server says of itself in the answer to a call that was sent at a time.
 func (s *Server) heed(sent time.Time, n api.ServerName, x port.Signals) {
 	if x.Unreadable != "" {
 		s.Log.Emit(event.SignalUnreadable, zap.String("server", string(n)), zap.String("text", x.Unreadable))
 	}
+	if x.Leaving {
+		s.noteLeaving(n, true)
+	}
 	if !x.Limited && x.Unreadable != "" {
 		// It may be the limit that can't be read.
 		return
@@ -55,3 +58,26 @@
 		}
 	}
 }
+
+// Leaving lists the servers that said in an answer to this entry VM that they leave.
+func (s *Server) Leaving() []api.ServerName {
+	s.serviceMutex.Lock()
+	defer s.serviceMutex.Unlock()
+	return s.services.Said(time.Now())
+}
+
+// MergeLeaving takes servers that said in an answer to a peer that they leave.
+func (s *Server) MergeLeaving(l []api.ServerName) {
+	for _, n := range l {
+		s.noteLeaving(n, false)
+	}
+}
+
+func (s *Server) noteLeaving(n api.ServerName, here bool) {
+	s.serviceMutex.Lock()
+	changed := s.services.Say(time.Now(), n, here)
+	s.serviceMutex.Unlock()
+	if changed {
+		s.Log.Emit(event.ServerNotice, zap.String("server", string(n)))
+	}
+}
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -88,8 +88,11 @@
 	if x.Resting {
 		g.Log.Emit(event.ServerRest, zap.String("server", string(s.Name)), zap.Duration("rest", x.Rest))
 	}
-	if x.Leaving && !g.leaving(s.Name) {
-		g.Log.Emit(event.ServerNotice, zap.String("server", string(s.Name)))
+	if x.Leaving {
+		if !g.leaving(s.Name) {
+			g.Log.Emit(event.ServerNotice, zap.String("server", string(s.Name)))
+		}
+		g.NoteLeaving([]api.ServerName{s.Name})
 	}
 	if !x.Limited && x.Unreadable != "" {
 		// It may be the limit that can't be read.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,6 +45,7 @@
 		InFlight:      c.Life.InFlight(),
 		Contents:      c.Contents.All(),
 		Limits:        c.Entry.Limits(),
+		Leaving:       c.Entry.Leaving(),
 	}
 }
 
@@ -52,6 +53,7 @@
 func (c *Context) merge(b api.Heartbeat) {
 	c.Contents.Merge(b.Contents)
 	c.Entry.MergeLimits(b.Limits)
+	c.Entry.MergeLeaving(b.Leaving)
 }
 
 // grace is the time that the own watch is given before a peer is asked.
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -42,6 +42,8 @@
 	// Limit is named in every answer as the calls a second that the service takes; zero names
 	// none.
 	Limit float64 `json:"limit"`
+	// Leaving is said in every answer.
+	Leaving bool `json:"leaving"`
 }
 
 // Service is the state of one stand-in.
@@ -123,6 +125,9 @@
 	if l := s.faults.Limit; l > 0 {
 		h.Set(wire.HeaderLimit, strconv.FormatFloat(l, 'f', -1, 64))
 	}
+	if s.faults.Leaving {
+		h.Set(wire.HeaderLeaving, "1")
+	}
 }
 
 func (s *Service) delay() time.Duration {
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -30,6 +30,8 @@
 	// HeaderLimit names, in the answers of a plain service's server in need, the requests a
 	// second that it takes from all entry VMs together.
 	HeaderLimit = "X-Wardridge-Limit"
+	// HeaderLeaving is set in the answers of a plain service's server that is about to end.
+	HeaderLeaving = "X-Wardridge-Leaving"
 )
 
 // Content types in use.
