fix: servers that ask for rest are left alone for so long

What callers saw: second tries, and answers late by the detour; a server that was shedding got 9 to 16 requests a second while it asked each entry VM for 3 s of rest. Cause: Retry-After of a server was read nowhere; one that was full was left alone for 100 ms whatever it asked for.

A rest binds the entry VM that was asked, for its own requests: it chooses others, names the server to allocators as one that is not to be chosen, and does not take it where it was granted before; places for others are given all the same. Two requests of a rest are kept for runs that no other server can go on with. Where all servers rest, a request is refused at once, as not run, with the time until the first takes some again, spread over half a second. A shorter rest takes a longer one not back; a suspended VM keeps what was left of it.

--- a/fleet/own_signals_test.go
+++ b/fleet/own_signals_test.go
@@ -124,3 +124,24 @@
 		}
 	})
 }
+
+// A server of a plain service that asks an entry VM for rest gets nothing of it for so long, and
+// calls are refused at once where there is no other.
+func TestPlainServiceThatAskedForRestIsLeftAlone(t *testing.T) {
+	fleet(t, 6, func(t *testing.T, b *bed) {
+		b.work()
+		b.order("before", 30, time.Second)
+		b.orders.Set(service.Faults{RestS: restTime.Seconds()})
+		o := b.order("rest", 30, restTime)
+		if got, most := b.orders.Refused(), (1+restSlack)*len(b.vms); got > most {
+			t.Errorf("calls in the rest: got %d, want at most %d", got, most)
+		}
+		b.orders.Set(service.Faults{})
+		if o.refused == 0 || o.hints != o.refused {
+			t.Errorf("refusals: got %d, of which %d tell when to come back, want all to", o.refused, o.hints)
+		}
+		if o := b.order("after", 30, 3*time.Second); o.refused > 0 {
+			t.Errorf("after the rest: got %d of %d refused, want none", o.refused, o.refused+o.served)
+		}
+	})
+}
--- a/internal/decide/backend/backend.go
+++ b/internal/decide/backend/backend.go
@@ -28,6 +28,8 @@
 	heard  bool
 	active int
 	failed time.Time
+	// rests is the end of the rest that the server asked this entry VM for.
+	rests time.Time
 }
 
 // sayTime is how long the word of a server that it leaves holds: if it serves on under its
@@ -109,6 +111,13 @@
 	return l
 }
 
+// Rest notes that a server wants no calls of this entry VM for a time.
+func (s *Servers) Rest(now time.Time, n api.ServerName, d time.Duration) {
+	if x, ok := s.states[n]; ok && now.Add(d).After(x.rests) {
+		x.rests = now.Add(d)
+	}
+}
+
 // Members sets the number of entry VMs that share the limits of servers.
 func (s *Servers) Members(now time.Time, n int) {
 	s.fleet.Note(now, n)
@@ -148,7 +157,7 @@
 		if x == nil || x.gone(now) || slices.Contains(tried, n) {
 			continue
 		}
-		if w := s.turn(now, n); w > 0 {
+		if w := max(s.turn(now, n), x.rests.Sub(now)); w > 0 {
 			if wait == 0 || w < wait {
 				wait = w
 			}
--- a/internal/decide/backend/backend_test.go
+++ b/internal/decide/backend/backend_test.go
@@ -94,3 +94,18 @@
 		t.Errorf("one that a peer told of again: got %+v, want none", x)
 	}
 }
+
+func TestPickLeavesRestingServersAlone(t *testing.T) {
+	s := servers()
+	s.Rest(epoch, "a", 3*time.Second)
+	s.Rest(epoch, "a", time.Second)
+	if x := s.Pick(epoch.Add(2*time.Second), both, nil); x.Name != "b" {
+		t.Errorf("beside another server: got %+v, want that one", x)
+	}
+	if x := s.Pick(epoch.Add(2*time.Second), []api.ServerName{"a"}, nil); x.Name != "" || x.Wait != time.Second {
+		t.Errorf("alone: got %+v, want none for a second", x)
+	}
+	if x := s.Pick(epoch.Add(3*time.Second), []api.ServerName{"a"}, nil); x.Name != "a" {
+		t.Errorf("after its rest: got %+v, want the server", x)
+	}
+}
--- a/internal/decide/call/call.go
+++ b/internal/decide/call/call.go
@@ -69,10 +69,10 @@
 	return c.Fault(fault.NoServer, nil, "no server of the service takes work").After(comeback)
 }
 
-// AtLimit is the failure of a call that servers take none of for so long, since they are at the
-// limits that they have named.
-func (c *Call) AtLimit(wait time.Duration) *fault.Error {
-	return c.Fault(fault.NoServer, nil, "all servers of the service are at their limits").After(max(wait, comeback))
+// NoneYet is the failure of a call that no server takes for so long, since each is at the limit
+// that it has named or has asked for rest.
+func (c *Call) NoneYet(wait time.Duration) *fault.Error {
+	return c.Fault(fault.NoServer, nil, "all servers of the service are at their limits or rest").After(max(wait, comeback))
 }
 
 // Withheld is a refusal in place of a further attempt.
--- a/internal/decide/placement/pick.go
+++ b/internal/decide/placement/pick.go
@@ -51,6 +51,8 @@
 	// Unlimited leaves out servers that have named a limit: what goes on from a copy can't be
 	// held up there.
 	Unlimited bool
+	// Rests leaves out servers that asked this entry VM for rest, as for its own requests.
+	Rests bool
 }
 
 // Scores are in units of a server's whole capacity.
@@ -86,13 +88,14 @@
 	// Limits are what servers have named, and Pacer keeps to them.
 	Limits *throttle.Limits
 	Pacer  *throttle.Pacer
+	Rests  *Rests
 	random *rand.Rand
 }
 
 // NewPicker makes a picker without load that draws from a source.
 func NewPicker(s rand.Source) *Picker {
 	r := rand.New(s)
-	return &Picker{Table: NewTable(), Engines: NewLedger(), Health: NewHealth(), Sends: NewSends(r), Limits: throttle.NewLimits(), Pacer: throttle.NewPacer(r), random: r}
+	return &Picker{Table: NewTable(), Engines: NewLedger(), Health: NewHealth(), Sends: NewSends(r), Limits: throttle.NewLimits(), Pacer: throttle.NewPacer(r), Rests: NewRests(), random: r}
 }
 
 // Choice is a server with the figures that decided for it.
@@ -147,9 +150,12 @@
 	return all
 }
 
-// bears reports whether a server may be sent another request: a cold one, and an engine that
-// has named a limit, only so many a second.
+// bears reports whether a server may be sent another request: one that rests none, a cold one
+// and an engine that has named a limit only so many a second.
 func (p *Picker) bears(now time.Time, l Pool, m roster.Member) bool {
+	if l.Rests && p.Rests.Resting(now, m.Name) {
+		return false
+	}
 	rate := l.warmup(m)
 	if rate != 0 && now.Before(m.Warm) && !p.Sends.allows(now, m.Name, m.Warm, rate) {
 		return false
@@ -198,6 +204,7 @@
 	p.Sends.Forget(keep)
 	p.Limits.Forget(keep)
 	p.Pacer.Forget(keep)
+	p.Rests.Forget(keep)
 }
 
 const (
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -145,7 +145,7 @@
 		switch {
 		case n == "" && x.Wait > 0:
 			s.Metrics.Add(metric.LimitRefusals, 1)
-			return nil, d.AtLimit(x.Wait)
+			return nil, d.NoneYet(x.Wait)
 		case n == "":
 			return nil, d.NoServer()
 		}
--- a/internal/entry/signals.go
+++ b/internal/entry/signals.go
@@ -13,7 +13,7 @@
 )
 
 // signals are the headers in which the servers of plain services say something of themselves.
-var signals = port.SignalHeaders{Limit: wire.HeaderLimit, Leaving: wire.HeaderLeaving}
+var signals = port.SignalHeaders{Limit: wire.HeaderLimit, Leaving: wire.HeaderLeaving, Rest: wire.HeaderRetryAfter}
 
 // heed takes what a server says of itself in the answer to a call that was sent at a time.
 func (s *Server) heed(sent time.Time, n api.ServerName, x port.Signals) {
@@ -23,6 +23,9 @@
 	if x.Leaving {
 		s.noteLeaving(n, true)
 	}
+	if x.Resting {
+		s.noteRest(n, x.Rest)
+	}
 	if !x.Limited && x.Unreadable != "" {
 		// It may be the limit that can't be read.
 		return
@@ -81,3 +84,11 @@
 		s.Log.Emit(event.ServerNotice, zap.String("server", string(n)))
 	}
 }
+
+// noteRest takes the rest that a server asked this entry VM for.
+func (s *Server) noteRest(n api.ServerName, d time.Duration) {
+	s.Log.Emit(event.ServerRest, zap.String("server", string(n)), zap.Duration("rest", d))
+	s.serviceMutex.Lock()
+	defer s.serviceMutex.Unlock()
+	s.services.Rest(time.Now(), n, d)
+}
--- a/internal/gateway/allocate.go
+++ b/internal/gateway/allocate.go
@@ -102,7 +102,9 @@
 
 // offers is has under the mutex.
 func (g *Gateway) offers(now time.Time, d demand) bool {
-	return slices.ContainsFunc(g.engines(now, d).Members, roster.Member.Takes)
+	return slices.ContainsFunc(g.engines(now, d).Members, func(m roster.Member) bool {
+		return m.Takes() && !slices.Contains(d.tried, m.Name)
+	})
 }
 
 // Place answers another entry VM that asks for a place at an engine.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -148,6 +148,9 @@
 // next chooses the server to send to now. Only the first of an engine's request
 // is waited for: what was sent before has used up its time to wait.
 func (g *Gateway) next(ctx context.Context, q *request, n placement.Need, c *call.Call) placed {
+	if f := g.allRest(q, c); f != nil {
+		return placed{fault: f}
+	}
 	switch {
 	case q.service.Engine != nil && len(q.tried) == 0:
 		return g.place(ctx, q, n)
--- a/internal/gateway/obtain.go
+++ b/internal/gateway/obtain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -177,6 +178,8 @@
 	own := d.recipient == nil
 	if own {
 		a.Ask, a.Holding = g.beginAsk(d.domain)
+		l, _ := g.resting(d.service.Name)
+		a.Tried = append(slices.Clone(a.Tried), l...)
 	}
 	r, err := g.Peers.Ask(c, to, a)
 	g.mutex.Lock()
@@ -217,7 +220,7 @@
 		}, true
 	}
 	m, ok := g.roster.Find(r.Server)
-	if !ok || !m.Takes() {
+	if !ok || !m.Takes() || d.recipient == nil && g.picker.Rests.Resting(time.Now(), m.Name) {
 		return placed{}, false
 	}
 	p := placed{choice: placement.Choice{Server: m.Server, Score: r.Score, Of: r.Of}, copy: r.Copy}
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -80,16 +80,24 @@
 	if !duty.Sleep(ctx, time.Until(p.at)) {
 		return placed{fault: overdue(ctx)}
 	}
-	if m, ok := g.member(first.server.Name); !ok || !m.Takes() {
+	if !g.takes(first.server.Name) {
 		return placed{fault: c.NoServer()}
 	}
 	return g.takePlain(first.server)
 }
 
+// takes reports whether a server still takes requests of this entry VM.
+func (g *Gateway) takes(n api.ServerName) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	m, ok := g.roster.Find(n)
+	return ok && m.Takes() && !g.picker.Rests.Resting(time.Now(), n)
+}
+
 // atLimit is the refusal of a request since all servers are at their limits.
 func (g *Gateway) atLimit(c *call.Call, next time.Time) *fault.Error {
 	g.Metrics.Add(metric.LimitRefusals, 1)
-	return c.AtLimit(time.Until(next))
+	return c.NoneYet(time.Until(next))
 }
 
 // limit is what a server has named.
@@ -104,7 +112,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := time.Now()
-	l := placement.Pool{Members: g.roster.Service(s.Name), Domain: g.Domain, Warmup: g.warmup(now, s)}
+	l := placement.Pool{Members: g.roster.Service(s.Name), Domain: g.Domain, Warmup: g.warmup(now, s), Rests: true}
 	return g.picker.Pick(now, l, placement.Need{}, tried)
 }
 
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -60,6 +60,11 @@
 		g.lost(r, from, fault.New(fault.NoServer, "operators have closed the failure domain of the only copy"))
 		return nil, false
 	}
+	if !g.spares(c.at) {
+		g.drop(c)
+		g.lost(r, from, fault.New(fault.NoServer, "the server that holds the only copy has asked for rest"))
+		return nil, false
+	}
 	s, err := g.resume(ctx, r, c)
 	if err != nil {
 		c.reservation.end()
@@ -95,6 +100,13 @@
 	return a.Stream, nil
 }
 
+// spares reports whether a server may be sent a request that only it can take.
+func (g *Gateway) spares(s roster.Server) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.picker.Rests.Spare(time.Now(), s.Name)
+}
+
 // noteSent counts a request that only one server can take, whatever that has asked for.
 func (g *Gateway) noteSent(s roster.Server) {
 	g.mutex.Lock()
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/call"
 	"github.com/wardridge/wardridge/internal/decide/roster"
 	"github.com/wardridge/wardridge/internal/decide/throttle"
 	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/fault"
 	"github.com/wardridge/wardridge/internal/port"
 )
 
@@ -86,7 +89,7 @@
 		g.Log.Emit(event.SignalUnreadable, zap.String("server", string(s.Name)), zap.String("text", x.Unreadable))
 	}
 	if x.Resting {
-		g.Log.Emit(event.ServerRest, zap.String("server", string(s.Name)), zap.Duration("rest", x.Rest))
+		g.noteRest(s, x.Rest)
 	}
 	if x.Leaving {
 		if !g.leaving(s.Name) {
@@ -105,3 +108,31 @@
 		g.noteLimit(s.Name, x.Limited, x.Limit, false)
 	}
 }
+
+// noteRest takes the rest that a server asked this entry VM for.
+func (g *Gateway) noteRest(s roster.Server, d time.Duration) {
+	g.Log.Emit(event.ServerRest, zap.String("server", string(s.Name)), zap.Duration("rest", d))
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.picker.Rests.Note(time.Now(), s.Name, d)
+}
+
+// resting lists the servers of a service that asked this entry VM for rest, and gives the time
+// until the first of them takes requests again where all do.
+func (g *Gateway) resting(n api.ServiceName) ([]api.ServerName, time.Duration) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.picker.Rests.Among(time.Now(), g.roster.Service(n))
+}
+
+// restSpread is the time over which callers come back that were refused in one rest.
+const restSpread = 500 * time.Millisecond
+
+// allRest is the refusal of a request since all servers rest, or nil where one does not.
+func (g *Gateway) allRest(q *request, c *call.Call) *fault.Error {
+	_, d := g.resting(q.service.Name)
+	if d == 0 {
+		return nil
+	}
+	return c.NoneYet(d + time.Duration(rand.Float64()*float64(restSpread)))
+}
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -44,6 +44,8 @@
 	Limit float64 `json:"limit"`
 	// Leaving is said in every answer.
 	Leaving bool `json:"leaving"`
+	// RestS turns every call away and asks for so many seconds of rest; zero turns none away.
+	RestS float64 `json:"rest_s"`
 }
 
 // Service is the state of one stand-in.
@@ -53,6 +55,8 @@
 	mutex  sync.Mutex
 	faults Faults
 	counts map[string]int
+	// refused counts the calls that were turned away for rest.
+	refused int
 }
 
 // New makes a service that has run nothing.
@@ -130,6 +134,25 @@
 	}
 }
 
+// rests reports whether the service turns calls away, and writes for how long.
+func (s *Service) rests(h http.Header) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.faults.RestS == 0 {
+		return false
+	}
+	s.refused++
+	h.Set(wire.HeaderRetryAfter, strconv.FormatFloat(s.faults.RestS, 'f', -1, 64))
+	return true
+}
+
+// Refused counts the calls that were turned away for rest.
+func (s *Service) Refused() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.refused
+}
+
 func (s *Service) delay() time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -142,7 +165,7 @@
 		return
 	}
 	s.signal(w.Header())
-	if s.take(&s.faults.Refuse) {
+	if s.rests(w.Header()) || s.take(&s.faults.Refuse) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
