--- a/internal/decide/placement/rest.go
+++ b/internal/decide/placement/rest.go
@@ -40,7 +40,11 @@
 // Resting reports whether a server wants nothing now.
 func (r *Rests) Resting(now time.Time, n api.ServerName) bool {
 	x, ok := r.rests[n]
-	return ok && now.Before(x.until)
+	if ok && !now.Before(x.until) {
+		delete(r.rests, n)
+		return false
+	}
+	return ok
 }
 
 // Spare takes one of the few requests that may be sent to a server in its rest.
@@ -60,6 +64,9 @@
 // Among lists those of some servers that rest, and gives the time until the first of them
 // takes requests again where none of the others does, else zero.
 func (r *Rests) Among(now time.Time, l []roster.Member) ([]api.ServerName, time.Duration) {
+	if len(r.rests) == 0 {
+		return nil, 0
+	}
 	var resting []api.ServerName
 	var wait time.Duration
 	awake := false
