--- a/internal/port/signals.go
+++ b/internal/port/signals.go
@@ -44,7 +44,7 @@
 			s.Unreadable = x
 		}
 	}
-	if x := h.Get(n.Rest); x != "" && status == http.StatusServiceUnavailable {
+	if x := h.Get(n.Rest); x != "" && turnsAway(status) {
 		s.Rest, s.Resting = rest(x)
 		if !s.Resting {
 			s.Unreadable = x
@@ -53,6 +53,11 @@
 	return s
 }
 
+// turnsAway reports whether a status says that a request was not run for now.
+func turnsAway(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 // restMost bounds the rest that a server may ask for: a longer one is asked for again by the
 // first request after it.
 const restMost = time.Minute
