feat: the soak plays what servers say in their answers

From seed 8000 on, plans draw servers that name a limit, ask for rest or say that they leave, in series and beside stops, kills, pauses and a store that is away; the checker holds entry VMs to them by what servers recorded, with the users' bounds, and excuses those that were disturbed or stopped since they were told.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -31,13 +31,15 @@
 	Recovery Property = "recovery"
 	Alive    Property = "alive"
 	Crashes  Property = "crashes"
+	Limit    Property = "limit"
+	Rest     Property = "rest"
 )
 
 // Timed reports whether checking the property compares times, which a machine
 // that is shared may stretch.
 func (p Property) Timed() bool {
 	switch p {
-	case Leaving, Closed, Gone, InForce, Recovery, Stop, Crashes:
+	case Leaving, Closed, Gone, InForce, Recovery, Stop, Crashes, Limit, Rest:
 		return true
 	}
 	return false
@@ -97,6 +99,7 @@
 	}
 	c.versions()
 	c.crashes()
+	c.signals()
 	c.recovery()
 	for _, d := range r.Failures {
 		c.add(Alive, "", r.End, d)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -48,6 +48,11 @@
 	DeadlyRequest Kind = "deadly-request"
 	// StoreRestore has the store come back from a copy.
 	StoreRestore Kind = "store-restore"
+	// LimitServer names a limit, RestServer asks for rest and SayLeaving says that it leaves,
+	// each in its answers alone.
+	LimitServer Kind = "limit-server"
+	RestServer  Kind = "rest-server"
+	SayLeaving  Kind = "say-leaving"
 )
 
 // widerFrom is the first seed whose plan draws from the wider kinds too: the plan of an
@@ -60,6 +65,12 @@
 // restoreFrom is the first seed whose plan draws restores of the store too.
 const restoreFrom = 7000
 
+// signalsFrom is the first seed whose plan draws what servers say in their answers too.
+const signalsFrom = 8000
+
+// signalKinds are what servers say of themselves; no request may be lost by them.
+var signalKinds = []Kind{LimitServer, RestServer, SayLeaving}
+
 // widerPlanned and widerUnplanned are the kinds that only later seeds draw.
 var (
 	widerPlanned   = []Kind{CloseDomain, ForeignEntry}
@@ -77,7 +88,7 @@
 
 // Planned reports whether operators bring the fault about.
 func (k Kind) Planned() bool {
-	return slices.Contains(planned, k) || slices.Contains(widerPlanned, k)
+	return slices.Contains(planned, k) || slices.Contains(widerPlanned, k) || slices.Contains(signalKinds, k)
 }
 
 // All is the target of faults that every entry VM meets.
@@ -151,6 +162,9 @@
 		// Twice, as it is the youngest: what holds through it is new.
 		all = append(all, StoreRestore, StoreRestore)
 	}
+	if seed >= signalsFrom {
+		plannedKinds, all = slices.Concat(plannedKinds, signalKinds), slices.Concat(all, signalKinds, signalKinds)
+	}
 	kinds := all
 	if r.Float64() < plannedShare {
 		kinds = plannedKinds
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -165,6 +165,8 @@
 		b.link(ctx, v.callers, f)
 	case ServerLink, DarkServer, CrashServer, LeaveServer, RebirthServer, LoseAnswers:
 		b.serverFault(ctx, f, s)
+	case LimitServer, RestServer, SayLeaving:
+		b.say(ctx, f, s)
 	case CloseDomain:
 		b.closeDomain(ctx, s, f.For.Duration())
 	case ForeignEntry:
@@ -251,7 +253,7 @@
 	case CrashServer, DarkServer, ServerLink, LeaveServer, LoseAnswers, RebirthServer:
 		x, _ := s.current()
 		t.Server = x.Name
-	case ChangeRoute, RevokeKey, StoreForget, CloseDomain, ForeignEntry, DeadlyRequest:
+	case ChangeRoute, RevokeKey, StoreForget, LimitServer, RestServer, SayLeaving, CloseDomain, ForeignEntry, DeadlyRequest:
 	default:
 		t.VM = v.place
 		if f.Target == All {
--- /dev/null
+++ b/internal/soak/signals_test.go
@@ -0,0 +1,77 @@
+package soak_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/soak"
+	"github.com/wardridge/wardridge/internal/standin/hosted"
+)
+
+// arrivals adds requests of an entry VM that come to a server each so many ms, from a time on.
+func arrivals(r *soak.Record, vm, from, every, count int, w hosted.Word) {
+	for i := range count {
+		id := api.RequestID(fmt.Sprintf("a-%d-%d-%d", vm, from, i))
+		t := at(from + i*every)
+		r.Sent = append(r.Sent, soak.Sent{
+			Call:  hosted.Call{ID: id, Method: "POST", Target: "/orders/o", Body: "b"},
+			Reply: hosted.Reply{Head: hosted.Head{Status: 503}, Whole: true}, Workspace: "main", VM: vm, At: t, Done: t,
+		})
+		r.Arrivals = append(r.Arrivals, hosted.Arrival{
+			At: t, By: "p1", Refused: true, Word: w,
+			Asked: hosted.Asked{Request: id, Method: "POST", Target: "/orders/o", Body: "b", Workspace: "main"},
+		})
+	}
+}
+
+func TestSignalsAreChecked(t *testing.T) {
+	two := 2.0
+	limit, rest, leaving := hosted.Word{Limit: &two}, hosted.Word{Rest: 2 * time.Second}, hosted.Word{Leaving: true}
+	tests := []struct {
+		name   string
+		change func(r *soak.Record)
+		want   soak.Property
+	}{
+		{"within the limit", func(r *soak.Record) { arrivals(r, 0, 9000, 300, 30, limit) }, ""},
+		{"beyond the limit", func(r *soak.Record) { arrivals(r, 0, 9000, 100, 90, limit) }, soak.Limit},
+		{"beyond the limit at first", func(r *soak.Record) { arrivals(r, 0, 9000, 100, 29, limit) }, ""},
+		{"beyond the limit together", func(r *soak.Record) {
+			for vm := range 4 {
+				arrivals(r, vm, 9000, 400, 20, limit)
+			}
+		}, soak.Limit},
+		{"rest that is kept", func(r *soak.Record) { arrivals(r, 0, 11000, 2100, 3, rest) }, ""},
+		{"rest that is not kept", func(r *soak.Record) { arrivals(r, 0, 11000, 300, 6, rest) }, soak.Rest},
+		{"rest asked of others", func(r *soak.Record) {
+			for vm := range 6 {
+				arrivals(r, vm, 11000+200*vm, 2100, 2, rest)
+			}
+		}, ""},
+		{"after a word of a leave", func(r *soak.Record) { arrivals(r, 0, 9000, 4500, 2, leaving) }, soak.Leaving},
+		{"after a word of a leave, at another VM", func(r *soak.Record) {
+			arrivals(r, 0, 9000, 0, 1, leaving)
+			arrivals(r, 1, 14000, 0, 1, leaving)
+		}, ""},
+		{"with a fault in between", func(r *soak.Record) {
+			arrivals(r, 0, 9000, 4500, 2, leaving)
+			r.Injected = []soak.Injection{{Fault: soak.Fault{Kind: soak.PauseVM}, VM: 0, Span: soak.Span{From: at(10000), Until: at(11000)}}}
+		}, ""},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			r := good()
+			c.change(&r)
+			var got soak.Property
+			for _, v := range soak.Check(r) {
+				if v.Property != soak.Recovery {
+					got = v.Property
+				}
+			}
+			if got != c.want {
+				t.Errorf("got %q, want %q: %v", got, c.want, soak.Check(r))
+			}
+		})
+	}
+}
