refactor: names of what servers say, bounds on what peers ask for turns

A peer's word of a limit with a time or a figure that can't be is left out, and a turn is given two seconds ahead at most, whatever a peer asks for: TestPeersTellLimits has a case that failed before, FuzzPermit and FuzzExchange send such words. The counter of refusals for limits counts those for rests too and is named servers_busy_total.

--- a/internal/decide/throttle/limits.go
+++ b/internal/decide/throttle/limits.go
@@ -79,7 +79,7 @@
 	w, ok := l.words[r.Server]
 	at := now.Add(-r.AgeMS.Duration())
 	switch {
-	case x.Named && !(x.Rate >= 0):
+	case r.AgeMS < 0 || r.PerSecond < 0:
 		return false
 	case !x.Named && !ok:
 		return false
--- a/internal/decide/throttle/pacer.go
+++ b/internal/decide/throttle/pacer.go
@@ -11,8 +11,8 @@
 // Part is the part of a server's limit that an entry VM may use.
 type Part int
 
-// Parts add up to one and a half times the limit, which servers bear, so that it holds while
-// two entry VMs take themselves for the one that paces a server.
+// Whole, Standby and Alone add up to one and a half times the limit, which servers bear, so that
+// it holds while two entry VMs take themselves for the one that paces a server.
 const (
 	// Whole is the part of the entry VM that paces a server for all others.
 	Whole Part = iota
--- a/internal/decide/throttle/pacer_test.go
+++ b/internal/decide/throttle/pacer_test.go
@@ -162,6 +162,7 @@
 		{"newer and taken back", &two, api.ServerLimit{AgeMS: 5000}, none},
 		{"older", &two, api.ServerLimit{AgeMS: 15000}, two},
 		{"perhaps older", &two, api.ServerLimit{AgeMS: 9900}, two},
+		{"a time that can't be", &two, api.ServerLimit{AgeMS: -5000}, two},
 		{"a figure that can't be", nil, api.ServerLimit{Named: true, PerSecond: -1}, none},
 	}
 	for _, c := range tests {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -144,7 +144,7 @@
 		n := x.Name
 		switch {
 		case n == "" && x.Wait > 0:
-			s.Metrics.Add(metric.LimitRefusals, 1)
+			s.Metrics.Add(metric.ServersBusy, 1)
 			return nil, d.NoneYet(x.Wait)
 		case n == "":
 			return nil, d.NoServer()
@@ -253,7 +253,7 @@
 		return nil, wire.Broken(err)
 	}
 	defer func() { _ = a.Body.Close() }()
-	s.heed(began, n, signals.Signals(a.StatusCode, a.Header))
+	s.noteSignals(began, n, signals.Signals(a.StatusCode, a.Header))
 	b, err := io.ReadAll(io.LimitReader(a.Body, answerLimit+1))
 	if err != nil {
 		return nil, fault.Wrap(fault.BadAnswer, err, "the answer was cut short")
--- a/internal/entry/signals.go
+++ b/internal/entry/signals.go
@@ -15,8 +15,8 @@
 // signals are the headers in which the servers of plain services say something of themselves.
 var signals = port.SignalHeaders{Limit: wire.HeaderLimit, Leaving: wire.HeaderLeaving, Rest: wire.HeaderRetryAfter}
 
-// heed takes what a server says of itself in the answer to a call that was sent at a time.
-func (s *Server) heed(sent time.Time, n api.ServerName, x port.Signals) {
+// noteSignals takes what a server says of itself in the answer to a call that was sent at a time.
+func (s *Server) noteSignals(sent time.Time, n api.ServerName, x port.Signals) {
 	if x.Unreadable != "" {
 		s.Log.Emit(event.SignalUnreadable, zap.String("server", string(n)), zap.String("text", x.Unreadable))
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -117,7 +117,7 @@
 		runs: map[api.ServerName]map[*run]bool{}, admissions: map[api.ServiceName]*admission{},
 		answers: silence.NewAnswers(), watchdog: newWatchdog(),
 	}
-	g.Backends = heard{p.Backends, g}
+	g.Backends = observed{p.Backends, g}
 	return g
 }
 
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -22,6 +22,8 @@
 	permitTime = 30 * time.Millisecond
 	// permitShare is the part of its aim that a request may wait for its turn at a server.
 	permitShare = 0.5
+	// patienceMost bounds the turns that are given ahead of their time, whatever is asked for.
+	patienceMost = 2 * time.Second
 	// unknownWait is when it is worth asking again for a server that the one asked has not
 	// heard of yet.
 	unknownWait = 250 * time.Millisecond
@@ -71,11 +73,11 @@
 	first := slices.MinFunc(full, func(a, b denied) int { return a.at.Compare(b.at) })
 	patience := time.Duration(permitShare*float64(q.aim())) - time.Since(q.Arrived)
 	if time.Until(first.at) > patience {
-		return placed{fault: g.atLimit(c, first.at)}
+		return placed{fault: g.noneYet(c, time.Until(first.at))}
 	}
 	p := g.permit(ctx, first.server, patience)
 	if !p.granted {
-		return placed{fault: g.atLimit(c, p.at)}
+		return placed{fault: g.noneYet(c, time.Until(p.at))}
 	}
 	if !duty.Sleep(ctx, time.Until(p.at)) {
 		return placed{fault: overdue(ctx)}
@@ -94,10 +96,10 @@
 	return ok && m.Takes() && !g.picker.Rests.Resting(time.Now(), n)
 }
 
-// atLimit is the refusal of a request since all servers are at their limits.
-func (g *Gateway) atLimit(c *call.Call, next time.Time) *fault.Error {
-	g.Metrics.Add(metric.LimitRefusals, 1)
-	return c.NoneYet(time.Until(next))
+// noneYet is the refusal of a request that no server takes for so long.
+func (g *Gateway) noneYet(c *call.Call, wait time.Duration) *fault.Error {
+	g.Metrics.Add(metric.ServersBusy, 1)
+	return c.NoneYet(wait)
 }
 
 // limit is what a server has named.
@@ -178,7 +180,7 @@
 	if a.Standby || g.fleet.Split() {
 		t.Part = throttle.Standby
 	}
-	at, ok := g.picker.Pacer.Take(time.Now(), a.Server, t, patience)
+	at, ok := g.picker.Pacer.Take(time.Now(), a.Server, t, min(patience, patienceMost))
 	return permit{granted: ok, at: at}
 }
 
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -16,42 +16,42 @@
 	"github.com/wardridge/wardridge/internal/port"
 )
 
-// heard passes on what backend servers say of themselves in any of their answers, so that no
+// observed notes what backend servers say of themselves in any of their answers, so that no
 // caller of them has to.
-type heard struct {
+type observed struct {
 	port.Backends
 	gateway *Gateway
 }
 
 // Send sends a request and gives its answer.
-func (h heard) Send(ctx context.Context, a port.Attempt) (port.Answer, error) {
+func (o observed) Send(ctx context.Context, a port.Attempt) (port.Answer, error) {
 	began := time.Now()
-	x, err := h.Backends.Send(ctx, a)
-	h.gateway.heed(began, a.Server, x.Signals)
+	x, err := o.Backends.Send(ctx, a)
+	o.gateway.noteSignals(began, a.Server, x.Signals)
 	return x, err
 }
 
 // Copy copies a run's memory.
-func (h heard) Copy(ctx context.Context, o port.CopyOrder) (port.Copy, error) {
+func (o observed) Copy(ctx context.Context, c port.CopyOrder) (port.Copy, error) {
 	began := time.Now()
-	x, err := h.Backends.Copy(ctx, o)
-	h.gateway.heed(began, o.Source, x.Signals)
+	x, err := o.Backends.Copy(ctx, c)
+	o.gateway.noteSignals(began, c.Source, x.Signals)
 	return x, err
 }
 
 // Report asks a server about itself.
-func (h heard) Report(ctx context.Context, s roster.Server, fresh bool) (port.Report, error) {
+func (o observed) Report(ctx context.Context, s roster.Server, fresh bool) (port.Report, error) {
 	began := time.Now()
-	x, err := h.Backends.Report(ctx, s, fresh)
-	h.gateway.heed(began, s, x.Signals)
+	x, err := o.Backends.Report(ctx, s, fresh)
+	o.gateway.noteSignals(began, s, x.Signals)
 	return x, err
 }
 
 // Release frees a copy that nothing will use.
-func (h heard) Release(ctx context.Context, s roster.Server, handle string) (port.Signals, error) {
+func (o observed) Release(ctx context.Context, s roster.Server, handle string) (port.Signals, error) {
 	began := time.Now()
-	x, err := h.Backends.Release(ctx, s, handle)
-	h.gateway.heed(began, s, x)
+	x, err := o.Backends.Release(ctx, s, handle)
+	o.gateway.noteSignals(began, s, x)
 	return x, err
 }
 
@@ -80,8 +80,9 @@
 	g.Log.Emit(event.ServerLimit, zap.String("server", string(n)), zap.Bool("limited", named), zap.Float64("per_second", perSecond), zap.Bool("of_peer", ofPeer))
 }
 
-// heed takes what a server says of itself in the answer to a call that was sent at a time.
-func (g *Gateway) heed(sent time.Time, s roster.Server, x port.Signals) {
+// noteSignals takes what a server says of itself in the answer to a call that was sent at a
+// time.
+func (g *Gateway) noteSignals(sent time.Time, s roster.Server, x port.Signals) {
 	if !x.Answered {
 		return
 	}
@@ -92,21 +93,30 @@
 		g.noteRest(s, x.Rest)
 	}
 	if x.Leaving {
-		if !g.leaving(s.Name) {
-			g.Log.Emit(event.ServerNotice, zap.String("server", string(s.Name)))
-		}
-		g.NoteLeaving([]api.ServerName{s.Name})
+		g.noteNotice(s)
 	}
-	if !x.Limited && x.Unreadable != "" {
-		// It may be the limit that can't be read.
-		return
+	if x.Limited || x.Unreadable == "" {
+		// What can't be read may be the limit, which it does not take back.
+		g.noteAnswerLimit(sent, s, throttle.Limit{Named: x.Limited, Rate: throttle.Rate(x.Limit)})
 	}
+}
+
+// noteAnswerLimit takes the limit in an answer, or that it names none.
+func (g *Gateway) noteAnswerLimit(sent time.Time, s roster.Server, l throttle.Limit) {
 	g.mutex.Lock()
-	changed := g.picker.Limits.Note(time.Now(), sent, s.Name, throttle.Limit{Named: x.Limited, Rate: throttle.Rate(x.Limit)})
+	changed := g.picker.Limits.Note(time.Now(), sent, s.Name, l)
 	g.mutex.Unlock()
 	if changed {
-		g.noteLimit(s.Name, x.Limited, x.Limit, false)
+		g.noteLimit(s.Name, l.Named, float64(l.Rate), false)
+	}
+}
+
+// noteNotice takes a server's word in an answer that it leaves.
+func (g *Gateway) noteNotice(s roster.Server) {
+	if !g.leaving(s.Name) {
+		g.Log.Emit(event.ServerNotice, zap.String("server", string(s.Name)))
 	}
+	g.NoteLeaving([]api.ServerName{s.Name})
 }
 
 // noteRest takes the rest that a server asked this entry VM for.
@@ -134,5 +144,5 @@
 	if d == 0 {
 		return nil
 	}
-	return c.NoneYet(d + time.Duration(rand.Float64()*float64(restSpread)))
+	return g.noneYet(c, d+time.Duration(rand.Float64()*float64(restSpread)))
 }
--- a/internal/mesh/allocate_test.go
+++ b/internal/mesh/allocate_test.go
@@ -159,6 +159,7 @@
 	x := proper
 	x.Contents = []api.ContentReport{{Content: "c", Server: "e", Ended: true, AgeMS: 1 << 62}, {Content: "c", AgeMS: -1}, {}}
 	x.Loads, x.Members = map[string]api.ServerLoad{"e": {Requests: -5, Tokens: -1 << 62}}, -7
+	x.Limits = []api.ServerLimit{{Server: "e", Named: true, PerSecond: -1}, {Server: "e", Named: true, PerSecond: 1e300, AgeMS: -1 << 62}, {}}
 	x.ConfigAt, x.ServersAt, x.QuarantinesAt = 1<<62, 1<<62, 1<<62
 	add(x)
 	f.Add([]byte(`{"protocol":4,"self":null,"peers":[{}],"leaving":[""],"contents":[null]}`))
@@ -186,3 +187,38 @@
 		}
 	})
 }
+
+// Whatever bytes a peer sends as an ask for a turn, the next proper one is given it in time.
+func FuzzPermit(f *testing.F) {
+	ask := func(perSecond float64, patience api.Milliseconds) []byte {
+		b, err := json.Marshal(api.PermitAsk{Protocol: gossip.Protocol, VM: "b", Server: "e", PerSecond: perSecond, PatienceMS: patience})
+		if err != nil {
+			f.Fatal(err)
+		}
+		return b
+	}
+	f.Add(ask(3.2, 75))
+	f.Add(ask(-1, 0))
+	f.Add(ask(1e-300, 1<<62))
+	f.Add([]byte(`{"protocol":5,"server":"e","per_second":1e400}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		a := newAllocator(t)
+		r := chi.NewRouter()
+		a.Routes(r)
+		post := func(b []byte) (int, api.PermitAnswer) {
+			w := httptest.NewRecorder()
+			r.ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodPost, mesh.PathPermit, bytes.NewReader(b)))
+			var p api.PermitAnswer
+			_ = json.Unmarshal(w.Body.Bytes(), &p)
+			return w.Code, p
+		}
+		if c, _ := post(body); c >= http.StatusInternalServerError {
+			t.Errorf("got status %d, want an answer or a refusal", c)
+		}
+		// The one before may have been given a turn two seconds ahead.
+		c, p := post(ask(1000, 2100))
+		if c != http.StatusOK || !p.Granted || p.WaitMS > 2100 {
+			t.Errorf("a proper ask after it: got status %d and %+v, want a turn within 2.1 s", c, p)
+		}
+	})
+}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -18,7 +18,7 @@
 	RequestsInFlight Name = "requests_in_flight"
 	RequestsWaiting  Name = "requests_waiting"
 	PlacedAlone      Name = "placed_alone_total"
-	LimitRefusals    Name = "limit_refusals_total"
+	ServersBusy      Name = "servers_busy_total"
 	TokensRelayed    Name = "tokens_relayed_total"
 	FirstTokenMS     Name = "first_token_ms_total"
 	FirstTokens      Name = "first_tokens_total"
@@ -72,7 +72,7 @@
 	{RequestsInFlight, "requests", "Requests in flight now."},
 	{RequestsWaiting, "requests", "Requests that wait for an engine now."},
 	{PlacedAlone, "places", "Places at engines chosen without the VM that allocates them, which did not answer."},
-	{LimitRefusals, "requests", "Requests for which all servers were at the limits that they had named."},
+	{ServersBusy, "requests", "Requests refused since all servers were at the limits that they had named, or had asked for rest."},
 	{TokensRelayed, "tokens", "Tokens delivered to callers."},
 	{FirstTokenMS, "ms", "Sum of the times to the first token."},
 	{FirstTokens, "requests", "Requests that got a first token."},
