--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -22,19 +22,6 @@
 	"github.com/wardridge/wardridge/internal/standin/engine"
 )
 
-// Engineers saw their chats break off, several at one moment, again and again: twenty-five
-// engines of a pool of twelve ended in a minute and a half. The same request came every few
-// seconds, at whatever entry VM it reached; each engine that began it crashed, and took its
-// other runs along. Order of events: the content reaches an engine,
-// the engine ends a tenth of a second later, its caller comes again under a new id at
-// another entry VM, and a further engine is given it. Cause: what a broken run teaches was
-// kept of the engine alone, and by each entry VM for itself, so that nothing counted what a
-// content had done. Evidence: of the runs lost with each of the first ten engines one was a
-// summary without an event, on one route, while its neighbours differed; the operators' own
-// record says that one request was under all of them; and this test ends engines as they
-// did where contents are not remembered, and no more where they are. The logs of that day
-// did not name contents yet.
-
 // comebacks is how often a caller asks again for what crashes servers, and comebackEvery
 // how long it waits in between.
 const (
--- a/fleet/restored_test.go
+++ b/fleet/restored_test.go
@@ -25,18 +25,6 @@
 	"github.com/wardridge/wardridge/platform/standin"
 )
 
-// Operators changed the configuration, had it confirmed, and entry VMs went on serving by
-// the one before, for as long as it took the operators to write four more times: requests
-// ran under a key that was gone. Order of events: the platform was away for a moment and
-// came back from a copy of some seconds before; its versions began again at 21 where entry
-// VMs held 25; operators wrote 22, 24 and 25; entry VMs dropped what they listed as older,
-// and once 25 was given out again watched on from there. Cause: what is newer was told by
-// the version alone, which holds within one history of the platform. Evidence: nine entry
-// VMs held 25 when each list of the platform was of 21; they dropped 59 lists, until a
-// version above 25 was given out; the platform's operators say that it came back from a
-// copy; and this test, in which it does, fails in the same way where the era is not
-// compared.
-
 // inForceTime is the time within which operators may count on a confirmed change.
 const inForceTime = 2 * time.Second
 
--- a/internal/claims/restore.go
+++ b/internal/claims/restore.go
@@ -16,8 +16,8 @@
 )
 
 // Enter notes the platform's era. A later one than was known has the claims of this entry
-// VM written again: nobody else knows of those that the platform has lost, and the requests
-// were sent a second time (spec, TestClaimThroughARestore).
+// VM written again: nobody else knows of those that the platform has lost, and a request
+// whose claim is gone would be sent a second time.
 func (k *Keeper) Enter(e api.Era) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
--- a/internal/decide/backlog/backlog.go
+++ b/internal/decide/backlog/backlog.go
@@ -15,7 +15,7 @@
 
 // waitShare is the part of its aim that a request may wait. Callers ask to be
 // refused within an eighth of it; longer waits hold more in vain and serve no
-// more in time (docs/LOAD.md).
+// more in time.
 const waitShare = 0.1
 
 // Patience is how long a request with an aim may wait.
@@ -152,7 +152,7 @@
 	// refused caller is told to come back. It has missed its aim, so that coming
 	// back early gains it nothing, while one that comes back into the same overload
 	// is refused again and adds to it; two thirds of its time are left for the
-	// answer. Callers are spread between the two (docs/LOAD.md).
+	// answer. Callers are spread between the two.
 	returnFrom = 0.30
 	returnTo   = 0.33
 )
--- a/internal/decide/backlog/overload.go
+++ b/internal/decide/backlog/overload.go
@@ -7,8 +7,8 @@
 const overloadGap = 2 * time.Second
 
 // overloadRecent is the time after a refusal in which late requests are refused
-// too. With 0.4 s fewer requests are answered in time, with 2 s fewer are answered
-// at all (docs/LOAD.md).
+// too: a shorter one lets them push out requests that could be in time, a longer one
+// refuses what there is room for.
 const overloadRecent = time.Second
 
 // overload knows how long requests have been refused.
--- a/internal/decide/call/connect.go
+++ b/internal/decide/call/connect.go
@@ -6,9 +6,9 @@
 	// connectShare is the part of a request's aim in which a server has to take
 	// a connection, so that others can be tried in time: nothing was sent yet.
 	connectShare = 0.25
-	// connectLeast is what a connection within a region takes on a VM that is
-	// twenty times slower than it should be (with 100 ms such VMs took servers for
-	// lost), and connectMost what the connections allow anyway.
+	// connectLeast is what a connection within a region takes on a VM that hardly runs,
+	// which must not take servers for lost, and connectMost what the connections allow
+	// anyway.
 	connectLeast = 250 * time.Millisecond
 	connectMost  = time.Second
 )
--- a/internal/decide/claim/era.go
+++ b/internal/decide/claim/era.go
@@ -38,10 +38,9 @@
 }
 
 // Settled reports whether a claim that is not there was not made either; all tells for an
-// era whether every entry VM has written its claims again. One that is cut off with what the
-// platform has lost held an order that was confirmed twice
-// (TestOwnRestoresAmongOtherFaults). In the first era nothing was ever lost; an entry VM that
-// has just started sees its first era then.
+// era whether every entry VM has written its claims again: one that is cut off may hold what
+// the platform has lost. In the first era nothing was ever lost; an entry VM that has just
+// started sees its first era then.
 func (x *Eras) Settled(now time.Time, all func(e api.Era) bool) bool {
 	if !x.known || x.era == 0 {
 		return x.known
--- a/internal/decide/config/kept.go
+++ b/internal/decide/config/kept.go
@@ -26,8 +26,7 @@
 
 // keep keeps what was in force before and is newer than in the copy that the platform came
 // back from. An object's version is that of its last write, so that one of the copy is older
-// than one that was written since; six of six entry VMs took such a change back
-// (TestDeclaredResourcesOutlastTheStore).
+// than one that was written since.
 func (s *Store) keep(now time.Time, before Store) {
 	until := now.Add(keepTime)
 	for _, o := range before.inForce() {
--- a/internal/decide/gossip/hubs.go
+++ b/internal/decide/gossip/hubs.go
@@ -27,8 +27,7 @@
 }
 
 // insert puts a member among the strongest n. The duties ask for the hubs several
-// times a second: sorting all members each time takes a sixth of the processor time
-// of an idle VM in a domain of 24 (a profile of 120 VMs), and grows with the domain.
+// times a second, and to sort all members each time would grow with the domain.
 func insert(best []Member, m Member, n int) []Member {
 	i, _ := slices.BinarySearchFunc(best, m, stronger)
 	if i >= n {
--- a/internal/decide/gossip/peers.go
+++ b/internal/decide/gossip/peers.go
@@ -42,11 +42,11 @@
 	Capacity int
 }
 
-// What one exchange costs with 60 members and 45 servers, whose loads it carried
-// (docs/MEASUREMENTS.md): processor time in s, and both messages in Mbit. Their
-// ratio ranks VMs; the figures themselves are higher than what is left of them.
+// What one exchange in a domain of some 60 members costs. The ratio of the two ranks VMs.
 const (
-	exchangeTime  = 0.00077
+	// exchangeTime is processor time, in s.
+	exchangeTime = 0.00077
+	// exchangeBytes is both messages, in Mbit.
 	exchangeBytes = 0.08
 )
 
--- a/internal/decide/lease/lease.go
+++ b/internal/decide/lease/lease.go
@@ -130,9 +130,8 @@
 
 // outlived reports whether no hold of an earlier era is left. The platform may have come back
 // from a copy of before the lease was taken or last renewed, just before this entry VM first
-// saw the era: that nobody is named, or that nothing changed, says nothing then. Two held at
-// once after ten steps (spec, TestLeaseThroughARestore). In the first era nothing was ever
-// lost.
+// saw the era: that nobody is named, or that nothing changed, says nothing then. In the first
+// era nothing was ever lost.
 func (l *Lease) outlived(now time.Time) bool {
 	return l.era == 0 || now.Sub(l.entered) >= l.timing.Duration+l.timing.Skew
 }
--- a/internal/decide/placement/pick.go
+++ b/internal/decide/placement/pick.go
@@ -34,7 +34,7 @@
 	Exact bool
 	// Stay leaves the domain only where none of its servers has room. It is for
 	// copies of a run's memory, which take twice as long between domains, while
-	// notices are hardly long enough within one (docs/design/011).
+	// notices are hardly long enough within one.
 	Stay bool
 	// Room is the share of an engine's memory that may be promised; zero for all
 	// that may be promised at all.
--- a/internal/decide/placement/reserve.go
+++ b/internal/decide/placement/reserve.go
@@ -47,10 +47,8 @@
 
 // need is how much of the memory of servers that leave at once has to be kept: all of
 // it once a run found no engine, and less with time. Most runs find room that others
-// have just left, and memory that is kept for them all is missed by new runs: 31 of 374
-// long answers came late or not at all where it was kept at all times, 11 where it is kept
-// like this (engines taken back in turn at 1.2 times the usual load, in virtual time).
-// Where none is ever kept, twice as many running answers are cut off in an overload.
+// have just left, and memory that is kept for them all is missed by new runs; where none
+// is ever kept, more running answers are cut off in an overload.
 func (r *Reserve) need(now time.Time) float64 {
 	if r.short.IsZero() {
 		return 0
@@ -85,9 +83,8 @@
 }
 
 // shortTime is how long a shortage of memory counts: the runs that copies would be
-// kept for last about as long. Copies that are begun in a shortage took the place of two
-// in a hundred requests, on 60 engines with a sixth of them taken back each 3.3 s, and
-// saved no answer there.
+// kept for last about as long. Copies that are begun in a shortage take the place of
+// requests and save hardly any answer.
 const shortTime = 15 * time.Second
 
 // Shortage knows when a run last found no room.
--- a/internal/decide/quarantine/declare.go
+++ b/internal/decide/quarantine/declare.go
@@ -39,8 +39,7 @@
 // Declare takes the contents that the platform keeps as refused, in an era. One that was
 // there and is no more was released by operators: all that is held against it is forgotten.
 // In a later era it may have been lost instead, and one that was released may be back: what
-// is known here holds then, or a content that ends servers was sent again by six of six
-// entry VMs (TestRefusedContentsOutlastTheStore).
+// is known here holds then.
 func (t *Table) Declare(now time.Time, e api.Era, l []Entry) {
 	later := t.platform.enter(e)
 	is := make(map[api.ContentHash]time.Time, len(l))
--- a/internal/decide/quarantine/report.go
+++ b/internal/decide/quarantine/report.go
@@ -25,8 +25,7 @@
 // Recent gives the reports that peers may not know yet.
 func (t *Table) Recent(now time.Time) []api.ContentReport {
 	if now.Sub(t.learned) > reportTime {
-		// A hub of 60 members reports some 240 times a second: to look at a thousand contents
-		// each time takes 0.7% of a core (BenchmarkRecentNothing, 30 us without this).
+		// A hub reports some hundred times a second, and may know a thousand contents.
 		return nil
 	}
 	return t.list(now, func(x *content) bool { return now.Sub(x.learned) <= reportTime })
--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -21,9 +21,8 @@
 	// confirmTime is how long after that a content may still be shown to be harmless by a
 	// whole answer elsewhere: two exchanges from there to here by way of a hub.
 	confirmTime = time.Second
-	// crashesClear is how many crashes need no such wait: callers who come back every
-	// 150 ms ended 12 servers of 24 in the meantime, and end 7 so
-	// (TestHastyCrashingRequestIsStopped).
+	// crashesClear is how many crashes need no such wait, in which callers that come back
+	// at once end further servers.
 	crashesClear = 4
 	// keepTime is how long a content that ends servers is refused, from its last break,
 	// so that entry VMs which hear of it later agree. An operator can release it before; a
@@ -35,9 +34,7 @@
 	rememberTime = 10 * time.Minute
 	// trustTime is how long after a whole answer a content that breaks off is not held
 	// against it: what many ask for is on several servers of a wave of crashes, and some
-	// entry VM has just got an answer of it. Without the answers of others 84 to 144 of
-	// 1,200 requests were refused in 3 of 20 plays of such a wave, none since
-	// (TestWaveOfCrashesRefusesNobody).
+	// entry VM has just got an answer of it.
 	trustTime = 10 * time.Second
 	// answersMost bounds the answered contents that are remembered, at some 100 bytes
 	// each, twice.
--- a/internal/decide/retry/window.go
+++ b/internal/decide/retry/window.go
@@ -8,9 +8,7 @@
 )
 
 // travelTime is how much longer than the span a send counts. The bound is on what arrives
-// at servers, and sends take from a millisecond to some hundred on links that are full: at
-// four times the usual load 1,731 repeated sends arrived in 10 s where 1,730 were allowed,
-// and 4 beyond the bound in a play of delays up to 40 ms (TestArrivalsHoldTheBound).
+// at servers, and sends take from a millisecond to some hundred on links that are full.
 const travelTime = 500 * time.Millisecond
 
 // Window allows sends beyond the first of each request within a bound that
@@ -62,9 +60,7 @@
 
 // Windows are the windows of all services. Each has its own: what one service is asked
 // for must not allow repeated sends to another, or a service that sheds its requests is
-// sent each of them several times while others are busy. With one window for all, four
-// times the usual load brought a plain service 2,481 repeated sends in 10 s, where 1,735
-// were allowed.
+// sent each of them several times while others are busy.
 type Windows struct {
 	span     time.Duration
 	ratio    float64
--- a/internal/decide/roster/closure.go
+++ b/internal/decide/roster/closure.go
@@ -90,9 +90,8 @@
 }
 
 // Close takes the failure domains that are closed by the store's word of an era, and gives
-// those that were closed and opened by it, in order. Without the word of the era before,
-// 85 to 92 of 180 requests went to a domain whose closure the store had lost
-// (TestClosedDomainBeforeTheStoreCameBackFromACopy).
+// those that were closed and opened by it, in order. The word of the era before holds where
+// the store may have lost it.
 func (r *Roster) Close(now time.Time, e api.Era, l []Closure, w WarmUp) (closed, opened []api.DomainName) {
 	r.closures.take(now, e, l)
 	return r.Reopen(now, w)
--- a/internal/decide/roster/era.go
+++ b/internal/decide/roster/era.go
@@ -7,17 +7,15 @@
 	"github.com/wardridge/wardridge/internal/api"
 )
 
-// copyTime is how old a copy may be that the store comes back from: the operators say some
-// seconds, and one was 13 s old. It is kept well above that, since what is remembered is a
-// line for each server that left in that time.
+// copyTime is how old a copy may be that the store comes back from. It is kept well above
+// the some seconds that operators say, since what is remembered is a line for each server
+// that left in that time.
 const copyTime = time.Minute
 
 // Enter notes the era of the entries that follow. When the store has come back from a copy,
 // a missing entry may be one that was written since the copy, and is no leave until servers
 // had the time to write again; a server that is known to leave does so whatever the copy
-// says, as if the server itself had told, until its own entry can have lapsed. Without it
-// 82 of 180 requests went to two such servers of four in the second after the return
-// (TestServersThatLeftBeforeTheStoreCameBackFromACopy).
+// says, as if the server itself had told, until its own entry can have lapsed.
 func (r *Roster) Enter(now time.Time, e api.Era) {
 	if r.updates == 0 || e <= r.era {
 		r.era = max(r.era, e)
--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -98,8 +98,8 @@
 	// closed holds the domains that are closed, as closures say.
 	closed   map[api.DomainName]bool
 	closures *closures
-	// services keeps the members of services in order until something of them changes:
-	// a choice looks at all of them, and to sort 3,000 anew took 1.8 ms.
+	// services keeps the members of services in order until something of them changes,
+	// since each choice looks at all of them.
 	services map[api.ServiceName][]Member
 	// updates counts the updates.
 	updates int
--- a/internal/decide/silence/silence.go
+++ b/internal/decide/silence/silence.go
@@ -9,7 +9,7 @@
 const (
 	// waitShare is the part of the longest good pause after which a silent
 	// stream's server is asked, and askShare the part that its answer may take;
-	// the rest is left to go on elsewhere, which took 20 to 40 ms (docs/design/014).
+	// the rest is left to go on elsewhere.
 	waitShare = 0.5
 	askShare  = 0.25
 	// gapDefault is the longest good pause where a route names none: what a
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -178,8 +178,7 @@
 	hash api.ContentHash
 }
 
-// content names what the request asks for, the same for every attempt of its caller. It
-// takes 8.5 us for a body of 8 KB (BenchmarkHash).
+// content names what the request asks for, the same for every attempt of its caller.
 func (q *request) content() api.ContentHash {
 	if q.hash == "" {
 		q.hash = quarantine.Hash(q.workspace.Name, q.Method, q.Host, q.Target, q.Body)
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -23,8 +23,7 @@
 	// longer after its notice.
 	copyTime = 3 * time.Second
 	// moveUnread is the prompt that a run on its way counts for at its target, so
-	// that no long one is sent there that the run would have to wait behind: of
-	// 0, 1,000 and 3,000 tokens the best (docs/design/011).
+	// that no long one is sent there that the run would have to wait behind.
 	moveUnread api.Tokens = 1000
 	// dropTime bounds the call that frees a copy.
 	dropTime = time.Second
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -58,7 +58,7 @@
 
 // serverWait is when a caller may come back to an entry VM that knows no server:
 // servers whose entries lapsed write them again within about two seconds of the
-// store's return; after 0.5 s one caller in ten was refused again.
+// store's return.
 const serverWait = 2 * time.Second
 
 // noRoom is the refusal of a request that can't be let in in time; the mutex is
--- a/internal/gateway/watchdog.go
+++ b/internal/gateway/watchdog.go
@@ -7,8 +7,7 @@
 
 // watchdog looks after all streams: as events arrive, when the process runs
 // anyway, with the gateway's clock, and with a timer only while there are few
-// streams. Each wake-up costs processor time: a timer for all streams took 7%
-// of what an entry VM needs, and made slow VMs slower (docs/design/014).
+// streams, since each wake-up costs processor time and makes a slow VM slower.
 type watchdog struct {
 	mutex     sync.Mutex
 	listeners map[*listener]bool
