--- a/internal/decide/roster/era.go
+++ b/internal/decide/roster/era.go
@@ -7,9 +7,8 @@
 	"github.com/wardridge/wardridge/internal/api"
 )
 
-// copyTime is how old a copy may be that the store comes back from. It is kept well above
-// the some seconds that operators say, since what is remembered is a line for each server
-// that left in that time.
+// copyTime is how old a copy may be that the store comes back from. It is well above the few
+// seconds that operators name, as little is remembered for it.
 const copyTime = time.Minute
 
 // Enter notes the era of the entries that follow. When the store has come back from a copy,
--- a/internal/decide/throttle/fleet.go
+++ b/internal/decide/throttle/fleet.go
@@ -2,8 +2,8 @@
 
 import "time"
 
-// fleetTime is how long the most entry VMs that were heard count: VMs that ended are replaced
-// sooner, and cuts between them last longer seldom.
+// fleetTime is how long the most entry VMs that were heard count. VMs that ended are replaced
+// sooner, and cuts between them seldom last longer.
 const fleetTime = time.Minute
 
 // Fleet knows how many entry VMs were heard lately.
--- a/internal/decide/throttle/pacer.go
+++ b/internal/decide/throttle/pacer.go
@@ -25,6 +25,7 @@
 )
 
 const (
+	// standbyShare and aloneShare are shares of a limit.
 	standbyShare = 0.4
 	aloneShare   = 0.1
 	// probeRate is sent under a limit however low it is: only an answer tells that it was
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -79,9 +79,11 @@
 	if !p.granted {
 		return placed{fault: g.noneYet(c, time.Until(p.at))}
 	}
-	if !duty.Sleep(ctx, time.Until(p.at)) {
+	began := time.Now()
+	if !duty.Sleep(ctx, p.at.Sub(began)) {
 		return placed{fault: overdue(ctx)}
 	}
+	q.waited += time.Since(began)
 	if !g.takes(first.server.Name) {
 		return placed{fault: c.NoServer()}
 	}
