--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -65,6 +65,8 @@
 	closed   int
 	total    int
 	leaves   map[string]bool
+	// signals are what servers say of themselves in their reports.
+	signals map[string]port.Signals
 	// born is when the life that answers at a server began.
 	born map[string]api.Birth
 	// dark servers say nothing, while their connections stay open; mute ones go
@@ -91,7 +93,7 @@
 func newFake() *fake {
 	return &fake{
 		answers: map[string][]any{}, runs: map[string]*fakeRun{}, dead: map[string]bool{},
-		full: map[string]bool{}, handles: map[string]string{}, leaves: map[string]bool{}, born: map[string]api.Birth{}, dark: map[string]bool{}, mute: map[string]bool{}, gap: eventGap, total: 20, log: event.Discard(),
+		full: map[string]bool{}, handles: map[string]string{}, leaves: map[string]bool{}, signals: map[string]port.Signals{}, born: map[string]api.Birth{}, dark: map[string]bool{}, mute: map[string]bool{}, gap: eventGap, total: 20, log: event.Discard(),
 	}
 }
 
@@ -260,7 +262,7 @@
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	p := port.Report{Leaving: f.leaves[n], Born: f.born[n], Made: map[api.RequestID]int{}}
+	p := port.Report{Leaving: f.leaves[n], Born: f.born[n], Made: map[api.RequestID]int{}, Signals: f.signals[n]}
 	for id, r := range f.runs {
 		if r.server == n {
 			p.Made[api.RequestID(id)] = r.made + f.ahead
--- /dev/null
+++ b/internal/gateway/signals_test.go
@@ -0,0 +1,69 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/port"
+)
+
+// streams begins so many streams, of which each is kept a copy of, and gives their callers.
+func (b *bed) streams(n int) []*caller {
+	var l []*caller
+	for i := range n {
+		r, k := request("/stream/1"), &caller{}
+		r.ID = api.RequestID(fmt.Sprintf("r%d", i))
+		b.Group.Go(func(ctx context.Context) error {
+			b.Handle(ctx, r, k)
+			return nil
+		})
+		l = append(l, k)
+	}
+	return l
+}
+
+// Where a server ends, two of its runs go on at the one that holds their copies and has asked for
+// rest.
+func TestFewRunsGoOnAtAServerThatRests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFake()
+		f.backups, f.total = true, 60
+		b := newBed(t, f, 9)
+		l := b.streams(10)
+		time.Sleep(10 * eventGap)
+		f.mutex.Lock()
+		f.signals["e2"] = port.Signals{Answered: true, Resting: true, Rest: time.Minute}
+		f.mutex.Unlock()
+		b.Ask()
+		time.Sleep(eventGap)
+		f.mutex.Lock()
+		before, here := len(f.sends), 0
+		for _, n := range f.sends {
+			if n == "e1" {
+				here++
+			}
+		}
+		f.dead["e1"] = true
+		f.mutex.Unlock()
+		time.Sleep(5 * time.Second)
+		whole := 0
+		for _, k := range l {
+			if k.whole(f.total) {
+				whole++
+			}
+		}
+		if here < 3 {
+			t.Fatalf("runs at the server that ends: got %d, want more than may go on", here)
+		}
+		if got := f.sent() - before; got != 2 {
+			t.Errorf("sends after it ended: got %d, want 2", got)
+		}
+		if want := len(l) - here + 2; whole != want {
+			t.Errorf("whole streams: got %d of %d, want %d", whole, len(l), want)
+		}
+	})
+}
