--- a/internal/gateway/signals_test.go
+++ b/internal/gateway/signals_test.go
@@ -17,6 +17,8 @@
 	for i := range n {
 		r, k := request("/stream/1"), &caller{}
 		r.ID = api.RequestID(fmt.Sprintf("r%d", i))
+		// Short prompts leave memory for a copy of each.
+		r.Prompt.Tokens = 300
 		b.Group.Go(func(ctx context.Context) error {
 			b.Handle(ctx, r, k)
 			return nil
