fix: a run whose copy is at a server that rests is moved when its own server leaves

Cause: a run that another server keeps a copy of is not moved, since it can go on from that; the keeper had asked for rest and turned it away. Evidence: the lines of that run; TestRunIsMovedWhereTheHolderOfItsCopyRests fails before, in both orders of the two words. A copy at a server that takes nothing now is given up once the run's server leaves, or as the keeper asks for rest while it does, and the run is moved as others are; a target that has asked for rest in the meantime is chosen anew.

--- a/internal/gateway/closure.go
+++ b/internal/gateway/closure.go
@@ -91,6 +91,14 @@
 	return g.roster.Closed(s.Domain)
 }
 
+// turnsAway reports whether a server gets no request for now that it could serve: its domain is
+// closed, or it has asked for rest.
+func (g *Gateway) turnsAway(s roster.Server) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.roster.Closed(s.Domain) || g.picker.Rests.Resting(time.Now(), s.Name)
+}
+
 // warmUp is how long the servers of a service are cold after a start.
 func (g *Gateway) warmUp(n api.ServiceName) time.Duration {
 	d := g.directory.Load()
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -129,7 +129,7 @@
 
 // step makes one copy.
 func (m *mover) step(ctx context.Context, a evacuate.Action) evacuate.Result {
-	if (a.Elsewhere || m.gateway.closed(m.target)) && !m.choose(ctx) {
+	if (a.Elsewhere || m.gateway.turnsAway(m.target)) && !m.choose(ctx) {
 		return evacuate.Result{Outcome: evacuate.NoTarget}
 	}
 	if a.Kind == evacuate.Stop && !m.halt() {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -185,7 +185,7 @@
 	g.mutex.Unlock()
 	r.unprotect(g.unusable)
 	if g.leaving(s.Name) {
-		g.move(r)
+		g.takeOff(r)
 	}
 }
 
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -77,7 +77,7 @@
 		case ok && s.State == roster.Ended:
 			g.watchdog.close(r)
 		case !ok || s.State.Going():
-			g.move(r)
+			g.takeOff(r)
 		}
 	}
 }
@@ -114,6 +114,12 @@
 	return !ok || m.State.Going()
 }
 
+// takeOff moves a run off its server. A copy of it is no use while its holder takes nothing.
+func (g *Gateway) takeOff(r *run) {
+	r.unprotect(func(s roster.Server) bool { return !g.takes(s.Name) })
+	g.move(r)
+}
+
 // unusable reports whether a run may not go on at a server that it is not at yet.
 func (g *Gateway) unusable(s roster.Server) bool {
 	m, ok := g.member(s.Name)
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -123,8 +123,13 @@
 func (g *Gateway) noteRest(s roster.Server, d time.Duration) {
 	g.Log.Emit(event.ServerRest, zap.String("server", string(s.Name)), zap.Duration("rest", d))
 	g.mutex.Lock()
-	defer g.mutex.Unlock()
 	g.picker.Rests.Note(time.Now(), s.Name, d)
+	g.mutex.Unlock()
+	for _, r := range g.all() {
+		if g.leaving(r.at().Name) {
+			g.takeOff(r)
+		}
+	}
 }
 
 // resting lists the servers of a service that asked this entry VM for rest, and gives the time
--- a/internal/gateway/signals_test.go
+++ b/internal/gateway/signals_test.go
@@ -69,3 +69,54 @@
 		}
 	})
 }
+
+// rests lets a server ask this entry VM for rest, in the report that it is asked for.
+func (b *bed) rests(n string, d time.Duration) {
+	b.fake.mutex.Lock()
+	b.fake.signals[n] = port.Signals{Answered: true, Resting: true, Rest: d}
+	b.fake.mutex.Unlock()
+	_, _ = b.Backends.Report(context.Background(), server(n, "x", false), false)
+}
+
+// A run whose copy is at a server that rests is moved when its own server leaves: the copy is of no
+// use in that time.
+func TestRunIsMovedWhereTheHolderOfItsCopyRests(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(s *scene, holder string)
+	}{
+		{"rests first", func(s *scene, holder string) {
+			s.rests(holder, time.Minute)
+			s.three(s.server)
+		}},
+		{"rests while the server leaves", func(s *scene, holder string) {
+			s.three(s.server)
+			time.Sleep(eventGap)
+			s.rests(holder, time.Minute)
+		}},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFake()
+				f.backups = true
+				s := play(t, f, 60, 5)
+				s.three("")
+				f.mutex.Lock()
+				holder := f.handles["r"]
+				f.mutex.Unlock()
+				c.do(s, holder)
+				s.whole(t, s.server, "e3")
+			})
+		})
+	}
+}
+
+// three declares three engines, of which one may be leaving.
+func (b *bed) three(leaving string) {
+	m := map[string]bool{"e1": false, "e2": false, "e3": false}
+	if leaving != "" {
+		m[leaving] = true
+	}
+	b.servers(m)
+}
