fix: a run that its target turns away goes back to the server that has stopped it

Cause: the target of a move took the copy, and turned the run away with a rest; that was taken for the end of the run, though its server keeps the memory of what it has stopped. The run goes on at its server, is moved again from there, and leaves the target out while that rests.

--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -65,6 +65,10 @@
 	closed   int
 	total    int
 	leaves   map[string]bool
+	// stops names the servers that stopped runs, by handle: they keep the memory too.
+	stops map[string]string
+	// turnsAway servers turn each request away and ask for rest.
+	turnsAway map[string]bool
 	// signals are what servers say of themselves in their reports.
 	signals map[string]port.Signals
 	// born is when the life that answers at a server began.
@@ -93,7 +97,7 @@
 func newFake() *fake {
 	return &fake{
 		answers: map[string][]any{}, runs: map[string]*fakeRun{}, dead: map[string]bool{},
-		full: map[string]bool{}, handles: map[string]string{}, leaves: map[string]bool{}, signals: map[string]port.Signals{}, born: map[string]api.Birth{}, dark: map[string]bool{}, mute: map[string]bool{}, gap: eventGap, total: 20, log: event.Discard(),
+		full: map[string]bool{}, handles: map[string]string{}, leaves: map[string]bool{}, signals: map[string]port.Signals{}, stops: map[string]string{}, turnsAway: map[string]bool{}, born: map[string]api.Birth{}, dark: map[string]bool{}, mute: map[string]bool{}, gap: eventGap, total: 20, log: event.Discard(),
 	}
 }
 
@@ -120,6 +124,9 @@
 	if f.dead[n] {
 		return port.Answer{}, fault.New(fault.NotStarted, "dead")
 	}
+	if f.turnsAway[n] {
+		return port.Answer{Signals: port.Signals{Answered: true, Resting: true, Rest: time.Minute}}, fault.New(fault.ServerRefused, "shed")
+	}
 	return f.open(ctx, a)
 }
 
@@ -136,7 +143,7 @@
 	r := f.runs[id]
 	after := 0
 	if x := a.Resume; x != nil {
-		if f.handles[x.Handle] != n {
+		if f.handles[x.Handle] != n && f.stops[x.Handle] != n {
 			return port.Answer{}, fault.New(fault.ServerRefused, "no such copy")
 		}
 		after, _ = strconv.Atoi(x.After)
@@ -246,7 +253,10 @@
 	f.copies++
 	h := "h-" + string(o.Target.Name)
 	f.handles[h] = string(o.Target.Name)
-	r.stopped = r.stopped || o.Stop
+	if o.Stop {
+		r.stopped = true
+		f.stops[h] = string(o.Source.Name)
+	}
 	return port.Copy{Handle: h}, nil
 }
 
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -60,12 +60,13 @@
 		g.lost(r, from, fault.New(fault.NoServer, "operators have closed the failure domain of the only copy"))
 		return nil, false
 	}
-	if !g.spares(c.at) {
-		g.drop(c)
-		g.lost(r, from, fault.New(fault.NoServer, "the server that holds the only copy has asked for rest"))
-		return nil, false
-	}
 	s, err := g.resume(ctx, r, c)
+	if stopped && !c.kept && c.at.Name != from.Name && fault.Has(err, fault.ServerRefused) {
+		// The server that stopped the run keeps its memory until another one goes on with it.
+		c.reservation.end()
+		c = &held{at: from, resume: c.resume}
+		s, err = g.resume(ctx, r, c)
+	}
 	if err != nil {
 		c.reservation.end()
 		g.lost(r, from, err)
@@ -78,6 +79,9 @@
 
 // resume asks the holder of a copy to go on.
 func (g *Gateway) resume(ctx context.Context, r *run, c *held) (port.Stream, error) {
+	if !g.spares(c.at) {
+		return nil, fault.New(fault.ServerRefused, "the server that holds the copy has asked for rest")
+	}
 	q := r.request
 	x := c.resume
 	x.After, _ = r.progress()
--- a/internal/gateway/signals_test.go
+++ b/internal/gateway/signals_test.go
@@ -120,3 +120,29 @@
 	}
 	b.servers(m)
 }
+
+// A run that its target turns away goes back to the server that has stopped it, and is moved to
+// another one.
+func TestRunThatItsTargetTurnsAwayGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := play(t, newFake(), 60, 5)
+		target := other(s.server)
+		s.set(func(f *fake) { f.turnsAway[target] = true })
+		s.servers(map[string]bool{s.server: true, target: false})
+		for s.fake.sent() < 3 && !s.over() {
+			time.Sleep(eventGap)
+		}
+		s.three(s.server)
+		s.whole(t, s.server, target, s.server, "e3")
+	})
+}
+
+// over reports whether the stream has ended.
+func (s *scene) over() bool {
+	select {
+	case <-s.done:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/standin/hosted/generation.go
+++ b/internal/standin/hosted/generation.go
@@ -185,7 +185,12 @@
 		return "", NoWay
 	}
 	h := "c-" + string(id)
-	t.hold(h, g.memory(stop))
+	m := g.memory(stop)
+	t.hold(h, m)
+	if stop {
+		// The run may go on here as well, until it does so elsewhere.
+		s.hold(h, m)
+	}
 	return h, Done
 }
 
