test: a fleet's cold servers get what they bear

Whole entry VMs, 6 and 24, over the platform's wire; a server turns cold in the middle of a load. With the service's rate left out the two cases of plain servers fail (15 and 16 in a second, 11 allowed); those of engines pass without it as well, since the price of a cold engine alone keeps them below. No fault was found.

--- /dev/null
+++ b/fleet/cold_test.go
@@ -0,0 +1,96 @@
+package fleet
+
+import (
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+)
+
+const (
+	// coldRate is what cold servers bear, in requests a second, and coldTime for how long.
+	coldRate = 4.0
+	coldTime = 4 * time.Second
+	// coldFactor and coldSlack are what is allowed beyond the rate in any second.
+	coldFactor = 1.5
+	coldSlack  = 5
+)
+
+// within gives the most requests that a server got in a span, from a time on.
+func (b *signalBed) within(n api.ServerName, from, until time.Time, span time.Duration) int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	var l []time.Time
+	for _, a := range b.arrivals[n] {
+		if !a.at.Before(from) && a.at.Before(until) {
+			l = append(l, a.at)
+		}
+	}
+	slices.SortFunc(l, time.Time.Compare)
+	return mostIn(l, span)
+}
+
+// mostIn is the most of some times in order within a span.
+func mostIn(l []time.Time, span time.Duration) int {
+	most := 0
+	for i, t := range l {
+		k := i
+		for k < len(l) && l[k].Sub(t) < span {
+			k++
+		}
+		most = max(most, k-i)
+	}
+	return most
+}
+
+// Servers that turn cold in the middle of a load get no more than they bear cold, over all entry
+// VMs, and nobody is refused for it.
+func TestColdServersOfAFleetGetWhatTheyBear(t *testing.T) {
+	tests := []struct {
+		name           string
+		vms            int
+		plain, engines int
+		load           float64
+		path           string
+	}{
+		{"a plain server of three", 6, 3, 0, 60, "/safe/"},
+		{"a plain server of three, many entry VMs", 24, 3, 0, 60, "/unsafe/"},
+		{"an engine of six", 6, 0, 6, 90, "/stream/"},
+		{"an engine of six, many entry VMs", 24, 0, 6, 90, "/stream/"},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newSignalBed(t, c.vms, c.plain, c.engines)
+				x, err := b.pool.config.List(t.Context())
+				if err != nil {
+					t.Fatal(err)
+				}
+				d := x.Items[0].Value
+				d.Version++
+				d.Services = slices.Clone(d.Services)
+				for i := range d.Services {
+					d.Services[i].ColdRate = coldRate
+				}
+				b.pool.config.put("main", d)
+				b.load(c.vms, c.load, 2*time.Second, c.path)
+				s := b.servers[0]
+				e := s.Server
+				e.Cold = coldTime
+				b.pool.entries.put(string(s.ID), e)
+				// What was on its way when it wrote its entry is not counted.
+				from := time.Now().Add(time.Second)
+				until := time.Now().Add(coldTime)
+				o := b.load(c.vms, c.load, coldTime, c.path)
+				if got, allowed := b.within(s.Name, from, until, time.Second), int(coldFactor*coldRate)+coldSlack; got > allowed {
+					t.Errorf("requests in a second: got %d, want at most %d", got, allowed)
+				}
+				if o.refused+o.failed > 0 {
+					t.Errorf("beside warm servers: got %d refused and %d failed, want none", o.refused, o.failed)
+				}
+			})
+		})
+	}
+}
--- a/fleet/signals_test.go
+++ b/fleet/signals_test.go
@@ -176,15 +176,7 @@
 		}
 	}
 	slices.SortFunc(l, time.Time.Compare)
-	most := 0
-	for i, t := range l {
-		k := i
-		for k < len(l) && l[k].Sub(t) < limitSpan {
-			k++
-		}
-		most = max(most, k-i)
-	}
-	return most
+	return mostIn(l, limitSpan)
 }
 
 // name lets the servers from one on to another one name a limit, or none.
