fix: a run whose target is closed at the last step goes back to its server

Cause: operators closed the domain of their target in the 30 ms between the last copy and going on, which was taken for the end of the run. Evidence: the runs' lines; TestRunWhoseTargetIsClosedGoesBack fails before. It goes back as a run does that its target turns away, and the target's copy is freed.

--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -245,7 +245,7 @@
 	switch {
 	case f.dead[string(o.Source.Name)]:
 		return port.Copy{}, fault.New(fault.OutcomeUnknown, "dead")
-	case r == nil || r.server != string(o.Source.Name):
+	case r == nil || r.server != string(o.Source.Name) || r.stopped:
 		return port.Copy{}, fault.New(fault.NotFound, "no such run")
 	case f.full[string(o.Target.Name)]:
 		return port.Copy{}, fault.New(fault.ServerRefused, "no room")
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -55,17 +55,13 @@
 		g.lost(r, from, broke)
 		return nil, false
 	}
-	if g.closed(c.at) {
-		g.drop(c)
-		g.lost(r, from, fault.New(fault.NoServer, "operators have closed the failure domain of the only copy"))
-		return nil, false
-	}
 	s, err := g.resume(ctx, r, c)
 	if stopped && !c.kept && c.at.Name != from.Name && fault.Has(err, fault.ServerRefused) {
 		// The server that stopped the run keeps its memory until another one goes on with it.
-		c.reservation.end()
+		unused := c
 		c = &held{at: from, resume: c.resume}
 		s, err = g.resume(ctx, r, c)
+		g.drop(unused)
 	}
 	if err != nil {
 		c.reservation.end()
@@ -79,6 +75,9 @@
 
 // resume asks the holder of a copy to go on.
 func (g *Gateway) resume(ctx context.Context, r *run, c *held) (port.Stream, error) {
+	if g.closed(c.at) {
+		return nil, fault.New(fault.ServerRefused, "operators have closed the failure domain of the copy")
+	}
 	if !g.spares(c.at) {
 		return nil, fault.New(fault.ServerRefused, "the server that holds the copy has asked for rest")
 	}
--- a/internal/gateway/signals_test.go
+++ b/internal/gateway/signals_test.go
@@ -137,6 +137,25 @@
 	})
 }
 
+// A run whose target's domain operators close at its last step goes back as well.
+func TestRunWhoseTargetIsClosedGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := play(t, newFake(), 60, 5)
+		target := other(s.server)
+		s.halls(map[string]api.DomainName{s.server: "x", target: "y"}, s.server)
+		s.awaitStop()
+		s.shut("y")
+		s.whole(t, s.server, s.server)
+	})
+}
+
+// awaitStop waits until the stream's run was stopped, and its move has ended.
+func (s *scene) awaitStop() {
+	for stopped := false; !stopped; time.Sleep(5 * time.Millisecond) {
+		s.set(func(f *fake) { stopped = len(f.stops) > 0 })
+	}
+}
+
 // over reports whether the stream has ended.
 func (s *scene) over() bool {
 	select {
