fix: a run that was stopped and copied is not moved again

Cause: what is told of any server may begin moves; one began for a run that was stopped, between the end of its move and going on from the copy, found no such run, and held the stream up for as long as a move may take. The window was there before; rests open it more often. Evidence: the run's lines; TestStoppedRunIsNotMovedAgain fails before (2.9 s in place of 1.4).

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -40,6 +40,10 @@
 	if r.over || r.backup != nil || r.mover != nil && r.mover.source.Name == r.server.Name {
 		return
 	}
+	if r.stopped && r.copied != nil {
+		// It is about to go on from its copy.
+		return
+	}
 	g.begin(r, evacuate.New(time.Now()))
 }
 
--- a/internal/gateway/signals_test.go
+++ b/internal/gateway/signals_test.go
@@ -137,6 +137,22 @@
 	})
 }
 
+// A run that was stopped and copied, while another of its server's runs met a server that rests, goes
+// on at once.
+func TestStoppedRunIsNotMovedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := play(t, newFake(), 60, 5)
+		s.three(s.server)
+		s.awaitStop()
+		began := time.Now()
+		s.rests("e9", time.Minute)
+		<-s.done
+		if got, want := time.Since(began), 60*eventGap; got > want || !s.caller.whole(s.fake.total) {
+			t.Errorf("got the stream whole: %v, after %v, want it within %v", s.caller.whole(s.fake.total), got, want)
+		}
+	})
+}
+
 // A run whose target's domain operators close at its last step goes back as well.
 func TestRunWhoseTargetIsClosedGoesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
