--- a/internal/gateway/signals_test.go
+++ b/internal/gateway/signals_test.go
@@ -165,6 +165,21 @@
 	})
 }
 
+// A run whose server and target operators close at its last step goes on all the same: its memory is
+// nowhere else.
+func TestRunWhoseServerAndTargetAreClosedGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := play(t, newFake(), 60, 5)
+		s.servers(map[string]bool{s.server: true, other(s.server): false})
+		s.awaitStop()
+		s.shut("x")
+		<-s.done
+		if !s.caller.whole(s.fake.total) {
+			t.Errorf("events: got %d of %d, want the whole stream", s.count(), s.fake.total)
+		}
+	})
+}
+
 // awaitStop waits until the stream's run was stopped, and its move has ended.
 func (s *scene) awaitStop() {
 	for stopped := false; !stopped; time.Sleep(5 * time.Millisecond) {
