fix: a run that was stopped when operators closed its domain goes on at its target

Cause: going on from a copy counts as a new request, which a closed domain gets none of; for a run that was stopped just before, its memory is there and at its server alone, and both were in that domain. Evidence: TestRunWhoseServerAndTargetAreClosedGoesOn failed before. Such a run goes back where that is open, and else goes on at its target within half a second of its stop. Operators allow 5 s from the closure on, and entry VMs in touch know of it after one or two, so that the bound is kept; copies that were made before, and runs that were not stopped, are refused there as before (TestCopyInAClosedDomainIsGivenUp).

--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -163,7 +163,7 @@
 	if m.run.server.Name != m.source.Name {
 		return false
 	}
-	m.run.stopped = true
+	m.run.stopped, m.run.halted = true, time.Now()
 	return true
 }
 
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -57,11 +57,7 @@
 	}
 	s, err := g.resume(ctx, r, c)
 	if stopped && !c.kept && c.at.Name != from.Name && fault.Has(err, fault.ServerRefused) {
-		// The server that stopped the run keeps its memory until another one goes on with it.
-		unused := c
-		c = &held{at: from, resume: c.resume}
-		s, err = g.resume(ctx, r, c)
-		g.drop(unused)
+		s, c, err = g.goBack(ctx, r, from, c, err)
 	}
 	if err != nil {
 		c.reservation.end()
@@ -73,11 +69,38 @@
 	return s, true
 }
 
-// resume asks the holder of a copy to go on.
+// finishTime is how long after it was stopped a run may go on at a target whose domain operators
+// have closed in the meantime, where it can't go back: far less than they allow for what was on
+// its way.
+const finishTime = 500 * time.Millisecond
+
+// goBack takes a run that its target did not take to the server that has stopped it, which keeps
+// its memory until another one goes on with it.
+func (g *Gateway) goBack(ctx context.Context, r *run, from roster.Server, c *held, refused error) (port.Stream, *held, error) {
+	back := &held{at: from, resume: c.resume}
+	s, err := g.resume(ctx, r, back)
+	switch {
+	case err == nil:
+		g.drop(c)
+		return s, back, nil
+	case g.closed(c.at) && r.haltedWithin(finishTime):
+		s, err = g.takeUp(ctx, r, c)
+		return s, c, err
+	default:
+		return nil, c, refused
+	}
+}
+
+// resume asks the holder of a copy to go on, unless operators have closed its domain.
 func (g *Gateway) resume(ctx context.Context, r *run, c *held) (port.Stream, error) {
 	if g.closed(c.at) {
 		return nil, fault.New(fault.ServerRefused, "operators have closed the failure domain of the copy")
 	}
+	return g.takeUp(ctx, r, c)
+}
+
+// takeUp asks the holder of a copy to go on.
+func (g *Gateway) takeUp(ctx context.Context, r *run, c *held) (port.Stream, error) {
 	if !g.spares(c.at) {
 		return nil, fault.New(fault.ServerRefused, "the server that holds the copy has asked for rest")
 	}
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -48,8 +48,9 @@
 	// end.
 	mover *mover
 	moved <-chan struct{}
-	// stopped is set once the source was told to stop the run.
+	// stopped is set once the source was told to stop the run, halted when.
 	stopped bool
+	halted  time.Time
 	// copied is the newest copy of the run's memory, nil for none.
 	copied *held
 	// backup keeps a copy of the run at its present server, nil for none.
@@ -65,6 +66,13 @@
 	return r.server
 }
 
+// haltedWithin reports whether the run was told to stop no longer ago than a time.
+func (r *run) haltedWithin(d time.Duration) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.stopped && time.Since(r.halted) < d
+}
+
 // young reports whether the run is in its beginning at its present server.
 func (r *run) young(now time.Time) bool {
 	r.mutex.Lock()
