docs: comments on tests are a line at most

Many regression tests carried the story of their failure above them: order of events, cause, what had been sent.

Comments only: no statement, bound or test is changed.

--- a/contract/platform_test.go
+++ b/contract/platform_test.go
@@ -171,8 +171,7 @@
 	}
 }
 
-// A platform that comes back from a copy gives no version out again: what was written since is
-// gone, conditions on it fail, and watches from before begin again.
+// A platform that comes back from a copy gives no version out again.
 func TestPlatformComesBackFromACopy(t *testing.T) {
 	p := platform.New(platform.NewStore(), platform.Options{WritesPerSecond: 100, ReadsPerSecond: 100})
 	address := serve(t, p.Handler())
--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -14,8 +14,7 @@
 // one with planned work alone, and one whose store comes back from a copy.
 var soakSeeds = []uint64{2, 9, 7004}
 
-// The real programs under a seed's faults keep every property that can be checked
-// without a clock; `wardctl dev soak` checks the others as well.
+// The real programs under a seed's faults keep every property that can be checked without a clock.
 func TestShortSoak(t *testing.T) {
 	for _, seed := range soakSeeds {
 		o := soak.Options{Program: filepath.Join(bin, "wardridge"), Wire: standin.Wire{}, Dir: t.TempDir(), Log: event.Discard()}
--- a/fleet/cold_test.go
+++ b/fleet/cold_test.go
@@ -45,8 +45,6 @@
 	return most
 }
 
-// Servers that turn cold in the middle of a load get no more than they bear cold, over all entry
-// VMs, and nobody is refused for it.
 func TestColdServersOfAFleetGetWhatTheyBear(t *testing.T) {
 	tests := []struct {
 		name           string
--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -89,9 +89,6 @@
 	})
 }
 
-// An entry VM that no other one reaches, but the platform does, refuses what the others
-// have found, as do all of them after a restart of the whole fleet, until operators
-// release it.
 func TestCrashingRequestIsRememberedByThePlatform(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const n = 6
@@ -167,8 +164,7 @@
 	})
 }
 
-// Servers that crash for other reasons, two at a time, take requests along; none of their
-// contents is refused, neither where a caller asks again nor where many ask for the same.
+// Servers that crash for other reasons, two at a time, take requests along.
 func TestWaveOfCrashesRefusesNobody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		// Of the calls that are not repeated each entry VM has two at a time, which may both
@@ -203,8 +199,7 @@
 	})
 }
 
-// Servers that cut requests off and live on end nobody's requests for good: callers who ask
-// for the same up to five times are not refused, whichever servers cut them off.
+// Servers that cut requests off and live on end nobody's requests for good.
 func TestServersThatResetRefuseNobody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const n, callers, tries = 6, 40, 5
@@ -304,8 +299,6 @@
 	_ = s.Close()
 }
 
-// The same on the own interface, where a completion without a token is begun again on
-// another engine by the entry VM itself.
 func TestCrashingCompletionIsStopped(t *testing.T) {
 	fleet(t, 3, func(t *testing.T, b *bed) {
 		var l []*fragile
--- a/fleet/own_restored_mix_test.go
+++ b/fleet/own_restored_mix_test.go
@@ -103,9 +103,6 @@
 	}
 }
 
-// Whatever restores, cuts and changes come in a row, no order is confirmed twice, the orders
-// to engines have one holder, and all entry VMs have the last change in force once it is
-// calm.
 func TestOwnRestoresAmongOtherFaults(t *testing.T) {
 	for seed := range *restoreSeeds / 2 {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
--- a/fleet/own_restored_test.go
+++ b/fleet/own_restored_test.go
@@ -46,9 +46,7 @@
 	return has
 }
 
-// Operators changed a model, and the platform came back from a copy with the one before: each
-// entry VM that listed it took the change back, though it had been in force everywhere. It
-// stays in force, also at an entry VM that starts then, until operators write again.
+// A model's change that the platform's copy lost must stay in force.
 func TestDeclaredResourcesOutlastTheStore(t *testing.T) {
 	fleet(t, 6, func(t *testing.T, b *bed) {
 		c := b.store.Copy()
@@ -73,8 +71,6 @@
 	})
 }
 
-// What entry VMs say of backend servers went back with the platform, and nobody wrote it again
-// until something changed: operators saw engines that served as out of reach.
 func TestStatusOutlastsTheStore(t *testing.T) {
 	fleet(t, 3, func(t *testing.T, b *bed) {
 		status := func() string {
@@ -119,10 +115,7 @@
 	return a.StatusCode
 }
 
-// A caller asked once more, at another entry VM, for an order that had been confirmed, with its
-// key: the platform had come back from a copy without the claim, and the order went out twice.
-// It is answered again from the claim, which its owner writes again, or refused as long
-// as that may not have been done; a first request under a key is served after that time.
+// A confirmed order asked for again with its key must not be sent twice.
 func TestClaimsOutlastTheStore(t *testing.T) {
 	for _, lost := range []bool{false, true} {
 		t.Run(fmt.Sprintf("answer lost %v", lost), func(t *testing.T) {
--- a/fleet/own_signals_test.go
+++ b/fleet/own_signals_test.go
@@ -79,8 +79,6 @@
 	}
 }
 
-// The server of a plain service that names a limit gets no more calls than that, over all
-// entry VMs, and what it can't take is refused as not run.
 func TestPlainServiceGetsNoMoreThanItNamed(t *testing.T) {
 	const perSecond, seconds = 4.0, 20
 	fleet(t, 6, func(t *testing.T, b *bed) {
@@ -106,8 +104,6 @@
 	})
 }
 
-// A server of a plain service that says in its answers that it leaves gets no more calls, of
-// entry VMs that had the answer and soon of all; calls are refused where there is no other.
 func TestPlainServiceThatLeavesGetsNoMoreCalls(t *testing.T) {
 	fleet(t, 6, func(t *testing.T, b *bed) {
 		b.work()
@@ -125,8 +121,6 @@
 	})
 }
 
-// A server of a plain service that asks an entry VM for rest gets nothing of it for so long, and
-// calls are refused at once where there is no other.
 func TestPlainServiceThatAskedForRestIsLeftAlone(t *testing.T) {
 	fleet(t, 6, func(t *testing.T, b *bed) {
 		b.work()
--- a/fleet/restored_mix_test.go
+++ b/fleet/restored_mix_test.go
@@ -265,9 +265,6 @@
 	}
 }
 
-// Whatever restores, cuts, restarts and changes come in a row, no entry VM goes back in the
-// configuration, and all have what was written last once it is calm; servers that left get
-// nothing.
 func TestRestoresAmongOtherFaults(t *testing.T) {
 	for seed := range *restoreSeeds {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
--- a/fleet/restored_test.go
+++ b/fleet/restored_test.go
@@ -192,9 +192,6 @@
 // call, a list, and the exchange with peers.
 const restoredSlow = 3 * time.Second
 
-// What operators write after the platform came back from a copy is in force in time,
-// though the platform's versions are below those known, and what was in force stays so
-// until then.
 func TestChangesAfterTheStoreCameBackFromACopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const n = 6
@@ -217,8 +214,6 @@
 	})
 }
 
-// The platform has given out the versions that entry VMs hold, and later ones, before any
-// of them asks again, and no call of theirs fails: what happened below them is not missed.
 func TestStoreBackFromACopyBeyondKnownVersions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const n = 6
@@ -258,10 +253,6 @@
 	b.store.Drop(e)
 }
 
-// An entry VM that starts after the platform came back from a copy finds an older
-// configuration there than the others have in force: callers met routes and keys at it that
-// operators had replaced, for as long as they did not write again. It takes what is in force
-// from its peers.
 func TestVMStartedAfterTheStoreCameBackFromACopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const n = 6
@@ -284,10 +275,6 @@
 	})
 }
 
-// Server 1 said that it was leaving, and server 2 left, when the platform came back from a copy
-// in which both were ready: entry VMs sent them requests again, of which those to the one
-// that had left were lost or late. What is known of a server that leaves outlasts the
-// platform's memory, also at an entry VM that starts then.
 func TestServersThatLeftBeforeTheStoreCameBackFromACopy(t *testing.T) {
 	for _, w := range []struct {
 		name string
@@ -332,10 +319,7 @@
 	}
 }
 
-// Operators closed a failure domain, and the platform came back from a copy in which it was
-// open: its servers, which were being emptied, got requests again. It stays closed, also
-// at an entry VM that starts then, until operators have written it again or had the time to,
-// and what they write then holds.
+// A failure domain's closure that the platform's copy lost must stay in force.
 func TestClosedDomainBeforeTheStoreCameBackFromACopy(t *testing.T) {
 	for _, w := range []struct {
 		name string
@@ -416,10 +400,6 @@
 	return quarantine.Hash("", r.Method, r.Host, r.Target, r.Body)
 }
 
-// The platform came back from a copy without a content that ends servers, and entry VMs took it
-// for released: it was sent to servers again, and would end them one after the other. One
-// that operators had released came back with the copy, and was refused again. Both are as
-// entry VMs know them, and the platform's objects are put right by the one that follows it.
 func TestRefusedContentsOutlastTheStore(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const n = 6
@@ -475,9 +455,7 @@
 	})
 }
 
-// The return of the store from a copy costs no burst of calls: those that follow it list once
-// more, and the others hear from them. Its rates are shared by all, with what has to be
-// written again.
+// The return of the store from a copy costs no burst of calls.
 func TestCallsAfterTheStoreCameBackFromACopy(t *testing.T) {
 	for _, noticed := range []bool{false, true} {
 		t.Run(fmt.Sprintf("noticed %v", noticed), func(t *testing.T) {
--- a/fleet/signals_test.go
+++ b/fleet/signals_test.go
@@ -229,8 +229,6 @@
 	}
 }
 
-// What servers at their limits can't take is refused at once, and all that they take is used,
-// wherever callers are.
 func TestCallersOfServersAtTheirLimits(t *testing.T) {
 	tests := []struct {
 		name string
@@ -283,8 +281,6 @@
 	})
 }
 
-// Limits hold while entry VMs end and start, those among them that pace the servers, and one
-// is cut off from all others.
 func TestLimitsHoldWhileEntryVMsComeAndGo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const n = 6
@@ -333,8 +329,7 @@
 	return sent
 }
 
-// A server says in its answers that it leaves, while its entry still says that it is ready: as
-// where the platform's store is away, and can't take the entry.
+// A server says in its answers that it leaves, while its entry still says that it is ready.
 func TestServerThatSaysItLeavesGetsNoMoreRequests(t *testing.T) {
 	for _, path := range []string{"/safe/", "/unsafe/", "/stream/"} {
 		t.Run(path, func(t *testing.T) {
--- a/fleet/work_test.go
+++ b/fleet/work_test.go
@@ -65,8 +65,7 @@
 	return r
 }
 
-// A third of the entry VMs is cut off from engines, peers and the platform, and
-// from their callers: only what ran through them is lost.
+// A third of the entry VMs is cut off from engines, peers and the platform, and from their callers.
 func TestWorkLostWithAFailureDomain(t *testing.T) {
 	fleet(t, 6, func(t *testing.T, b *bed) {
 		b.work()
--- a/internal/decide/claim/claim_test.go
+++ b/internal/decide/claim/claim_test.go
@@ -103,9 +103,6 @@
 	version api.Version
 }
 
-// Callers ask with one key through several entry VMs whose steps interleave,
-// with lost answers, late writes, refusals and restarts: the request is sent
-// at most once.
 func TestSentAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		vms := []*vm{{"a", claim.NewAttempts(1)}, {"b", claim.NewAttempts(1)}, {"c", claim.NewAttempts(1)}}
--- a/internal/decide/claim/era_test.go
+++ b/internal/decide/claim/era_test.go
@@ -73,8 +73,7 @@
 	}
 }
 
-// What was sent is not given up for others once its outcome is recorded: a copy may have the
-// claim without it.
+// What was sent is not given up for others once its outcome is recorded.
 func TestRecordedAttemptsAreRemembered(t *testing.T) {
 	a := claim.NewAttempts(1)
 	s := api.ClaimSpec{Request: "r", Incarnation: 1, State: api.ClaimStateClaimed}
--- a/internal/decide/config/config_test.go
+++ b/internal/decide/config/config_test.go
@@ -77,8 +77,6 @@
 	}
 }
 
-// Watches and lists in any order, old ones and doubled ones among them, never
-// take the store back, and the newest list always wins.
 func TestVersionNeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := config.New()
--- a/internal/decide/config/kept_test.go
+++ b/internal/decide/config/kept_test.go
@@ -87,8 +87,6 @@
 	}
 }
 
-// An entry VM that knows the copy alone takes what peers keep, but not what was written or
-// removed since.
 func TestKeptObjectsArePassedOn(t *testing.T) {
 	v := api.NewVersion
 	a := config.New()
--- a/internal/decide/gossip/gossip_test.go
+++ b/internal/decide/gossip/gossip_test.go
@@ -192,8 +192,6 @@
 	}
 }
 
-// When the hub that follows the platform dies, the next hub takes over, and no
-// other member has to ask the platform meanwhile.
 func TestNextHubTakesOverForAll(t *testing.T) {
 	f := newFleet(3, 10, 2)
 	f.run(0, 6000)
@@ -240,8 +238,7 @@
 	}
 }
 
-// A hub answers all members of its domain: narrow VMs are hubs only where there
-// are no others.
+// A hub answers all members of its domain: narrow VMs are hubs only where there are no others.
 func TestStrongestAreHubs(t *testing.T) {
 	f := newFleet(2, 6, 2)
 	for d := range 2 {
@@ -295,8 +292,7 @@
 	}
 }
 
-// All VMs start at the same moment: each knowing all others in the first
-// second must not make each ask all others.
+// VMs that all start at the same moment must not cause a burst of exchanges.
 func TestStartIsNoStorm(t *testing.T) {
 	f := newFleet(4, 15, 3)
 	first := f.exchanges(0, 1000)
@@ -345,8 +341,6 @@
 	}
 }
 
-// A small fleet exchanges with its hub at each round, and a larger one at each
-// second round, which its hubs can answer.
 func TestLargeFleetsExchangeLessOften(t *testing.T) {
 	tests := []struct {
 		name    string
@@ -382,8 +376,7 @@
 	}
 }
 
-// The hubs of a failure domain allocate its engines, the strongest first; those of
-// other domains are known from whoever heard them lately.
+// The hubs of a failure domain allocate its engines, the strongest first.
 func TestAllocators(t *testing.T) {
 	p := gossip.New(at(0), gossip.Member{Address: "b:1", Domain: "x", Capacity: 5}, nil, 2)
 	p.Heard(at(0), gossip.Word{Member: gossip.Member{Address: "a:1", Domain: "x", Capacity: 9, Hub: true}, Others: []gossip.Member{
@@ -413,8 +406,7 @@
 	}
 }
 
-// A platform that turns the first leader away is followed by the next one at once,
-// and by no others; all stay informed.
+// A platform that turns the first leader away is followed by the next one at once, and by no others.
 func TestNextLeaderFollowsWhereThePlatformTurnsTheFirstAway(t *testing.T) {
 	f := newFleet(4, 8, 2)
 	f.run(0, 6000)
@@ -437,8 +429,6 @@
 	}
 }
 
-// When the first two leaders fall silent together, the others follow the platform
-// within a second and a half.
 func TestOthersFollowWhereTheFirstTwoLeadersFallSilent(t *testing.T) {
 	f := newFleet(4, 8, 2)
 	f.run(0, 6000)
@@ -461,8 +451,6 @@
 	}
 }
 
-// Whom a change is passed on to: a hub tells its members, the one that the platform
-// answers also all other hubs, and a member nobody that has word.
 func TestBlindFollowsTheHubs(t *testing.T) {
 	word := func(a string, d api.DomainName, hub bool) gossip.Word {
 		return gossip.Word{Member: gossip.Member{Address: a, Domain: d, Hub: hub, Capacity: 5}, Informed: true}
@@ -488,8 +476,7 @@
 	}
 }
 
-// A member whose exchanges keep step with a hub's rounds is passed the members as
-// often as any other.
+// A member whose exchanges keep step with a hub's rounds is passed the members as often as any other.
 func TestMembersArePassedOnToEachPeer(t *testing.T) {
 	p := gossip.New(at(0), gossip.Member{Address: "h:1", Domain: "x"}, nil, 1)
 	for _, start := range []int{0, 240, 480, 720} {
--- a/internal/decide/lease/lease_test.go
+++ b/internal/decide/lease/lease_test.go
@@ -118,8 +118,7 @@
 	held(t, b, now, true)
 }
 
-// Two candidates with lost and late answers, pauses and restarts never hold at
-// the same time.
+// Two candidates with lost and late answers, pauses and restarts never hold at the same time.
 func TestNeverTwoHolders(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := &store{}
--- a/internal/decide/quarantine/declare_test.go
+++ b/internal/decide/quarantine/declare_test.go
@@ -18,8 +18,7 @@
 	return e
 }
 
-// What a copy lacks is refused still, and what it has though it was released is not; who
-// follows the platform puts it right there, once.
+// What a copy lacks is refused still, and what it has though it was released is not.
 func TestContentsOfACopy(t *testing.T) {
 	tests := []struct {
 		name string
--- a/internal/decide/quarantine/table_test.go
+++ b/internal/decide/quarantine/table_test.go
@@ -155,8 +155,7 @@
 	}
 }
 
-// Requests that were given up under load are not reported until their server is known to have
-// ended.
+// Requests that were given up under load are not reported until their server is known to have ended.
 func TestSilentServersAreNotReported(t *testing.T) {
 	q := quarantine.New()
 	q.Broke(at(0), "c", "a", quarantine.Silent)
@@ -169,8 +168,6 @@
 	}
 }
 
-// Who has had an answer reports it on hearing of a break, so that those who lost all their
-// requests of a content do not refuse it.
 func TestAnswersAreReportedOnHearingOfABreak(t *testing.T) {
 	a, b := quarantine.New(), quarantine.New()
 	b.Answered(at(0), "c")
@@ -260,8 +257,6 @@
 	})
 }
 
-// Servers are probed only where a second break makes the content suspect, by who saw
-// one of them, and not for ever.
 func TestServersAreProbed(t *testing.T) {
 	q := quarantine.New()
 	q.Broke(at(0), "c", "a", quarantine.Closed)
--- a/internal/decide/replica/replica_test.go
+++ b/internal/decide/replica/replica_test.go
@@ -57,8 +57,6 @@
 	}
 }
 
-// Lists and changes in any order, old and doubled ones among them, never take
-// the store or an object that stays back.
 func TestNeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := replica.New[string]()
@@ -83,8 +81,6 @@
 	})
 }
 
-// Two stores that pass deltas on know the same, whatever one learned of lists
-// and changes, and however many of them the other has missed.
 func TestDeltasPassEverythingOn(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		a, b := replica.New[string](), replica.New[string]()
@@ -125,8 +121,7 @@
 	}
 }
 
-// The answer to a watch that was sent before a peer told more must not bring
-// back what is gone.
+// The answer to a watch that was sent before a peer told more must not bring back what is gone.
 func TestLateWatchBringsNothingBack(t *testing.T) {
 	s := replica.New[string]()
 	s.Replace(replica.Snapshot[string]{At: 10, Items: []replica.Object[string]{object("a", 9, "x")}})
@@ -152,9 +147,6 @@
 	}
 }
 
-// What was removed and made again within one batch is there for a peer that catches up, and
-// what was removed for good is not: a failure domain that operators opened and closed
-// again at once stayed open for the peers of the entry VM that had followed it.
 func TestMadeAgainWithinOneBatch(t *testing.T) {
 	object := func(v api.Version) replica.Object[int] {
 		return replica.Object[int]{Name: "a", Version: v, Value: int(v)}
@@ -174,8 +166,7 @@
 	}
 }
 
-// A snapshot of a later era replaces what an earlier one had, whatever the platform's own
-// numbers; nothing of the earlier era is taken after it, nor changes without a snapshot.
+// A snapshot of a later era replaces what an earlier one had, whatever the platform's own numbers.
 func TestLaterEraReplacesEarlierOne(t *testing.T) {
 	v := api.NewVersion
 	one := func(at, version api.Version, x string) replica.Snapshot[string] {
--- a/internal/decide/roster/era_test.go
+++ b/internal/decide/roster/era_test.go
@@ -99,8 +99,7 @@
 	}
 }
 
-// A closure that a copy of the store has lost holds until it is written again, or for its
-// time; what operators write in the later era holds at once.
+// A closure that a copy of the store has lost holds until it is written again, or for its time.
 func TestClosuresOfACopy(t *testing.T) {
 	x := []roster.Closure{{Domain: "x"}}
 	tests := []struct {
@@ -146,8 +145,6 @@
 	}
 }
 
-// An entry VM that knows the copy alone learns from peers what stays closed, for as long as
-// they keep it.
 func TestKeptClosuresArePassedOn(t *testing.T) {
 	a, b := settled(), settled()
 	a.Close(at(0), 1, []roster.Closure{{Domain: "x"}}, warmup)
--- a/internal/decide/throttle/pacer_test.go
+++ b/internal/decide/throttle/pacer_test.go
@@ -76,8 +76,6 @@
 	}
 }
 
-// Two that pace one server, of which one takes itself for the successor, stay below one and
-// a half times the limit together.
 func TestTwoPacersKeepTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		rate := rapid.Float64Range(0.2, 50).Draw(t, "rate")
--- a/internal/gateway/fleet_test.go
+++ b/internal/gateway/fleet_test.go
@@ -150,10 +150,7 @@
 	return inAim, late, asked
 }
 
-// Many entry VMs that each see a few requests give callers what one that sees all
-// would. Where each places by what it knows itself, an overload leaves them a fifth
-// to a third of it. The plays of three seeds are added up, since events of one
-// moment have no fixed order: one kind of one seed moves by a tenth from play to play.
+// Many entry VMs that each see a few requests give callers what one that sees all would.
 func TestManyEntryVMsPlaceAsOne(t *testing.T) {
 	for _, x := range []float64{1, 2.2} {
 		var one, many []tally
@@ -172,8 +169,7 @@
 	}
 }
 
-// While the VM that allocates is silent, as when it is frozen, the next one does;
-// it is found out in one ask of each VM, and no request fails for it.
+// While the VM that allocates is silent, as when it is frozen, the next one does.
 func TestAllocatorFallsSilentAndWakes(t *testing.T) {
 	got := playFleet(t, 4, 40, 1, func(f *fleetLoad) {
 		time.Sleep(8 * time.Second)
@@ -204,9 +200,7 @@
 	}
 }
 
-// An engine that takes no connection is empty and so looks best of all: what one
-// entry VM meets there is known to all, so that few requests are sent there. Each of
-// these is refused, as no repeated sends are allowed here.
+// An engine that takes no connection is empty, and must not be chosen for it.
 func TestEngineThatDiesIsLeftAlone(t *testing.T) {
 	got := playFleet(t, 6, 40, 1, func(f *fleetLoad) {
 		time.Sleep(8 * time.Second)
@@ -225,9 +219,6 @@
 	}
 }
 
-// Another failure domain whose allocators fall silent just after they told of room
-// costs the allocator here some time for those it sends on, and must not make its
-// own holders take it for silent.
 func TestSilentDomainDoesNotSilenceItsNeighbour(t *testing.T) {
 	var first, second int
 	playFleet(t, 7, 40, 4, func(f *fleetLoad) {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -138,8 +138,7 @@
 	})
 }
 
-// A copy that still hangs at a server which died must not keep the run from
-// being moved again.
+// A copy that still hangs at a server which died must not keep the run from being moved again.
 func TestRunIsMovedAgainBesideAHangingCopy(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := play(t, newFake(), 100, 5)
@@ -242,8 +241,6 @@
 	}
 }
 
-// Where neither the route nor the caller says how long, a request is held for
-// a while and not refused at once.
 func TestRequestWithoutAnyTimeIsServed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newBed(t, newFake(), 0)
--- a/internal/gateway/load_test.go
+++ b/internal/gateway/load_test.go
@@ -395,9 +395,6 @@
 	return got
 }
 
-// When callers ask for more than engines can do, more than before are served
-// well, in either kind, and refusals come at once. At four times the load the code
-// without a bound on reading answered 71 of the long kind in time, of 102 before.
 func TestOverloadDoesNotCollapse(t *testing.T) {
 	calm := playLoad(t, 1, 1)
 	for _, x := range []float64{1.6, 2.2, 4} {
--- a/internal/gateway/signals_test.go
+++ b/internal/gateway/signals_test.go
@@ -28,8 +28,6 @@
 	return l
 }
 
-// Where a server ends, two of its runs go on at the one that holds their copies and has asked for
-// rest.
 func TestFewRunsGoOnAtAServerThatRests(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFake()
@@ -78,8 +76,7 @@
 	_, _ = b.Backends.Report(context.Background(), server(n, "x", false), false)
 }
 
-// A run whose copy is at a server that rests is moved when its own server leaves: the copy is of no
-// use in that time.
+// A run whose copy is at a server that rests is moved when its own server leaves.
 func TestRunIsMovedWhereTheHolderOfItsCopyRests(t *testing.T) {
 	tests := []struct {
 		name string
@@ -121,8 +118,6 @@
 	b.servers(m)
 }
 
-// A run that its target turns away goes back to the server that has stopped it, and is moved to
-// another one.
 func TestRunThatItsTargetTurnsAwayGoesBack(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := play(t, newFake(), 60, 5)
@@ -137,8 +132,6 @@
 	})
 }
 
-// A run that was stopped and copied, while another of its server's runs met a server that rests, goes
-// on at once.
 func TestStoppedRunIsNotMovedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := play(t, newFake(), 60, 5)
@@ -165,8 +158,7 @@
 	})
 }
 
-// A run whose server and target operators close at its last step goes on all the same: its memory is
-// nowhere else.
+// A run whose server and target operators close at its last step goes on all the same.
 func TestRunWhoseServerAndTargetAreClosedGoesOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := play(t, newFake(), 60, 5)
--- a/internal/mesh/allocate_test.go
+++ b/internal/mesh/allocate_test.go
@@ -40,8 +40,6 @@
 	}
 }
 
-// An ask over a connection is given an engine while there is room, and what a
-// holder reports makes room again.
 func TestPlaceOverTheWire(t *testing.T) {
 	a, b := newAllocator(t), newVM(t, "b")
 	ask := func(n, sequence int, loads map[string]api.ServerLoad) api.PlaceAnswer {
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -76,8 +76,7 @@
 	t.Fatalf("%s: got it never", what)
 }
 
-// A VM that knows one address learns of the others, and gets configuration and
-// servers from them.
+// A VM that knows one address learns of the others, and gets configuration and servers from them.
 func TestPeersPassOnWhatTheyKnow(t *testing.T) {
 	a := newVM(t, "a")
 	b := newVM(t, "b", a.address)
@@ -168,8 +167,7 @@
 	}
 }
 
-// A configuration that a peer has in force and the platform's copy lost is passed on; an older
-// one is not taken, nor asked for.
+// A configuration that a peer has in force and the platform's copy lost is passed on.
 func TestPeersPassOnTheConfigurationInForce(t *testing.T) {
 	a := newVM(t, "a")
 	b := newVM(t, "b", a.address)
--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -32,13 +32,6 @@
 		"deadline counted from receipt", "no read-back", "no wait after a cold start")
 }
 
-// Two entry VMs held the duty of ordering engines at once, with one fence, for up to the length of
-// a lease: the platform came back from a copy of before the lease was taken, and the other
-// one took what it found free there. Order of events: a copy is made while the lease is free;
-// one takes it; the platform comes back from the copy; the other one takes it. Cause: that
-// nobody holds a lease was read from an object that is missing or was given back, and the next
-// fence from the one in it, as if the platform forgot nothing. Evidence: the run that the
-// exploration prints.
 func TestLeaseThroughARestore(t *testing.T) {
 	for _, z := range []leaseSize{
 		{name: "lease: 2 candidates, 5 s, a restore", seconds: 5, restore: true, lossless: true},
@@ -48,8 +41,6 @@
 	}
 }
 
-// Engines that check fences carried out orders of the earlier holder after those of the later
-// one, and refused a holder for good whose fences began again.
 func TestFenceThroughARestore(t *testing.T) {
 	z := leaseSize{name: "fence: 2 candidates, 4 s, a restore, orders late and doubled", seconds: 4, orders: true, restore: true, lossless: true}
 	holds(t, func(m string) world[leaseState] { return leaseWorld(z, m) }, mutateSameFence)
@@ -70,11 +61,7 @@
 	}
 }
 
-// A request that may not be repeated was sent twice: its claim was lost when the platform came
-// back from a copy, and the caller, who had no answer yet, asked again at another entry VM.
-// Order of events: one VM claims and sends; the platform comes back without the claim; another
-// VM finds none, claims, and sends. Cause: a claim was taken for kept once it was
-// acknowledged. Evidence: the run that the exploration prints.
+// A request that may not be repeated must not be sent twice when the store loses its claim.
 func TestClaimThroughARestore(t *testing.T) {
 	z := claimSize{"claim: 2 attempts on 2 entry VMs, a restore, lost and late writes", 2, true, true}
 	holds(t, func(m string) world[claimState] { return claimWorld(z, m) }, mutateNoSettling, mutateNoRewrite, mutateOldPermit)
