feat(gateway): log the share of the bound on repeated sends

An operator could not see by how many entry VMs a process divides the slack of its services, so that a process that takes itself for the whole fleet looked like one whose predecessor had used the share before. retry_share logs each change of the number, with the repeated sends within the window.

--- a/internal/decide/retry/window.go
+++ b/internal/decide/retry/window.go
@@ -81,12 +81,27 @@
 	}
 }
 
-// SetMembers sets the number of members that share the slack of each service.
-func (w *Windows) SetMembers(n int) {
+// SetMembers sets the number of members that share the slack of each service, and reports whether
+// it changed.
+func (w *Windows) SetMembers(n int) bool {
+	if w.shares == n {
+		return false
+	}
 	w.shares = n
 	for _, x := range w.services {
 		x.SetMembers(n)
 	}
+	return true
+}
+
+// Repeats counts the repeated sends that are within the span, over all services.
+func (w *Windows) Repeats(now time.Time) int {
+	n := 0
+	for _, x := range w.services {
+		x.repeats = dropExpired(x.repeats, now, x.span+transitTime)
+		n += len(x.repeats)
+	}
+	return n
 }
 
 // CountFresh counts a request to a service that is sent for the first time.
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -60,7 +60,9 @@
 	g.Metrics.Retain(metric.ByServer, func(n string) bool { return known(api.ServerName(n)) })
 	g.picker.EngineLoads.Expire(now)
 	n := g.picker.PlainLoads.EntryVMs(now)
-	g.Retries.SetMembers(n)
+	if g.Retries.SetMembers(n) {
+		g.Log.Emit(event.RetryShare, zap.Int("entry_vms", n), zap.Int("repeats", g.Retries.Repeats(now)))
+	}
 	g.fleet.Observe(now, n)
 	g.mutex.Unlock()
 	g.planRoles()
