--- a/fleet/hosted_test.go
+++ b/fleet/hosted_test.go
@@ -167,11 +167,16 @@
 
 // isolate cuts the links between entry VM i and its peers, but not those to the platform
 // and the servers.
-func (b *hostedTestbed) isolate(i, of int) {
+func (b *hostedTestbed) isolate(i, of int) { b.cutPeers(i, of, true) }
+
+// rejoin restores the links that isolate has cut.
+func (b *hostedTestbed) rejoin(i, of int) { b.cutPeers(i, of, false) }
+
+func (b *hostedTestbed) cutPeers(i, of int, is bool) {
 	for k := range of {
 		if k != i {
-			b.net.cut(hostedHost(i), hostedHost(k), true)
-			b.net.cut(hostedHost(k), hostedHost(i), true)
+			b.net.cut(hostedHost(i), hostedHost(k), is)
+			b.net.cut(hostedHost(k), hostedHost(i), is)
 		}
 	}
 }
