fix(gateway): divide the bound on repeated sends by the recent size of the fleet

Entry VMs that had just started sent their callers' requests to one full server after the other, and the others refused theirs.

Cause: an entry VM divided the slack of the bound by the entry VMs whose loads it knew at the moment: by one until the first exchange after its start, and by fewer whenever peers were killed or unreachable, although these went on or had just used their shares. Class: a decision of one entry VM takes its own view for the fleet's. Fix: the number is the highest that this entry VM, a peer or the settings have counted within the last minute; exchanges carry it with its age, so that an entry VM that starts has it with the first answer. The shares of unreachable entry VMs stay theirs.

--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -596,6 +596,13 @@
 	// its changes.
 	Direct bool `json:"direct,omitempty,omitzero"`
 
+	// Highest number of entry VMs that the sender or a peer has observed lately; 0 if
+	// unknown.
+	FleetPeak int `json:"fleet_peak,omitempty,omitzero"`
+
+	// Time since that number was observed, ms.
+	FleetPeakAgeMS Milliseconds `json:"fleet_peak_age_ms,omitempty,omitzero"`
+
 	// Whether the sender gets changes from the platform itself or from a hub that the
 	// platform answers.
 	Informed bool `json:"informed,omitempty,omitzero"`
--- a/internal/decide/throttle/pacer_test.go
+++ b/internal/decide/throttle/pacer_test.go
@@ -201,3 +201,41 @@
 		t.Error("answer to a later request: got the limit kept, want it removed")
 	}
 }
+
+// Entry VMs that lose sight of each other must not take over the shares of those that go on.
+func TestFleetSharesOutlastUnreachablePeers(t *testing.T) {
+	var f throttle.Fleet
+	f.Merge(at(0), 4, 0)
+	if got, want := f.Shares(at(0)), 4; got != want {
+		t.Errorf("entry VM that has just started with three known peers: got %d shares, want %d", got, want)
+	}
+	f.Observe(at(100), 1)
+	f.Merge(at(200), 6, 10*time.Second)
+	for ms := 1000; ms <= 45_000; ms += 1000 {
+		f.Observe(at(ms), 2)
+		if got, want := f.Shares(at(ms)), 6; got != want {
+			t.Fatalf("%d ms after a peer reported six: got %d shares, want %d", ms, got, want)
+		}
+	}
+	f.Observe(at(70_000), 2)
+	if got, want := f.Shares(at(70_000)), 2; got != want {
+		t.Errorf("after the report has expired: got %d shares, want %d", got, want)
+	}
+}
+
+// Peers that repeat each other's reports must let a fleet size expire that none observes any more.
+func TestRepeatedFleetSizeExpires(t *testing.T) {
+	var l [2]throttle.Fleet
+	l[0].Observe(at(0), 9)
+	const step, transit = 250, 200
+	for ms := step; ms < 90_000; ms += step {
+		for i := range l {
+			l[i].Observe(at(ms), 2)
+			n, age := l[1-i].Report(at(ms))
+			l[i].Merge(at(ms+transit), n, age)
+		}
+	}
+	if got, want := l[1].Shares(at(90_000)), 2; got != want {
+		t.Errorf("got %d shares, want %d", got, want)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,8 @@
 	Memory int64
 	// Regions holds the region of each failure domain, where operators declare it.
 	Regions map[api.DomainName]api.RegionName
+	// KnownPeers is the number of other entry VMs that the settings name.
+	KnownPeers int
 	// LeaveLearned is called after a server or a peer announced the leave of servers that were not
 	// known to leave; nil for none.
 	LeaveLearned func()
@@ -152,6 +154,8 @@
 		bodies: newBodyMemory(p.Memory, p.Metrics), rollouts: rollout.New(p.Rollouts, rand.NewPCG(p.Seed, 1)), rolloutVersions: map[api.RolloutID]api.Version{},
 	}
 	g.Backends = signalRecorder{p.Backends, g}
+	// Until peers report the size of the fleet, this entry VM knows of those in its settings.
+	g.fleet.Merge(time.Now(), 1+p.KnownPeers, 0)
 	return g
 }
 
@@ -411,5 +415,7 @@
 func (g *Gateway) allowRetry(s api.ServiceName) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.Retries.Allow(time.Now(), s)
+	now := time.Now()
+	g.updateRetryShare(now)
+	return g.Retries.Allow(now, s)
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -80,6 +80,10 @@
 	UpdateLoads(vm api.VMName, r placement.Relation, x placement.Report)
 	// Pools sums up the engines that this entry VM allocates, by service.
 	Pools() map[api.ServiceName]api.PoolLoad
+	// FleetPeak returns the highest number of entry VMs observed lately, and its age.
+	FleetPeak() (members int, age time.Duration)
+	// MergeFleetPeak records the number that a peer reports.
+	MergeFleetPeak(members int, age time.Duration)
 	// UpdatePools records the report of another failure domain's allocator on its engines.
 	UpdatePools(d api.DomainName, l map[api.ServiceName]api.PoolLoad)
 }
@@ -313,6 +317,8 @@
 		Direct: m.direct(), Relation: relationNames[r], Members: x.Members,
 		Leaving: m.Notices.AnnouncedLeaving(), Contents: m.Notices.ContentReports(), Limits: m.Notices.Limits(), ConfigNumber: m.Applied.AppliedNumber(),
 	}
+	n, age := m.Loads.FleetPeak()
+	e.FleetPeak, e.FleetPeakAgeMS = n, api.ToMilliseconds(age)
 	if m.Closures != nil {
 		e.ClosuresAt, e.KeptClosures = m.Closures.ChangedAt(), m.Notices.RetainedClosures()
 	}
@@ -398,6 +404,7 @@
 		x.Loads[api.ServerName(n)] = l
 	}
 	m.Loads.UpdateLoads(e.VM, r, x)
+	m.Loads.MergeFleetPeak(e.FleetPeak, e.FleetPeakAgeMS.Duration())
 	m.updatePools(e, r)
 	m.Notices.MarkLeaving(e.Leaving)
 	m.Notices.MergeContentReports(e.Contents)
--- a/internal/node/hosted_start.go
+++ b/internal/node/hosted_start.go
@@ -64,6 +64,7 @@
 		Rollouts:        rollout.Limits{Share: s.ExposureShare}, WaitForRollouts: s.RollbackMS > 0,
 		Regions:      parseRegions(s.Regions),
 		LeaveLearned: h.notifyLeaving,
+		KnownPeers:   countPeers(splitList(s.Seeds), h.Settings.Node.Control),
 		Memory:       int64(s.MemoryMB) << 20,
 		Quarantines:  h.adapter.QuarantineStore,
 		Retries:      retry.NewWindows(secondsToDuration(s.RetryWindowS), s.RetryRatio, s.RetrySlack),
@@ -171,6 +172,17 @@
 	return m
 }
 
+// countPeers counts the addresses that are not an entry VM's own.
+func countPeers(addresses []string, self string) int {
+	n := 0
+	for _, a := range addresses {
+		if a != self {
+			n++
+		}
+	}
+	return n
+}
+
 func splitList(s string) []string {
 	var l []string
 	for _, a := range strings.Split(s, ",") {
