fix(gateway): count what the process before has used of the bound on repeated sends

Callers of entry VMs that had just started had their requests sent to one full server after the other; the fleet's bound was exceeded by up to four times.

Cause: what a process had used of its share of the slack was known to it alone, so that each start gave a full share again. Class: an allowance that a process holds for itself, without memory beyond its end. Fix: exchanges carry the sends that only the slack has allowed, and return what the peer holds of the receiver. A process uses none of the slack until a peer has returned the report of the process before it, or a whole window has passed, and counts what it tells as its own. Of sends that not all its peers know of there may be two at a time, which a successor counts as made. The first start of the whole system is exempt. Each entry VM holds one report for each peer that it exchanges with, of a few numbers at most.

--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -653,6 +653,13 @@
 	// "stranger" if they exchange no loads.
 	Relation ExchangeRelation `json:"relation,omitempty,omitzero"`
 
+	// Repeated sends that the sender's share of the slack has allowed; not sent while
+	// the sender does not know those of its predecessor.
+	Retries *RetryReport `json:"retries,omitempty,omitzero"`
+
+	// Newest such report of the receiver that the sender holds.
+	RetriesKnown *RetryReport `json:"retries_known,omitempty,omitzero"`
+
 	// Outcomes of requests during rollouts, as known to the sender and the entry VMs
 	// attached to it; sent to hubs.
 	RolloutEvidence []RolloutEvidence `json:"rollout_evidence,omitempty,omitzero"`
@@ -1502,6 +1509,23 @@
 const ResourceKindStatus ResourceKind = "status"
 const ResourceKindWorkspace ResourceKind = "workspace"
 
+// RetryReport lists the repeated sends of an entry VM beyond the ratio to its
+// requests.
+type RetryReport struct {
+	// Time since the report was made, ms.
+	AgeMS Milliseconds `json:"age_ms,omitempty,omitzero"`
+
+	// Times since those within the time window, also of the process before, by
+	// service, ms.
+	AgesMS map[string][]Milliseconds `json:"ages_ms,omitempty,omitzero"`
+
+	// Process that made them.
+	Incarnation Incarnation `json:"incarnation"`
+
+	// Number of them since the process started.
+	Taken int `json:"taken,omitempty,omitzero"`
+}
+
 // Revision is the number that the platform gives to a change. It orders the
 // changes within one era.
 type Revision int
--- a/internal/decide/retry/window.go
+++ b/internal/decide/retry/window.go
@@ -47,14 +47,22 @@
 
 // Allow reports whether the window allows one more repeated send, and counts it if so.
 func (w *Window) Allow(now time.Time) bool {
+	ok, _ := w.take(now, 0, w.slack/float64(w.members))
+	return ok
+}
+
+// take allows one more repeated send within a share of the slack, of which others have made some
+// sends, and reports whether the slack was needed for it.
+func (w *Window) take(now time.Time, others int, share float64) (ok, slack bool) {
 	w.fresh = dropExpired(w.fresh, now, w.span)
 	w.repeats = dropExpired(w.repeats, now, w.span+transitTime)
-	limit := w.ratio*float64(len(w.fresh)) + w.slack/float64(w.members)
-	if float64(len(w.repeats)+1) > limit {
-		return false
+	earned := w.ratio * float64(len(w.fresh))
+	n := float64(len(w.repeats) + others + 1)
+	if n > earned+share {
+		return false, false
 	}
 	w.repeats = append(w.repeats, now)
-	return true
+	return true, n > earned
 }
 
 // Windows holds one window for each service. Requests of one service must not allow repeated
@@ -66,11 +74,12 @@
 	slack    float64
 	shares   int
 	services map[api.ServiceName]*Window
+	process  process
 }
 
 // NewWindows makes windows with the bounds of NewWindow for each service.
 func NewWindows(span time.Duration, ratio, slack float64) *Windows {
-	return &Windows{span: span, ratio: ratio, slack: slack, shares: 1, services: map[api.ServiceName]*Window{}}
+	return &Windows{span: span, ratio: ratio, slack: slack, shares: 1, services: map[api.ServiceName]*Window{}, process: newProcess()}
 }
 
 // SetBounds changes the bounds of all services.
@@ -111,12 +120,17 @@
 
 // Allow reports whether a service's window allows one more repeated send, and counts it if so.
 func (w *Windows) Allow(now time.Time, s api.ServiceName) bool {
-	return w.window(s).Allow(now)
+	ok, slack := w.window(s).take(now, w.inherited(now, s), w.share(now, s))
+	if slack {
+		w.recordSlack(now, s)
+	}
+	return ok
 }
 
 // Prune drops the windows of services that are no longer configured.
 func (w *Windows) Prune(configured func(s api.ServiceName) bool) {
 	maps.DeleteFunc(w.services, func(s api.ServiceName, _ *Window) bool { return !configured(s) })
+	maps.DeleteFunc(w.process.sends, func(s api.ServiceName, _ []time.Time) bool { return !configured(s) })
 }
 
 // window returns the window of a service, and makes it if there is none yet.
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -50,6 +50,7 @@
 	RequestLate         ID = 313
 	StreamSilent        ID = 314
 	RetryShare          ID = 315
+	RetriesInherited    ID = 316
 	ServerReady         ID = 401
 	ServerUnreachable   ID = 402
 	ServerLeaving       ID = 403
@@ -136,6 +137,7 @@
 	{RequestLate, "request_late", zapcore.InfoLevel, "A request was answered in full, but later than the latency target of its route."},
 	{StreamSilent, "stream_silent", zapcore.InfoLevel, "No event arrived for longer than usual, and the server was queried; the verdict says whether the run is resumed on another server."},
 	{RetryShare, "retry_share", zapcore.InfoLevel, "The slack of the bound on repeated sends is divided by another number of entry VMs; repeats are those of this process within the time window."},
+	{RetriesInherited, "retries_inherited", zapcore.InfoLevel, "A peer has returned the repeated sends of the process before this one, which count against the share of this one until they are out of the time window."},
 	{CopyKept, "copy_kept", zapcore.InfoLevel, "An unused copy of a generation could not be freed; it will expire."},
 	{ServerReady, "server_ready", zapcore.InfoLevel, "A backend server accepts work."},
 	{ServerUnreachable, "server_unreachable", zapcore.WarnLevel, "A backend server stopped reporting."},
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,6 +108,8 @@
 	reachability *holder.Reachability
 	// fleet detects that some of the entry VMs may be cut off by a network partition.
 	fleet throttle.Fleet
+	// retryReports holds what peers report of their retries.
+	retryReports *retry.Reports
 	// The following fields are the state of this entry VM's reports to allocators: incarnation
 	// and sequence order the reports, placeRequests holds the place requests under way, reports
 	// schedules the reports, and observations holds the observations of servers to be reported.
@@ -150,7 +152,7 @@
 		domains: placement.NewRemotePools(), reachability: holder.NewReachability(), reports: holder.NewReportSchedule(), observations: holder.NewObservations(), speedSamples: speed.NewRecorder(), speeds: speed.New(), planners: map[api.ServiceName]*role.Planner{}, incarnation: api.Incarnation(p.Seed),
 		Options: p, roster: roster.New(), picker: placement.NewPicker(rand.NewPCG(p.Seed, 0)),
 		runs: map[api.ServerName]map[*run]bool{}, admissions: map[api.ServiceName]*admission{},
-		queryResults: silence.NewResultCache(), leaveQueries: leavequery.New(), watchdog: newWatchdog(),
+		retryReports: retry.NewReports(), queryResults: silence.NewResultCache(), leaveQueries: leavequery.New(), watchdog: newWatchdog(),
 		bodies: newBodyMemory(p.Memory, p.Metrics), rollouts: rollout.New(p.Rollouts, rand.NewPCG(p.Seed, 1)), rolloutVersions: map[api.RolloutID]api.Version{},
 	}
 	g.Backends = signalRecorder{p.Backends, g}
@@ -402,20 +404,3 @@
 		g.Metrics.Count(byRoute, q.route.Name, why)
 	}
 }
-
-// SetRetryBounds changes the bounds on retries: a service may retry a ratio of its requests
-// within a span, and slack more.
-func (g *Gateway) SetRetryBounds(span time.Duration, ratio, slack float64) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.Retries.SetBounds(span, ratio, slack)
-}
-
-// allowRetry counts a retry for a service, and reports whether the fleet's bound allows it.
-func (g *Gateway) allowRetry(s api.ServiceName) bool {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	now := time.Now()
-	g.updateRetryShare(now)
-	return g.Retries.Allow(now, s)
-}
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -61,6 +61,7 @@
 	g.picker.EngineLoads.Expire(now)
 	g.fleet.Observe(now, g.picker.PlainLoads.EntryVMs(now))
 	g.updateRetryShare(now)
+	g.retryReports.Expire(now, g.Retries.Span())
 	g.mutex.Unlock()
 	g.planRoles()
 	g.expireClosures(now)
@@ -69,29 +70,6 @@
 	g.applyChanges(c)
 }
 
-// updateRetryShare divides the bound on retries by the number of entry VMs; the caller holds the
-// mutex.
-func (g *Gateway) updateRetryShare(now time.Time) {
-	if n := g.fleet.Shares(now); g.Retries.SetMembers(n) {
-		g.Log.Emit(event.RetryShare, zap.Int("entry_vms", n), zap.Int("repeats", g.Retries.Repeats(now)))
-	}
-}
-
-// FleetPeak returns the highest number of entry VMs that this one or a peer has observed lately,
-// and its age.
-func (g *Gateway) FleetPeak() (int, time.Duration) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	return g.fleet.Report(time.Now())
-}
-
-// MergeFleetPeak records the number of entry VMs that a peer reports.
-func (g *Gateway) MergeFleetPeak(members int, age time.Duration) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.fleet.Merge(time.Now(), members, age)
-}
-
 // applyChanges logs the new states of servers, moves runs off servers that begin to leave, and
 // ends the runs of servers that have ended.
 func (g *Gateway) applyChanges(l []roster.Member) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -84,6 +84,11 @@
 	FleetPeak() (members int, age time.Duration)
 	// MergeFleetPeak records the number that a peer reports.
 	MergeFleetPeak(members int, age time.Duration)
+	// RetryReports returns the report of this entry VM's retries for a peer, and the newest one of
+	// the peer that is known here; nil for none.
+	RetryReports(vm api.VMName) (local, peer *api.RetryReport)
+	// MergeRetryReports records a peer's report, and the one of this entry VM that the peer holds.
+	MergeRetryReports(vm api.VMName, peer, local *api.RetryReport)
 	// UpdatePools records the report of another failure domain's allocator on its engines.
 	UpdatePools(d api.DomainName, l map[api.ServiceName]api.PoolLoad)
 }
@@ -319,6 +324,7 @@
 	}
 	n, age := m.Loads.FleetPeak()
 	e.FleetPeak, e.FleetPeakAgeMS = n, api.ToMilliseconds(age)
+	e.Retries, e.RetriesKnown = m.Loads.RetryReports(vm)
 	if m.Closures != nil {
 		e.ClosuresAt, e.KeptClosures = m.Closures.ChangedAt(), m.Notices.RetainedClosures()
 	}
@@ -405,6 +411,7 @@
 	}
 	m.Loads.UpdateLoads(e.VM, r, x)
 	m.Loads.MergeFleetPeak(e.FleetPeak, e.FleetPeakAgeMS.Duration())
+	m.Loads.MergeRetryReports(e.VM, e.Retries, e.RetriesKnown)
 	m.updatePools(e, r)
 	m.Notices.MarkLeaving(e.Leaving)
 	m.Notices.MergeContentReports(e.Contents)
--- a/internal/mesh/serve.go
+++ b/internal/mesh/serve.go
@@ -10,6 +10,7 @@
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/directory"
+	"github.com/wardridge/wardridge/internal/decide/gossip"
 	"github.com/wardridge/wardridge/internal/decide/placement"
 	"github.com/wardridge/wardridge/internal/decide/replica"
 	"github.com/wardridge/wardridge/internal/duty"
@@ -76,6 +77,10 @@
 		return
 	}
 	r := inverseRelation(e)
+	if e.Protocol == gossip.Protocol {
+		// The answer confirms the report in the message.
+		m.Loads.MergeRetryReports(e.VM, e.Retries, nil)
+	}
 	wire.Write(w, http.StatusOK, m.newExchange(e.Self.Address, e.VM, r))
 	m.receive(e, r)
 }
--- a/internal/node/hosted_start.go
+++ b/internal/node/hosted_start.go
@@ -57,9 +57,12 @@
 func (hostedDecisions) Run(h *HostedContext) error {
 	s := h.Settings.Gateway
 	h.deadlines = clock.NewDeadlines(h.Machine.Now)
+	started := time.Now()
+	retries := retry.NewWindows(secondsToDuration(s.RetryWindowS), s.RetryRatio, s.RetrySlack)
+	retries.Start(started, api.Incarnation(started.UnixNano()), s.FirstStart)
 	h.gateway = gateway.New(gateway.Options{
 		Deadlines: h.deadlines,
-		VM:        h.Settings.Node.Name, Domain: h.Settings.Node.Domain, Seed: uint64(time.Now().UnixNano()), Peers: meshPeers{h}, Backends: h.adapter.Backends, Group: h.group, Log: h.Log, Metrics: h.Metrics,
+		VM:        h.Settings.Node.Name, Domain: h.Settings.Node.Domain, Seed: uint64(started.UnixNano()), Peers: meshPeers{h}, Backends: h.adapter.Backends, Group: h.group, Log: h.Log, Metrics: h.Metrics,
 		WaitForClosures: s.CloseMS > 0,
 		Rollouts:        rollout.Limits{Share: s.ExposureShare}, WaitForRollouts: s.RollbackMS > 0,
 		Regions:      parseRegions(s.Regions),
@@ -67,7 +70,7 @@
 		KnownPeers:   countPeers(splitList(s.Seeds), h.Settings.Node.Control),
 		Memory:       int64(s.MemoryMB) << 20,
 		Quarantines:  h.adapter.QuarantineStore,
-		Retries:      retry.NewWindows(secondsToDuration(s.RetryWindowS), s.RetryRatio, s.RetrySlack),
+		Retries:      retries,
 	})
 	h.newMirrors()
 	h.mesh = mesh.New(mesh.Options{
