fix(gateway): divide the rates of cold and limited servers by the recent size of the fleet

Callers of a service whose servers have all just started met failures: entry VMs that were cut off from each other each sent a cold server all that it takes, which such a server answers by falling over.

Cause: as with the bound on repeated sends, the share of a cold server's rate, and that of an announced limit where no allocator answers, was divided by the entry VMs known at the moment. Class: a decision of one entry VM takes its own view for the fleet's. Evidence: TestPartitionedVMsStayBelowColdServersRate, six entry VMs before three cold servers of 4 requests a second: 18 requests in one second at each, 11 allowed, on the code before. Fix: both take the number by which the bound on repeated sends is divided.

--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -166,7 +166,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := time.Now()
-	t := throttle.Quota{Rate: r, Share: throttle.Alone, Members: g.picker.PlainLoads.EntryVMs(now)}
+	t := throttle.Quota{Rate: r, Share: throttle.Alone, Members: g.fleet.Shares(now)}
 	at, ok := g.picker.Pacer.Reserve(now, x.Name, t, maxWait)
 	return permit{granted: ok, at: at}
 }
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -143,7 +143,7 @@
 // warmupBound is the bound on requests to the cold servers of a service; the caller holds the
 // mutex.
 func (g *Gateway) warmupBound(now time.Time, s *directory.Service) placement.Warmup {
-	return placement.Warmup{Rate: s.ColdRate, EntryVMs: g.picker.PlainLoads.EntryVMs(now)}
+	return placement.Warmup{Rate: s.ColdRate, EntryVMs: g.fleet.Shares(now)}
 }
 
 // reserve counts a load at a server until the reservation ends; the caller holds the mutex.
