fix(limit): keep the shares of workspaces' quotas while peers are unreachable

A workspace's callers could use its quota once at each entry VM while these were cut off from each other, at the cost of other workspaces.

Cause: on the own interface the quota was divided by the entry VMs that answer heartbeats at the moment. Class: a decision of one entry VM takes its own view for the fleet's. Fix: the quota is divided by the highest number of the last minute, as the rate limits of servers are already. An entry VM that starts still counts itself alone until its first heartbeats are answered.

--- a/internal/decide/limit/limit.go
+++ b/internal/decide/limit/limit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/throttle"
 )
 
 // Quota is the limit of a workspace over all entry VMs.
@@ -24,24 +25,25 @@
 // concurrent use.
 type Limiter struct {
 	buckets map[api.WorkspaceName]*bucket
-	// members is the number of entry VMs that share each quota.
-	members int
+	// members tracks the entry VMs that share each quota.
+	members throttle.Fleet
 }
 
 // New returns a limiter for a single entry VM.
 func New() *Limiter {
-	return &Limiter{buckets: map[api.WorkspaceName]*bucket{}, members: 1}
+	return &Limiter{buckets: map[api.WorkspaceName]*bucket{}}
 }
 
-// SetMembers sets the number of entry VMs that share each quota.
-func (l *Limiter) SetMembers(n int) {
-	l.members = max(n, 1)
+// SetMembers sets the number of reachable entry VMs. Those that were reachable lately may be running
+// and still share each quota.
+func (l *Limiter) SetMembers(now time.Time, n int) {
+	l.members.Observe(now, n)
 }
 
 // share returns this entry VM's share of a limit. It is at least 1, so that the fleet may
 // exceed a limit, but by less than the number of entry VMs.
 func (l *Limiter) share(n int) float64 {
-	return math.Max(1, float64(n)/float64(l.members))
+	return math.Max(1, float64(n)/float64(l.members.Peak()))
 }
 
 // Acquire admits one request and returns true, or returns the time after which to retry
--- a/internal/decide/limit/limit_test.go
+++ b/internal/decide/limit/limit_test.go
@@ -42,7 +42,7 @@
 	got := 0
 	for range members {
 		l := limit.New()
-		l.SetMembers(members)
+		l.SetMembers(epoch, members)
 		for range bound {
 			if _, ok := l.Acquire(epoch, "w", limit.Quota{RequestsPerSecond: 1000, ConcurrentRequests: bound}); ok {
 				got++
@@ -53,3 +53,22 @@
 		t.Errorf("concurrent requests over %d VMs: got %d, want from %d to below %d", members, got, bound, bound+members)
 	}
 }
+
+// Entry VMs that are cut off from each other must not each admit what a quota allows for all.
+func TestPartitionedVMsShareQuota(t *testing.T) {
+	const members, bound = 6, 24
+	got := 0
+	for range members {
+		l := limit.New()
+		l.SetMembers(epoch, members)
+		l.SetMembers(epoch.Add(3*time.Second), 1)
+		for range bound {
+			if _, ok := l.Acquire(epoch.Add(4*time.Second), "w", limit.Quota{RequestsPerSecond: 1000, ConcurrentRequests: bound}); ok {
+				got++
+			}
+		}
+	}
+	if got >= bound+members {
+		t.Errorf("concurrent requests over %d VMs: got %d, want below %d", members, got, bound+members)
+	}
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -207,12 +207,13 @@
 // SetMembers sets the number of entry VMs, which share the limits of workspaces and
 // servers.
 func (s *Server) SetMembers(n int) {
+	now := time.Now()
 	s.limitMutex.Lock()
-	s.limiter.SetMembers(n)
+	s.limiter.SetMembers(now, n)
 	s.limitMutex.Unlock()
 	s.serverMutex.Lock()
 	defer s.serverMutex.Unlock()
-	s.servers.SetMembers(time.Now(), n)
+	s.servers.SetMembers(now, n)
 }
 
 // admit applies the limits of a workspace to a request. The returned function ends the
