--- a/fleet/network_test.go
+++ b/fleet/network_test.go
@@ -10,17 +10,30 @@
 	"time"
 )
 
+// linkState is how a link treats connections over it.
+type linkState int
+
+const (
+	linkUp linkState = iota
+	// linkReset closes open connections and lets new ones time out.
+	linkReset
+	// linkSilent delivers nothing on open connections and lets new ones time out.
+	linkSilent
+	// linkRefusing keeps open connections and refuses new ones.
+	linkRefusing
+)
+
 // network connects machines in memory; each link can be cut per direction.
 type network struct {
 	mutex     sync.Mutex
 	listeners map[string]*listener
-	cuts      map[[2]string]bool
+	links     map[[2]string]linkState
 	conns     map[*conn]struct{}
 	bytes     atomic.Int64
 }
 
 func newNetwork() *network {
-	return &network{listeners: map[string]*listener{}, cuts: map[[2]string]bool{}, conns: map[*conn]struct{}{}}
+	return &network{listeners: map[string]*listener{}, links: map[[2]string]linkState{}, conns: map[*conn]struct{}{}}
 }
 
 // machine is a host on the network; an address is the name of its machine and a port.
@@ -73,9 +86,14 @@
 	net.Conn
 	net  *network
 	link [2]string
+	// silent is set once the link was silent while the connection was open.
+	silent atomic.Bool
 }
 
 func (c *conn) Write(p []byte) (int, error) {
+	if c.silent.Load() {
+		return len(p), nil
+	}
 	c.net.bytes.Add(int64(len(p)))
 	return c.Conn.Write(p)
 }
@@ -109,17 +127,17 @@
 // connection is refused.
 func (m machine) dial(ctx context.Context, _, a string) (net.Conn, error) {
 	m.net.mutex.Lock()
-	cut := m.net.cuts[[2]string{m.name, host(a)}]
+	state := m.net.links[[2]string{m.name, host(a)}]
 	l := m.net.listeners[a]
 	m.net.mutex.Unlock()
-	if cut {
+	if state == linkReset || state == linkSilent {
 		select {
 		case <-ctx.Done():
 		case <-time.After(dialTime):
 		}
 		return nil, &net.OpError{Op: "dial", Net: "memory", Err: context.DeadlineExceeded}
 	}
-	if l == nil {
+	if l == nil || state == linkRefusing {
 		return nil, &net.OpError{Op: "dial", Net: "memory", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 	}
 	local, remote := net.Pipe()
@@ -142,12 +160,26 @@
 // cut cuts or restores the link from one machine to another. Cutting it closes the
 // connections that were dialed over it.
 func (n *network) cut(from, to string, is bool) {
+	state := linkUp
+	if is {
+		state = linkReset
+	}
+	n.setLink(from, to, state)
+}
+
+// setLink sets the state of the link from one machine to another.
+func (n *network) setLink(from, to string, x linkState) {
+	link := [2]string{from, to}
 	n.mutex.Lock()
-	n.cuts[[2]string{from, to}] = is
+	n.links[link] = x
 	var broken []*conn
 	for c := range n.conns {
-		if is && c.link == [2]string{from, to} {
+		switch {
+		case c.link != link:
+		case x == linkReset:
 			broken = append(broken, c)
+		case x == linkSilent:
+			c.silent.Store(true)
 		}
 	}
 	n.mutex.Unlock()
