fix(relay): connect to backend servers through peers while cut off from them

Cause: an entry VM reached servers by its own links alone, and took each failed connect for a fault of that one server, so that every request waited for connects that could not succeed. Class: a decision of one entry VM takes its own view for the fleet's; here, its links for the servers' state. Fix: with gateway.relay_ms set, a connection that is not made in that time, or fails, is also requested from peers on their control address, which connect to the server and carry the bytes; the first one made is used. decide/connect tracks the paths: a server that only peers reach is connected to through them at once, two such servers without a direct connection to any stand for all, and spaced direct probes end this. Requests, retries, streams and deadlines stay with the entry VM that dials, and a relayed connection is never relayed again. A failed relay says whether the server itself refused, which crash detection relies on.

--- a/fleet/partition_test.go
+++ b/fleet/partition_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/node"
 	"github.com/wardridge/wardridge/internal/port"
 )
 
@@ -48,30 +50,39 @@
 	c.elsewhereServed += served
 }
 
+// checkShare checks that the entry VMs behind the partition serve two thirds as often as the others.
+func (c *partitionTally) checkShare(t *testing.T) {
+	t.Helper()
+	if got, want := 3*c.behindServed*c.elsewhere, 2*c.elsewhereServed*c.behind; got < want {
+		t.Errorf("served behind the partition: got %d of %d, want two thirds of the share of the others, %d of %d: %v", c.behindServed, c.behind, c.elsewhereServed, c.elsewhere, c.failures)
+	}
+}
+
 // setServerLinks sets the links from some entry VMs to all servers.
 func (b *signalTestbed) setServerLinks(vms []int, x linkState) {
 	for _, i := range vms {
 		for _, s := range b.servers {
-			b.net.setLink(hostedHost(i), host(s.Server.Address), x)
+			b.net.setLink(hostedHost(i), host(s.Address), x)
 		}
 	}
 }
 
-// newShortRequest returns the nth request of callers who wait as long as those of quick services.
-func newShortRequest(n int) *port.Request {
-	path := []string{"/safe/", "/unsafe/", "/unsafe/", "/stream/"}[n%4]
-	r := newRequest(fmt.Sprintf("p-%d", n), path, fmt.Sprint(n))
+// newShortRequest returns a request of a caller who waits as long as those of quick services; kind
+// chooses its path.
+func newShortRequest(id, kind int) *port.Request {
+	path := []string{"/safe/", "/unsafe/", "/unsafe/", "/stream/"}[kind%4]
+	r := newRequest(fmt.Sprintf("p-%d", id), path, fmt.Sprint(id))
 	if path != "/stream/" {
 		r.MaxWait = 600 * time.Millisecond
 	}
 	return r
 }
 
-// newPartitionTestbed starts n entry VMs in front of three plain servers and six engines, with the
-// latency targets of quick services.
-func newPartitionTestbed(t *testing.T, n int) *signalTestbed {
+// newPartitionTestbed starts n entry VMs in front of plain servers and six engines, with the latency
+// targets of quick services.
+func newPartitionTestbed(t *testing.T, n, plain int, change func(i int, a node.Adapter) node.Adapter) *signalTestbed {
 	t.Helper()
-	b := newSignalTestbed(t, n, 3, 6)
+	b := newSignalTestbedWith(t, n, plain, 6, fmt.Sprintf("retry_slack = %d\nrelay_ms = 100\n", retrySlack), change)
 	x, err := b.pool.config.List(t.Context())
 	if err != nil {
 		t.Fatal(err)
@@ -90,15 +101,20 @@
 }
 
 // sendDuring sends 40 requests a second to n entry VMs in turn for a time, and tallies those from the
-// given time on.
-func (b *signalTestbed) sendDuring(n int, behind []int, d, from time.Duration) *partitionTally {
+// given time on. It also returns when requests were sent to plain servers.
+func (b *signalTestbed) sendDuring(n int, behind []int, d, from time.Duration) (*partitionTally, []time.Time) {
+	var sent []time.Time
 	c := &partitionTally{failures: map[string]int{}}
 	g, end := duty.New(context.Background())
 	defer end()
 	began := time.Now()
 	for i := 0; time.Since(began) < d; i++ {
+		r := newShortRequest(i, i/n)
+		if r.Path != "/stream/x" {
+			sent = append(sent, time.Now())
+		}
 		g.Go(func(context.Context) error {
-			a := b.send(i%n, newShortRequest(i/n))
+			a := b.send(i%n, r)
 			if time.Since(began) >= from {
 				c.record(slices.Contains(behind, i%n), a)
 			}
@@ -107,9 +123,11 @@
 		time.Sleep(25 * time.Millisecond)
 	}
 	time.Sleep(5 * time.Second)
-	return c
+	return c, sent
 }
 
+func unchanged(_ int, a node.Adapter) node.Adapter { return a }
+
 // Entry VMs that are cut off from all servers must serve their callers through peers.
 func TestVMsCutOffFromServersServe(t *testing.T) {
 	tests := []struct {
@@ -126,19 +144,17 @@
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				const n = 6
-				b := newPartitionTestbed(t, n)
+				b := newPartitionTestbed(t, n, 3, unchanged)
 				b.sendDuring(n, nil, 3*time.Second, 0)
 				b.setServerLinks(c.vms, c.state)
-				o := b.sendDuring(n, c.vms, partitionTime, partitionGrace)
-				if got, want := 3*o.behindServed*o.elsewhere, 2*o.elsewhereServed*o.behind; got < want {
-					t.Errorf("served behind the partition: got %d of %d, want two thirds of the share of the others, %d of %d: %v", o.behindServed, o.behind, o.elsewhereServed, o.elsewhere, o.failures)
-				}
+				o, _ := b.sendDuring(n, c.vms, partitionTime, partitionGrace)
+				o.checkShare(t)
 				if got, want := o.elsewhereServed, o.elsewhere*95/100; got < want {
 					t.Errorf("served elsewhere: got %d of %d, want %d: %v", got, o.elsewhere, want, o.failures)
 				}
 				b.setServerLinks(c.vms, linkUp)
 				time.Sleep(3 * time.Second)
-				o = b.sendDuring(n, c.vms, 4*time.Second, 0)
+				o, _ = b.sendDuring(n, c.vms, 4*time.Second, 0)
 				if got, want := o.behindServed, o.behind; got < want {
 					t.Errorf("served after the partition: got %d of %d, want all: %v", got, want, o.failures)
 				}
@@ -146,3 +162,51 @@
 		})
 	}
 }
+
+// fullBackends refuses requests that have reached a plain server.
+type fullBackends struct {
+	port.Backends
+	*arrivalLog
+}
+
+// Send sends the request, and passes its answer on or refuses it.
+func (w fullBackends) Send(ctx context.Context, a port.Attempt) (port.Answer, error) {
+	x, err := w.Backends.Send(ctx, a)
+	if fault.Has(err, fault.NotStarted) || a.Server.Service != "plain" || w.record(a.Request.ID) {
+		return x, err
+	}
+	return port.Answer{}, fault.New(fault.ServerRefused, "the server is full")
+}
+
+// The bound on repeated sends must hold while entry VMs are cut off from full servers and others start,
+// and the callers of those that are cut off must be served as often as the others.
+func TestCutOffVMsServeWithinRetryBound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n = 6
+		l := newArrivalLog(3)
+		b := newPartitionTestbed(t, n, 12, func(_ int, a node.Adapter) node.Adapter {
+			a.Backends = fullBackends{a.Backends, l}
+			return a
+		})
+		cut := []int{0, 3, 1}
+		b.setServerLinks(cut, linkSilent)
+		g, end := duty.New(context.Background())
+		defer end()
+		g.Go(func(context.Context) error {
+			for _, i := range []int{2, 5, 2, 5} {
+				time.Sleep(2 * time.Second)
+				b.kill(i, n)
+				time.Sleep(500 * time.Millisecond)
+				b.revive(i, n)
+			}
+			return nil
+		})
+		o, sent := b.sendDuring(n, cut, partitionTime, partitionGrace)
+		o.checkShare(t)
+		if got := l.excess(sent); got > 0 {
+			t.Errorf("repeated sends beyond the bound: got %.1f, want none", got)
+		}
+		b.setServerLinks(cut, linkUp)
+		time.Sleep(3 * time.Second)
+	})
+}
--- a/fleet/retry_test.go
+++ b/fleet/retry_test.go
@@ -22,23 +22,37 @@
 	retrySlack = 52
 )
 
-// fullPool is a pool whose servers refuse four of five requests; it records what arrives.
-type fullPool struct {
-	*pool
+// arrivalLog records the requests that arrive at servers, of which all but every nth are refused.
+type arrivalLog struct {
+	acceptEvery int
 
 	mutex    sync.Mutex
 	arrivals map[api.RequestID][]time.Time
 	sends    int
 }
 
-// Send refuses the request or runs it.
-func (p *fullPool) Send(ctx context.Context, a port.Attempt) (port.Answer, error) {
+func newArrivalLog(acceptEvery int) *arrivalLog {
+	return &arrivalLog{acceptEvery: acceptEvery, arrivals: map[api.RequestID][]time.Time{}}
+}
+
+// record records a request, and reports whether the server accepts it.
+func (p *arrivalLog) record(n api.RequestID) bool {
 	p.mutex.Lock()
-	p.arrivals[a.Request.ID] = append(p.arrivals[a.Request.ID], time.Now())
+	defer p.mutex.Unlock()
+	p.arrivals[n] = append(p.arrivals[n], time.Now())
 	p.sends++
-	refuse := p.sends%5 != 0
-	p.mutex.Unlock()
-	if refuse {
+	return p.sends%p.acceptEvery == 0
+}
+
+// fullPool is a pool whose servers refuse four of five requests.
+type fullPool struct {
+	*pool
+	*arrivalLog
+}
+
+// Send refuses the request or runs it.
+func (p *fullPool) Send(ctx context.Context, a port.Attempt) (port.Answer, error) {
+	if !p.record(a.Request.ID) {
 		return port.Answer{}, fault.New(fault.ServerRefused, "the server is full")
 	}
 	return p.pool.Send(ctx, a)
@@ -47,7 +61,7 @@
 // excess returns the highest number of arrivals beyond the first of each request within retrySpan
 // that is above the bound. The requests are those of the span, of the one before or of the one
 // half a span before, whichever has most.
-func (p *fullPool) excess(sent []time.Time) float64 {
+func (p *arrivalLog) excess(sent []time.Time) float64 {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	var repeats []time.Time
@@ -89,7 +103,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		const n = 6
-		p := &fullPool{pool: newPool(0, 24), arrivals: map[api.RequestID][]time.Time{}}
+		p := &fullPool{newPool(0, 24), newArrivalLog(5)}
 		b := prepareHostedTestbed(t, p.pool)
 		b.settings = fmt.Sprintf("retry_window_s = %.0f\nretry_ratio = %v\nretry_slack = %v\n", retrySpan.Seconds(), retryRatio, retrySlack)
 		b.newAdapter = func(i int, _ node.AdapterOptions) node.Adapter {
--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -592,6 +592,10 @@
 	// Recent reports on contents that may crash servers.
 	Contents []ContentReport `json:"contents,omitempty,omitzero"`
 
+	// Whether the sender reaches no backend server itself, so that it can't relay
+	// connections to them.
+	CutOff bool `json:"cut_off,omitempty,omitzero"`
+
 	// Whether the platform itself answers the sender, rather than a peer that relays
 	// its changes.
 	Direct bool `json:"direct,omitempty,omitzero"`
@@ -762,6 +766,10 @@
 	// Region of each failure domain, as DOMAIN=REGION separated by commas.
 	Regions string `json:"regions,omitempty,omitzero"`
 
+	// Time to wait for a direct connection to a backend server before one through
+	// another entry VM is made as well, ms; 0 for direct connections alone.
+	RelayMS Milliseconds `json:"relay_ms,omitempty,omitzero"`
+
 	// Repeated sends allowed per first send of a service within retry_window_s, over
 	// all entry VMs.
 	RetryRatio float64 `json:"retry_ratio,omitempty,omitzero"`
@@ -1491,6 +1499,16 @@
 // RegionName is the name of a region
 type RegionName string
 
+// RelayRefusal is the answer of a peer that does not relay a connection to a
+// backend server.
+type RelayRefusal struct {
+	// Whether nothing listens at the address of the server.
+	ConnectionRefused bool `json:"connection_refused,omitempty,omitzero"`
+
+	// Why the connection is not relayed.
+	Reason string `json:"reason"`
+}
+
 // RequestID identifies one request of a caller.
 type RequestID string
 
--- /dev/null
+++ b/internal/decide/connect/doc.go
@@ -0,0 +1,3 @@
+// Package connect decides how an entry VM connects to backend servers: directly, or through a peer
+// that relays the connection while a network partition keeps this entry VM from servers that peers reach.
+package connect
--- a/internal/decide/gossip/peers.go
+++ b/internal/decide/gossip/peers.go
@@ -77,6 +77,8 @@
 	Silent, QueriesEngines bool
 	// FleetSize is the number of entry VMs that the peer counts, itself included.
 	FleetSize int
+	// CutOff is set while the peer reaches no backend server itself.
+	CutOff bool
 }
 
 // peer is the state of one address.
--- /dev/null
+++ b/internal/decide/gossip/relays.go
@@ -0,0 +1,37 @@
+package gossip
+
+import (
+	"slices"
+	"time"
+)
+
+// Relays lists the addresses of the peers through which this entry VM may connect to backend servers,
+// in turn one of its failure domain and one of the others, since a partition may have a whole failure
+// domain behind it. Entry VMs begin at different ones, so that they do not all use the same.
+func (p *Peers) Relays(now time.Time) []string {
+	var near, far []string
+	for a, x := range p.peers {
+		live := p.alive(now, x)
+		switch {
+		case live && x.CutOff:
+		case live && x.Domain == p.self.Domain:
+			near = append(near, a)
+		case live, x.Hub && !x.mentionedAt.IsZero() && now.Sub(x.mentionedAt) < remoteHubTimeout:
+			far = append(far, a)
+		}
+	}
+	near, far = p.rotate(near), p.rotate(far)
+	var l []string
+	for i := range max(len(near), len(far)) {
+		l = append(l, near[min(i, len(near)):min(i+1, len(near))]...)
+		l = append(l, far[min(i, len(far)):min(i+1, len(far))]...)
+	}
+	return l
+}
+
+// rotate sorts addresses and begins at one that depends on the position of this entry VM.
+func (p *Peers) rotate(l []string) []string {
+	slices.Sort(l)
+	i := int(p.position() * float64(len(l)))
+	return append(slices.Clone(l[i:]), l[:i]...)
+}
--- a/internal/decide/roster/roster.go
+++ b/internal/decide/roster/roster.go
@@ -381,6 +381,16 @@
 	return r.snapshot(n), true
 }
 
+// HasAddress reports whether a member has an address.
+func (r *Roster) HasAddress(a string) bool {
+	for _, m := range r.members {
+		if m.Address == a {
+			return true
+		}
+	}
+	return false
+}
+
 // Service lists the servers of a service in order of name. Callers must not modify the list,
 // nor keep it beyond the next change.
 func (r *Roster) Service(s api.ServiceName) []Member {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -88,6 +88,9 @@
 	PeerRefused         ID = 603
 	PeerSilent          ID = 604
 	AllocatorSilent     ID = 605
+	ServersUnreachable  ID = 606
+	ServersReachable    ID = 607
+	RelayRefused        ID = 608
 	StandInStarted      ID = 901
 	StandInFault        ID = 902
 	StandInOrderApplied ID = 903
@@ -176,6 +179,9 @@
 	{PeerRefused, "peer_refused", zapcore.WarnLevel, "An entry VM of another protocol version was refused."},
 	{PeerSilent, "peer_silent", zapcore.DebugLevel, "A peer did not answer a request for its state."},
 	{AllocatorSilent, "allocator_silent", zapcore.WarnLevel, "An entry VM that allocates engines did not answer; it is not queried for a second."},
+	{ServersUnreachable, "servers_unreachable", zapcore.WarnLevel, "This entry VM reaches no backend server while peers do; it connects to servers through peers."},
+	{ServersReachable, "servers_reachable", zapcore.InfoLevel, "This entry VM reaches backend servers again."},
+	{RelayRefused, "relay_refused", zapcore.InfoLevel, "A peer did not make a connection to a backend server for this entry VM."},
 	{StandInStarted, "stand_in_started", zapcore.InfoLevel, "A stand-in has started and serves."},
 	{StandInFault, "stand_in_fault", zapcore.InfoLevel, "A stand-in injected a fault."},
 	{SoakFault, "soak_fault", zapcore.InfoLevel, "A soak test injects a fault."},
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -126,6 +126,8 @@
 	Allocator   Allocator
 	Notices     Notices
 	Applied     AppliedConfig
+	// CutOff reports whether this entry VM reaches no backend server itself; nil for never.
+	CutOff func() bool
 }
 
 // Mesh exchanges state with the peers of one entry VM.
@@ -284,6 +286,14 @@
 	return m.peers.HasRelay(time.Now())
 }
 
+// Relays lists the control addresses of the peers through which this entry VM may connect to
+// backend servers, the preferred ones first.
+func (m *Mesh) Relays() []string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.peers.Relays(time.Now())
+}
+
 // BacksOff reports whether this entry VM waits longer before it calls the platform again, after
 // the given number of failed calls in a row, since a peer calls the platform as well.
 func (m *Mesh) BacksOff(failures int) bool {
@@ -344,6 +354,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	now := time.Now()
+	e.CutOff = m.CutOff != nil && m.CutOff()
 	e.Self = toMessage(m.Self)
 	e.Self.Hub = m.peers.IsHub(now)
 	e.PlatformSilent = m.Servers.Overdue()
@@ -398,7 +409,7 @@
 		m.Log.Emit(event.PeerRefused, zap.String("vm", string(e.VM)), zap.Int("protocol", e.Protocol))
 		return
 	}
-	w := gossip.Message{Member: fromMessage(e.Self), VM: e.VM, Direct: e.Direct, Informed: e.Informed, Silent: e.PlatformSilent, QueriesEngines: e.QueriesEngines, FleetSize: e.Members}
+	w := gossip.Message{Member: fromMessage(e.Self), VM: e.VM, Direct: e.Direct, Informed: e.Informed, Silent: e.PlatformSilent, QueriesEngines: e.QueriesEngines, FleetSize: e.Members, CutOff: e.CutOff}
 	for _, x := range e.Peers {
 		w.Members = append(w.Members, fromMessage(x))
 	}
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -20,6 +20,7 @@
 	"github.com/wardridge/wardridge/internal/metric"
 	"github.com/wardridge/wardridge/internal/mirror"
 	"github.com/wardridge/wardridge/internal/port"
+	"github.com/wardridge/wardridge/internal/relay"
 	"github.com/wardridge/wardridge/internal/step"
 	"github.com/wardridge/wardridge/internal/upstream"
 )
@@ -69,6 +70,7 @@
 	adapter Adapter
 	group   *duty.Group
 	pool    *upstream.Pool
+	relay   *relay.Relay
 	peers   *http.Client
 	gateway *gateway.Gateway
 	config  *mirror.Mirror[directory.Config]
--- a/internal/node/hosted_start.go
+++ b/internal/node/hosted_start.go
@@ -22,6 +22,7 @@
 	"github.com/wardridge/wardridge/internal/mesh"
 	"github.com/wardridge/wardridge/internal/metric"
 	"github.com/wardridge/wardridge/internal/peer"
+	"github.com/wardridge/wardridge/internal/relay"
 	"github.com/wardridge/wardridge/internal/step"
 	"github.com/wardridge/wardridge/internal/upstream"
 	"github.com/wardridge/wardridge/internal/wire"
@@ -43,7 +44,11 @@
 	h.cleanups.add(closer)
 	p, closer := wire.NewSingleHostClient(h.Machine.Dial)
 	h.cleanups.add(closer)
-	h.pool, closer = upstream.New(h.Machine.Dial)
+	h.relay = relay.New(relay.Options{
+		After: h.Settings.Gateway.RelayMS.Duration(), Dial: h.Machine.Dial, Peers: func() []string { return h.mesh.Relays() }, KnowsServer: func(a string) bool { return h.gateway.KnowsAddress(a) },
+		PathChanged: h.pathChanged, Group: h.group, Log: h.Log, Metrics: h.Metrics,
+	})
+	h.pool, closer = upstream.New(h.relay.DialServer)
 	h.cleanups.add(closer)
 	h.adapter = h.NewAdapter(AdapterOptions{Platform: p, Address: h.Settings.Platform.Address, Pool: h.pool, Log: h.Log})
 	return nil
@@ -79,7 +84,7 @@
 			Address: h.Settings.Node.Control, Domain: h.Settings.Node.Domain, Capacity: gossip.Capacity(s.CpuShare, s.LinkMbps),
 		},
 		Client: h.peers, Group: h.group, Log: h.Log, Metrics: h.Metrics,
-		Config: h.config, Servers: h.servers, Closures: h.closures, Rollouts: h.rollouts, Quarantines: h.quarantines, Loads: h.gateway, Allocator: h.gateway, Notices: h.gateway, Applied: h.gateway,
+		Config: h.config, Servers: h.servers, Closures: h.closures, Rollouts: h.rollouts, Quarantines: h.quarantines, Loads: h.gateway, Allocator: h.gateway, Notices: h.gateway, Applied: h.gateway, CutOff: h.relay.Partitioned,
 	})
 	return nil
 }
@@ -122,6 +127,14 @@
 	h.gateway.SetStoreDown(lost)
 }
 
+// pathChanged closes the idle connections to servers once this entry VM is cut off from them: such
+// connections may be silent.
+func (h *HostedContext) pathChanged(partitioned bool) {
+	if partitioned {
+		h.pool.CloseIdle()
+	}
+}
+
 // queryLeaving queries servers whether they are leaving while the platform is silent. Only the
 // servers themselves then announce it.
 func (h *HostedContext) queryLeaving() {
@@ -212,6 +225,7 @@
 func (hostedServers) Run(h *HostedContext) error {
 	r := chi.NewRouter()
 	h.mesh.Routes(r)
+	h.relay.Routes(r)
 	control.NewEngines(control.EngineOptions{
 		VM: h.Settings.Node.Name, Domain: h.Settings.Node.Domain, Address: h.Settings.Node.Control, Allocator: h.gateway, Peers: peer.NewWithClient(h.peers, engineListTimeout),
 	}).Routes(r)
@@ -289,10 +303,11 @@
 	h.rounds++
 	h.detectSuspension()
 	h.gateway.Maintain()
-	h.gateway.Contents.ProbeServers(h.group, connectCheck(h.Machine.Dial, h.gateway.ServerAddress))
+	h.gateway.Contents.ProbeServers(h.group, connectCheck(h.relay.DialServer, h.gateway.ServerAddress))
 	h.Metrics.Set(metric.RequestsInFlight, int64(h.gateway.InFlight()))
 	if h.rounds%roundsPerSweep == 0 {
 		h.pool.Sweep()
+		h.relay.Expire()
 	}
 	if h.quarantines != nil && h.quarantines.Direct() {
 		h.gateway.CorrectQuarantines()
--- /dev/null
+++ b/internal/relay/relay_test.go
@@ -0,0 +1,292 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/wardridge/wardridge/internal/duty"
+	"github.com/wardridge/wardridge/internal/event"
+	"github.com/wardridge/wardridge/internal/metric"
+	"github.com/wardridge/wardridge/internal/relay"
+)
+
+// echo is a server that returns what it reads; it counts connections that are open.
+type echo struct {
+	net.Listener
+	open atomic.Int64
+}
+
+func newEcho(t *testing.T) *echo {
+	t.Helper()
+	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &echo{Listener: l}
+	g, end := duty.New(context.Background())
+	t.Cleanup(func() {
+		_ = l.Close()
+		end()
+	})
+	g.Go(func(ctx context.Context) error {
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+			e.open.Add(1)
+			g.Go(func(context.Context) error {
+				stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+				defer stop()
+				_, _ = io.Copy(c, c)
+				_ = c.Close()
+				e.open.Add(-1)
+				return nil
+			})
+		}
+		return nil
+	})
+	return e
+}
+
+// vm is an entry VM with a relay, whose direct connections to servers block may prevent.
+type vm struct {
+	*relay.Relay
+	address string
+	metrics *metric.Set
+
+	mutex sync.Mutex
+	block error
+	peers []string
+	known bool
+	// changes are the calls of PathChanged.
+	changes []bool
+}
+
+// errSilent stands for a connection that is never made.
+var errSilent = errors.New("no answer")
+
+func newVM(t *testing.T, peers ...*vm) *vm {
+	t.Helper()
+	v := &vm{metrics: metric.New(), known: true}
+	for _, p := range peers {
+		v.peers = append(v.peers, p.address)
+	}
+	g, end := duty.New(context.Background())
+	r := chi.NewRouter()
+	s := httptest.NewServer(r)
+	v.address = s.Listener.Addr().String()
+	v.Relay = relay.New(relay.Options{
+		After: 100 * time.Millisecond, Dial: v.dial, Peers: func() []string { return v.peers }, KnowsServer: func(string) bool { return v.known },
+		PathChanged: func(p bool) { v.changes = append(v.changes, p) }, Group: g, Log: event.Discard(), Metrics: v.metrics,
+	})
+	v.Routes(r)
+	t.Cleanup(func() {
+		end()
+		s.Close()
+	})
+	return v
+}
+
+func (v *vm) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	v.mutex.Lock()
+	err := v.block
+	for _, p := range v.peers {
+		if address == p {
+			err = nil
+		}
+	}
+	v.mutex.Unlock()
+	if errors.Is(err, errSilent) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	if err != nil {
+		return nil, err
+	}
+	return (&net.Dialer{}).DialContext(ctx, network, address)
+}
+
+func (v *vm) setBlock(err error) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	v.block = err
+}
+
+// connect connects to a server within 250 ms, and checks that it answers.
+func (v *vm) connect(t *testing.T, e *echo) net.Conn {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), 250*time.Millisecond)
+	defer cancel()
+	c, err := v.DialServer(ctx, "tcp", e.Addr().String())
+	if err != nil {
+		t.Fatalf("connecting: got %v, want a connection", err)
+	}
+	if _, err := io.WriteString(c, "hello"); err != nil {
+		t.Fatal(err)
+	}
+	var b [5]byte
+	if _, err := io.ReadFull(c, b[:]); err != nil || string(b[:]) != "hello" {
+		t.Fatalf("answer: got %q, %v, want hello", b, err)
+	}
+	return c
+}
+
+func (e *echo) waitOpen(t *testing.T, want int64) {
+	t.Helper()
+	for range 200 {
+		if e.open.Load() == want {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("open connections at the server: got %d, want %d", e.open.Load(), want)
+}
+
+func TestCutOffVMConnectsThroughPeer(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		block error
+	}{
+		{"connections hang", errSilent},
+		{"connections are refused", syscall.ECONNREFUSED},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			servers := []*echo{newEcho(t), newEcho(t), newEcho(t)}
+			p := newVM(t)
+			v := newVM(t, p)
+			v.setBlock(c.block)
+			for _, e := range servers {
+				n := v.connect(t, e)
+				e.waitOpen(t, 1)
+				_ = n.Close()
+				e.waitOpen(t, 0)
+			}
+			for range 100 {
+				if v.Partitioned() {
+					break
+				}
+				// A direct connection that hangs is recorded at its own deadline.
+				time.Sleep(10 * time.Millisecond)
+				_ = v.connect(t, servers[0]).Close()
+				_ = v.connect(t, servers[1]).Close()
+			}
+			if !v.Partitioned() {
+				t.Error("partition: got none, want it known")
+			}
+			if got := p.Relayed(); got > 1 {
+				t.Errorf("relayed connections that are still counted: got %d, want at most the last", got)
+			}
+			v.setBlock(nil)
+			for range 300 {
+				if !v.Partitioned() {
+					return
+				}
+				_ = v.connect(t, servers[0]).Close()
+				time.Sleep(10 * time.Millisecond)
+			}
+			t.Error("after the partition: got it known still, want it over")
+		})
+	}
+}
+
+// A peer behind the same partition must not keep a connection from being made through another one.
+func TestPeerThatIsCutOffIsPassedOver(t *testing.T) {
+	e := newEcho(t)
+	p, q := newVM(t), newVM(t)
+	p.setBlock(errSilent)
+	v := newVM(t, p, q)
+	v.setBlock(errSilent)
+	_ = v.connect(t, e).Close()
+}
+
+// Entry VMs that are all cut off must not relay to each other in a circle.
+func TestRelaysAreNotChained(t *testing.T) {
+	e := newEcho(t)
+	p := newVM(t)
+	q := newVM(t, p)
+	p.peers = []string{q.address}
+	v := newVM(t, p, q)
+	for _, x := range []*vm{p, q, v} {
+		x.setBlock(syscall.ECONNREFUSED)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	if n, err := v.DialServer(ctx, "tcp", e.Addr().String()); err == nil {
+		_ = n.Close()
+		t.Fatal("got a connection, want none")
+	}
+	if got := p.metrics.Get(metric.ConnectionsRelayed) + q.metrics.Get(metric.ConnectionsRelayed); got != 0 {
+		t.Errorf("relayed connections: got %d, want 0", got)
+	}
+}
+
+// That nothing listens at a server's address must be told from a peer that does not relay.
+func TestRefusedConnectionIsToldFromRefusedRelay(t *testing.T) {
+	e := newEcho(t)
+	a := e.Addr().String()
+	p := newVM(t)
+	v := newVM(t, p)
+	v.setBlock(errSilent)
+	p.known = false
+	for _, c := range []struct {
+		name    string
+		prepare func()
+		want    bool
+	}{
+		{"peer does not know the server", func() {}, false},
+		{"server has ended", func() {
+			p.known = true
+			_ = e.Close()
+		}, true},
+	} {
+		c.prepare()
+		ctx, cancel := context.WithTimeout(t.Context(), 250*time.Millisecond)
+		_, err := v.DialServer(ctx, "tcp", a)
+		cancel()
+		if err == nil {
+			t.Fatalf("%s: got a connection, want none", c.name)
+		}
+		if got := errors.Is(err, syscall.ECONNREFUSED); got != c.want {
+			t.Errorf("%s: got refused %v, want %v: %v", c.name, got, c.want, err)
+		}
+	}
+}
+
+// The caller who has left must not leave connections open at servers.
+func TestLateConnectionsAreClosed(t *testing.T) {
+	e := newEcho(t)
+	p := newVM(t)
+	v := newVM(t, p)
+	for range 50 {
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		if n, err := v.DialServer(ctx, "tcp", e.Addr().String()); err == nil {
+			_ = n.Close()
+		}
+	}
+	e.waitOpen(t, 0)
+}
+
+func TestUnknownProtocolIsRefused(t *testing.T) {
+	p := newVM(t)
+	q, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+p.address+relay.PathConnect+"?server=127.0.0.1:1&protocol=0", http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := http.DefaultClient.Do(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = r.Body.Close()
+	if got, want := r.StatusCode, http.StatusBadGateway; got != want {
+		t.Errorf("got status %d, want %d", got, want)
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -42,12 +42,17 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	p.closed = true
+	p.closeAll()
+}
+
+// closeAll closes all idle connections; the caller holds the mutex.
+func (p *Pool) closeAll() {
 	for _, l := range p.idle {
 		for _, c := range l {
 			_ = c.Close()
 		}
 	}
-	p.idle = nil
+	clear(p.idle)
 }
 
 // connect returns an idle connection that is still usable, or a new one.
@@ -99,6 +104,13 @@
 	delete(p.idle, address)
 }
 
+// CloseIdle closes all idle connections.
+func (p *Pool) CloseIdle() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.closeAll()
+}
+
 // keepIdle adds a connection to the pool for a limited time.
 func (p *Pool) keepIdle(c *conn, idleTimeout time.Duration) {
 	c.idleUntil = time.Now().Add(idleTimeout)
