fix(call): take no retry from the budget for connections that were not made

Cause: the budget bounds what arrives at servers, and a failed connect was counted as an arrival; an entry VM with a broken path used up its share in its first second. Class: one count for two things, of which only one is bounded. Fix: an attempt of which nothing was sent has an outcome of its own; up to three of them in one call are retried without the budget, on both request paths. Provably unrun calls that a server refused still take a retry.

--- a/internal/decide/call/call.go
+++ b/internal/decide/call/call.go
@@ -12,9 +12,10 @@
 
 // Outcomes of a failed attempt.
 const (
-	// Unsent means that the call was provably not run, for example because no connection was
-	// made.
+	// Unsent means that the call was provably not run, for example because the server refused it.
 	Unsent Outcome = iota
+	// Unreached means that nothing was sent, since no connection was made.
+	Unreached
 	// ClaimLost means that another attempt took over the claim before the call was sent.
 	ClaimLost
 	// Incomplete means that the call was sent and no complete answer arrived.
@@ -32,6 +33,10 @@
 	Fail
 )
 
+// maxUnreached is how many failed connections of a call are retried without a retry from the budget,
+// which bounds what arrives at servers.
+const maxUnreached = 3
+
 // retryAfter is the time after which a refused caller may retry.
 const retryAfter = time.Second
 
@@ -39,6 +44,8 @@
 type Call struct {
 	notRepeatable bool
 	mayHaveRun    bool
+	// unreached counts the connections that were not made.
+	unreached int
 }
 
 // New starts a call; notRepeatable is set if it may run at most once.
@@ -58,6 +65,9 @@
 		return Fail, c.Fault(fault.DeadlinePassed, cause, "the deadline passed or the caller left")
 	case o == Incomplete && c.notRepeatable:
 		return Fail, c.Fault(fault.OutcomeUnknown, cause, "the call was sent and no complete answer came back")
+	case o == Unreached && c.unreached < maxUnreached:
+		c.unreached++
+		return Retry, nil
 	case !allowRetry():
 		return Fail, c.Fault(fault.NoServer, cause, "the attempt failed and the retry budget is spent").WithRetryAfter(retryAfter)
 	default:
--- a/internal/decide/call/call_test.go
+++ b/internal/decide/call/call_test.go
@@ -20,6 +20,8 @@
 	}{
 		{"unsent", true, call.Unsent, false, true, call.Retry, 0, ""},
 		{"unsent, no budget", true, call.Unsent, false, false, call.Fail, fault.NoServer, api.RanNo},
+		{"unreached, no budget", true, call.Unreached, false, false, call.Retry, 0, ""},
+		{"unreached, expired", true, call.Unreached, true, true, call.Fail, fault.DeadlinePassed, api.RanNo},
 		{"unsent, expired", true, call.Unsent, true, true, call.Fail, fault.DeadlinePassed, api.RanNo},
 		{"claim lost", true, call.ClaimLost, false, true, call.Fail, fault.ClaimHeld, api.RanNo},
 		{"not repeatable, incomplete", true, call.Incomplete, false, true, call.Fail, fault.OutcomeUnknown, api.RanUnknown},
@@ -49,3 +51,22 @@
 		t.Errorf("ran: got %s, want unknown", got)
 	}
 }
+
+// A call must not try to connect to one server after the other without a bound.
+func TestFailedConnectionsOfOneCallAreBounded(t *testing.T) {
+	c := call.New(true)
+	retries := 0
+	for range 100 {
+		m, f := c.AttemptFailed(call.Unreached, nil, false, func() bool { return false })
+		if m == call.Fail {
+			if f.Code != fault.NoServer || f.Ran != api.RanNo {
+				t.Errorf("fault: got %d ran %s, want %d ran no", f.Code, f.Ran, fault.NoServer)
+			}
+			break
+		}
+		retries++
+	}
+	if got, want := retries, 3; got != want {
+		t.Errorf("retries without a budget: got %d, want %d", got, want)
+	}
+}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -168,7 +168,7 @@
 		if m, f := d.AttemptFailed(o, err, ctx.Err() != nil, s.allowRetry); m == decide.Fail {
 			return nil, f
 		}
-		if o == decide.Unsent && c.permit != nil {
+		if o == decide.Unreached && c.permit != nil {
 			c.permit.MarkUnsent()
 		}
 		s.Metrics.Add(metric.Retries, 1)
@@ -179,7 +179,7 @@
 func outcome(err error) decide.Outcome {
 	switch {
 	case fault.Has(err, fault.NotStarted):
-		return decide.Unsent
+		return decide.Unreached
 	case fault.Has(err, fault.ClaimHeld):
 		return decide.ClaimLost
 	default:
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -245,12 +245,14 @@
 
 // attemptOutcome maps the error of an attempt to the outcome that decides on a retry.
 func attemptOutcome(err error) call.Outcome {
-	for _, c := range []fault.Code{fault.NotStarted, fault.ServerRefused, fault.Misdirected} {
-		if fault.Has(err, c) {
-			return call.Unsent
-		}
+	switch {
+	case fault.Has(err, fault.NotStarted):
+		return call.Unreached
+	case fault.Has(err, fault.ServerRefused), fault.Has(err, fault.Misdirected):
+		return call.Unsent
+	default:
+		return call.Incomplete
 	}
-	return call.Incomplete
 }
 
 // serverOutcome maps the error of an attempt to the outcome in the server's health record.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -390,3 +390,29 @@
 		}
 	})
 }
+
+// Connects that no server has accepted must not use up the retries that another server could serve.
+func TestFailedConnectsUseNoRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeServers()
+		f.total = 1
+		b := newTestGateway(t, f, 0)
+		b.SetRetryBounds(10*time.Second, 0, 0)
+		b.servers(map[string]bool{"p1": false, "p2": false, "p3": false, "p4": false})
+		f.dead["p1"], f.dead["p2"], f.dead["p3"] = true, true, true
+		for range 8 {
+			if got := b.send("/unsafe/1").status; got != http.StatusOK {
+				t.Errorf("with one server that accepts connections: got status %d, want 200", got)
+			}
+			time.Sleep(time.Minute)
+		}
+		f.dead["p4"] = true
+		sent := f.sent()
+		if c := b.send("/unsafe/1"); c.refused() == nil || c.refused().Ran != api.RanNo {
+			t.Errorf("with no server that accepts connections: got status %d, want a refusal that says that the call was not run", c.status)
+		}
+		if got := f.sent() - sent; got > 4 {
+			t.Errorf("connects of one request: got %d, want one for each server at most", got)
+		}
+	})
+}
