--- a/fleet/partition_test.go
+++ b/fleet/partition_test.go
@@ -227,7 +227,7 @@
 					g.Go(func(context.Context) error {
 						r := newRequest(fmt.Sprintf("s-%d", i), "/stream/", fmt.Sprint(i))
 						r.Header.Set(message.HeaderRequestID, string(r.ID))
-				r.Header.Set(message.HeaderTokenUsage, fmt.Sprintf("%d,%d", r.Prompt.Tokens, streamTokens))
+						r.Header.Set(message.HeaderTokenUsage, fmt.Sprintf("%d,%d", r.Prompt.Tokens, streamTokens))
 						a := b.send(0, r)
 						mutex.Lock()
 						defer mutex.Unlock()
