feat(gateway): keep fragile servers from having to refuse too much

Servers of a service may announce in all answers that they fail for some seconds once they have to refuse more than so many requests within a second for lack of room. Callers would see each such failure as lost answers of a whole server, and a second one as the first one's load moves on.

Change: the announcement is decoded beside the other signals and holds for the service. An entry VM then fills its share of a server's slots alone, sends nothing to one that has refused a request for a time by which the refusals of all stay at half of the bound, and waits for room for half of a latency target at most; what finds none is refused at once, with a time to come back. Engines get no run beyond their slots from their allocator. With more entry VMs than slots, requests take send slots from the entry VM that paces rate-limited servers. Decisions are in decide/fragile; servers_fragile logs the announcement. Without it nothing changes. Not there: the own interface, whose servers have no such announcement.

--- a/internal/decide/call/call.go
+++ b/internal/decide/call/call.go
@@ -86,6 +86,11 @@
 	return c.Fault(fault.NoServer, nil, "all servers of the service are at their limits or rest").WithRetryAfter(max(wait, retryAfter))
 }
 
+// NoRoom returns the fault of a call for which no server has room, with the time after which to retry.
+func (c *Call) NoRoom(wait time.Duration) *fault.Error {
+	return c.Fault(fault.NoServer, nil, "no server of the service has room").WithRetryAfter(wait)
+}
+
 // Refusal returns the fault for refusing a further attempt, marked as of unknown outcome if an
 // earlier attempt may have run.
 func (c *Call) Refusal(f *fault.Error) *fault.Error {
--- a/internal/decide/placement/health.go
+++ b/internal/decide/placement/health.go
@@ -65,11 +65,7 @@
 
 // Record adds the outcome of one request at a server.
 func (h *Health) Record(now time.Time, n api.ServerName, o Outcome) {
-	r, ok := h.records[n]
-	if !ok {
-		r = &record{}
-		h.records[n] = r
-	}
+	r := h.record(n)
 	r.failureRate *= 1 - failureWeight
 	switch o {
 	case Served:
@@ -98,6 +94,22 @@
 	}
 }
 
+// Pause avoids a server for a time.
+func (h *Health) Pause(now time.Time, n api.ServerName, d time.Duration) {
+	r := h.record(n)
+	r.cooldownEnd = later(r.cooldownEnd, now.Add(d))
+}
+
+// record returns the record of a server, and makes it if there is none yet.
+func (h *Health) record(n api.ServerName) *record {
+	r, ok := h.records[n]
+	if !ok {
+		r = &record{}
+		h.records[n] = r
+	}
+	return r
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/internal/decide/placement/load.go
+++ b/internal/decide/placement/load.go
@@ -81,6 +81,11 @@
 	t.local.add(n, l)
 }
 
+// Local returns the load of a server from this entry VM alone.
+func (t *LoadTable) Local(n api.ServerName) api.ServerLoad {
+	return t.local[n]
+}
+
 // Update records a peer's report. The report of the primary covers all other entry VMs and
 // replaces all other reports. Unrelated peers report nothing; what they reported before
 // expires.
--- a/internal/decide/placement/pick.go
+++ b/internal/decide/placement/pick.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/fragile"
 	"github.com/wardridge/wardridge/internal/decide/roster"
 	"github.com/wardridge/wardridge/internal/decide/throttle"
 )
@@ -126,13 +127,15 @@
 	Limits   *throttle.Limits
 	Pacer    *throttle.Pacer
 	Backoffs *Backoffs
-	random   *rand.Rand
+	// Fragile holds the services whose servers fail once they have to refuse too much.
+	Fragile *fragile.Services
+	random  *rand.Rand
 }
 
 // NewPicker returns a picker without any load that draws random numbers from s.
 func NewPicker(s rand.Source) *Picker {
 	r := rand.New(s)
-	return &Picker{PlainLoads: NewLoadTable(), EngineLoads: NewLedger(), Health: NewHealth(), Sends: NewSendHistory(r), Limits: throttle.NewLimits(), Pacer: throttle.NewPacer(r), Backoffs: NewBackoffs(), random: r}
+	return &Picker{PlainLoads: NewLoadTable(), EngineLoads: NewLedger(), Health: NewHealth(), Sends: NewSendHistory(r), Limits: throttle.NewLimits(), Pacer: throttle.NewPacer(r), Backoffs: NewBackoffs(), Fragile: fragile.New(), random: r}
 }
 
 // Choice is a chosen server with the figures that the choice was based on.
@@ -199,6 +202,9 @@
 	if l.ExcludeBackingOff && p.Backoffs.Active(now, m.Name) {
 		return false
 	}
+	if !p.hasSureRoom(now, l, m) {
+		return false
+	}
 	rate := l.warmupRate(m)
 	if rate != 0 && now.Before(m.WarmAt) && !p.Sends.withinRate(now, m.Name, m.WarmAt, rate) {
 		return false
@@ -206,6 +212,26 @@
 	return p.withinLimit(now, l, m)
 }
 
+// hasSureRoom reports whether a fragile server certainly has room for another request: it has not just
+// refused one, and a slot is free there as far as this entry VM may fill them.
+func (p *Picker) hasSureRoom(now time.Time, l Pool, m roster.Member) bool {
+	if _, ok := p.Fragile.MaxRejections(m.Service); !ok {
+		return true
+	}
+	if p.Health.coolingDown(now, m.Name) {
+		return false
+	}
+	share := fragile.MaxInFlight(m.Slots, l.Warmup.EntryVMs)
+	switch {
+	case l.Memory == 0:
+		return p.PlainLoads.Local(m.Name).Requests < share
+	case l.ExactLoads && m.Domain == l.Domain && !l.Standby:
+		return p.EngineLoads.Total(m.Name).Requests < m.Slots
+	default:
+		return p.EngineLoads.Total(m.Name).Requests < share
+	}
+}
+
 // withinLimit reports whether another request stays within the rate limit that the server
 // has announced.
 func (p *Picker) withinLimit(now time.Time, l Pool, m roster.Member) bool {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -73,6 +73,7 @@
 	RolloutStopped      ID = 420
 	RolloutRecorded     ID = 421
 	EngineRole          ID = 422
+	ServersFragile      ID = 423
 	LeaseTaken          ID = 501
 	LeaseLost           ID = 502
 	LeaseReleased       ID = 503
@@ -164,6 +165,7 @@
 	{RolloutStopped, "rollout_stopped", zapcore.WarnLevel, "The target version of a rollout was found bad, here or by a peer; it gets no more requests."},
 	{RolloutRecorded, "rollout_recorded", zapcore.InfoLevel, "The state of a rollout was written to the platform; a failed write is retried."},
 	{EngineRole, "engine_role", zapcore.InfoLevel, "The class or the role of an engine changed on the entry VM that allocates it, in a service with a gap target."},
+	{ServersFragile, "servers_fragile", zapcore.InfoLevel, "The servers of a service announce that they fail once they have to refuse more requests in a second, or no longer do."},
 	{LeaseTaken, "lease_taken", zapcore.InfoLevel, "This entry VM holds the lease on a duty."},
 	{LeaseLost, "lease_lost", zapcore.WarnLevel, "This entry VM no longer holds the lease on a duty."},
 	{LeaseReleased, "lease_released", zapcore.InfoLevel, "This entry VM released a lease at its stop."},
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -54,6 +54,7 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.Retries.Prune(configured)
+	g.picker.Fragile.Forget(configured)
 	for n, a := range g.admissions {
 		a.backlog.RetainRoutes(func(route string) bool { return routes[route] })
 		if !configured(n) && a.backlog.Len() == 0 {
--- a/internal/gateway/allocate.go
+++ b/internal/gateway/allocate.go
@@ -193,6 +193,9 @@
 	}
 	for n, x := range h.Met {
 		g.picker.Health.RecordAll(now, api.ServerName(n), x)
+		if m, ok := g.roster.Find(api.ServerName(n)); ok && x.Full > 0 {
+			g.pauseIfFragile(now, m.Server)
+		}
 	}
 	g.admitWaiting(now)
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -124,6 +124,7 @@
 		g.observeAttempt(ctx, q, s, a, err)
 		if err == nil && !shouldRetry(q, a) {
 			g.recordOutcome(s, placement.Served)
+			g.recordDuration(s, time.Since(q.sentAt))
 			return serverAnswer{answer: a, server: s, reservation: p.reservation, backup: b}, nil
 		}
 		p.release()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -108,6 +108,8 @@
 	reachability *holder.Reachability
 	// fleet detects that some of the entry VMs may be cut off by a network partition.
 	fleet throttle.Fleet
+	// roomWaits counts the requests that wait for room at fragile servers, by service.
+	roomWaits map[api.ServiceName]int
 	// retryReports holds what peers report of their retries.
 	retryReports *retry.Reports
 	// The following fields are the state of this entry VM's reports to allocators: incarnation
@@ -152,7 +154,7 @@
 		domains: placement.NewRemotePools(), reachability: holder.NewReachability(), reports: holder.NewReportSchedule(), observations: holder.NewObservations(), speedSamples: speed.NewRecorder(), speeds: speed.New(), planners: map[api.ServiceName]*role.Planner{}, incarnation: api.Incarnation(p.Seed),
 		Options: p, roster: roster.New(), picker: placement.NewPicker(rand.NewPCG(p.Seed, 0)),
 		runs: map[api.ServerName]map[*run]bool{}, admissions: map[api.ServiceName]*admission{},
-		retryReports: retry.NewReports(), queryResults: silence.NewResultCache(), leaveQueries: leavequery.New(), watchdog: newWatchdog(),
+		retryReports: retry.NewReports(), roomWaits: map[api.ServiceName]int{}, queryResults: silence.NewResultCache(), leaveQueries: leavequery.New(), watchdog: newWatchdog(),
 		bodies: newBodyMemory(p.Memory, p.Metrics), rollouts: rollout.New(p.Rollouts, rand.NewPCG(p.Seed, 1)), rolloutVersions: map[api.RolloutID]api.Version{},
 	}
 	g.Backends = signalRecorder{p.Backends, g}
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -7,9 +7,11 @@
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/call"
+	"github.com/wardridge/wardridge/internal/decide/fragile"
 	"github.com/wardridge/wardridge/internal/decide/gossip"
 	"github.com/wardridge/wardridge/internal/decide/placement"
 	"github.com/wardridge/wardridge/internal/decide/rollout"
+	"github.com/wardridge/wardridge/internal/decide/roster"
 	"github.com/wardridge/wardridge/internal/decide/throttle"
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/fault"
@@ -48,13 +50,17 @@
 	var busy []busyServer
 	tried := slices.Clone(q.tried)
 	for {
-		x, ok := g.pickPlain(q, tried)
+		a, ok := g.pickPlain(q, tried)
+		if !ok && len(busy) == 0 && g.awaitRoom(ctx, q) {
+			continue
+		}
 		if !ok {
 			break
 		}
-		if _, limited := g.serverLimit(x.Name); !limited {
-			return g.reservePlain(x)
+		if a.reservation != nil {
+			return a
 		}
+		x := a.choice
 		p := g.trySendSlot(ctx, x)
 		if p.granted {
 			return g.reservePlain(x)
@@ -62,7 +68,10 @@
 		tried = append(tried, x.Name)
 		busy = append(busy, busyServer{server: x, at: p.at})
 	}
-	if len(busy) == 0 {
+	switch {
+	case len(busy) == 0 && g.isFragile(q.service.Name):
+		return assignment{fault: c.NoRoom(q.latencyTarget())}
+	case len(busy) == 0:
 		return assignment{fault: c.NoServer()}
 	}
 	return g.awaitSendSlot(ctx, q, c, busy)
@@ -105,28 +114,101 @@
 	return c.AllBusy(wait)
 }
 
-// serverLimit is the rate limit that a server announced, if it announced one.
-func (g *Gateway) serverLimit(n api.ServerName) (throttle.Rate, bool) {
+// roomPollInterval is the pause between checks whether a fragile server has room: a part of the time in
+// which a plain server answers.
+const roomPollInterval = 5 * time.Millisecond
+
+// awaitRoom waits for room at the fragile servers of a request's service. It reports false for other
+// services, once the request has waited for as long as it may, or where so many requests wait that
+// there will be no room in time.
+func (g *Gateway) awaitRoom(ctx context.Context, q *request) bool {
+	maxWait := time.Duration(maxWaitShare * float64(q.latencyTarget()))
+	if !g.isFragile(q.service.Name) || time.Since(q.Arrived) >= maxWait || !g.beginRoomWait(q) {
+		return false
+	}
+	defer g.endRoomWait(q)
+	began := time.Now()
+	ok := duty.Sleep(ctx, roomPollInterval)
+	q.waited += time.Since(began)
+	return ok
+}
+
+func (g *Gateway) isFragile(n api.ServiceName) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	_, ok := g.picker.Fragile.MaxRejections(n)
+	return ok
+}
+
+// beginRoomWait counts a request that waits for room, unless as many wait as this entry VM may have in
+// flight.
+func (g *Gateway) beginRoomWait(q *request) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	room := 0
+	for _, m := range g.membersIn(q.service.Name, q.regions) {
+		room += fragile.MaxInFlight(m.Slots, g.fleet.Shares(time.Now()))
+	}
+	if g.roomWaits[q.service.Name] >= room {
+		return false
+	}
+	g.roomWaits[q.service.Name]++
+	return true
+}
+
+func (g *Gateway) endRoomWait(q *request) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.picker.Limits.Find(n)
+	g.roomWaits[q.service.Name]--
+	if g.roomWaits[q.service.Name] == 0 {
+		delete(g.roomWaits, q.service.Name)
+	}
+}
+
+// rateLimit is the rate of all entry VMs together at a server: the limit that it has announced, or what a
+// fragile one certainly has room for, whichever is lower. It reports false if there is none; the caller
+// holds the mutex.
+func (g *Gateway) rateLimit(now time.Time, s roster.Server) (throttle.Rate, bool) {
+	r, limited := g.picker.Limits.Find(s.Name)
+	x, bounded := g.picker.Fragile.Rate(s.Service, s.Slots, g.fleet.Shares(now))
+	switch {
+	case limited && bounded:
+		return min(r, throttle.Rate(x)), true
+	case bounded:
+		return throttle.Rate(x), true
+	default:
+		return r, limited
+	}
 }
 
-// pickPlain chooses a plain server for a request.
-func (g *Gateway) pickPlain(q *request, tried []api.ServerName) (placement.Choice, bool) {
+// pickPlain chooses a plain server for a request, and counts the request there unless the server has a
+// rate limit, which needs a send slot.
+func (g *Gateway) pickPlain(q *request, tried []api.ServerName) (assignment, bool) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := time.Now()
 	l := placement.Pool{Members: g.membersIn(q.service.Name, q.regions), Domain: g.Domain, Warmup: g.warmupBound(now, q.service), ExcludeBackingOff: true}
-	return g.pickVersion(now, q.service.Name, l, rollout.Request, func(l placement.Pool) (placement.Choice, bool) {
+	x, ok := g.pickVersion(now, q.service.Name, l, rollout.Request, func(l placement.Pool) (placement.Choice, bool) {
 		return g.picker.Pick(now, l, placement.Requirements{}, tried)
 	})
+	if !ok {
+		return assignment{}, false
+	}
+	if _, limited := g.rateLimit(now, x.Server); limited {
+		return assignment{choice: x}, true
+	}
+	return g.countPlain(x), true
 }
 
 // reservePlain counts a request at a plain server.
 func (g *Gateway) reservePlain(x placement.Choice) assignment {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	return g.countPlain(x)
+}
+
+// countPlain counts a request at a plain server; the caller holds the mutex.
+func (g *Gateway) countPlain(x placement.Choice) assignment {
 	g.rollouts.RecordSend(x.Service, x.Version)
 	return assignment{choice: x, reservation: g.reserve(time.Now(), x.Server, false, api.ServerLoad{Requests: 1})}
 }
@@ -152,7 +234,9 @@
 // domain, or from the standby. Where neither answers, this entry VM stays within its own share
 // of the server's limit.
 func (g *Gateway) obtainPermit(ctx context.Context, x placement.Choice, maxWait time.Duration) permit {
-	r, _ := g.serverLimit(x.Name)
+	g.mutex.Lock()
+	r, _ := g.rateLimit(time.Now(), x.Server)
+	g.mutex.Unlock()
 	a := api.PermitAsk{Protocol: gossip.Protocol, VM: g.VM, Server: x.Name, PerSecond: float64(r), PatienceMS: api.ToMilliseconds(maxWait)}
 	for _, to := range g.allocators(x.Domain) {
 		a.Standby = to.standby
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -8,6 +8,7 @@
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/directory"
+	"github.com/wardridge/wardridge/internal/decide/fragile"
 	"github.com/wardridge/wardridge/internal/decide/placement"
 	"github.com/wardridge/wardridge/internal/decide/replica"
 	"github.com/wardridge/wardridge/internal/decide/roster"
@@ -251,6 +252,9 @@
 	defer g.mutex.Unlock()
 	now := time.Now()
 	g.picker.Health.Record(now, s.Name, o)
+	if o == placement.Full {
+		g.pauseIfFragile(now, s)
+	}
 	g.Metrics.Count(metric.ByServer, string(s.Name), o.String())
 	if !g.isEngine(s) {
 		return
@@ -261,6 +265,24 @@
 	}
 }
 
+// pauseIfFragile leaves a server alone that has refused a request and must not have to refuse many. The
+// caller holds the mutex.
+func (g *Gateway) pauseIfFragile(now time.Time, s roster.Server) {
+	if n, ok := g.picker.Fragile.MaxRejections(s.Service); ok {
+		g.picker.Health.Pause(now, s.Name, fragile.Pause(n, g.fleet.Shares(now)))
+	}
+}
+
+// recordDuration records how long a plain server took for an answer.
+func (g *Gateway) recordDuration(s roster.Server, d time.Duration) {
+	if g.isEngine(s) {
+		return
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.picker.Fragile.RecordDuration(s.Service, d)
+}
+
 // isEngine reports whether a server is an engine.
 func (g *Gateway) isEngine(s roster.Server) bool {
 	d := g.directory.Load()
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -102,6 +102,19 @@
 		// An unreadable signal may be the limit, so that its absence does not withdraw one.
 		g.recordLimit(sent, s, throttle.Limit{Announced: x.Limited, Rate: throttle.Rate(x.Limit)})
 	}
+	if x.Fragile || x.Unreadable == "" {
+		g.recordFragile(sent, s, x)
+	}
+}
+
+// recordFragile records whether an answer announces that its server is fragile.
+func (g *Gateway) recordFragile(sent time.Time, s roster.Server, x port.Signals) {
+	g.mutex.Lock()
+	changed := g.picker.Fragile.Record(time.Now(), sent, s.Service, x.Fragile, x.MaxRejections)
+	g.mutex.Unlock()
+	if changed {
+		g.Log.Emit(event.ServersFragile, zap.String("service", string(s.Service)), zap.Bool("fragile", x.Fragile), zap.Float64("rejections_per_second", x.MaxRejections))
+	}
 }
 
 // recordLimit records the limit in an answer, or that the answer announces none.
--- a/internal/port/signals.go
+++ b/internal/port/signals.go
@@ -23,13 +23,17 @@
 	// no other request for a time, which is Backoff.
 	BackoffRequested bool
 	Backoff          time.Duration
+	// Fragile is set if the server fails for a while once it has to refuse more than MaxRejections
+	// requests of all entry VMs together in a second for lack of room.
+	Fragile       bool
+	MaxRejections float64
 	// Unreadable is the text of a signal that could not be parsed; empty if there is none.
 	Unreadable string
 }
 
 // SignalHeaders are the names of the headers for signals in a wire protocol.
 type SignalHeaders struct {
-	Limit, Leaving, Backoff string
+	Limit, Leaving, Backoff, MaxRejections string
 }
 
 // leavingValue is the value of the leaving header of a server that is about to end.
@@ -44,6 +48,12 @@
 			s.Unreadable = x
 		}
 	}
+	if x := h.Get(n.MaxRejections); x != "" {
+		s.MaxRejections, s.Fragile = parseNumber(x)
+		if !s.Fragile {
+			s.Unreadable = x
+		}
+	}
 	if x := h.Get(n.Backoff); x != "" && refusesForNow(status) {
 		s.Backoff, s.BackoffRequested = parseBackoff(x)
 		if !s.BackoffRequested {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -54,13 +54,15 @@
 	ServerLimit Property = "limit"
 	// ServerBackoff: an entry VM honors the backoff that a server requested from it.
 	ServerBackoff Property = "rest"
+	// FragileServers: servers that fail once they have to refuse too much seldom have to.
+	FragileServers Property = "fragile"
 )
 
 // Timed reports whether checking the property compares times, which a shared machine may
 // stretch.
 func (p Property) Timed() bool {
 	switch p {
-	case LeavingServer, ClosedDomain, CallerGone, ConfigInForce, Recovery, PlannedWork, CrashesContained, ServerLimit, ServerBackoff:
+	case LeavingServer, ClosedDomain, CallerGone, ConfigInForce, Recovery, PlannedWork, CrashesContained, ServerLimit, ServerBackoff, FragileServers:
 		return true
 	}
 	return false
@@ -122,6 +124,9 @@
 	c.checkCrashesContained()
 	c.checkSignals()
 	c.checkRecovery()
+	for _, p := range r.FragilePeriods {
+		c.checkFragilePeriod(p)
+	}
 	for _, d := range r.Failures {
 		c.addViolation(ProcessAlive, "", r.End, d)
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -55,6 +55,9 @@
 	SignalLimit   Kind = "limit-server"
 	SignalBackoff Kind = "rest-server"
 	SignalLeaving Kind = "say-leaving"
+	// SignalFragile has all servers of a service announce that they fail once they have to refuse too
+	// many requests, and gives them few slots.
+	SignalFragile Kind = "fragile-servers"
 )
 
 // firstExtendedSeed is the first seed whose plan also draws from the extended kinds, so
@@ -71,6 +74,9 @@
 // servers.
 const firstSignalSeed = 8000
 
+// firstFragileSeed is the first seed whose plan also draws fragile servers.
+const firstFragileSeed = 9000
+
 // signalKinds are the signals that servers send in their answers; no request may be lost
 // by them.
 var signalKinds = []Kind{SignalLimit, SignalBackoff, SignalLeaving}
@@ -174,6 +180,9 @@
 	if seed >= firstSignalSeed {
 		plannedKinds, all = slices.Concat(plannedKinds, signalKinds), slices.Concat(all, signalKinds, signalKinds)
 	}
+	if seed >= firstFragileSeed {
+		all = append(all, SignalFragile, SignalFragile)
+	}
 	kinds := all
 	if r.Float64() < plannedShare {
 		kinds = plannedKinds
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -69,6 +69,14 @@
 	Span
 }
 
+// FragilePeriod is a period in which all servers of a service announced that they fail once they have to
+// refuse too many requests, and how often they failed.
+type FragilePeriod struct {
+	Service           api.ServiceName
+	Servers, Failures int
+	Span
+}
+
 // Record is all that Check considers.
 type Record struct {
 	Requests     []SentRequest
@@ -81,7 +89,8 @@
 	ConfigTimes map[int64]time.Time
 	// Closures holds from when and until when each failure domain was acknowledged as
 	// closed.
-	Closures []Closure
+	Closures       []Closure
+	FragilePeriods []FragilePeriod
 	// PathServices holds the services to which some version routes the requests of a path.
 	PathServices map[string][]api.ServiceName
 	// ServerServices holds the service of each server.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -167,6 +167,8 @@
 		b.injectServerFault(ctx, f, s)
 	case SignalLimit, SignalBackoff, SignalLeaving:
 		b.injectSignal(ctx, f, s)
+	case SignalFragile:
+		b.makeFragile(ctx, s.service, f.For.Duration())
 	case CloseDomain:
 		b.closeDomain(ctx, s, f.For.Duration())
 	case ForeignEntry:
@@ -253,7 +255,7 @@
 	case CrashServer, SilentServer, ServerLink, LeaveServer, LoseAnswers, RestartServer:
 		x, _ := s.current()
 		t.Server = x.Name
-	case ChangeRoute, RevokeKey, StoreDropHistory, SignalLimit, SignalBackoff, SignalLeaving, CloseDomain, ForeignEntry, CrashingRequest:
+	case ChangeRoute, RevokeKey, StoreDropHistory, SignalLimit, SignalBackoff, SignalLeaving, SignalFragile, CloseDomain, ForeignEntry, CrashingRequest:
 	default:
 		t.VM = v.index
 		if f.Target == All {
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -73,6 +73,8 @@
 	spareKeys   []versionedName
 	// closedDomain is the failure domain that operators have closed; empty means none.
 	closedDomain api.DomainName
+	// fragile holds the services whose servers are fragile.
+	fragile map[api.ServiceName]bool
 }
 
 // newTestbed starts a testbed; the returned function ends all of it.
@@ -81,7 +83,7 @@
 	c, closer := wire.NewClient(time.Second, false)
 	store := hosted.NewStore(o.Wire)
 	b := &testbed{
-		Options: o, group: g, http: c, store: store, recorder: newRecorder(),
+		Options: o, group: g, http: c, store: store, recorder: newRecorder(), fragile: map[api.ServiceName]bool{},
 		fleet: hosted.NewFleet(store, hosted.Pace{PlainAnswer: plainAnswerTime, EventInterval: fastEventInterval, Copy: copyTime}),
 	}
 	b.cleanups = []func(){end, closer}
--- a/internal/standin/hosted/server.go
+++ b/internal/standin/hosted/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -41,6 +42,9 @@
 	// Backoff is how long an entry VM whose request is refused must not send another one. If
 	// it is not zero, the server refuses all requests.
 	Backoff time.Duration
+	// MaxRejections is set if the server fails for a while once it has had to refuse more
+	// requests than that within a second for lack of room; nil for a server that does not.
+	MaxRejections *int
 }
 
 // Server is one incarnation of a backend server.
@@ -67,13 +71,21 @@
 	eventInterval time.Duration
 	// signals are sent with each answer.
 	signals Signals
-	runs    map[api.RequestID]*streamRun
-	copies  map[string]*runState
+	// rejections holds when the server refused requests for lack of room within the last second.
+	rejections []time.Time
+	// failedUntil is when the server recovers from too many rejections, and failures counts how
+	// often it had too many.
+	failedUntil time.Time
+	failures    int
+	runs        map[api.RequestID]*streamRun
+	copies      map[string]*runState
 }
 
 // Register writes the server's entry to the store.
 func (s *Server) Register() error {
+	s.mutex.Lock()
 	e := s.Server
+	s.mutex.Unlock()
 	_, e.Draining = s.TimeLeft()
 	return s.fleet.Store.register(e)
 }
@@ -92,6 +104,14 @@
 	return s.Register()
 }
 
+// SetSlots changes the number of the server's slots and writes its entry.
+func (s *Server) SetSlots(n int) error {
+	s.mutex.Lock()
+	s.Slots = n
+	s.mutex.Unlock()
+	return s.Register()
+}
+
 // TimeLeft returns the time until the server stops; it reports false if no stop is planned.
 func (s *Server) TimeLeft() (time.Duration, bool) {
 	s.mutex.Lock()
@@ -115,10 +135,12 @@
 func (s *Server) Serve(ctx context.Context, a Request, w AnswerWriter) {
 	misdirected := a.ExpectedServer != "" && a.ExpectedServer != s.ID
 	x := s.currentSignals()
-	taken := !misdirected && x.Backoff == 0 && s.acquireSlot()
+	taken := !misdirected && x.Backoff == 0 && !s.failed() && s.acquireSlot()
 	s.fleet.Journal.recordArrival(Arrival{Request: a, Server: s.Name, Refused: !taken, Signals: x})
 	w.SetSignals(x)
 	switch {
+	case s.failed():
+		w.Abort()
 	case misdirected:
 		w.RefuseMisdirected()
 	case !taken:
@@ -154,12 +176,48 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.active >= s.Slots {
+		s.countRejection(time.Now())
 		return false
 	}
 	s.active++
 	return true
 }
 
+const (
+	// rejectionWindow is the time in which rejections are counted, and failureTime how long a
+	// server fails after too many.
+	rejectionWindow = time.Second
+	failureTime     = 3 * time.Second
+)
+
+// countRejection counts a request that was refused for lack of room; the caller holds the mutex.
+func (s *Server) countRejection(now time.Time) {
+	if s.signals.MaxRejections == nil {
+		return
+	}
+	s.rejections = slices.DeleteFunc(s.rejections, func(t time.Time) bool { return now.Sub(t) >= rejectionWindow })
+	s.rejections = append(s.rejections, now)
+	if len(s.rejections) > *s.signals.MaxRejections {
+		s.rejections = nil
+		s.failedUntil = now.Add(failureTime)
+		s.failures++
+	}
+}
+
+// failed reports whether the server fails at present since it had to refuse too many requests.
+func (s *Server) failed() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return time.Now().Before(s.failedUntil)
+}
+
+// Failures counts how often the server failed since it had to refuse too many requests.
+func (s *Server) Failures() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.failures
+}
+
 func (s *Server) releaseSlot() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
