feat(gateway): leave runs at a server that is silent for a second or so

A sound server may fall silent for a second and go on. A stream whose engine did not answer for 0.14 s was resumed from its backup copy elsewhere, while the engine was still working on it: two runs of one answer, of which one was for nothing.

Change: gateway.server_pause_ms says how long a server may be silent and go on; a run without an answer of its server is resumed elsewhere after it at the earliest, and the server is queried once more as it ends. Zero keeps what was. Evidence: TestRunOfPausedServerStaysThere, a pause of 1.2 s: without the setting the stream is closed and sent to another engine.

--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -787,6 +787,11 @@
 
 	// Control addresses of other entry VMs, separated by commas.
 	Seeds string `json:"seeds,omitempty,omitzero"`
+
+	// Time for which a backend server may be silent and go on as before, ms. A stream
+	// is resumed from its backup copy only after it; 0 resumes as soon as the server
+	// does not answer a query.
+	ServerPauseMS Milliseconds `json:"server_pause_ms,omitempty,omitzero"`
 }
 
 // GenerateRequest requests a generation from an engine.
--- a/internal/decide/silence/silence.go
+++ b/internal/decide/silence/silence.go
@@ -25,17 +25,19 @@
 // Watch determines when the server of one silent stream is queried.
 type Watch struct {
 	maxGap time.Duration
+	// pause is how long a server may be silent and go on as before.
+	pause time.Duration
 	// queries counts the queries since the last event.
 	queries int
 }
 
 // NewWatch creates a watch for a stream whose pauses are acceptable up to gap; zero means the
-// default.
-func NewWatch(gap time.Duration) *Watch {
+// default. Its server may be silent for a pause and go on as before.
+func NewWatch(gap, pause time.Duration) *Watch {
 	if gap <= 0 {
 		gap = defaultGap
 	}
-	return &Watch{maxGap: gap}
+	return &Watch{maxGap: gap, pause: pause}
 }
 
 // RecordEvent records that the stream received an event.
@@ -48,10 +50,19 @@
 	w.queries++
 }
 
-// QueryDelay returns the time from now until the server is queried if no event arrives.
-func (w *Watch) QueryDelay() time.Duration {
-	d := time.Duration(waitFraction * float64(w.maxGap))
-	return min(d<<min(w.queries, 8), maxQueryDelay)
+// QueryDelay returns the time from now until the server is queried if no event arrives, for a stream
+// that has been silent for a time. The server is queried once more as its pause ends.
+func (w *Watch) QueryDelay(silentFor time.Duration) time.Duration {
+	d := min(time.Duration(waitFraction*float64(w.maxGap))<<min(w.queries, 8), maxQueryDelay)
+	if silentFor < w.pause {
+		return min(d, w.pause-silentFor)
+	}
+	return d
+}
+
+// Pause returns how long the server may be silent and go on as before.
+func (w *Watch) Pause() time.Duration {
+	return w.pause
 }
 
 // QueryTimeout returns the time that the server's answer may take.
@@ -109,6 +120,9 @@
 	// the current wait for an event began.
 	Delivered int
 	SilentFor time.Duration
+	// Pause is how long its server may be silent and go on as before. A run must not be resumed
+	// elsewhere meanwhile, since the server may still be working on it.
+	Pause time.Duration
 	// HasBackup is set if a copy of the run is held by a server that answers promptly. If that
 	// server is silent too, this process, its links or all servers are slow, and a run that is
 	// alive must not be abandoned.
@@ -168,7 +182,7 @@
 	switch {
 	case ProcessStalled(a.Overrun):
 		return Wait
-	case a.Unresponsive() && s.HasBackup:
+	case a.Unresponsive() && s.HasBackup && s.SilentFor >= s.Pause:
 		return Abandon
 	case a.Answered && s.SilentFor >= minFetchSilence && a.Produced[s.Request] >= s.Delivered+minFetchLead:
 		return Fetch
--- a/internal/decide/silence/silence_test.go
+++ b/internal/decide/silence/silence_test.go
@@ -11,28 +11,28 @@
 const gap = 180 * time.Millisecond
 
 func TestQueryDelay(t *testing.T) {
-	w := silence.NewWatch(gap)
-	if got, want := w.QueryDelay(), gap/2; got != want {
+	w := silence.NewWatch(gap, 0)
+	if got, want := w.QueryDelay(0), gap/2; got != want {
 		t.Errorf("first delay: got %v, want %v", got, want)
 	}
-	if got := w.QueryDelay() + w.QueryTimeout(); got >= gap {
+	if got := w.QueryDelay(0) + w.QueryTimeout(); got >= gap {
 		t.Errorf("delay and timeout: got %v, want time left to resume within %v", got, gap)
 	}
 	w.RecordQuery()
-	if got, want := w.QueryDelay(), gap; got != want {
+	if got, want := w.QueryDelay(0), gap; got != want {
 		t.Errorf("delay after a query: got %v, want %v", got, want)
 	}
 	for range 100 {
 		w.RecordQuery()
 	}
-	if got, want := w.QueryDelay(), 2*time.Second; got != want {
+	if got, want := w.QueryDelay(0), 2*time.Second; got != want {
 		t.Errorf("delay after a hundred queries: got %v, want %v", got, want)
 	}
 	w.RecordEvent()
-	if got, want := w.QueryDelay(), gap/2; got != want {
+	if got, want := w.QueryDelay(0), gap/2; got != want {
 		t.Errorf("delay after an event: got %v, want %v", got, want)
 	}
-	if got := silence.NewWatch(0).QueryDelay(); got <= 0 || got > time.Second {
+	if got := silence.NewWatch(0, 0).QueryDelay(0); got <= 0 || got > time.Second {
 		t.Errorf("delay without a gap: got %v, want more than 0 and at most 1 s", got)
 	}
 }
@@ -55,6 +55,8 @@
 		want   silence.Verdict
 	}{
 		{"no answer, backup copy", stream, none, silence.Abandon},
+		{"no answer, backup copy, within the pause of a sound server", with(func(s *silence.Stream) { s.Pause = 1500 * time.Millisecond }), none, silence.Wait},
+		{"no answer, backup copy, after the pause of a sound server", with(func(s *silence.Stream) { s.Pause = time.Second }), none, silence.Abandon},
 		{"no answer, no backup copy", with(func(s *silence.Stream) { s.HasBackup = false }), none, silence.Wait},
 		{"query exceeded its timeout", stream, silence.QueryResult{Overrun: time.Second}, silence.Wait},
 		{"slow server", stream, produced(10), silence.Wait},
@@ -119,3 +121,17 @@
 		t.Error("server that was forgotten: got a result, want none")
 	}
 }
+
+// A server whose pause ends must be queried then, however many queries it has not answered.
+func TestServerIsQueriedAtTheEndOfItsPause(t *testing.T) {
+	w := silence.NewWatch(gap, 1500*time.Millisecond)
+	for range 5 {
+		w.RecordQuery()
+	}
+	if got, want := w.QueryDelay(1300*time.Millisecond), 200*time.Millisecond; got != want {
+		t.Errorf("within the pause: got %v, want %v", got, want)
+	}
+	if got, want := w.QueryDelay(1500*time.Millisecond), 2*time.Second; got != want {
+		t.Errorf("after the pause: got %v, want %v", got, want)
+	}
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,8 @@
 	Memory int64
 	// Regions holds the region of each failure domain, where operators declare it.
 	Regions map[api.DomainName]api.RegionName
+	// ServerPause is how long a server may be silent and go on as before; zero for not at all.
+	ServerPause time.Duration
 	// KnownPeers is the number of other entry VMs that the settings name.
 	KnownPeers int
 	// LeaveLearned is called after a server or a peer announced the leave of servers that were not
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -38,8 +38,23 @@
 // some of them.
 func startStream(t *testing.T, f *fakeServers, total, events int) *streamTest {
 	t.Helper()
+	return startStreamAt(t, newTestGateway(t, f, 0), total, events)
+}
+
+// startPausedStream starts a stream of 40 events at a gateway whose servers may be silent for a pause,
+// and waits for five of them.
+func startPausedStream(t *testing.T, f *fakeServers, pause time.Duration) *streamTest {
+	t.Helper()
+	b := newTestGateway(t, f, 0)
+	b.ServerPause = pause
+	return startStreamAt(t, b, 40, 5)
+}
+
+func startStreamAt(t *testing.T, b *testGateway, total, events int) *streamTest {
+	t.Helper()
+	f := b.fake
 	f.total = total
-	s := &streamTest{testGateway: newTestGateway(t, f, 0), caller: &caller{}, done: make(chan struct{})}
+	s := &streamTest{testGateway: b, caller: &caller{}, done: make(chan struct{})}
 	s.Group.Go(func(ctx context.Context) error {
 		defer close(s.done)
 		s.Handle(ctx, request("/stream/1"), s.caller)
--- a/internal/gateway/monitor.go
+++ b/internal/gateway/monitor.go
@@ -38,7 +38,7 @@
 // startMonitor registers a monitor of a run's stream with the watchdog. The function that it
 // returns removes the monitor.
 func (g *Gateway) startMonitor(r *run, s port.Stream) (*monitor, func()) {
-	m := &monitor{gateway: g, run: r, stream: s, server: r.currentServer(), watch: silence.NewWatch(r.request.route.GapTarget)}
+	m := &monitor{gateway: g, run: r, stream: s, server: r.currentServer(), watch: silence.NewWatch(r.request.route.GapTarget, g.ServerPause)}
 	g.watchdog.add(m)
 	return m, func() { g.watchdog.remove(m) }
 }
@@ -50,7 +50,7 @@
 	m.waitCount++
 	m.waiting = true
 	m.waitingSince = time.Now()
-	m.queryDue = m.waitingSince.Add(m.watch.QueryDelay())
+	m.queryDue = m.waitingSince.Add(m.watch.QueryDelay(0))
 }
 
 // endWait records that the wait has ended with an event or an error.
@@ -66,7 +66,7 @@
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if !m.waiting || m.inspecting {
-		return m.watch.QueryDelay()
+		return m.watch.QueryDelay(0)
 	}
 	return m.queryDue.Sub(now)
 }
@@ -75,7 +75,7 @@
 func (m *monitor) queryDelay() time.Duration {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	return m.watch.QueryDelay()
+	return m.watch.QueryDelay(0)
 }
 
 // startInspection inspects the silent stream in the background, late by the given time.
@@ -145,6 +145,7 @@
 	s := silence.Stream{Request: m.run.request.ID, Delivered: n}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
+	s.Pause = m.watch.Pause()
 	s.SilentFor = time.Since(m.waitingSince)
 	return s, m.waiting && m.waitCount == wait
 }
@@ -155,7 +156,7 @@
 	defer m.mutex.Unlock()
 	if m.waiting && m.waitCount == wait {
 		m.watch.RecordQuery()
-		m.queryDue = time.Now().Add(m.watch.QueryDelay())
+		m.queryDue = time.Now().Add(m.watch.QueryDelay(time.Since(m.waitingSince)))
 	}
 }
 
--- a/internal/gateway/silence_test.go
+++ b/internal/gateway/silence_test.go
@@ -130,3 +130,36 @@
 	s.Handle(t.Context(), r, c)
 	return s.fake.sends[len(s.fake.sends)-1]
 }
+
+// A sound server may be silent for a second and go on. Its runs must not run at another server as well.
+func TestRunOfPausedServerStaysThere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeServers()
+		f.backups = true
+		s := startPausedStream(t, f, 1500*time.Millisecond)
+		s.update(func(f *fakeServers) { f.silent[s.server] = true })
+		time.Sleep(1200 * time.Millisecond)
+		s.update(func(f *fakeServers) {
+			if f.closed != 0 {
+				t.Errorf("streams closed in a pause of 1.2 s: got %d, want none", f.closed)
+			}
+			f.silent[s.server] = false
+		})
+		s.checkWhole(t, s.server)
+	})
+}
+
+// A server that stays silent beyond its pause must not keep a run that another one can resume.
+func TestRunResumesWhenPauseEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeServers()
+		f.backups = true
+		s := startPausedStream(t, f, 1500*time.Millisecond)
+		s.update(func(f *fakeServers) { f.silent[s.server] = true })
+		began := time.Now()
+		s.checkWhole(t, s.server, other(s.server))
+		if got, want := time.Since(began), 1500*time.Millisecond+35*eventGap+gapTarget; got > want {
+			t.Errorf("remaining events: got them after %v, want %v at most", got, want)
+		}
+	})
+}
--- a/internal/node/hosted_start.go
+++ b/internal/node/hosted_start.go
@@ -72,6 +72,7 @@
 		Rollouts:        rollout.Limits{Share: s.ExposureShare}, WaitForRollouts: s.RollbackMS > 0,
 		Regions:      parseRegions(s.Regions),
 		LeaveLearned: h.notifyLeaving,
+		ServerPause:  s.ServerPauseMS.Duration(),
 		KnownPeers:   countPeers(splitList(s.Seeds), h.Settings.Node.Control),
 		Memory:       int64(s.MemoryMB) << 20,
 		Quarantines:  h.adapter.QuarantineStore,
