fix(relay): let relayed connections end before a planned stop

Callers of an entry VM that is cut off from the servers lost their streams when the peers that carried them were stopped as planned: a stopping entry VM waited for its own requests alone.

Cause: relayed connections are no requests of the entry VM that carries them. Fix: a planned stop waits for relayed connections as well, within its grace period, and a stopping entry VM relays no new ones.

--- a/fleet/partition_test.go
+++ b/fleet/partition_test.go
@@ -83,7 +83,7 @@
 // targets of quick services.
 func newPartitionTestbed(t *testing.T, n, plain int, change func(i int, a node.Adapter) node.Adapter) *signalTestbed {
 	t.Helper()
-	b := newSignalTestbedWith(t, n, plain, 6, fmt.Sprintf("retry_slack = %d\nrelay_ms = 100\n", retrySlack), change)
+	b := newSignalTestbedWith(t, n, plain, 6, fmt.Sprintf("retry_slack = %d\nrelay_ms = 100\ngrace_s = 8\n", retrySlack), change)
 	x, err := b.pool.config.List(t.Context())
 	if err != nil {
 		t.Fatal(err)
@@ -212,6 +212,39 @@
 	})
 }
 
+// newStreamRequest returns the request of a stream that takes three seconds.
+func newStreamRequest(id string) *port.Request {
+	r := newRequest(id, "/stream/", id)
+	r.Header.Set(message.HeaderRequestID, id)
+	r.Header.Set(message.HeaderTokenUsage, fmt.Sprintf("%d,%d", r.Prompt.Tokens, streamTokens))
+	return r
+}
+
+// sendStreams sends streams to an entry VM at once and returns how many have been served after a time.
+func (b *signalTestbed) sendStreams(vm, streams int, d time.Duration, disturb func()) int {
+	var mutex sync.Mutex
+	served := 0
+	g, end := duty.New(context.Background())
+	defer end()
+	for i := range streams {
+		g.Go(func(context.Context) error {
+			a := b.send(vm, newStreamRequest(fmt.Sprintf("s-%d", i)))
+			mutex.Lock()
+			defer mutex.Unlock()
+			if a.served() {
+				served++
+			}
+			return nil
+		})
+	}
+	time.Sleep(300 * time.Millisecond)
+	disturb()
+	time.Sleep(d)
+	mutex.Lock()
+	defer mutex.Unlock()
+	return served
+}
+
 // Streams that run when their entry VM is cut off from the servers must go on through peers.
 func TestRunningStreamsOutliveCutOffFromServers(t *testing.T) {
 	for n, x := range map[string]linkState{"silent": linkSilent, "refusing": linkRefusing} {
@@ -219,35 +252,36 @@
 			synctest.Test(t, func(t *testing.T) {
 				const n, streams = 6, 24
 				b := newPartitionTestbed(t, n, 3, unchanged)
-				var mutex sync.Mutex
-				served := 0
-				g, end := duty.New(context.Background())
-				defer end()
-				for i := range streams {
-					g.Go(func(context.Context) error {
-						r := newRequest(fmt.Sprintf("s-%d", i), "/stream/", fmt.Sprint(i))
-						r.Header.Set(message.HeaderRequestID, string(r.ID))
-						r.Header.Set(message.HeaderTokenUsage, fmt.Sprintf("%d,%d", r.Prompt.Tokens, streamTokens))
-						a := b.send(0, r)
-						mutex.Lock()
-						defer mutex.Unlock()
-						if a.served() {
-							served++
-						}
-						return nil
-					})
-				}
-				time.Sleep(300 * time.Millisecond)
-				b.setServerLinks([]int{0}, x)
-				time.Sleep(10 * time.Second)
-				mutex.Lock()
-				if got, want := served, streams; got < want {
+				got := b.sendStreams(0, streams, 10*time.Second, func() { b.setServerLinks([]int{0}, x) })
+				if want := streams; got < want {
 					t.Errorf("got %d of %d streams served, want all", got, want)
 				}
-				mutex.Unlock()
 				b.setServerLinks([]int{0}, linkUp)
 				time.Sleep(3 * time.Second)
 			})
 		})
 	}
 }
+
+// A planned stop of the peers that carry connections must not break the streams on them.
+func TestStoppingPeersFinishRelayedStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n, streams = 6, 24
+		b := newPartitionTestbed(t, n, 3, unchanged)
+		b.setServerLinks([]int{0}, linkSilent)
+		b.sendDuring(n, nil, 3*time.Second, 0)
+		got := b.sendStreams(0, streams, 10*time.Second, func() {
+			for i := 1; i < n-1; i++ {
+				b.group.Go(func(context.Context) error {
+					b.stops[i]()
+					return nil
+				})
+			}
+		})
+		if want := streams; got < want {
+			t.Errorf("got %d of %d streams served, want all", got, want)
+		}
+		b.setServerLinks([]int{0}, linkUp)
+		time.Sleep(3 * time.Second)
+	})
+}
--- a/internal/node/hosted_start.go
+++ b/internal/node/hosted_start.go
@@ -46,7 +46,7 @@
 	h.cleanups.add(closer)
 	h.relay = relay.New(relay.Options{
 		After: h.Settings.Gateway.RelayMS.Duration(), Dial: h.Machine.Dial, Peers: func() []string { return h.mesh.Relays() }, KnowsServer: func(a string) bool { return h.gateway.KnowsAddress(a) },
-		PathChanged: h.pathChanged, Group: h.group, Log: h.Log, Metrics: h.Metrics,
+		Stopping: func() bool { return h.gateway.Stopping() }, PathChanged: h.pathChanged, Group: h.group, Log: h.Log, Metrics: h.Metrics,
 	})
 	h.pool, closer = upstream.New(h.relay.DialServer)
 	h.cleanups.add(closer)
--- a/internal/node/hosted_stop.go
+++ b/internal/node/hosted_stop.go
@@ -25,8 +25,8 @@
 	return nil
 }
 
-// hostedDraining keeps serving until the load balancer had time to redirect callers and
-// their requests are answered, or until the grace period ends.
+// hostedDraining keeps serving until the load balancer had time to redirect callers, their requests are
+// answered and peers use no relayed connection any more, or until the grace period ends.
 type hostedDraining struct{}
 
 func (hostedDraining) String() string { return "draining" }
@@ -44,7 +44,7 @@
 func (hostedDraining) Run(h *HostedContext) error {
 	began := time.Now()
 	for time.Now().Before(h.stopDeadline) {
-		if h.gateway.InFlight() == 0 && time.Since(began) > balancerDelay {
+		if h.gateway.InFlight()+h.relay.Relayed() == 0 && time.Since(began) > balancerDelay {
 			break
 		}
 		if !duty.Sleep(h, drainPollInterval) {
--- a/internal/relay/dial.go
+++ b/internal/relay/dial.go
@@ -50,6 +50,8 @@
 	Peers func() []string
 	// KnowsServer reports whether a backend server has an address. Only such addresses are relayed to.
 	KnowsServer func(address string) bool
+	// Stopping reports whether this entry VM is about to end, so that it relays no more connections.
+	Stopping func() bool
 	// PathChanged is called when this entry VM has been cut off from the servers, or no longer is.
 	PathChanged func(partitioned bool)
 	Group       *duty.Group
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -66,6 +66,8 @@
 	block error
 	peers []string
 	known bool
+	// stopping is set while the entry VM is about to end.
+	stopping bool
 	// changes are the calls of PathChanged.
 	changes []bool
 }
@@ -85,7 +87,7 @@
 	v.address = s.Listener.Addr().String()
 	v.Relay = relay.New(relay.Options{
 		After: 100 * time.Millisecond, Dial: v.dial, Peers: func() []string { return v.peers }, KnowsServer: func(string) bool { return v.known },
-		PathChanged: func(p bool) { v.changes = append(v.changes, p) }, Group: g, Log: event.Discard(), Metrics: v.metrics,
+		Stopping: func() bool { return v.stopping }, PathChanged: func(p bool) { v.changes = append(v.changes, p) }, Group: g, Log: event.Discard(), Metrics: v.metrics,
 	})
 	v.Routes(r)
 	t.Cleanup(func() {
@@ -207,6 +209,19 @@
 	_ = v.connect(t, e).Close()
 }
 
+// A peer that is about to end must not carry new connections.
+func TestStoppingPeerIsPassedOver(t *testing.T) {
+	e := newEcho(t)
+	p, q := newVM(t), newVM(t)
+	p.stopping = true
+	v := newVM(t, p, q)
+	v.setBlock(errSilent)
+	_ = v.connect(t, e).Close()
+	if got := p.metrics.Get(metric.ConnectionsRelayed); got != 0 {
+		t.Errorf("connections through the stopping peer: got %d, want 0", got)
+	}
+}
+
 // Entry VMs that are all cut off must not relay to each other in a circle.
 func TestRelaysAreNotChained(t *testing.T) {
 	e := newEcho(t)
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -47,6 +47,9 @@
 	case q.URL.Query().Get(paramProtocol) != strconv.Itoa(gossip.Protocol):
 		refuse(w, api.RelayRefusal{Reason: "another version of the protocol"})
 		return
+	case r.Stopping():
+		refuse(w, api.RelayRefusal{Reason: "stopping"})
+		return
 	case !r.KnowsServer(address):
 		refuse(w, api.RelayRefusal{Reason: "no server of this address is known"})
 		return
