feat(gateway): log the shared parts of the prompts of failed requests

Engines crash one after the other under requests no two of which are alike. Log lines name only the hash of the whole content, which differs at each crash, so that they can't tell a deadly part of the prompts from engines that end by themselves. No decision depends on them yet.

--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -1231,6 +1231,10 @@
 	Served int `json:"served,omitempty,omitzero"`
 }
 
+// PartID identifies one part of a prompt, in hex. Requests whose prompts begin
+// alike share their first parts.
+type PartID string
+
 type PeerState string
 
 const PeerStateServing PeerState = "serving"
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -75,6 +75,7 @@
 	if late != onTime || q.retried {
 		g.logChoices(q)
 	}
+	l = append(l, q.partFields()...)
 	g.Log.Emit(id, append(l, fields...)...)
 }
 
@@ -136,7 +137,7 @@
 			g.recordOutcome(s, serverOutcome(err))
 			g.recordBrokenRun(q, s, err)
 		}
-		g.Log.Emit(event.AttemptFailed, zap.String("request", string(q.ID)), zap.String("server", string(s.Name)), zap.String("content", string(q.content())), zap.Error(err))
+		g.Log.Emit(event.AttemptFailed, append(q.contentFields(), zap.String("request", string(q.ID)), zap.String("server", string(s.Name)), zap.Error(err))...)
 		m, f := c.AttemptFailed(attemptOutcome(err), err, ctx.Err() != nil, retry)
 		if m == call.Fail {
 			if errors.Is(context.Cause(ctx), context.Canceled) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -249,7 +249,7 @@
 	g.Metrics.Add(metric.RequestsTotal, 1)
 	q, f := g.resolve(r, s)
 	if f != nil {
-		g.refuse(q, f, q.contentFields()...)
+		g.refuse(q, f, q.refusalFields()...)
 		return
 	}
 	began := time.Now()
@@ -272,13 +272,26 @@
 	g.call(ctx, q)
 }
 
-// contentFields are the log fields of the content. There are none for a request that was
-// refused before its content was hashed.
+// contentFields are the log fields of the content and of the shared parts of the prompt.
 func (q *request) contentFields() []zap.Field {
+	return append(q.partFields(), zap.String("content", string(q.content())))
+}
+
+// partFields are the log fields of the shared parts of the prompt.
+func (q *request) partFields() []zap.Field {
+	if len(q.Prompt.SharedParts) == 0 {
+		return nil
+	}
+	return []zap.Field{zap.Any("parts", q.Prompt.SharedParts)}
+}
+
+// refusalFields are the log fields of the content of a refused request. There are none if it was
+// refused before its content was hashed.
+func (q *request) refusalFields() []zap.Field {
 	if q.hash == "" {
 		return nil
 	}
-	return []zap.Field{zap.String("content", string(q.hash))}
+	return q.contentFields()
 }
 
 // resolve looks up the route, workspace and service of a request, and refuses one that the
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -67,7 +67,7 @@
 		return nil, false
 	}
 	g.Metrics.Add(metric.Resumes, 1)
-	g.Log.Emit(event.GenerationResumed, zap.String("request", string(r.request.ID)), zap.String("content", string(r.request.content())), zap.String("from", string(from.Name)), zap.String("to", string(c.server.Name)), zap.Bool("stopped", stopped), zap.Bool("kept", c.fromBackup), zap.Duration("took", time.Since(began)))
+	g.Log.Emit(event.GenerationResumed, append(r.request.contentFields(), zap.String("request", string(r.request.ID)), zap.String("from", string(from.Name)), zap.String("to", string(c.server.Name)), zap.Bool("stopped", stopped), zap.Bool("kept", c.fromBackup), zap.Duration("took", time.Since(began)))...)
 	return s, true
 }
 
@@ -185,5 +185,6 @@
 	r.request.outcome = "generation_lost"
 	g.logChoices(r.request)
 	g.Metrics.Add(metric.RequestsFailed, 1)
-	g.Log.Emit(event.GenerationLost, append(r.request.originFields(), zap.String("content", string(r.request.content())), zap.String("server", string(from.Name)), zap.Int("events", n), zap.Error(err))...)
+	l := append(r.request.originFields(), r.request.contentFields()...)
+	g.Log.Emit(event.GenerationLost, append(l, zap.String("server", string(from.Name)), zap.Int("events", n), zap.Error(err))...)
 }
--- a/internal/port/request.go
+++ b/internal/port/request.go
@@ -38,4 +38,8 @@
 	// ExpectedTokens is the caller's estimate of the length of the answer, zero if there is
 	// none.
 	ExpectedTokens api.Tokens
+	// SharedParts are the parts of the prompt that other requests may share, in order and each
+	// once. The last part of a prompt belongs to the request or its session and is not one of
+	// them.
+	SharedParts []api.PartID
 }
