test(fleet): requests that share a deadly part of their prompts crash server after server

Engines end one after the other under requests that share one part of their prompts; the bound is three such requests later than 3 s after the fifth crash.

--- a/fleet/pool_test.go
+++ b/fleet/pool_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -33,22 +34,32 @@
 	plainDuration = 15 * time.Millisecond
 	eventInterval = 30 * time.Millisecond
 	eventCount    = 30
+	// longAnswer is the expected length from which an answer counts as long.
+	longAnswer api.Tokens = 500
 )
 
 // begunRequest is one request that a server began to run.
 type begunRequest struct {
-	at   time.Time
-	body string
+	at     time.Time
+	id     api.RequestID
+	body   string
+	deadly bool
 }
 
-// pool simulates all backend servers. A server that runs a request with the deadly body
-// crashes.
+// pool simulates all backend servers. A server that runs a request with the deadly body or
+// a deadly part in its prompt crashes.
 type pool struct {
 	config  *objectKind[directory.Config]
 	entries *objectKind[roster.Server]
 	group   *duty.Group
 	net     *network
 	deadly  string
+	// deadlyParts are the parts of prompts that crash the servers which answer them.
+	deadlyParts []api.PartID
+	// prefill is the time that an engine takes to read a prompt, and longEvents the number of
+	// events of a stream whose caller expects a long answer; zero for eventCount.
+	prefill    time.Duration
+	longEvents int
 	// resetting makes servers cut off two of three requests without crashing.
 	resetting bool
 	// version is the software version of the servers that are added.
@@ -65,6 +76,8 @@
 	begun    []begunRequest
 	cancels  []func()
 	crashed  []time.Time
+	// crashedByPart holds the crashes under deadly parts.
+	crashedByPart []time.Time
 }
 
 // newPool returns a pool with the given numbers of engines and plain servers in three
@@ -176,7 +189,7 @@
 	if _, ok := p.live[a.Server.Name]; !ok {
 		return nil, false
 	}
-	p.begun = append(p.begun, begunRequest{time.Now(), string(a.Request.Body)})
+	p.begun = append(p.begun, begunRequest{time.Now(), a.Request.ID, string(a.Request.Body), p.isDeadly(a.Request)})
 	if p.resetting && len(p.begun)%3 != 0 {
 		ctx, cancel := context.WithTimeout(p.contexts[a.Server.Name], plainDuration/2)
 		p.cancels = append(p.cancels, cancel)
@@ -190,18 +203,52 @@
 func (p *pool) countLate(n int, d time.Duration) int {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if len(p.crashed) < n {
+	return p.countDeadlySince(p.crashed, n, d)
+}
+
+// countLateParts counts the requests with a deadly part that reached a server later than d
+// after the n-th crash under such a part.
+func (p *pool) countLateParts(n int, d time.Duration) int {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.countDeadlySince(p.crashedByPart, n, d)
+}
+
+// countDeadlySince counts the deadly requests that reached a server later than d after the
+// n-th of the crashes; the caller holds the mutex.
+func (p *pool) countDeadlySince(crashes []time.Time, n int, d time.Duration) int {
+	if len(crashes) < n {
 		return 0
 	}
 	late := 0
 	for _, x := range p.begun {
-		if x.body == p.deadly && x.at.Sub(p.crashed[n-1]) > d {
+		if x.deadly && x.at.Sub(crashes[n-1]) > d {
 			late++
 		}
 	}
 	return late
 }
 
+// isDeadly reports whether a request crashes the servers that run it.
+func (p *pool) isDeadly(r *port.Request) bool {
+	return string(r.Body) == p.deadly || p.hasDeadlyPart(r)
+}
+
+// hasDeadlyPart reports whether a deadly part is in the prompt of a request.
+func (p *pool) hasDeadlyPart(r *port.Request) bool {
+	return slices.ContainsFunc(r.Prompt.SharedParts, func(x api.PartID) bool { return slices.Contains(p.deadlyParts, x) })
+}
+
+// crashUnder crashes a server under a deadly request.
+func (p *pool) crashUnder(r *port.Request, s roster.Server) {
+	p.mutex.Lock()
+	if _, ok := p.live[s.Name]; ok && p.hasDeadlyPart(r) {
+		p.crashedByPart = append(p.crashedByPart, time.Now())
+	}
+	p.mutex.Unlock()
+	p.crash(s)
+}
+
 // liveServers returns up to n live servers of a service.
 func (p *pool) liveServers(n int, s api.ServiceName) []roster.Server {
 	var l []roster.Server
@@ -230,16 +277,19 @@
 		err := &net.OpError{Op: "dial", Net: "memory", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 		return port.Answer{}, fault.Wrap(fault.NotStarted, err, "connecting to "+a.Server.Address)
 	}
-	deadly := string(a.Request.Body) == p.deadly
+	deadly := p.isDeadly(a.Request)
 	if deadly {
 		p.group.Go(func(ctx context.Context) error {
-			duty.Sleep(ctx, crashAfter)
-			p.crash(a.Server)
+			duty.Sleep(ctx, p.prefill+crashAfter)
+			p.crashUnder(a.Request, a.Server)
 			return nil
 		})
 	}
 	if a.Stream {
-		s := &poolStream{serverCtx: end, deadly: deadly, closed: make(chan struct{})}
+		s := &poolStream{serverCtx: end, deadly: deadly, prefill: p.prefill, count: eventCount, closed: make(chan struct{})}
+		if p.longEvents > 0 && a.Request.Prompt.ExpectedTokens > longAnswer {
+			s.count = p.longEvents
+		}
 		if x := a.Resume; x != nil {
 			s.sent, _ = strconv.Atoi(x.LastEventID)
 		}
@@ -283,17 +333,23 @@
 type poolStream struct {
 	serverCtx context.Context
 	deadly    bool
+	prefill   time.Duration
+	count     int
 	sent      int
 	once      sync.Once
 	closed    chan struct{}
 }
 
-// Next returns the next event after eventInterval, and io.EOF after eventCount events.
+// Next returns the next event after eventInterval, the first one after the prefill too, and
+// io.EOF after the last event.
 func (s *poolStream) Next() (port.Event, error) {
 	step := eventInterval
 	if s.deadly {
 		step = time.Minute
 	}
+	if s.sent == 0 {
+		step += s.prefill
+	}
 	t := time.NewTimer(step)
 	defer t.Stop()
 	select {
@@ -303,7 +359,7 @@
 	case <-s.closed:
 		return port.Event{}, fault.New(fault.GenerationLost, "the stream was closed")
 	}
-	if s.sent == eventCount {
+	if s.sent == s.count {
 		return port.Event{}, io.EOF
 	}
 	s.sent++
