fix(quarantine): refuse requests whose prompts share a part that crashes servers

Callers saw engines end one after the other, each with the streams of up to eight others: 48 and 33 servers under requests that share one part of their prompts.

Cause: failed runs were recorded by the hash of the whole content. No two of the requests are alike, so each content counted one crash and none was refused.

The table now also records failures by the shared parts of the prompt (on the own interface, the messages before the last). A part that crashed three servers is refused on every entry VM, by the reports and the object that contents have. What keeps sound requests with the same first part served: only runs with their first event at most 0.5 s ago count against parts, a whole answer or 0.5 s of events anywhere clears them, and crashes under a quarantined part count against no other part or content. A run without events is not resumed once a part of its prompt has failed at two servers. Reports of the contents with most failures go first, since a crash now gives more reports than fit into one message.

--- a/fleet/pool_test.go
+++ b/fleet/pool_test.go
@@ -279,8 +279,12 @@
 	}
 	deadly := p.isDeadly(a.Request)
 	if deadly {
+		delay := crashAfter
+		if a.Stream {
+			delay += p.prefill
+		}
 		p.group.Go(func(ctx context.Context) error {
-			duty.Sleep(ctx, p.prefill+crashAfter)
+			duty.Sleep(ctx, delay)
 			p.crashUnder(a.Request, a.Server)
 			return nil
 		})
--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -277,12 +277,13 @@
 // each new one.
 type ConfigNumber int
 
-// ContentHash is the hash of the content of a request, in hex. It is equal for
-// requests of one workspace with the same method, host, target and body.
+// ContentHash is the hash of the content of a request, in hex, or identifies a
+// part of prompts by "part-" and its ID. The hash is equal for requests of one
+// workspace with the same method, host, target and body.
 type ContentHash string
 
-// ContentReport reports that a run of a content broke off at a server or, if no
-// server is set, that the content got a complete answer.
+// ContentReport reports that a run of a content, or of a part of prompts, broke
+// off at a server or, if no server is set, that the content got a complete answer.
 type ContentReport struct {
 	// Time since the run broke off or was answered, ms.
 	AgeMS Milliseconds `json:"age_ms"`
@@ -293,6 +294,9 @@
 	// Whether the server is known to have ended.
 	Ended bool `json:"ended,omitempty,omitzero"`
 
+	// Last position of a part in the prompts that it was seen in, from 0.
+	Position int `json:"position,omitempty,omitzero"`
+
 	// Backend server that ran the content; empty for a complete answer.
 	Server ServerName `json:"server,omitempty,omitzero"`
 }
--- a/internal/contents/guard.go
+++ b/internal/contents/guard.go
@@ -16,8 +16,9 @@
 	"github.com/wardridge/wardridge/internal/port"
 )
 
-// HashFunc computes the hash of a request's content. It reads the whole request.
-type HashFunc func() api.ContentHash
+// SubjectsFunc returns the content of a request and the shared parts of its prompt. It reads the
+// whole request.
+type SubjectsFunc func() quarantine.Subjects
 
 // probeTimeout bounds a connection attempt to a server that may have crashed. A connection with a
 // lost packet takes about as long.
@@ -45,10 +46,10 @@
 	return g.table.Empty()
 }
 
-// Check refuses a request with a quarantined content as not run and with the time after which to
+// Check refuses a request with a quarantined content, or part of its prompt, as not run and with the time after which to
 // retry. It must be called right before each send: another entry VM may have found the content to
 // crash servers while the request waited.
-func (g *Guard) Check(n HashFunc) *fault.Error {
+func (g *Guard) Check(n SubjectsFunc) *fault.Error {
 	if g.empty() {
 		return nil
 	}
@@ -56,17 +57,18 @@
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	now := time.Now()
-	u, ok := g.table.Quarantined(now, c)
+	u, ok := g.table.Refused(now, c)
 	if !ok {
 		return nil
 	}
-	return fault.New(fault.Quarantined, "servers crashed while they ran requests with this content").WithRetryAfter(u.Sub(now))
+	return fault.New(fault.Quarantined, "servers crashed while they ran requests with this content or part of its prompt").WithRetryAfter(u.Sub(now))
 }
 
-// RecordFailure records that a run failed within quarantine.SuspectWindow, at a server that had
-// not announced its end. An error which shows that nothing listens for the server at its address
-// records the crash of the server instead, and one of a request that did not run records nothing.
-func (g *Guard) RecordFailure(n HashFunc, s api.ServerName, err error) {
+// RecordFailure records that a run failed at a server that had not announced its end, with its
+// first event from there that long ago; zero if there was none. An error which shows that nothing
+// listens for the server at its address records the crash of the server instead, and one of a
+// request that did not run records nothing.
+func (g *Guard) RecordFailure(n SubjectsFunc, s api.ServerName, err error, age time.Duration) {
 	switch {
 	case port.ConnectionRefused(err), fault.Has(err, fault.Misdirected):
 		g.RecordCrash(s)
@@ -81,7 +83,7 @@
 	c := n()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.table.RecordFailure(time.Now(), c, s, e)
+	g.table.RecordRunFailure(time.Now(), c, s, e, age)
 }
 
 // RecordCrash records that a server has crashed: it ended without notice.
@@ -92,19 +94,29 @@
 }
 
 // RecordAnswer records that a server has answered a request completely.
-func (g *Guard) RecordAnswer(n HashFunc) {
+func (g *Guard) RecordAnswer(n SubjectsFunc) {
 	c := n()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.table.RecordAnswer(time.Now(), c)
+	g.table.RecordRunAnswer(time.Now(), c)
 }
 
-// MayResume reports whether a failed run may be resumed on another server.
-func (g *Guard) MayResume(n HashFunc) bool {
+// RecordProgress records that a server has written events of a run for
+// quarantine.PartSuspectWindow.
+func (g *Guard) RecordProgress(n SubjectsFunc) {
 	c := n()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.table.MayResume(c)
+	g.table.RecordRunProgress(time.Now(), c)
+}
+
+// MayResume reports whether a failed run may be resumed on another server, given the time since
+// its first event at the server that failed; zero if there was none.
+func (g *Guard) MayResume(n SubjectsFunc, age time.Duration) bool {
+	c := n()
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.table.MayResumeRun(time.Now(), c, age)
 }
 
 // Step quarantines the contents with enough confirmed crashes and returns them.
--- a/internal/contents/guard_test.go
+++ b/internal/contents/guard_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/contents"
+	"github.com/wardridge/wardridge/internal/decide/quarantine"
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/fault"
@@ -21,7 +22,7 @@
 // refused is the error of a connection to an address at which nothing listens.
 var refused = &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 
-func hash() api.ContentHash { return "c" }
+func subjects() quarantine.Subjects { return quarantine.Subjects{Content: "c"} }
 
 // A content is quarantined if two attempts at two servers that crash fail in a way that a crash
 // explains, and not if the errors show that the request did not run.
@@ -43,12 +44,12 @@
 			synctest.Test(t, func(t *testing.T) {
 				g := contents.New(event.Discard(), metric.New())
 				for _, s := range []api.ServerName{"a", "b"} {
-					g.RecordFailure(hash, s, c.err)
+					g.RecordFailure(subjects, s, c.err, 0)
 					g.RecordCrash(s)
 				}
 				time.Sleep(2 * time.Second)
 				g.Step()
-				f := g.Check(hash)
+				f := g.Check(subjects)
 				if got := f != nil; got != c.want {
 					t.Fatalf("got quarantined %v, want %v", got, c.want)
 				}
@@ -73,14 +74,14 @@
 				defer end()
 				g := contents.New(event.Discard(), metric.New())
 				for _, s := range []api.ServerName{"a", "b"} {
-					g.RecordFailure(hash, s, fault.Wrap(fault.OutcomeUnknown, io.EOF, "closed"))
+					g.RecordFailure(subjects, s, fault.Wrap(fault.OutcomeUnknown, io.EOF, "closed"), 0)
 				}
 				for range 10 {
 					g.ProbeServers(d, func(context.Context, api.ServerName) error { return c.err })
 					time.Sleep(300 * time.Millisecond)
 					g.Step()
 				}
-				if got := g.Check(hash) != nil; got != c.want {
+				if got := g.Check(subjects) != nil; got != c.want {
 					t.Errorf("got quarantined %v, want %v", got, c.want)
 				}
 			})
--- a/internal/decide/quarantine/doc.go
+++ b/internal/decide/quarantine/doc.go
@@ -1,3 +1,3 @@
-// Package quarantine identifies request contents that crash the backend servers which run
-// them, from the observations of several entry VMs.
+// Package quarantine identifies request contents, and parts of prompts, that crash the backend
+// servers which run them, from the observations of several entry VMs.
 package quarantine
--- a/internal/decide/quarantine/judge.go
+++ b/internal/decide/quarantine/judge.go
@@ -9,12 +9,12 @@
 	"github.com/wardridge/wardridge/internal/api"
 )
 
-// confirmedCrashes returns the times of the failures whose servers are known to have crashed,
-// earliest first.
-func (x *content) confirmedCrashes() []time.Time {
+// confirmedCrashes returns the times of the failures whose servers are known to have crashed and
+// whose crash has no other cause, earliest first.
+func (x *content) confirmedCrashes(explained map[api.ServerName]bool) []time.Time {
 	var l []time.Time
-	for _, r := range x.failures {
-		if r.confirmed {
+	for s, r := range x.failures {
+		if r.confirmed && !explained[s] {
 			l = append(l, r.at)
 		}
 	}
@@ -22,16 +22,28 @@
 	return l
 }
 
-// enoughCrashes reports whether confirmed crashes, earliest first, suffice to quarantine a
-// content.
-func enoughCrashes(now time.Time, l []time.Time) bool {
+// crashLimits are the numbers of confirmed crashes from which a content or a part is quarantined:
+// delayed after verdictDelay, and immediate at once.
+type crashLimits struct {
+	delayed, immediate int
+}
+
+func limitsFor(c api.ContentHash) crashLimits {
+	if isPart(c) {
+		return crashLimits{maxPartCrashes, immediatePartCrashes}
+	}
+	return crashLimits{maxCrashes, immediateCrashes}
+}
+
+// reached reports whether confirmed crashes, earliest first, suffice for a quarantine.
+func (m crashLimits) reached(now time.Time, l []time.Time) bool {
 	switch {
-	case len(l) < maxCrashes:
+	case len(l) < m.delayed:
 		return false
-	case len(l) >= immediateCrashes:
+	case len(l) >= m.immediate:
 		return true
 	default:
-		return now.Sub(l[maxCrashes-1]) >= verdictDelay
+		return now.Sub(l[m.delayed-1]) >= verdictDelay
 	}
 }
 
@@ -48,14 +60,15 @@
 // records.
 func (t *Table) Step(now time.Time) []Verdict {
 	var l []Verdict
-	for c, x := range t.contents {
-		if v, ok := t.judge(now, c, x); ok {
-			l = append(l, v)
-		}
-		if t.prune(now, x) {
-			delete(t.contents, c)
+	explained := t.explainedCrashes(now)
+	for {
+		c, ok := t.mostSuspect(now, explained)
+		if !ok {
+			break
 		}
+		l = append(l, t.quarantine(c, explained))
 	}
+	maps.DeleteFunc(t.contents, func(_ api.ContentHash, x *content) bool { return t.prune(now, x) })
 	for s, at := range t.crashed {
 		if now.Sub(at) > failureRetention {
 			delete(t.crashed, s)
@@ -108,13 +121,70 @@
 	return l
 }
 
-// judge quarantines a content that has enough confirmed crashes, and reports whether it did so
-// now.
-func (t *Table) judge(now time.Time, c api.ContentHash, x *content) (Verdict, bool) {
-	l := x.confirmedCrashes()
-	if !x.until.IsZero() || !enoughCrashes(now, l) {
-		return Verdict{}, false
+// explainedCrashes returns the servers that quarantined parts have crashed. Whatever else ran
+// there is not the cause.
+func (t *Table) explainedCrashes(now time.Time) map[api.ServerName]bool {
+	m := map[api.ServerName]bool{}
+	for c, x := range t.contents {
+		if _, ok := t.Quarantined(now, c); ok {
+			x.explain(c, m)
+		}
+	}
+	return m
+}
+
+// explain adds the servers that a quarantined part has crashed. A content has too few crashes to
+// rule out that a part of its prompt causes them.
+func (x *content) explain(c api.ContentHash, m map[api.ServerName]bool) {
+	if !isPart(c) {
+		return
 	}
+	for s, r := range x.failures {
+		if r.confirmed {
+			m[s] = true
+		}
+	}
+}
+
+// suspect is a part or content with enough crashes for a quarantine.
+type suspect struct {
+	content  api.ContentHash
+	crashes  int
+	position int
+}
+
+// compare orders suspects by how few requests they are in, which a verdict refuses. Parts come
+// before contents, since a part explains the crashes of several contents. The later a part stands
+// in the prompts, the fewer requests share it; an earlier one needs crashes that later parts don't
+// explain.
+func (x suspect) compare(y suspect) int {
+	if a, b := isPart(x.content), isPart(y.content); a != b {
+		if a {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(y.position, x.position), cmp.Compare(y.crashes, x.crashes), cmp.Compare(x.content, y.content))
+}
+
+// mostSuspect returns the content or part to quarantine next.
+func (t *Table) mostSuspect(now time.Time, explained map[api.ServerName]bool) (api.ContentHash, bool) {
+	var l []suspect
+	for c, x := range t.contents {
+		if n := x.confirmedCrashes(explained); x.until.IsZero() && limitsFor(c).reached(now, n) {
+			l = append(l, suspect{c, len(n), x.position})
+		}
+	}
+	if len(l) == 0 {
+		return "", false
+	}
+	return slices.MinFunc(l, suspect.compare).content, true
+}
+
+// quarantine quarantines a content or part, and adds the crashes that this explains.
+func (t *Table) quarantine(c api.ContentHash, explained map[api.ServerName]bool) Verdict {
+	x := t.contents[c]
+	l := x.confirmedCrashes(explained)
 	x.until = l[len(l)-1].Add(quarantineTime)
 	v := Verdict{Entry: Entry{Content: c, Until: x.until}, Local: x.local}
 	for s, r := range x.failures {
@@ -123,7 +193,8 @@
 		}
 	}
 	slices.Sort(v.Servers)
-	return v, true
+	x.explain(c, explained)
+	return v
 }
 
 // prune drops expired failures of a content and reports whether the content can be dropped
--- a/internal/decide/quarantine/report.go
+++ b/internal/decide/quarantine/report.go
@@ -19,8 +19,13 @@
 	// crashes has some eight runs; in a wave of crashes the reports are spread over several
 	// messages.
 	maxReports = 24
+	// urgentReports bounds the reports of the contents with the most failures that go into each
+	// message. The others are spread over several messages.
+	urgentReports = maxReports / 2
 	// maxMergedReports bounds the reports that are accepted from one message.
 	maxMergedReports = 4 * maxReports
+	// maxPosition bounds the position of a part in a report.
+	maxPosition = 1024
 )
 
 // RecentReports returns the reports that peers may not have received yet.
@@ -49,15 +54,29 @@
 		}
 	}
 	slices.SortFunc(l, func(a, b api.ContentReport) int {
-		return cmp.Or(cmp.Compare(a.Content, b.Content), cmp.Compare(a.Server, b.Server))
+		return cmp.Or(cmp.Compare(t.failureCount(b.Content), t.failureCount(a.Content)), cmp.Compare(a.Content, b.Content), cmp.Compare(a.Server, b.Server))
 	})
 	if len(l) <= maxReports {
 		return l
 	}
-	t.reportOffset = (t.reportOffset + maxReports) % len(l)
-	return slices.Concat(l[t.reportOffset:], l[:t.reportOffset])[:maxReports]
+	n := t.urgent(l)
+	first, rest := l[:n], l[n:]
+	t.reportOffset = (t.reportOffset + maxReports - n) % len(rest)
+	return slices.Concat(first, rest[t.reportOffset:], rest[:t.reportOffset])[:maxReports]
 }
 
+// urgent returns how many of the reports, those with the most failures first, go into each message.
+func (t *Table) urgent(l []api.ContentReport) int {
+	n := 0
+	for n < urgentReports && t.failureCount(l[n].Content) >= maxCrashes {
+		n++
+	}
+	return n
+}
+
+// failureCount returns the number of servers at which runs of a content are known to have failed.
+func (t *Table) failureCount(c api.ContentHash) int { return len(t.contents[c].failures) }
+
 // reports returns the reports about one content.
 func (x *content) reports(now time.Time, c api.ContentHash) []api.ContentReport {
 	var l []api.ContentReport
@@ -68,7 +87,7 @@
 		if !r.reportable() {
 			continue
 		}
-		l = append(l, api.ContentReport{Content: c, Server: s, Ended: r.confirmed, AgeMS: api.ToMilliseconds(now.Sub(r.at))})
+		l = append(l, api.ContentReport{Content: c, Server: s, Ended: r.confirmed, Position: x.position, AgeMS: api.ToMilliseconds(now.Sub(r.at))})
 	}
 	return l
 }
@@ -86,8 +105,10 @@
 			continue
 		}
 		t.recordFailure(now, at, w.Content, w.Server, ConnectionLost)
-		if r, ok := t.contentFor(w.Content).failures[w.Server]; ok && w.Ended {
-			t.confirm(now, t.contentFor(w.Content), r)
+		x := t.contentFor(w.Content)
+		x.setPosition(min(w.Position, maxPosition))
+		if r, ok := x.failures[w.Server]; ok && w.Ended {
+			t.confirm(now, x, r)
 		}
 	}
 }
--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -86,8 +86,13 @@
 	until time.Time
 	// local is set if this entry VM observed one of the failures itself.
 	local bool
+	// position is the last position in a prompt at which a part was seen, from 0.
+	position int
 }
 
+// setPosition records a position at which a part was seen.
+func (x *content) setPosition(n int) { x.position = max(x.position, n) }
+
 // Table holds what one entry VM knows of contents that crash servers.
 type Table struct {
 	contents map[api.ContentHash]*content
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -31,10 +31,11 @@
 	engine api.ServerName
 
 	address string
-	// streamOpened is when the engine first opened a stream of the generation.
-	streamOpened time.Time
-	lastToken    time.Time
-	silenceTimer *time.Timer
+	// firstToken is when the first token of the attempt arrived.
+	firstToken       time.Time
+	progressRecorded bool
+	lastToken        time.Time
+	silenceTimer     *time.Timer
 }
 
 // run generates until the answer is complete, has failed or has to be retried elsewhere,
@@ -112,9 +113,6 @@
 	}
 	defer s.Close()
 	t.answer.MarkOpened()
-	if t.streamOpened.IsZero() {
-		t.streamOpened = time.Now()
-	}
 	err = s.Each(t.sink.Flush, t.handleEvent)
 	switch {
 	case err == nil:
@@ -127,12 +125,18 @@
 	case fault.Has(err, fault.CallerGone):
 		return answer.Decision{Action: answer.Fail, Fault: fault.From(err).WithRan(t.answer.Ran())}, true
 	}
-	if time.Since(t.streamOpened) < quarantine.SuspectWindow {
-		t.server.Contents.RecordFailure(t.chat.contentHash, t.engine, err)
-	}
+	t.server.Contents.RecordFailure(t.chat.content, t.engine, err, t.answeredFor())
 	return t.handleBreak(answer.Broken)
 }
 
+// answeredFor returns the time since the first token of the attempt, zero before it.
+func (t *attempt) answeredFor() time.Duration {
+	if t.firstToken.IsZero() {
+		return 0
+	}
+	return time.Since(t.firstToken)
+}
+
 // maxSilence returns the time without a token after which a stream counts as broken.
 func (t *attempt) maxSilence() time.Duration {
 	if t.answer.NextIndex() == 0 {
@@ -158,7 +162,7 @@
 	if ctx.Err() != nil && b.Cause != answer.Refused {
 		return t.contextEnded(ctx), true
 	}
-	t.server.Contents.RecordFailure(t.chat.contentHash, t.engine, b)
+	t.server.Contents.RecordFailure(t.chat.content, t.engine, b, t.answeredFor())
 	t.reportUnavailable(b)
 	n, done := t.handleBreak(b.Cause)
 	if t.answer.Unsent() && t.chat.permit != nil {
@@ -216,6 +220,13 @@
 
 func (t *attempt) progress(e api.TokenEvent) {
 	now := time.Now()
+	if t.firstToken.IsZero() {
+		t.firstToken = now
+	}
+	if !t.progressRecorded && t.answeredFor() >= quarantine.PartSuspectWindow {
+		t.progressRecorded = true
+		t.server.Contents.RecordProgress(t.chat.content)
+	}
 	m := t.server.Metrics
 	if e.Index == 0 {
 		m.Add(metric.FirstTokens, 1)
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -37,6 +37,9 @@
 	permit        *claims.Permit
 	// engine is the engine of the current attempt.
 	engine api.ServerName
+	// subjects are the content and the shared parts of the prompt, empty until they are first
+	// needed.
+	subjects quarantine.Subjects
 }
 
 // chat handles a chat completion.
@@ -53,7 +56,7 @@
 		return
 	}
 	s.runAdmitted(w, r, q, func(ctx context.Context) error {
-		if f := s.Contents.Check(c.contentHash); f != nil {
+		if f := s.Contents.Check(c.content); f != nil {
 			return f
 		}
 		if served, err := s.claimChat(ctx, w, c); err != nil || served {
@@ -77,10 +80,25 @@
 	return c.validate()
 }
 
-// contentHash identifies the content of the completion. All attempts of its caller have
-// the same.
-func (c *chat) contentHash() api.ContentHash {
-	return quarantine.Hash(c.workspace.Name, http.MethodPost, "", PathChat, c.body)
+// maxMessageParts bounds the messages of a conversation that are tracked as parts of prompts.
+const maxMessageParts = 32
+
+// content returns the content of the completion and the shared parts of its prompt, which are the
+// messages but the last. All attempts of its caller have the same.
+func (c *chat) content() quarantine.Subjects {
+	if c.subjects.Content == "" {
+		c.subjects = quarantine.NewSubjects(quarantine.Hash(c.workspace.Name, http.MethodPost, "", PathChat, c.body), c.messageParts())
+	}
+	return c.subjects
+}
+
+func (c *chat) messageParts() []api.PartID {
+	shared := c.params.Messages[:len(c.params.Messages)-1]
+	var l []api.PartID
+	for _, m := range shared[:min(len(shared), maxMessageParts)] {
+		l = append(l, quarantine.MessagePart(c.work.Model, m.Role, m.Content))
+	}
+	return l
 }
 
 // validate checks the parameters, and prepares the completion for the model and the
@@ -184,7 +202,7 @@
 	}
 	s.recordChatOutcome(ctx, c, k, f)
 	if f == nil {
-		s.Contents.RecordAnswer(c.contentHash)
+		s.Contents.RecordAnswer(c.content)
 		s.recordDone(c.request)
 		return
 	}
@@ -237,7 +255,7 @@
 		if err != nil {
 			return s.dispatchFault(ctx, a, err)
 		}
-		if f := s.Contents.Check(c.contentHash); f != nil {
+		if f := s.Contents.Check(c.content); f != nil {
 			s.Broker.Finish(c.id, 0, false)
 			return f.WithRan(a.Ran())
 		}
@@ -247,11 +265,11 @@
 		n := t.run(ctx)
 		switch n.Action {
 		case answer.Retry:
-			if !s.Contents.MayResume(c.contentHash) {
-				return fault.New(fault.OutcomeUnknown, "servers crashed while they ran requests with this content").WithRan(a.Ran())
+			if !s.Contents.MayResume(c.content, t.answeredFor()) {
+				return fault.New(fault.OutcomeUnknown, "servers crashed while they ran requests with this content or part of its prompt").WithRan(a.Ran())
 			}
 			s.Metrics.Add(metric.Retries, 1)
-			s.Log.Emit(event.GenerationRetried, zap.String("request", string(c.id)), zap.String("content", string(c.contentHash())), zap.String("server", string(g.Server)))
+			s.Log.Emit(event.GenerationRetried, zap.String("request", string(c.id)), zap.String("content", string(c.content().Content)), zap.String("server", string(g.Server)))
 			s.explain(c.request, "retry", "the attempt on "+string(g.Server)+" failed before its first token")
 			c.work.Avoid = g.Server
 			acquire = s.Broker.Retry
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -92,10 +92,9 @@
 	return c, nil
 }
 
-// contentHash identifies the content of the call. All attempts of its caller have the
-// same.
-func (c *call) contentHash() api.ContentHash {
-	return quarantine.Hash(c.workspace.Name, c.method, string(c.service.Name), c.path+"?"+c.query, c.body)
+// content returns the content of the call. All attempts of its caller have the same.
+func (c *call) content() quarantine.Subjects {
+	return quarantine.NewSubjects(quarantine.Hash(c.workspace.Name, c.method, string(c.service.Name), c.path+"?"+c.query, c.body), nil)
 }
 
 // claimCall claims a call that is not repeatable and has an idempotency key. Without a
@@ -142,7 +141,7 @@
 func (s *Server) callWithRetries(ctx context.Context, c *call) (*claims.Answer, error) {
 	d := decide.New(c.notRepeatable)
 	for {
-		if f := s.Contents.Check(c.contentHash); f != nil {
+		if f := s.Contents.Check(c.content); f != nil {
 			return nil, d.Refusal(f)
 		}
 		x := s.pickServer(c)
@@ -158,11 +157,11 @@
 		s.releaseServer(n, err)
 		if err == nil {
 			if a.Status/100 == 2 {
-				s.Contents.RecordAnswer(c.contentHash)
+				s.Contents.RecordAnswer(c.content)
 			}
 			return a, nil
 		}
-		s.Contents.RecordFailure(c.contentHash, n, err)
+		s.Contents.RecordFailure(c.content, n, err, 0)
 		s.explain(c.request, "failed", string(n)+": "+err.Error())
 		o := outcome(err)
 		if m, f := d.AttemptFailed(o, err, ctx.Err() != nil, s.allowRetry); m == decide.Fail {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -153,7 +153,7 @@
 	{ObjectUnreadable, "object_unreadable", zapcore.WarnLevel, "An object of the platform could not be read: of a configuration, the last valid version stays in force; an entry of a backend server is ignored."},
 	{DomainClosed, "domain_closed", zapcore.InfoLevel, "Operators closed a failure domain to new work."},
 	{DomainOpened, "domain_opened", zapcore.InfoLevel, "Operators reopened a failure domain; its servers count as cold at first."},
-	{ContentQuarantined, "content_quarantined", zapcore.WarnLevel, "Servers crashed while they ran requests with the same content; the content is refused from now on."},
+	{ContentQuarantined, "content_quarantined", zapcore.WarnLevel, "Servers crashed while they ran requests with the same content, or the same part of their prompts; such requests are refused from now on."},
 	{ContentDeclared, "content_declared", zapcore.InfoLevel, "The quarantined contents in the platform's store have changed."},
 	{QuarantineUnkept, "quarantine_unkept", zapcore.WarnLevel, "A quarantined content could not be written to, or removed from, the platform; the write is retried."},
 	{ContentsCorrected, "contents_corrected", zapcore.InfoLevel, "The platform was restored from a backup that lacked quarantined contents or still had released ones; they are written or removed again."},
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -98,7 +98,7 @@
 	{Stopping, "stopping", http.StatusServiceUnavailable, api.RanNo, "This entry VM is stopping."},
 	{Starting, "starting", http.StatusServiceUnavailable, api.RanNo, "This entry VM has no configuration yet."},
 	{TooLarge, "too_large", http.StatusBadRequest, api.RanNo, "Prompt and answer can't fit the model or any engine."},
-	{Quarantined, "quarantined", http.StatusServiceUnavailable, api.RanNo, "Backend servers ended while they ran requests with the same content; it is not sent to another one."},
+	{Quarantined, "quarantined", http.StatusServiceUnavailable, api.RanNo, "Backend servers ended while they ran requests with the same content, or the same part of their prompts; they are sent to no further one."},
 	{MemoryShort, "memory_short", http.StatusServiceUnavailable, api.RanNo, "This entry VM has no memory for the body of the request now."},
 	{NotStarted, "not_started", http.StatusBadGateway, api.RanNo, "The backend server could not be reached; nothing was sent."},
 	{GenerationLost, "generation_lost", http.StatusBadGateway, api.RanYes, "The generation was lost after its first token."},
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -135,7 +135,7 @@
 			err = fault.New(fault.OutcomeUnknown, "the server answered "+http.StatusText(a.Status))
 		} else {
 			g.recordOutcome(s, serverOutcome(err))
-			g.recordBrokenRun(q, s, err)
+			g.recordBrokenRun(q, s, err, 0)
 		}
 		g.Log.Emit(event.AttemptFailed, append(q.contentFields(), zap.String("request", string(q.ID)), zap.String("server", string(s.Name)), zap.Error(err))...)
 		m, f := c.AttemptFailed(attemptOutcome(err), err, ctx.Err() != nil, retry)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -229,17 +229,19 @@
 	outcome string
 	// answerHold is the memory of the answers to the request's attempts.
 	answerHold port.Hold
-	// hash is the hash of the content, empty until it is first needed.
-	hash api.ContentHash
+	// subjects are the content and the shared parts of the prompt, empty until they are first
+	// needed.
+	subjects quarantine.Subjects
 }
 
-// content returns the hash of the request's content, which is the same for each attempt of its
-// caller.
-func (q *request) content() api.ContentHash {
-	if q.hash == "" {
-		q.hash = quarantine.Hash(q.workspace.Name, q.Method, q.Host, q.Target, q.Body)
+// content returns the request's content and the shared parts of its prompt, which are the same for
+// each attempt of its caller.
+func (q *request) content() quarantine.Subjects {
+	if q.subjects.Content == "" {
+		h := quarantine.Hash(q.workspace.Name, q.Method, q.Host, q.Target, q.Body)
+		q.subjects = quarantine.NewSubjects(h, q.Prompt.SharedParts)
 	}
-	return q.hash
+	return q.subjects
 }
 
 // Handle serves a request and returns when it is finished.
@@ -274,7 +276,7 @@
 
 // contentFields are the log fields of the content and of the shared parts of the prompt.
 func (q *request) contentFields() []zap.Field {
-	return append(q.partFields(), zap.String("content", string(q.content())))
+	return append(q.partFields(), zap.String("content", string(q.content().Content)))
 }
 
 // partFields are the log fields of the shared parts of the prompt.
@@ -288,7 +290,7 @@
 // refusalFields are the log fields of the content of a refused request. There are none if it was
 // refused before its content was hashed.
 func (q *request) refusalFields() []zap.Field {
-	if q.hash == "" {
+	if q.subjects.Content == "" {
 		return nil
 	}
 	return q.contentFields()
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -23,11 +23,12 @@
 	maxWriteBackoff = 5 * time.Second
 )
 
-// recordBrokenRun records a failed run against its content, as the possible cause of a crash of
-// the server. A server that is leaving has not crashed.
-func (g *Gateway) recordBrokenRun(q *request, s roster.Server, err error) {
+// recordBrokenRun records a failed run against its content and the parts of its prompt, as the
+// possible cause of a crash of the server, with the time since the first event from there. A
+// server that is leaving has not crashed.
+func (g *Gateway) recordBrokenRun(q *request, s roster.Server, err error, age time.Duration) {
 	if !g.departing(s.Name) {
-		g.Contents.RecordFailure(q.content, s.Name, err)
+		g.Contents.RecordFailure(q.content, s.Name, err, age)
 	}
 }
 
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -37,22 +37,21 @@
 		case <-ctx.Done():
 		}
 	}
-	from := r.currentServer()
+	from, age := r.currentServer(), r.answeredFor(began)
 	if !stopped {
 		g.recordOutcome(from, placement.Lost)
 		g.observeOutcome(r.request, from, true, 0)
-		if r.startedRecently(began) {
-			g.recordBrokenRun(r.request, from, cause)
-		}
+		g.recordBrokenRun(r.request, from, cause, age)
 	}
 	c := r.takeCopy()
 	if c == nil {
 		g.recordLost(r, from, cause)
 		return nil, false
 	}
-	if !stopped && !g.Contents.MayResume(r.request.content) {
-		// This content has crashed the servers that ran it. If its run were resumed again from
-		// a backup copy, it could crash three servers each time that its caller sends it.
+	if !stopped && !g.Contents.MayResume(r.request.content, age) {
+		// The content, or a part of the prompt, has crashed the servers that ran it. If the run
+		// were resumed again from a backup copy, it could crash three servers each time that its
+		// caller sends it.
 		g.releaseCopy(c)
 		g.recordLost(r, from, cause)
 		return nil, false
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -69,6 +69,9 @@
 	// writeStalled is set if the caller delayed the next event by reading slowly.
 	writeStalled bool
 	gapsRecorded bool
+	// progressRecorded is set once the current server has shown that the parts of the prompt are
+	// harmless.
+	progressRecorded bool
 }
 
 // currentServer returns the server that executes the run.
@@ -85,12 +88,27 @@
 	return r.stopped && time.Since(r.stoppedAt) < d
 }
 
-// startedRecently reports whether the run has just started at its current server, so that
-// its content may be what crashed the server.
-func (r *run) startedRecently(now time.Time) bool {
+// answeredFor returns the time since the first event of the run from its current server, zero
+// before it.
+func (r *run) answeredFor(now time.Time) time.Duration {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.timing.firstHere.IsZero() || now.Sub(r.timing.firstHere) < quarantine.SuspectWindow
+	if r.timing.firstHere.IsZero() {
+		return 0
+	}
+	return now.Sub(r.timing.firstHere)
+}
+
+// progressDue reports, once for each server of the run, that the server has written events for
+// quarantine.PartSuspectWindow.
+func (r *run) progressDue() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.progressRecorded || r.timing.firstHere.IsZero() || r.timing.lastEvent.Sub(r.timing.firstHere) < quarantine.PartSuspectWindow {
+		return false
+	}
+	r.progressRecorded = true
+	return true
 }
 
 // dropBackup drops the run's backup copy if the run may not resume at its backup server.
@@ -233,6 +251,7 @@
 	r.moveCopy = nil
 	r.timing.firstHere = time.Time{}
 	r.gaps, r.gapsRecorded = nil, false
+	r.progressRecorded = false
 	r.handoff = handoffState{wanted: l != nil && l.handoff}
 	late := r.protectionEnded
 	r.mutex.Unlock()
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -104,7 +104,7 @@
 	{OrdersSent, "orders", "Orders that engines carried out."},
 	{OrdersRefused, "orders", "Orders that failed or were refused."},
 	{DomainsClosed, "domains", "Failure domains that operators have closed to new work."},
-	{ContentsQuarantined, "contents", "Contents quarantined because the servers that ran them ended; requests with them are refused."},
+	{ContentsQuarantined, "contents", "Contents and parts of prompts quarantined because the servers that ran them ended; requests with them are refused."},
 	{ConfigVersion, "version", "Version of the configuration in force."},
 	{ConfigChanges, "changes", "Configuration changes that came into force."},
 	{ConfigFromPeers, "lists", "Configurations received from a peer."},
