fix(gateway): clear the content of a stream that outlived the crash of its server

Callers lost a chat whose engine crashed twice, and asking again got "quarantined" everywhere for an hour.

A run that was resumed and got 0.5 s of events further than the event at which its server ended shows that the content did not end it; it now counts as an answer to the content. A content that ends servers at one event never gets there.

A third crash in a row still loses the stream: its next copy was at an engine that had crashed first (open).

--- a/fleet/crash_part_test.go
+++ b/fleet/crash_part_test.go
@@ -216,3 +216,33 @@
 		})
 	}
 }
+
+func TestSoundStreamResumedAfterCrashesIsNotQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const n, crashes = 6, 2
+		p := newPool(12, 12)
+		p.longEvents = 300
+		b := newHostedTestbed(t, n, p)
+		var first *caller
+		done := make(chan struct{})
+		b.group.Go(func(context.Context) error {
+			defer close(done)
+			first = b.send(0, newRequest("chat", "/stream/", "a long chat"))
+			return nil
+		})
+		for range crashes {
+			time.Sleep(1200 * time.Millisecond)
+			p.crash(p.lastServer("chat"))
+		}
+		<-done
+		if p.crashCount() != crashes || !first.served() {
+			t.Errorf("stream on %d servers that crash: got %+v, want it served", p.crashCount(), first)
+		}
+		time.Sleep(3 * time.Second)
+		for i := range n {
+			if a := b.send(i, newRequest(fmt.Sprintf("again-%d", i), "/stream/", "a long chat")); !a.served() {
+				t.Errorf("the same content at entry VM %d: got %+v, want it served", i, a)
+			}
+		}
+	})
+}
--- a/fleet/pool_test.go
+++ b/fleet/pool_test.go
@@ -42,6 +42,7 @@
 type begunRequest struct {
 	at     time.Time
 	id     api.RequestID
+	server roster.Server
 	body   string
 	deadly bool
 }
@@ -189,7 +190,7 @@
 	if _, ok := p.live[a.Server.Name]; !ok {
 		return nil, false
 	}
-	p.begun = append(p.begun, begunRequest{time.Now(), a.Request.ID, string(a.Request.Body), p.isDeadly(a.Request)})
+	p.begun = append(p.begun, begunRequest{time.Now(), a.Request.ID, a.Server, string(a.Request.Body), p.isDeadly(a.Request)})
 	if p.resetting && len(p.begun)%3 != 0 {
 		ctx, cancel := context.WithTimeout(p.contexts[a.Server.Name], plainDuration/2)
 		p.cancels = append(p.cancels, cancel)
@@ -249,6 +250,19 @@
 	p.crash(s)
 }
 
+// lastServer returns the server that began to run a request last.
+func (p *pool) lastServer(id api.RequestID) roster.Server {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	var s roster.Server
+	for _, x := range p.begun {
+		if x.id == id {
+			s = x.server
+		}
+	}
+	return s
+}
+
 // liveServers returns up to n live servers of a service.
 func (p *pool) liveServers(n int, s api.ServiceName) []roster.Server {
 	var l []roster.Server
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -99,16 +99,28 @@
 	return now.Sub(r.timing.firstHere)
 }
 
-// progressDue reports, once for each server of the run, that the server has written events for
-// quarantine.PartSuspectWindow.
-func (r *run) progressDue() bool {
+// recordProgress records, once for each server of the run, that the server has written events for
+// quarantine.PartSuspectWindow. A run that got this far beyond the event at which an earlier server
+// ended shows that its whole content did not end that server.
+func (g *Gateway) recordProgress(r *run) {
+	switch due, resumed := r.takeProgress(); {
+	case due && resumed:
+		g.Contents.RecordAnswer(r.request.content)
+	case due:
+		g.Contents.RecordProgress(r.request.content)
+	}
+}
+
+// takeProgress reports whether progress at the current server is to be recorded, and whether the
+// run was resumed there.
+func (r *run) takeProgress() (due, resumed bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if r.progressRecorded || r.timing.firstHere.IsZero() || r.timing.lastEvent.Sub(r.timing.firstHere) < quarantine.PartSuspectWindow {
-		return false
+		return false, false
 	}
 	r.progressRecorded = true
-	return true
+	return true, r.timing.moves > 0
 }
 
 // dropBackup drops the run's backup copy if the run may not resume at its backup server.
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -133,9 +133,7 @@
 		if r.gapsDue() {
 			g.recordGaps(r)
 		}
-		if r.progressDue() {
-			g.Contents.RecordProgress(r.request.content)
-		}
+		g.recordProgress(r)
 		began := time.Now()
 		if err := r.request.sink.WriteEvent(e); err != nil {
 			return fault.Wrap(fault.CallerGone, err, "writing an event")
