--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -50,6 +50,8 @@
 	ProcessAlive Property = "alive"
 	// CrashesContained: a request that keeps crashing servers no longer reaches them.
 	CrashesContained Property = "crashes"
+	// SoundServed: a request that crashes no server is not refused as one that does.
+	SoundServed Property = "sound"
 	// ServerLimit: a server gets no more requests than the rate limit that it announced.
 	ServerLimit Property = "limit"
 	// ServerBackoff: an entry VM honors the backoff that a server requested from it.
@@ -119,6 +121,7 @@
 	}
 	for i := range r.Requests {
 		c.checkReply(&r.Requests[i])
+		c.checkSoundServed(&r.Requests[i])
 	}
 	c.checkVersions()
 	c.checkCrashesContained()
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -178,3 +178,57 @@
 		t.Errorf("five late requests at a paused entry VM: got %v, want no violation", l)
 	}
 }
+
+// Requests with a part that crashes servers are bounded from the fifth crash under it, whatever
+// their bodies.
+func TestCheckReportsUncontainedCrashesUnderPart(t *testing.T) {
+	r := soak.Record{
+		CrashTimes: map[string][]time.Time{"dead": {at(0), at(500), at(1000), at(2000), at(3000)}}, CalmSince: at(0), End: at(60000),
+		PathServices: map[string][]api.ServiceName{"chat": {"engines"}}, ServerServices: map[api.ServerName]api.ServiceName{"p": "engines"},
+	}
+	for i := range 5 {
+		id, body := api.RequestID(strconv.Itoa(i)), strconv.Itoa(i)
+		s := soak.SentRequest{Kind: directory.Unsafe, Call: hosted.Call{ID: id, Body: body, Target: "/chat/x", Parts: []string{"a0", "dead"}}, At: at(5000 + 1000*i)}
+		s.Complete = true
+		r.Requests = append(r.Requests, s)
+		r.Arrivals = append(r.Arrivals, hosted.Arrival{Request: hosted.Request{ID: id, Body: body, Target: "/chat/x", Parts: s.Parts}, Server: "p", At: at(6500 + 1000*i)})
+	}
+	count := func(p soak.Property) int {
+		n := 0
+		for _, v := range soak.Check(r) {
+			if v.Property == p {
+				n++
+			}
+		}
+		return n
+	}
+	if got := count(soak.CrashesContained); got != 1 {
+		t.Errorf("five late requests: got %d violations, want 1", got)
+	}
+	r.Arrivals = r.Arrivals[:3]
+	if got := count(soak.CrashesContained); got != 0 {
+		t.Errorf("three late requests: got %d violations, want none", got)
+	}
+}
+
+func TestCheckReportsSoundRequestsRefusedAsCrashing(t *testing.T) {
+	r := soak.Record{CrashTimes: map[string][]time.Time{"dead": {at(0)}}, CalmSince: at(0), End: at(60000)}
+	refused := hosted.Reply{Head: hosted.Head{Status: 503}, Body: `{"error":{"type":"quarantined"}}`, Complete: true}
+	r.Requests = []soak.SentRequest{{Call: hosted.Call{ID: "deadly", Parts: []string{"a0", "dead"}}, Reply: refused}}
+	sound := func() int {
+		n := 0
+		for _, v := range soak.Check(r) {
+			if v.Property == soak.SoundServed {
+				n++
+			}
+		}
+		return n
+	}
+	if got := sound(); got != 0 {
+		t.Errorf("request that crashes servers: got %d violations, want none", got)
+	}
+	r.Requests = append(r.Requests, soak.SentRequest{Call: hosted.Call{ID: "sound", Parts: []string{"a0", "b0"}}, Reply: refused})
+	if got := sound(); got != 1 {
+		t.Errorf("sound request: got %d violations, want 1", got)
+	}
+}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -48,6 +48,9 @@
 	ForeignEntry  Kind = "foreign-entry"
 	// CrashingRequest has a caller repeat a request that crashes the servers that run it.
 	CrashingRequest Kind = "deadly-request"
+	// CrashingPart has callers send different requests whose prompts share a part that crashes the
+	// servers that run them.
+	CrashingPart Kind = "deadly-part"
 	// StoreRestore restores the store from a backup.
 	StoreRestore Kind = "store-restore"
 	// Servers signal these in their answers alone: a rate limit, a requested backoff, or
@@ -77,6 +80,9 @@
 // firstFragileSeed is the first seed whose plan also draws fragile servers.
 const firstFragileSeed = 9000
 
+// firstCrashingPartSeed is the first seed whose plan also draws crashing parts of prompts.
+const firstCrashingPartSeed = 10000
+
 // signalKinds are the signals that servers send in their answers; no request may be lost
 // by them.
 var signalKinds = []Kind{SignalLimit, SignalBackoff, SignalLeaving}
@@ -183,6 +189,9 @@
 	if seed >= firstFragileSeed {
 		all = append(all, SignalFragile, SignalFragile)
 	}
+	if seed >= firstCrashingPartSeed {
+		all = append(all, CrashingPart, CrashingPart)
+	}
 	kinds := all
 	if r.Float64() < plannedShare {
 		kinds = plannedKinds
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -97,7 +97,8 @@
 	ServerServices map[api.ServerName]api.ServiceName
 	// ServerDomains holds the failure domain of each server.
 	ServerDomains map[api.ServerName]api.DomainName
-	// CrashTimes holds when servers crashed, by the body of the crashing request.
+	// CrashTimes holds when servers crashed, by the body or the part of the prompt that crashes them.
+	// It has an entry for each of these, also if none crashed yet.
 	CrashTimes map[string][]time.Time
 	// Failures describes entry VMs whose processes ended unexpectedly or logged a failure
 	// mark, and errors of the soak itself.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -175,6 +175,8 @@
 		b.writeForeignEntry(s)
 	case CrashingRequest:
 		b.repeatCrashingRequest(ctx, f)
+	case CrashingPart:
+		b.sendCrashingPart(ctx, f)
 	case StoreDropHistory:
 		b.store.DropHistory()
 	case StoreRestore:
@@ -255,7 +257,7 @@
 	case CrashServer, SilentServer, ServerLink, LeaveServer, LoseAnswers, RestartServer:
 		x, _ := s.current()
 		t.Server = x.Name
-	case ChangeRoute, RevokeKey, StoreDropHistory, SignalLimit, SignalBackoff, SignalLeaving, SignalFragile, CloseDomain, ForeignEntry, CrashingRequest:
+	case ChangeRoute, RevokeKey, StoreDropHistory, SignalLimit, SignalBackoff, SignalLeaving, SignalFragile, CloseDomain, ForeignEntry, CrashingRequest, CrashingPart:
 	default:
 		t.VM = v.index
 		if f.Target == All {
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -80,6 +80,9 @@
 			v = b.chooseVM(r)
 		}
 		s := b.nextRequest(r, fmt.Sprintf("c%d-%d", index, n))
+		if s.Kind == directory.Stream {
+			s.Parts = []string{firstPart(index + n), fmt.Sprintf("b%x%04x", index, n)}
+		}
 		s.VM = v.index
 		s.At = time.Now()
 		s.Reply = c.Do(context.WithoutCancel(ctx), v.callerProxy.address(), s.Call)
--- a/internal/standin/hosted/caller.go
+++ b/internal/standin/hosted/caller.go
@@ -28,6 +28,8 @@
 	// LeaveAfter is the number of events after which the caller closes the stream; zero
 	// means that it reads the whole stream.
 	LeaveAfter int
+	// Parts are the parts of the prompt that other requests may have too, in hex.
+	Parts []string
 }
 
 // Head is the decoded head of an answer.
--- a/internal/standin/hosted/fleet.go
+++ b/internal/standin/hosted/fleet.go
@@ -31,15 +31,15 @@
 
 	mutex   sync.Mutex
 	servers map[string]*Server
-	// crashBodies are the request bodies that crash the servers that run them; onCrash is
-	// called for each crash.
-	crashBodies map[string]bool
-	onCrash     func(s *Server, body string)
+	// crashCauses are the request bodies, and the parts of prompts, that crash the servers that
+	// run them; onCrash is called for each crash.
+	crashCauses map[string]bool
+	onCrash     CrashFunc
 }
 
 // NewFleet returns a fleet without servers.
 func NewFleet(s *Store, p Pace) *Fleet {
-	return &Fleet{Store: s, Journal: NewJournal(), Pace: p, servers: map[string]*Server{}, crashBodies: map[string]bool{}}
+	return &Fleet{Store: s, Journal: NewJournal(), Pace: p, servers: map[string]*Server{}, crashCauses: map[string]bool{}}
 }
 
 // serverAt returns the running server at an address.
@@ -50,21 +50,29 @@
 	return s, ok
 }
 
-// CrashOnBody makes requests with a body crash the servers that run them. After each crash,
-// onCrash is called, in place of the function set by earlier calls.
-func (f *Fleet) CrashOnBody(body string, onCrash func(s *Server, body string)) {
+// CrashFunc is called after a server has crashed, with the body or part that is the cause.
+type CrashFunc func(s *Server, cause string)
+
+// CrashOn makes requests with a body, or with a part of their prompts, crash the servers that run
+// them. After each crash, onCrash is called, in place of the function set by earlier calls.
+func (f *Fleet) CrashOn(cause string, onCrash CrashFunc) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.crashBodies[body] = true
+	f.crashCauses[cause] = true
 	f.onCrash = onCrash
 }
 
-// crashHandler reports whether a body crashes the server that runs it, and returns the
-// function to call after the crash.
-func (f *Fleet) crashHandler(body string) (func(s *Server, body string), bool) {
+// crashHandler reports whether a request crashes the server that runs it, and returns the cause
+// and the function to call after the crash.
+func (f *Fleet) crashHandler(a Request) (CrashFunc, string, bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.onCrash, f.crashBodies[body]
+	for _, x := range a.crashCauses() {
+		if f.crashCauses[x] {
+			return f.onCrash, x, true
+		}
+	}
+	return nil, "", false
 }
 
 // readHeaderTimeout is the maximum time to read the head of a request.
--- a/internal/standin/hosted/journal.go
+++ b/internal/standin/hosted/journal.go
@@ -27,8 +27,13 @@
 	// BackupAddress is the address of the server that holds a backup copy of the run while
 	// it grows; it is empty for a run without a backup.
 	BackupAddress string
+	// Parts are the parts of the prompt but the last.
+	Parts []string
 }
 
+// crashCauses are what may crash the server that runs the request.
+func (a Request) crashCauses() []string { return append([]string{a.Body}, a.Parts...) }
+
 // Arrival is the arrival of a request at a server.
 type Arrival struct {
 	Request
--- a/internal/standin/hosted/server.go
+++ b/internal/standin/hosted/server.go
@@ -155,12 +155,12 @@
 const crashDelay = 50 * time.Millisecond
 
 func (s *Server) execute(ctx context.Context, a Request, w AnswerWriter) {
-	if onCrash, ok := s.fleet.crashHandler(a.Body); ok {
+	if onCrash, cause, ok := s.fleet.crashHandler(a); ok {
 		x := s.fleet.Journal.startRun(a.ID, s.Name, 0)
 		defer s.fleet.Journal.endRun(x)
 		s.sleep(ctx, crashDelay)
 		s.Crash()
-		onCrash(s, a.Body)
+		onCrash(s, cause)
 		w.Abort()
 		return
 	}
