fix(gateway): lend the room at fragile servers that entry VMs without callers leave unused

When a load balancer sends all new connections to one entry VM, its callers got 503 although the servers were at an eighth of their capacity: 1,443 of 2,400 requests served before three fragile servers with 12 slots at 24 entry VMs, 1,473 of 3,200 at 6 VMs with 6 slots, 1,917 of 3,200 at 9.

Cause: what the fleet may have in flight at a fragile server was divided equally among its entry VMs. The share of a VM without callers was lost.

The allocator of a server's failure domain now lends it. Where sends are paced (more VMs than slots), the answer to each request for a send slot also tells how many requests may be in flight, since the pace bounds all of them together. Elsewhere a VM whose share is in use asks for room. Without an allocator each VM keeps to its equal share.

--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -1250,6 +1250,10 @@
 	// Whether the request may be sent.
 	Granted bool `json:"granted,omitempty,omitzero"`
 
+	// Number of requests that the sender may have in flight at the server for a short
+	// time; 0 for its equal share.
+	InFlight int `json:"in_flight,omitempty,omitzero"`
+
 	// Time until the request may be sent, ms; if it was not granted, the time after
 	// which to ask again.
 	WaitMS Milliseconds `json:"wait_ms,omitempty,omitzero"`
@@ -1267,6 +1271,10 @@
 	// Version of the protocol between entry VMs.
 	Protocol int `json:"protocol"`
 
+	// Whether the sender asks for no send slot but only for the number of requests
+	// that it may have in flight, at a server without a rate limit.
+	RoomOnly bool `json:"room_only,omitempty,omitzero"`
+
 	// Backend server with the rate limit.
 	Server ServerName `json:"server"`
 
--- a/internal/decide/placement/pick.go
+++ b/internal/decide/placement/pick.go
@@ -129,13 +129,15 @@
 	Backoffs *Backoffs
 	// Fragile holds the services whose servers fail once they have to refuse too much.
 	Fragile *fragile.Services
-	random  *rand.Rand
+	// Borrowed holds the room at fragile servers beyond the equal share.
+	Borrowed *fragile.Borrowed
+	random   *rand.Rand
 }
 
 // NewPicker returns a picker without any load that draws random numbers from s.
 func NewPicker(s rand.Source) *Picker {
 	r := rand.New(s)
-	return &Picker{PlainLoads: NewLoadTable(), EngineLoads: NewLedger(), Health: NewHealth(), Sends: NewSendHistory(r), Limits: throttle.NewLimits(), Pacer: throttle.NewPacer(r), Backoffs: NewBackoffs(), Fragile: fragile.New(), random: r}
+	return &Picker{PlainLoads: NewLoadTable(), EngineLoads: NewLedger(), Health: NewHealth(), Sends: NewSendHistory(r), Limits: throttle.NewLimits(), Pacer: throttle.NewPacer(r), Backoffs: NewBackoffs(), Fragile: fragile.New(), Borrowed: fragile.NewBorrowed(), random: r}
 }
 
 // Choice is a chosen server with the figures that the choice was based on.
@@ -221,7 +223,7 @@
 	if p.Health.coolingDown(now, m.Name) {
 		return false
 	}
-	share := fragile.MaxInFlight(m.Slots, l.Warmup.EntryVMs)
+	share := p.MaxInFlight(now, m, l.Warmup.EntryVMs)
 	switch {
 	case l.Memory == 0:
 		return p.PlainLoads.Local(m.Name).Requests < share
@@ -232,6 +234,12 @@
 	}
 }
 
+// MaxInFlight returns how many requests this one of several entry VMs may have in flight at a fragile
+// server.
+func (p *Picker) MaxInFlight(now time.Time, m roster.Member, entryVMs int) int {
+	return p.Borrowed.InFlight(now, m.Name, fragile.MaxInFlight(m.Slots, entryVMs))
+}
+
 // withinLimit reports whether another request stays within the rate limit that the server
 // has announced.
 func (p *Picker) withinLimit(now time.Time, l Pool, m roster.Member) bool {
@@ -274,6 +282,7 @@
 	p.Health.Forget(known)
 	p.Sends.Forget(known)
 	p.Limits.Forget(known)
+	p.Borrowed.Forget(known)
 	p.Pacer.Forget(known)
 	p.Backoffs.Forget(known)
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/wardridge/wardridge/internal/decide/backlog"
 	"github.com/wardridge/wardridge/internal/decide/directory"
 	"github.com/wardridge/wardridge/internal/decide/drain"
+	"github.com/wardridge/wardridge/internal/decide/fragile"
 	"github.com/wardridge/wardridge/internal/decide/holder"
 	"github.com/wardridge/wardridge/internal/decide/leavequery"
 	"github.com/wardridge/wardridge/internal/decide/placement"
@@ -110,6 +111,8 @@
 	reachability *holder.Reachability
 	// fleet detects that some of the entry VMs may be cut off by a network partition.
 	fleet throttle.Fleet
+	// lender lends the room at fragile servers that entry VMs leave unused.
+	lender *fragile.Lender
 	// roomWaits counts the requests that wait for room at fragile servers, by service.
 	roomWaits map[api.ServiceName]int
 	// retryReports holds what peers report of their retries.
@@ -154,7 +157,7 @@
 	}
 	g := &Gateway{
 		domains: placement.NewRemotePools(), reachability: holder.NewReachability(), reports: holder.NewReportSchedule(), observations: holder.NewObservations(), speedSamples: speed.NewRecorder(), speeds: speed.New(), planners: map[api.ServiceName]*role.Planner{}, incarnation: api.Incarnation(p.Seed),
-		Options: p, roster: roster.New(), picker: placement.NewPicker(rand.NewPCG(p.Seed, 0)),
+		Options: p, roster: roster.New(), picker: placement.NewPicker(rand.NewPCG(p.Seed, 0)), lender: fragile.NewLender(),
 		runs: map[api.ServerName]map[*run]bool{}, admissions: map[api.ServiceName]*admission{},
 		retryReports: retry.NewReports(), roomWaits: map[api.ServiceName]int{}, queryResults: silence.NewResultCache(), leaveQueries: leavequery.New(), watchdog: newWatchdog(),
 		bodies: newBodyMemory(p.Memory, p.Metrics), rollouts: rollout.New(p.Rollouts, rand.NewPCG(p.Seed, 1)), rolloutVersions: map[api.RolloutID]api.Version{},
--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -7,7 +7,6 @@
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/call"
-	"github.com/wardridge/wardridge/internal/decide/fragile"
 	"github.com/wardridge/wardridge/internal/decide/gossip"
 	"github.com/wardridge/wardridge/internal/decide/placement"
 	"github.com/wardridge/wardridge/internal/decide/rollout"
@@ -123,7 +122,11 @@
 // there will be no room in time.
 func (g *Gateway) awaitRoom(ctx context.Context, q *request) bool {
 	maxWait := time.Duration(maxWaitShare * float64(q.latencyTarget()))
-	if !g.isFragile(q.service.Name) || time.Since(q.Arrived) >= maxWait || !g.beginRoomWait(q) {
+	if !g.isFragile(q.service.Name) || time.Since(q.Arrived) >= maxWait {
+		return false
+	}
+	g.borrowRoom(q)
+	if !g.beginRoomWait(q) {
 		return false
 	}
 	defer g.endRoomWait(q)
@@ -133,6 +136,63 @@
 	return ok
 }
 
+// maxRoomAsks bounds the servers at which a request asks for more room at a time.
+const maxRoomAsks = 8
+
+// borrowRoom asks the allocators for more room at the fragile servers of a request's service: all
+// callers may have come to this entry VM, so that the shares of its peers are idle. Where sends are
+// paced, the answer to each request for a send slot tells.
+func (g *Gateway) borrowRoom(q *request) {
+	for _, m := range g.takeRoomAsks(q) {
+		g.Group.Go(func(ctx context.Context) error {
+			g.askForRoom(ctx, m)
+			return nil
+		})
+	}
+}
+
+// takeRoomAsks returns the servers at which more room may be asked for now, and counts the requests.
+func (g *Gateway) takeRoomAsks(q *request) []roster.Server {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := time.Now()
+	var l []roster.Server
+	for _, m := range g.membersIn(q.service.Name, q.regions) {
+		if _, paced := g.rateLimit(now, m.Server); paced {
+			continue
+		}
+		if len(l) < maxRoomAsks && g.picker.Borrowed.TakeAsk(now, m.Name) {
+			l = append(l, m.Server)
+		}
+	}
+	return l
+}
+
+// askForRoom asks the allocator of a server's failure domain for more room there. Without an answer,
+// this entry VM keeps to its equal share.
+func (g *Gateway) askForRoom(ctx context.Context, s roster.Server) {
+	a := api.PermitAsk{Protocol: gossip.Protocol, VM: g.VM, Server: s.Name, RoomOnly: true}
+	for _, to := range g.allocators(s.Domain) {
+		switch {
+		case to.standby:
+			return
+		case to.address == "":
+			g.recordRoom(s.Name, g.Permit(a).InFlight)
+			return
+		}
+		if _, ok := g.queryPermit(ctx, to.address, a); ok {
+			return
+		}
+	}
+}
+
+// recordRoom records how many requests may be in flight at a server.
+func (g *Gateway) recordRoom(n api.ServerName, inFlight int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.picker.Borrowed.Record(time.Now(), n, inFlight)
+}
+
 func (g *Gateway) isFragile(n api.ServiceName) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
@@ -145,9 +205,9 @@
 func (g *Gateway) beginRoomWait(q *request) bool {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	room := 0
+	room, now := 0, time.Now()
 	for _, m := range g.membersIn(q.service.Name, q.regions) {
-		room += fragile.MaxInFlight(m.Slots, g.fleet.Shares(time.Now()))
+		room += g.picker.MaxInFlight(now, m, g.fleet.Shares(now))
 	}
 	if g.roomWaits[q.service.Name] >= room {
 		return false
@@ -241,6 +301,7 @@
 	for _, to := range g.allocators(x.Domain) {
 		a.Standby = to.standby
 		if to.address == "" {
+			g.recordRoom(a.Server, g.lendRoom(a))
 			return g.reserveSendSlot(a, maxWait)
 		}
 		if p, ok := g.queryPermit(ctx, to.address, a); ok {
@@ -268,9 +329,23 @@
 		}
 		return permit{}, false
 	}
+	g.recordRoom(a.Server, x.InFlight)
 	return permit{granted: x.Granted, at: time.Now().Add(x.WaitMS.Duration())}, true
 }
 
+// lendRoom returns how many requests another entry VM, or this one, may have in flight at a server
+// for which this one allocates the room; zero for the equal share.
+func (g *Gateway) lendRoom(a api.PermitAsk) int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	m, ok := g.roster.Find(a.Server)
+	if !ok || a.Standby || g.fleet.Partitioned() {
+		return 0
+	}
+	now := time.Now()
+	return g.lender.Ask(now, a.Server, a.VM, m.Slots, g.fleet.Shares(now))
+}
+
 // reserveSendSlot reserves a send slot at a server for which this entry VM allocates them. It
 // applies the lower of the limits known here and to the requester.
 func (g *Gateway) reserveSendSlot(a api.PermitAsk, maxWait time.Duration) permit {
@@ -291,10 +366,14 @@
 	return permit{granted: ok, at: at}
 }
 
-// Permit answers the request of another entry VM for a send slot.
+// Permit answers the request of another entry VM for a send slot, or for room.
 func (g *Gateway) Permit(a api.PermitAsk) api.PermitAnswer {
+	n := g.lendRoom(a)
+	if a.RoomOnly {
+		return api.PermitAnswer{InFlight: n}
+	}
 	p := g.reserveSendSlot(a, a.PatienceMS.Duration())
 	// Rounded up to a full ms, so that no request is sent before its slot.
 	wait := max(0, time.Until(p.at)+time.Millisecond-1)
-	return api.PermitAnswer{Granted: p.granted, WaitMS: api.ToMilliseconds(wait)}
+	return api.PermitAnswer{Granted: p.granted, WaitMS: api.ToMilliseconds(wait), InFlight: n}
 }
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -55,6 +55,7 @@
 		return ok
 	}
 	g.picker.Forget(known)
+	g.lender.Forget(known)
 	g.queryResults.Forget(known)
 	g.speedSamples.Forget(known)
 	g.speeds.Forget(known)
