fix(relay): tell a broken connection of a server from one that it has ended

Callers of an entry VM that reaches servers only through a peer could get part of an answer as the whole: an answer without a length ends with its connection, and the relay ended the connection to its peer alike whether the server had ended its own, had reset it, or the relay itself was about to end. A killed relay looks the same.

The relay now sends the bytes of a server in frames, and an empty frame once the server has ended the connection. Without it the dialing VM sees the connection as broken, so that the answer is incomplete and is retried where that is safe. The protocol is negotiated with the upgrade: a peer of an earlier release sends no frames and is used as before.

--- a/internal/relay/dial.go
+++ b/internal/relay/dial.go
@@ -242,7 +242,7 @@
 		return nil, fault.New(fault.PeerUnreachable, "connecting to "+peer+": "+err.Error())
 	}
 	stop := context.AfterFunc(ctx, func() { _ = n.SetDeadline(time.Unix(1, 0)) })
-	err = requestRelay(ctx, n, peer, address)
+	c, err := requestRelay(ctx, n, peer, address)
 	if !stop() && err == nil {
 		err = ctx.Err()
 	}
@@ -250,42 +250,46 @@
 		_ = n.Close()
 		return nil, err
 	}
-	return n, nil
+	return c, nil
 }
 
-// requestRelay requests the connection to a server on one to a peer, which carries it from then on.
-func requestRelay(ctx context.Context, n net.Conn, peer, address string) error {
+// requestRelay requests the connection to a server on one to a peer, which carries it from then on, and
+// returns the connection to the server.
+func requestRelay(ctx context.Context, n net.Conn, peer, address string) (net.Conn, error) {
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+peer+PathConnect+"?"+url.Values{
 		paramServer: {address}, paramProtocol: {strconv.Itoa(gossip.Protocol)},
 	}.Encode(), http.NoBody)
 	if err != nil {
-		return fault.From(err)
+		return nil, fault.From(err)
 	}
 	q.Header.Set("Connection", "Upgrade")
-	q.Header.Set("Upgrade", upgradeName)
+	q.Header.Set("Upgrade", framedName)
 	if err := q.Write(n); err != nil {
-		return fault.Wrap(fault.PeerUnreachable, err, "sending the request for a relay")
+		return nil, fault.Wrap(fault.PeerUnreachable, err, "sending the request for a relay")
 	}
 	b := bufio.NewReaderSize(n, relayHeadBytes)
 	a, err := http.ReadResponse(b, q)
 	if err != nil {
-		return fault.Wrap(fault.PeerUnreachable, err, "reading the answer to the request for a relay")
+		return nil, fault.Wrap(fault.PeerUnreachable, err, "reading the answer to the request for a relay")
 	}
 	if a.StatusCode == http.StatusSwitchingProtocols && b.Buffered() == 0 {
-		return nil
+		if a.Header.Get("Upgrade") == framedName {
+			return &framedConn{Conn: n}, nil
+		}
+		return n, nil
 	}
 	defer func() { _ = a.Body.Close() }()
 	text, err := io.ReadAll(io.LimitReader(a.Body, relayHeadBytes))
 	if err != nil {
-		return fault.Wrap(fault.PeerUnreachable, err, "reading the refusal of a relay")
+		return nil, fault.Wrap(fault.PeerUnreachable, err, "reading the refusal of a relay")
 	}
 	var x api.RelayRefusal
 	if err := wire.Parse(text, &x); err != nil {
-		return err
+		return nil, err
 	}
 	refused := fault.New(fault.NotStarted, "peer "+peer+": "+x.Reason)
 	if x.ConnectionRefused {
-		return errors.Join(refused, os.NewSyscallError("connect", syscall.ECONNREFUSED))
+		return nil, errors.Join(refused, os.NewSyscallError("connect", syscall.ECONNREFUSED))
 	}
-	return refused
+	return nil, refused
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -61,6 +61,10 @@
 	*relay.Relay
 	address string
 	metrics *metric.Set
+	// end ends the group of the entry VM.
+	end func()
+	// earlierRelease makes the entry VM relay as one of an earlier release.
+	earlierRelease atomic.Bool
 
 	mutex sync.Mutex
 	block error
@@ -77,12 +81,20 @@
 
 func newVM(t *testing.T, peers ...*vm) *vm {
 	t.Helper()
-	v := &vm{metrics: metric.New(), known: true}
+	v := &vm{metrics: metric.New(), known: true, end: func() {}}
 	for _, p := range peers {
 		v.peers = append(v.peers, p.address)
 	}
 	g, end := duty.New(context.Background())
 	r := chi.NewRouter()
+	r.Use(func(h http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+			if v.earlierRelease.Load() {
+				q.Header.Set("Upgrade", "wardridge-relay")
+			}
+			h.ServeHTTP(w, q)
+		})
+	})
 	s := httptest.NewServer(r)
 	v.address = s.Listener.Addr().String()
 	v.Relay = relay.New(relay.Options{
@@ -90,6 +102,7 @@
 		Stopping: func() bool { return v.stopping }, PathChanged: func(p bool) { v.changes = append(v.changes, p) }, Group: g, Log: event.Discard(), Metrics: v.metrics,
 	})
 	v.Routes(r)
+	v.end = end
 	t.Cleanup(func() {
 		end()
 		s.Close()
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -24,7 +24,10 @@
 const (
 	paramServer   = "server"
 	paramProtocol = "protocol"
-	upgradeName   = "wardridge-relay"
+	// upgradeName is the protocol of relayed connections, and framedName the one in which the bytes of
+	// the server come in frames. A peer of an earlier release knows only the first.
+	upgradeName = "wardridge-relay"
+	framedName  = "wardridge-relay-framed"
 	// relayHeadBytes is the size of the buffer for the head of an answer, and copyBytes that of the
 	// buffer for each direction of a relayed connection.
 	relayHeadBytes = 1 << 10
@@ -81,11 +84,15 @@
 	if buffered.Reader.Buffered() > 0 || peer.SetDeadline(time.Time{}) != nil {
 		return
 	}
-	if _, err := io.WriteString(peer, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+upgradeName+"\r\n\r\n"); err != nil {
+	name, send := upgradeName, copyUntilEnd
+	if q.Header.Get("Upgrade") == framedName {
+		name, send = framedName, writeFrames
+	}
+	if _, err := io.WriteString(peer, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+name+"\r\n\r\n"); err != nil {
 		return
 	}
 	r.Metrics.Add(metric.ConnectionsRelayed, 1)
-	r.join(peer, server)
+	r.join(peer, server, send)
 }
 
 func refuse(w http.ResponseWriter, x api.RelayRefusal) {
@@ -116,19 +123,23 @@
 	return r.relayed
 }
 
-// join copies between two connections until one of them ends, and closes both.
-func (r *Relay) join(a, b net.Conn) {
+// sendFunc sends what a server writes to a peer.
+type sendFunc func(to io.Writer, server io.Reader)
+
+// join copies between the connections of a peer and of a server until one of them ends, and closes
+// both.
+func (r *Relay) join(peer, server net.Conn, send sendFunc) {
 	done := make(chan struct{})
 	r.Group.Go(func(ctx context.Context) error {
 		defer close(done)
-		stop := context.AfterFunc(ctx, func() { closeBoth(a, b) })
+		stop := context.AfterFunc(ctx, func() { closeBoth(peer, server) })
 		defer stop()
-		copyUntilEnd(a, b)
-		closeBoth(a, b)
+		send(peer, server)
+		closeBoth(peer, server)
 		return nil
 	})
-	copyUntilEnd(b, a)
-	closeBoth(a, b)
+	copyUntilEnd(server, peer)
+	closeBoth(peer, server)
 	<-done
 }
 
@@ -138,7 +149,7 @@
 }
 
 // copyUntilEnd copies with a small buffer: io.Copy would open a pipe for each direction.
-func copyUntilEnd(to, from net.Conn) {
+func copyUntilEnd(to io.Writer, from io.Reader) {
 	// Either end may close the connection at any time; the other one sees it closed.
 	_, _ = io.CopyBuffer(struct{ io.Writer }{to}, struct{ io.Reader }{from}, make([]byte, copyBytes))
 }
