fix(upstream): keep the error of a reset that a look for unread bytes has met

The answer had neither a length nor chunks, its engine had crashed while the entry VM was suspended, and the connection was reset.

Cause: after a suspension the watchdog looks with MSG_PEEK whether bytes of a stream have arrived. The kernel reports a reset to one call only; the next read returns the end of the stream, with which such an answer is complete. A chunked answer is not complete then, so that nothing showed before.

The body of an answer now keeps the error that the look has met, and its end is an error if the answer ends with its connection. Both sides take a lock, since the look and the read run at the same time.

Evidence: TestResetIsNotTakenForEndAfterLookForUnreadBytes fails on the code before (end without an error) and passes, also with the race detector.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -8,9 +8,12 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/wardridge/wardridge/internal/fault"
 )
 
@@ -70,7 +73,7 @@
 		}
 		return nil, err
 	}
-	r.Body = &body{ReadCloser: r.Body, pool: p, conn: n, stop: stop, idleTimeout: idleTimeout(r)}
+	r.Body = &body{ReadCloser: r.Body, pool: p, conn: n, stop: stop, idleTimeout: idleTimeout(r), unframed: r.ContentLength < 0 && len(r.TransferEncoding) == 0}
 	return r, nil
 }
 
@@ -157,20 +160,44 @@
 	// complete is set when the body was read to its proper end.
 	complete bool
 	closed   atomic.Bool
+	// unframed is set if the body has neither a length nor chunks and ends with its connection.
+	unframed bool
+
+	// peeking is held while HasUnread looks at the connection, and broken is the error that it met
+	// there. The kernel reports a reset once, and then an end.
+	peeking sync.Mutex
+	broken  error
 }
 
 // Read reads from the body and records whether it reached the end.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err == io.EOF {
-		b.complete = true
+	if err != io.EOF {
+		return n, err
+	}
+	if x := b.peekError(); b.unframed && x != nil {
+		return n, x
 	}
+	b.complete = true
 	return n, err
 }
 
+// peekError returns the error that HasUnread has met on the connection.
+func (b *body) peekError() error {
+	b.peeking.Lock()
+	defer b.peeking.Unlock()
+	return b.broken
+}
+
 // HasUnread reports whether bytes have arrived that were not read yet.
 func (b *body) HasUnread() bool {
-	return hasUnread(b.conn.Conn)
+	b.peeking.Lock()
+	defer b.peeking.Unlock()
+	n, err := peek(b.conn.Conn)
+	if err != nil && !errors.Is(err, unix.EAGAIN) {
+		b.broken = err
+	}
+	return n > 0
 }
 
 // Close returns the connection of a complete answer to the pool. After an incomplete one
--- a/internal/upstream/peek.go
+++ b/internal/upstream/peek.go
@@ -15,16 +15,10 @@
 	return n == 0 && errors.Is(err, unix.EAGAIN)
 }
 
-// hasUnread reports whether bytes have arrived on a connection. Another goroutine may read
-// from it at the same time.
-func hasUnread(c net.Conn) bool {
-	n, _ := peek(c)
-	return n > 0
-}
-
 // peek looks for a byte that has arrived without consuming it. It fails with EAGAIN if
 // none has arrived and the connection is open. A connection without a socket counts as
-// open, without bytes.
+// open, without bytes. Another goroutine may read from the connection at the same time; the
+// error of a reset is reported to only one of them.
 func peek(c net.Conn) (int, error) {
 	s, ok := c.(syscall.Conn)
 	if !ok {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -199,3 +199,47 @@
 		t.Errorf("got %q and %v, want the answer", b, err)
 	}
 }
+
+// The kernel reports the reset of a connection once. A look for unread bytes must not consume it, or else
+// an answer that ends with its connection seems complete.
+func TestResetIsNotTakenForEndAfterLookForUnreadBytes(t *testing.T) {
+	l, err := loopback.Listen()
+	if err != nil {
+		t.Fatal(err)
+	}
+	g, end := duty.New(context.Background())
+	t.Cleanup(func() {
+		_ = l.Close()
+		end()
+	})
+	reset := make(chan struct{})
+	g.Go(func(context.Context) error {
+		defer close(reset)
+		if c, err := l.Accept(); err == nil {
+			_, _ = http.ReadRequest(bufio.NewReader(c))
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+			time.Sleep(50 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			_ = c.Close()
+		}
+		return nil
+	})
+	p, closer := upstream.New((&net.Dialer{}).DialContext)
+	t.Cleanup(closer)
+	a := l.Addr().String()
+	q := &http.Request{Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: a, Path: "/"}, Header: http.Header{}}
+	r, err := p.Do(t.Context(), upstream.Call{Address: a, Request: q})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = r.Body.Close() }()
+	if _, err := io.ReadFull(r.Body, make([]byte, 4)); err != nil {
+		t.Fatal(err)
+	}
+	<-reset
+	time.Sleep(20 * time.Millisecond)
+	r.Body.(interface{ HasUnread() bool }).HasUnread()
+	if b, err := io.ReadAll(r.Body); err == nil {
+		t.Errorf("end of an answer on a connection that was reset: got %q without an error, want an error", b)
+	}
+}
