--- a/internal/relay/end_test.go
+++ b/internal/relay/end_test.go
@@ -27,13 +27,11 @@
 		stop()
 	})
 	g.Go(func(context.Context) error {
-		c, err := l.Accept()
-		if err != nil {
-			return nil
+		if c, err := l.Accept(); err == nil {
+			_, _ = io.ReadFull(c, make([]byte, len(request)))
+			_, _ = io.WriteString(c, text)
+			end(c.(*net.TCPConn))
 		}
-		_, _ = io.ReadFull(c, make([]byte, len(request)))
-		_, _ = io.WriteString(c, text)
-		end(c.(*net.TCPConn))
 		return nil
 	})
 	return l.Addr()
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -75,6 +75,11 @@
 		return
 	}
 	defer func() { _ = server.Close() }()
+	r.relayTo(w, server, q.Header.Get("Upgrade"))
+}
+
+// relayTo turns the connection of a request into one to a server, in the requested protocol.
+func (r *Relay) relayTo(w http.ResponseWriter, server net.Conn, protocol string) {
 	peer, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		refuse(w, api.RelayRefusal{Reason: err.Error()})
@@ -85,7 +90,7 @@
 		return
 	}
 	name, send := upgradeName, copyUntilEnd
-	if q.Header.Get("Upgrade") == framedName {
+	if protocol == framedName {
 		name, send = framedName, writeFrames
 	}
 	if _, err := io.WriteString(peer, "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: "+name+"\r\n\r\n"); err != nil {
