--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -83,6 +83,10 @@
 // firstCrashingPartSeed is the first seed whose plan also draws crashing parts of prompts.
 const firstCrashingPartSeed = 10000
 
+// firstUnframedSeed is the first seed in whose plays half of the servers answer with neither a length
+// nor chunks.
+const firstUnframedSeed = 11000
+
 // signalKinds are the signals that servers send in their answers; no request may be lost
 // by them.
 var signalKinds = []Kind{SignalLimit, SignalBackoff, SignalLeaving}
@@ -229,6 +233,11 @@
 	return l
 }
 
+// answersUnframed reports whether the answers of a server end with their connections.
+func (p Plan) answersUnframed(server int) bool {
+	return p.Seed >= firstUnframedSeed && server%2 == 0
+}
+
 // sharedStoreKinds are the store faults that may affect all entry VMs at once.
 var sharedStoreKinds = map[Kind]bool{StoreBusy: true, StoreThrottle: true, StoreReset: true, StoreSlow: true, StoreSilent: true, StoreStale: true}
 
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -18,6 +18,8 @@
 	index   int
 	// eventInterval is that of an engine in all its incarnations.
 	eventInterval time.Duration
+	// unframed is set if its answers end with their connections.
+	unframed bool
 
 	mutex        sync.Mutex
 	instance     *hosted.Server
@@ -71,6 +73,7 @@
 	if s.service == engines {
 		instance.SetEventInterval(s.eventInterval)
 	}
+	instance.SetUnframed(s.unframed)
 	s.instance, s.proxy = instance, p
 	s.stop = func() {
 		closer()
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -106,7 +106,7 @@
 	intervals := p.eventIntervals()
 	b.writeNextConfig()
 	for i := range s.Engines + s.Plain {
-		x := &server{service: plain, index: i}
+		x := &server{service: plain, index: i, unframed: p.answersUnframed(i)}
 		if i < s.Engines {
 			x.service, x.eventInterval = engines, intervals[i]
 		}
--- a/internal/standin/hosted/fleet.go
+++ b/internal/standin/hosted/fleet.go
@@ -86,9 +86,9 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	x := &Server{
 		Server: s, fleet: f, engine: engine, group: g, cancel: cancel, stopped: ctx,
-		eventInterval: f.Pace.EventInterval, runs: map[api.RequestID]*streamRun{}, copies: map[string]*runState{},
+		eventInterval: f.Pace.EventInterval, runs: map[api.RequestID]*streamRun{}, copies: map[string]*runState{}, conns: map[net.Conn]bool{},
 	}
-	x.http = &http.Server{Handler: f.Store.wire.ServerHandler(x), ReadHeaderTimeout: readHeaderTimeout}
+	x.http = &http.Server{Handler: f.Store.wire.ServerHandler(x), ReadHeaderTimeout: readHeaderTimeout, ConnState: x.trackConn}
 	g.Go(func(context.Context) error {
 		// Serve always returns an error when the server is closed.
 		_ = x.http.Serve(l)
--- a/internal/standin/hosted/server.go
+++ b/internal/standin/hosted/server.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
@@ -17,6 +19,8 @@
 type AnswerWriter interface {
 	// SetSignals sets the signals of the answer; it is called before all other methods.
 	SetSignals(x Signals)
+	// EndWithConnection makes the answer have neither a length nor chunks.
+	EndWithConnection()
 	// RefuseMisdirected answers that the request was addressed to a different server.
 	RefuseMisdirected()
 	// RefuseNotRun answers that the server did not run the request.
@@ -59,8 +63,13 @@
 	cancel  context.CancelFunc
 	stopped context.Context
 
+	// unframed is set if answers have neither a length nor chunks.
+	unframed atomic.Bool
+
 	mutex  sync.Mutex
 	active int
+	// conns are the open connections.
+	conns map[net.Conn]bool
 	// stopAt is the time at which the server stops; it is zero while no stop is planned.
 	stopAt time.Time
 	// losesAnswers makes the server break off the answer to every loseEvery-th plain request
@@ -119,8 +128,36 @@
 	return time.Until(s.stopAt), !s.stopAt.IsZero()
 }
 
+// SetUnframed sets whether the answers of the server have neither a length nor chunks.
+func (s *Server) SetUnframed(on bool) { s.unframed.Store(on) }
+
+// trackConn keeps the open connections, which a crash resets.
+func (s *Server) trackConn(c net.Conn, x http.ConnState) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	switch x {
+	case http.StateNew:
+		s.conns[c] = true
+	case http.StateClosed, http.StateHijacked:
+		delete(s.conns, c)
+	}
+}
+
+// resetConns makes the open connections be reset when they are closed.
+func (s *Server) resetConns() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for c := range s.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			// It fails only if the connection is closed already.
+			_ = t.SetLinger(0)
+		}
+	}
+}
+
 // Crash stops the server without notice.
 func (s *Server) Crash() {
+	s.resetConns()
 	s.cancel()
 	// Close also closes connections with requests in progress.
 	_ = s.http.Close()
@@ -147,6 +184,9 @@
 		w.RefuseNotRun()
 	default:
 		defer s.releaseSlot()
+		if s.unframed.Load() {
+			w.EndWithConnection()
+		}
 		s.execute(ctx, a, w)
 	}
 }
