test(fleet): deadly parts in pairs, across restarts, and waves of unrelated crashes

The load of these tests went on without a pause once its test had ended, and one run of the package failed of it: a panic after 45 s among a million goroutines of the test's group, beside two soaks.

--- a/fleet/crash_part_test.go
+++ b/fleet/crash_part_test.go
@@ -38,6 +38,8 @@
 	// crashEvery is the time between crashes for other reasons, zero for none.
 	crashEvery time.Duration
 	random     *rand.Rand
+	// deadlySent counts the requests with a deadly part.
+	deadlySent int
 
 	mutex sync.Mutex
 	sent  []soundRequest
@@ -71,7 +73,9 @@
 				l.record(r.ID, l.testbed.send(i%l.vms, r))
 				return nil
 			})
-			duty.Sleep(ctx, 90*time.Millisecond)
+			if !duty.Sleep(ctx, 90*time.Millisecond) {
+				break
+			}
 		}
 		return nil
 	})
@@ -90,7 +94,9 @@
 	}
 	l.testbed.group.Go(func(ctx context.Context) error {
 		for began := time.Now(); time.Since(began) < d; {
-			duty.Sleep(ctx, l.crashEvery)
+			if !duty.Sleep(ctx, l.crashEvery) {
+				break
+			}
 			for _, s := range []api.ServiceName{"engines", "plain"} {
 				if x := l.testbed.pool.liveServers(12, s); len(x) > 0 {
 					l.testbed.pool.crash(x[l.random.IntN(len(x))])
@@ -104,7 +110,9 @@
 // sendDeadly sends requests with a deadly part to the entry VMs in turn. The first part of each
 // is one that sound requests have too.
 func (l *partLoad) sendDeadly(times int, pause time.Duration, parts ...api.PartID) {
-	for i := range times {
+	for range times {
+		i := l.deadlySent
+		l.deadlySent++
 		x := append([]api.PartID{api.PartID(fmt.Sprintf("f%d", i%firstParts))}, parts...)
 		r := withParts(withShortAnswer(newRequest(fmt.Sprintf("deadly-%d", i), l.path, fmt.Sprintf("deadly %d", i))), x...)
 		l.testbed.group.Go(func(context.Context) error {
@@ -246,3 +254,79 @@
 		}
 	})
 }
+
+func TestTwoCrashingPromptPartsAreQuarantined(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const other api.PartID = "dead2"
+		l := newPartLoad(t, 1, "/stream/", deadlyPart, other)
+		l.sendSound(partPlay)
+		for i := range int(partPlay / time.Second) {
+			l.sendDeadly(1, time.Second, []api.PartID{deadlyPart, other}[i%2])
+		}
+		sent, _, refused := l.count(time.Time{})
+		crashes := l.testbed.pool.crashCount()
+		t.Logf("%d crashes; %d of %d sound requests refused", crashes, refused, sent)
+		// Each part may crash servers until it is known everywhere.
+		if want := 2 * (maxPartCrashes + maxLateRequests); crashes > want {
+			t.Errorf("crashes under two parts: got %d, want at most %d", crashes, want)
+		}
+		if refused > 0 {
+			t.Errorf("sound requests refused as quarantined: got %d, want none", refused)
+		}
+	})
+}
+
+// Every server crashes for other reasons within some ten seconds, with runs of all first parts.
+func TestUnrelatedCrashesQuarantineNoParts(t *testing.T) {
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newPartLoad(t, seed, "/stream/")
+				l.crashEvery = 800 * time.Millisecond
+				l.sendSound(partPlay)
+				l.crashOthers(partPlay)
+				time.Sleep(partPlay + 10*time.Second)
+				sent, _, refused := l.count(time.Time{})
+				t.Logf("%d crashes; %d of %d sound requests refused", l.testbed.pool.crashCount(), refused, sent)
+				if refused > 0 {
+					t.Errorf("sound requests refused as quarantined: got %d, want none", refused)
+				}
+			})
+		})
+	}
+}
+
+func TestPartQuarantineSurvivesRestartOfAllVMs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := newPartLoad(t, 1, "/stream/", deadlyPart)
+		b := l.testbed
+		b.isolate(l.vms-1, l.vms)
+		l.sendSound(partPlay)
+		l.vms--
+		l.sendDeadly(12, time.Second, deadlyPart)
+		before := b.pool.crashCount()
+		refusedEverywhere := func(when string) {
+			for i := range l.vms + 1 {
+				r := withParts(newRequest(fmt.Sprintf("%s-%d", when, i), "/stream/", when), "f1", deadlyPart)
+				if a := b.send(i, r); !a.refused(fault.Quarantined) || a.fault.Ran != api.RanNo {
+					t.Errorf("%s, at entry VM %d: got %+v, want it refused as quarantined and not run", when, i, a)
+				}
+			}
+		}
+		refusedEverywhere("while one entry VM is isolated")
+		for i := range l.vms + 1 {
+			b.stops[i]()
+		}
+		for i := range l.vms + 1 {
+			b.start(i)
+		}
+		time.Sleep(10 * time.Second)
+		refusedEverywhere("after a restart of all")
+		if got := b.pool.crashCount(); got != before {
+			t.Errorf("crashes after the verdict: got %d, want %d", got, before)
+		}
+		if a := b.send(0, withParts(newRequest("sound", "/stream/", "sound"), "f1", "other")); !a.served() {
+			t.Errorf("sound request with the same first part: got %+v, want it served", a)
+		}
+	})
+}
