fix(quarantine): count each crash of servers that start again under their names

On the own interface engines keep their names. A message that crashes engines was never refused where there are only two of them: 20 crashes and 14 late requests of 30 completions (3 allowed), no completion refused. A content that crashed a single engine again and again was not either.

Cause: failures were kept by the name of the server, so that a second crash of the same name counted as the first. A hosting platform gives each start a new name.

For servers that reuse names a run that loses its connection at least 2 s after a confirmed crash is another failure, and is confirmed only by a crash after that. A report of a peer belongs to the failure next to its time. The tables of the hosted path are as they were.

--- a/fleet/crash_test.go
+++ b/fleet/crash_test.go
@@ -303,6 +303,19 @@
 }
 
 func TestCrashingCompletionIsQuarantined(t *testing.T) {
+	testCrashingCompletion(t, 3, func(int) string { return `[{"role":"user","content":"deadly"}]` })
+}
+
+// The completions have one message in common, and the engines start again under their names.
+func TestCrashingMessageIsQuarantined(t *testing.T) {
+	testCrashingCompletion(t, maxPartCrashes, func(n int) string {
+		return fmt.Sprintf(`[{"role":"system","content":"deadly"},{"role":"user","content":"question %d"}]`, n)
+	})
+}
+
+// testCrashingCompletion checks that completions that crash engines stop reaching them after the given
+// number of crashes.
+func testCrashingCompletion(t *testing.T, maxCrashes int, messages func(n int) string) {
 	withFleet(t, 3, func(t *testing.T, b *testbed) {
 		var l []*crashingEngine
 		for i := range 2 {
@@ -311,29 +324,16 @@
 			l = append(l, f)
 		}
 		b.waitFor(time.Minute, "every entry VM to see the engines", func() bool { return b.allVMs(func(s api.NodeStatus) bool { return len(s.Servers) > 1 }) })
-		c := &http.Client{Transport: &http.Transport{DialContext: machine{b.net, "callers"}.dial, DisableKeepAlives: true}}
 		refused := 0
 		for i := range retries {
-			u := "http://" + b.vms[i%3].host + ":80/v1/chat/completions"
-			r, err := http.NewRequestWithContext(t.Context(), http.MethodPost, u, strings.NewReader(`{"model":"desk","max_tokens":50,"messages":[{"role":"user","content":"deadly"}]}`))
-			if err != nil {
-				t.Fatal(err)
-			}
-			r.Header.Set("Authorization", "Bearer dispatch-key")
-			a, err := c.Do(r)
-			if err != nil {
-				t.Fatal(err)
-			}
-			body, err := io.ReadAll(a.Body)
-			_ = a.Body.Close()
-			if err != nil {
-				t.Fatal(err)
-			}
-			if strings.Contains(string(body), "quarantined") {
+			if strings.Contains(b.complete(b.vms[i%3], messages(i)), "quarantined") {
 				refused++
 			}
 			time.Sleep(retryInterval)
 		}
+		if got := b.complete(b.vms[0], `[{"role":"system","content":"sound"},{"role":"user","content":"question"}]`); strings.Contains(got, "quarantined") {
+			t.Errorf("sound completion: got %s, want it served", got)
+		}
 		var crashes, began []time.Time
 		for _, f := range l {
 			f.mutex.Lock()
@@ -347,12 +347,34 @@
 		}
 		late := 0
 		for _, x := range began {
-			if len(crashes) > 2 && x.Sub(crashes[2]) > maxQuarantineDelay {
+			if len(crashes) >= maxCrashes && x.Sub(crashes[maxCrashes-1]) > maxQuarantineDelay {
 				late++
 			}
 		}
 		if late > maxLateRequests {
-			t.Errorf("requests to engines %v after the third crash: got %d, want at most %d", maxQuarantineDelay, late, maxLateRequests)
+			t.Errorf("requests to engines %v after crash %d: got %d, want at most %d", maxQuarantineDelay, maxCrashes, late, maxLateRequests)
 		}
 	})
 }
+
+// complete sends a completion to an entry VM and returns the answer.
+func (b *testbed) complete(v *vm, messages string) string {
+	b.t.Helper()
+	c := &http.Client{Transport: &http.Transport{DialContext: machine{b.net, "callers"}.dial, DisableKeepAlives: true}}
+	u := "http://" + v.host + ":80/v1/chat/completions"
+	r, err := http.NewRequestWithContext(b.t.Context(), http.MethodPost, u, strings.NewReader(`{"model":"desk","max_tokens":50,"messages":`+messages+`}`))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer dispatch-key")
+	a, err := c.Do(r)
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	body, err := io.ReadAll(a.Body)
+	_ = a.Body.Close()
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	return string(body)
+}
--- a/internal/contents/guard.go
+++ b/internal/contents/guard.go
@@ -34,9 +34,9 @@
 	table *quarantine.Table
 }
 
-// New creates a guard with an empty table.
-func New(l *event.Log, m *metric.Set) *Guard {
-	return &Guard{log: l, metrics: m, table: quarantine.New()}
+// New creates a guard of a table.
+func New(l *event.Log, m *metric.Set, t *quarantine.Table) *Guard {
+	return &Guard{log: l, metrics: m, table: t}
 }
 
 // empty reports whether no content is known, so that none needs to be hashed.
--- a/internal/contents/guard_test.go
+++ b/internal/contents/guard_test.go
@@ -42,7 +42,7 @@
 	for _, c := range tests {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				g := contents.New(event.Discard(), metric.New())
+				g := contents.New(event.Discard(), metric.New(), quarantine.New())
 				for _, s := range []api.ServerName{"a", "b"} {
 					g.RecordFailure(subjects, s, c.err, 0)
 					g.RecordCrash(s)
@@ -72,7 +72,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				d, end := duty.New(context.Background())
 				defer end()
-				g := contents.New(event.Discard(), metric.New())
+				g := contents.New(event.Discard(), metric.New(), quarantine.New())
 				for _, s := range []api.ServerName{"a", "b"} {
 					g.RecordFailure(subjects, s, fault.Wrap(fault.OutcomeUnknown, io.EOF, "closed"), 0)
 				}
--- a/internal/decide/quarantine/judge.go
+++ b/internal/decide/quarantine/judge.go
@@ -13,8 +13,8 @@
 // whose crash has no other cause, earliest first.
 func (x *content) confirmedCrashes(explained map[api.ServerName]bool) []time.Time {
 	var l []time.Time
-	for s, r := range x.failures {
-		if r.confirmed && !explained[s] {
+	for k, r := range x.failures {
+		if r.confirmed && !explained[k.server] {
 			l = append(l, r.at)
 		}
 	}
@@ -110,13 +110,13 @@
 // nextProbes returns the servers of a content that are due for a probe, and counts the probes.
 func (x *content) nextProbes(now time.Time) []api.ServerName {
 	var l []api.ServerName
-	for s, r := range x.failures {
+	for k, r := range x.failures {
 		if r.confirmed || r.noAnswer || r.probes == maxProbes || now.Sub(r.probed) < probeInterval {
 			continue
 		}
 		r.probed = now
 		r.probes++
-		l = append(l, s)
+		l = append(l, k.server)
 	}
 	return l
 }
@@ -139,9 +139,9 @@
 	if !isPart(c) {
 		return
 	}
-	for s, r := range x.failures {
+	for k, r := range x.failures {
 		if r.confirmed {
-			m[s] = true
+			m[k.server] = true
 		}
 	}
 }
@@ -187,12 +187,13 @@
 	l := x.confirmedCrashes(explained)
 	x.until = l[len(l)-1].Add(quarantineTime)
 	v := Verdict{Entry: Entry{Content: c, Until: x.until}, Local: x.local}
-	for s, r := range x.failures {
+	for k, r := range x.failures {
 		if r.confirmed {
-			v.Servers = append(v.Servers, s)
+			v.Servers = append(v.Servers, k.server)
 		}
 	}
 	slices.Sort(v.Servers)
+	v.Servers = slices.Compact(v.Servers)
 	x.explain(c, explained)
 	return v
 }
@@ -203,10 +204,6 @@
 	if !x.until.IsZero() {
 		return now.After(x.until)
 	}
-	for s, r := range x.failures {
-		if now.Sub(r.at) > failureRetention {
-			delete(x.failures, s)
-		}
-	}
+	maps.DeleteFunc(x.failures, func(_ crashSite, r *failure) bool { return now.Sub(r.at) > failureRetention })
 	return len(x.failures) == 0 && now.Sub(x.updated) > answerRetention
 }
--- a/internal/decide/quarantine/report.go
+++ b/internal/decide/quarantine/report.go
@@ -83,15 +83,27 @@
 	if !x.lastAnswer.IsZero() {
 		l = append(l, api.ContentReport{Content: c, AgeMS: api.ToMilliseconds(now.Sub(x.lastAnswer))})
 	}
-	for s, r := range x.failures {
+	for k, r := range x.failures {
 		if !r.reportable() {
 			continue
 		}
-		l = append(l, api.ContentReport{Content: c, Server: s, Ended: r.confirmed, Position: x.position, AgeMS: api.ToMilliseconds(now.Sub(r.at))})
+		l = append(l, api.ContentReport{Content: c, Server: k.server, Ended: r.confirmed, Position: x.position, AgeMS: api.ToMilliseconds(now.Sub(r.at))})
 	}
 	return l
 }
 
+// failureAt returns the failure at a server to which a report of a time belongs, nil if there is none.
+func (x *content) failureAt(s api.ServerName, at time.Time) *failure {
+	var last *failure
+	for k := (crashSite{server: s}); ; k.n++ {
+		r, ok := x.failures[k]
+		if !ok || last != nil && at.Before(r.at.Add(-minRestartTime)) {
+			return last
+		}
+		last = r
+	}
+}
+
 // Merge applies the reports of a peer. Reports without a content or with an age out of range
 // are ignored.
 func (t *Table) Merge(now time.Time, l []api.ContentReport) {
@@ -107,7 +119,7 @@
 		t.recordFailure(now, at, w.Content, w.Server, ConnectionLost)
 		x := t.contentFor(w.Content)
 		x.setPosition(min(w.Position, maxPosition))
-		if r, ok := x.failures[w.Server]; ok && w.Ended {
+		if r := x.failureAt(w.Server, at); r != nil && w.Ended {
 			t.confirm(now, x, r)
 		}
 	}
--- a/internal/decide/quarantine/subjects_test.go
+++ b/internal/decide/quarantine/subjects_test.go
@@ -161,3 +161,57 @@
 		t.Error("run without events of a part that the platform stores as quarantined: got it resumed, want it ended")
 	}
 }
+
+// A server that starts again under its name may crash again.
+func TestCrashesOfServersThatReuseNames(t *testing.T) {
+	tests := []struct {
+		name string
+		do   func(t *quarantine.Table)
+		want bool
+	}{
+		{"crashes again", func(t *quarantine.Table) {
+			recordCrash(t, 0, "c", "a")
+			recordCrash(t, 5000, "c", "a")
+		}, true},
+		{"the same crash seen twice", func(t *quarantine.Table) {
+			recordCrash(t, 0, "c", "a")
+			recordCrash(t, 500, "c", "a")
+		}, false},
+		{"loses a connection again without a crash", func(t *quarantine.Table) {
+			recordCrash(t, 0, "c", "a")
+			t.RecordFailure(at(5000), "c", "a", quarantine.ConnectionLost)
+		}, false},
+		{"no answer again, and known crash of before", func(t *quarantine.Table) {
+			recordCrash(t, 0, "c", "a")
+			t.RecordFailure(at(5000), "c", "a", quarantine.NoAnswer)
+			t.RecordCrash(at(5100), "a")
+		}, false},
+		{"both crashes reported by a peer", func(t *quarantine.Table) {
+			p := quarantine.NewForReusedNames()
+			recordCrash(p, 0, "c", "a")
+			recordCrash(p, 4000, "c", "a")
+			t.Merge(at(4100), p.RecentReports(at(4100)))
+		}, true},
+		{"the first crash reported again after the second run", func(t *quarantine.Table) {
+			recordCrash(t, 0, "c", "a")
+			t.RecordFailure(at(4000), "c", "a", quarantine.ConnectionLost)
+			t.Merge(at(4100), []api.ContentReport{{Content: "c", Server: "a", Ended: true, AgeMS: 4000}})
+		}, false},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			q := quarantine.NewForReusedNames()
+			c.do(q)
+			q.Step(at(9000))
+			if _, got := q.Quarantined(at(9000), "c"); got != c.want {
+				t.Errorf("got quarantined %v, want %v", got, c.want)
+			}
+			u := quarantine.New()
+			c.do(u)
+			u.Step(at(9000))
+			if _, got := u.Quarantined(at(9000), "c"); got {
+				t.Error("servers with new names: got quarantined after the crash of one, want not")
+			}
+		})
+	}
+}
--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -74,9 +75,20 @@
 	probes int
 }
 
+// crashSite identifies a run at a server: the n-th one that ended there, with a crash of the server
+// between each two. Servers that start again under new names have one site each.
+type crashSite struct {
+	server api.ServerName
+	n      int
+}
+
+// minRestartTime is the least time from a crash of a server until it may crash again under the same
+// name. Entry VMs record one crash at times that differ by less.
+const minRestartTime = 2 * time.Second
+
 // content is what is known of one content.
 type content struct {
-	failures map[api.ServerName]*failure
+	failures map[crashSite]*failure
 	// lastAnswer is when the content was last answered completely, which shows that it crashes
 	// no server.
 	lastAnswer time.Time
@@ -107,6 +119,8 @@
 	answers answers
 	// updated is when any content was last updated.
 	updated time.Time
+	// reusesNames is set if servers start again under their names.
+	reusesNames bool
 	// reportOffset is where the next message to peers starts when not all reports fit.
 	reportOffset int
 }
@@ -116,6 +130,14 @@
 	return &Table{contents: map[api.ContentHash]*content{}, crashed: map[api.ServerName]time.Time{}, stored: map[api.ContentHash]time.Time{}, platform: newPlatformState(), answers: newAnswers()}
 }
 
+// NewForReusedNames creates an empty table for servers that start again under their names, so that
+// each may crash several times.
+func NewForReusedNames() *Table {
+	t := New()
+	t.reusesNames = true
+	return t
+}
+
 // Empty reports whether no content is known.
 func (t *Table) Empty() bool {
 	return len(t.contents) == 0 && len(t.stored) == 0
@@ -126,7 +148,7 @@
 	x, ok := t.contents[c]
 	if !ok {
 		t.evict()
-		x = &content{failures: map[api.ServerName]*failure{}}
+		x = &content{failures: map[crashSite]*failure{}}
 		t.contents[c] = x
 	}
 	return x
@@ -180,17 +202,36 @@
 	if a, ok := t.answers.last(c); ok {
 		t.recordAnswer(now, a, x)
 	}
-	if _, ok := x.failures[s]; ok || x.trustedAt(at) {
+	k, after, ok := t.nextSite(x, at, s, e)
+	if !ok || x.trustedAt(at) {
 		return
 	}
 	crash, ok := t.crashed[s]
-	r := &failure{at: at, confirmed: ok && crash.Sub(at).Abs() <= crashMatchWindow, noAnswer: e == NoAnswer}
-	x.failures[s] = r
+	r := &failure{at: at, confirmed: ok && !crash.Before(after) && crash.Sub(at).Abs() <= crashMatchWindow, noAnswer: e == NoAnswer}
+	x.failures[k] = r
 	if r.reportable() {
 		t.markUpdated(now, x)
 	}
 }
 
+// nextSite returns the site of a failure at a server, with the time from which a crash of the server is
+// another one than the earlier ones. It reports false if the failure belongs to an earlier crash.
+func (t *Table) nextSite(x *content, at time.Time, s api.ServerName, e FailureKind) (crashSite, time.Time, bool) {
+	k := crashSite{server: s}
+	var after time.Time
+	for {
+		r, ok := x.failures[k]
+		if !ok {
+			return k, after, true
+		}
+		after = r.at.Add(minRestartTime)
+		if !t.reusesNames || e == NoAnswer || !r.confirmed || at.Before(after) {
+			return k, after, false
+		}
+		k.n++
+	}
+}
+
 // markUpdated records that a content has something new to report to peers.
 func (t *Table) markUpdated(now time.Time, x *content) {
 	x.updated = now
@@ -207,8 +248,10 @@
 func (t *Table) RecordCrash(now time.Time, s api.ServerName) {
 	t.crashed[s] = now
 	for _, x := range t.contents {
-		if r, ok := x.failures[s]; ok && now.Sub(r.at) <= crashMatchWindow {
-			t.confirm(now, x, r)
+		for k, r := range x.failures {
+			if k.server == s && now.Sub(r.at) <= crashMatchWindow {
+				t.confirm(now, x, r)
+			}
 		}
 	}
 }
@@ -244,11 +287,7 @@
 	}
 	x.lastAnswer = at
 	t.markUpdated(now, x)
-	for s, r := range x.failures {
-		if x.trustedAt(r.at) {
-			delete(x.failures, s)
-		}
-	}
+	maps.DeleteFunc(x.failures, func(_ crashSite, r *failure) bool { return x.trustedAt(r.at) })
 }
 
 // Quarantined reports whether a content is quarantined, and until when.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -21,6 +21,7 @@
 	"github.com/wardridge/wardridge/internal/decide/backend"
 	"github.com/wardridge/wardridge/internal/decide/config"
 	"github.com/wardridge/wardridge/internal/decide/limit"
+	"github.com/wardridge/wardridge/internal/decide/quarantine"
 	"github.com/wardridge/wardridge/internal/decide/retry"
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/engine"
@@ -85,7 +86,7 @@
 		p.Deadlines = clock.NewDeadlines(clock.Boot)
 	}
 	if p.Contents == nil {
-		p.Contents = contents.New(p.Log, p.Metrics)
+		p.Contents = contents.New(p.Log, p.Metrics, quarantine.NewForReusedNames())
 	}
 	return &Server{
 		Options: p, entrySettings: p.Settings.Entry, engineSettings: p.Settings.Engine,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -153,7 +153,7 @@
 		p.Deadlines = clock.NewDeadlines(clock.Boot)
 	}
 	if p.Contents == nil {
-		p.Contents = contents.New(p.Log, p.Metrics)
+		p.Contents = contents.New(p.Log, p.Metrics, quarantine.New())
 	}
 	g := &Gateway{
 		domains: placement.NewRemotePools(), reachability: holder.NewReachability(), reports: holder.NewReportSchedule(), observations: holder.NewObservations(), speedSamples: speed.NewRecorder(), speeds: speed.New(), planners: map[api.ServiceName]*role.Planner{}, incarnation: api.Incarnation(p.Seed),
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -17,6 +17,7 @@
 	"github.com/wardridge/wardridge/internal/decide/config"
 	"github.com/wardridge/wardridge/internal/decide/dispatch"
 	"github.com/wardridge/wardridge/internal/decide/lease"
+	"github.com/wardridge/wardridge/internal/decide/quarantine"
 	"github.com/wardridge/wardridge/internal/decide/route"
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/engine"
@@ -91,7 +92,7 @@
 		Seed:          uint64(c.Owner.Incarnation),
 	}))
 	const kilo = 1024
-	c.Contents = contents.New(c.Log, c.Metrics)
+	c.Contents = contents.New(c.Log, c.Metrics, quarantine.NewForReusedNames())
 	c.Deadlines = clock.NewDeadlines(c.Machine.Now)
 	c.Claims = claims.New(c.Owner, c.Platform, claimReleaser{c}, s.Claim.AnswerLimitKB*kilo, c.Machine.Now, c.Log, c.Metrics)
 	return nil
