fix(gateway): hold no backup copy of a run at a server that has lost it

Where a stream outlived a crash, its next copy could be placed at the engine that had just crashed, whose entry is there for some seconds more; a third crash in a row then lost the stream.

A server at which the run was lost is no longer chosen for its copies.

Evidence: TestSoundStreamResumedAfterCrashesIsNotQuarantined with a third crash: the code before loses the stream in three runs of three, now it is served in six of six. Four crashes in a row within one failure domain still lose it, since copies are made there alone.

--- a/fleet/crash_part_test.go
+++ b/fleet/crash_part_test.go
@@ -227,7 +227,7 @@
 
 func TestSoundStreamResumedAfterCrashesIsNotQuarantined(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const n, crashes = 6, 2
+		const n, crashes = 6, 3
 		p := newPool(12, 12)
 		p.longEvents = 300
 		b := newHostedTestbed(t, n, p)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -220,6 +220,9 @@
 	deadline *clock.Deadline
 	sink     port.Sink
 	tried    []api.ServerName
+	// lostAt are the servers at which a run of the request was lost. They may have crashed, and hold no
+	// backup copy.
+	lostAt []api.ServerName
 	// choices are the log fields of the servers chosen. They are logged at the end, for
 	// requests that failed, were late or were retried.
 	choices [][]zap.Field
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -42,6 +42,7 @@
 		g.recordOutcome(from, placement.Lost)
 		g.observeOutcome(r.request, from, true, 0)
 		g.recordBrokenRun(r.request, from, cause, age)
+		r.request.lostAt = append(r.request.lostAt, from.Name)
 	}
 	c := r.takeCopy()
 	if c == nil {
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -175,7 +175,9 @@
 	if !q.wantsBackup() {
 		return nil
 	}
-	p := g.obtainPlace(ctx, g.newDemand(q, streamNeed(q), false).backupDemand(source))
+	d := g.newDemand(q, streamNeed(q), false).backupDemand(source)
+	d.tried = append(d.tried, q.lostAt...)
+	p := g.obtainPlace(ctx, d)
 	if p.fault != nil {
 		return nil
 	}
