--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -188,6 +188,9 @@
 
 // recordRoom records how many requests may be in flight at a server.
 func (g *Gateway) recordRoom(n api.ServerName, inFlight int) {
+	if inFlight > 0 {
+		g.Metrics.Add(metric.RoomBorrowed, 1)
+	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
 	g.picker.Borrowed.Record(time.Now(), n, inFlight)
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -21,6 +21,7 @@
 	PlacedWithoutAllocator  Name = "placed_alone_total"
 	ServersBusy             Name = "servers_busy_total"
 	ConnectionsThroughPeers Name = "connections_through_peers_total"
+	RoomBorrowed            Name = "room_borrowed_total"
 	ConnectionsRelayed      Name = "connections_relayed_total"
 	TokensRelayed           Name = "tokens_relayed_total"
 	FirstTokenMS            Name = "first_token_ms_total"
@@ -82,6 +83,7 @@
 	{PlacedWithoutAllocator, "places", "Places at engines chosen locally because the VM that allocates them did not answer."},
 	{ServersBusy, "requests", "Requests refused because all servers were at the limits that they had announced or had requested a backoff."},
 	{ConnectionsThroughPeers, "connections", "Connections to backend servers that a peer made for this entry VM."},
+	{RoomBorrowed, "answers", "Answers of allocators that lent this entry VM room at fragile servers beyond its equal share."},
 	{ConnectionsRelayed, "connections", "Connections to backend servers that this entry VM made for a peer."},
 	{TokensRelayed, "tokens", "Tokens delivered to callers."},
 	{FirstTokenMS, "ms", "Sum of the times to the first token."},
