--- a/internal/gateway/permit.go
+++ b/internal/gateway/permit.go
@@ -7,6 +7,7 @@
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/call"
+	"github.com/wardridge/wardridge/internal/decide/fragile"
 	"github.com/wardridge/wardridge/internal/decide/gossip"
 	"github.com/wardridge/wardridge/internal/decide/placement"
 	"github.com/wardridge/wardridge/internal/decide/rollout"
@@ -188,12 +189,18 @@
 
 // recordRoom records how many requests may be in flight at a server.
 func (g *Gateway) recordRoom(n api.ServerName, inFlight int) {
-	if inFlight > 0 {
-		g.Metrics.Add(metric.RoomBorrowed, 1)
-	}
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.picker.Borrowed.Record(time.Now(), n, inFlight)
+	now := time.Now()
+	m, ok := g.roster.Find(n)
+	if !ok {
+		return
+	}
+	_, ok = g.picker.Fragile.MaxRejections(m.Service)
+	if ok && inFlight > fragile.MaxInFlight(m.Slots, g.fleet.Shares(now)) {
+		g.Metrics.Add(metric.RoomBorrowed, 1)
+	}
+	g.picker.Borrowed.Record(now, n, inFlight)
 }
 
 func (g *Gateway) isFragile(n api.ServiceName) bool {
