fix(quarantine): blame no part for the crashes of a single content

A content that its callers repeat may crash servers faster than it is refused. Its shared parts then have as many crashes as a deadly part, and all requests with the last of them would have been refused for an hour, unless it was just answered.

A part all of whose crashes are under one content is not refused: the content is.

Evidence: TestQuarantinedParts, "one content again and again", five crashes: the code before refuses the part; now none, and with two contents the part is refused.

--- a/internal/decide/quarantine/judge.go
+++ b/internal/decide/quarantine/judge.go
@@ -171,9 +171,11 @@
 func (t *Table) mostSuspect(now time.Time, explained map[api.ServerName]bool) (api.ContentHash, bool) {
 	var l []suspect
 	for c, x := range t.contents {
-		if n := x.confirmedCrashes(explained); x.until.IsZero() && limitsFor(c).reached(now, n) {
-			l = append(l, suspect{c, len(n), x.position})
+		n := x.confirmedCrashes(explained)
+		if !x.until.IsZero() || !limitsFor(c).reached(now, n) || isPart(c) && t.crashedUnderOneContent(x) {
+			continue
 		}
+		l = append(l, suspect{c, len(n), x.position})
 	}
 	if len(l) == 0 {
 		return "", false
@@ -181,6 +183,27 @@
 	return slices.MinFunc(l, suspect.compare).content, true
 }
 
+// crashedUnderOneContent reports whether a single content crashed all servers that a part did. Then the
+// content is the cause, and other requests may have the part.
+func (t *Table) crashedUnderOneContent(part *content) bool {
+	for c, x := range t.contents {
+		if !isPart(c) && x.crashedAll(part) {
+			return true
+		}
+	}
+	return false
+}
+
+// crashedAll reports whether a content crashed all servers that a part did.
+func (x *content) crashedAll(part *content) bool {
+	for k, r := range part.failures {
+		if f, ok := x.failures[k]; r.confirmed && (!ok || !f.confirmed) {
+			return false
+		}
+	}
+	return true
+}
+
 // quarantine quarantines a content or part, and adds the crashes that this explains.
 func (t *Table) quarantine(c api.ContentHash, explained map[api.ServerName]bool) Verdict {
 	x := t.contents[c]
--- a/internal/decide/quarantine/report.go
+++ b/internal/decide/quarantine/report.go
@@ -54,7 +54,7 @@
 		}
 	}
 	slices.SortFunc(l, func(a, b api.ContentReport) int {
-		return cmp.Or(cmp.Compare(t.failureCount(b.Content), t.failureCount(a.Content)), cmp.Compare(a.Content, b.Content), cmp.Compare(a.Server, b.Server))
+		return cmp.Or(cmp.Compare(t.failureCount(b.Content), t.failureCount(a.Content)), cmp.Compare(a.Content, b.Content), cmp.Compare(a.Server, b.Server), cmp.Compare(b.AgeMS, a.AgeMS))
 	})
 	if len(l) <= maxReports {
 		return l
--- a/internal/decide/quarantine/subjects_test.go
+++ b/internal/decide/quarantine/subjects_test.go
@@ -84,6 +84,16 @@
 				crashRuns(t, 200*i+100, 1, "f", "e")
 			}
 		}, []api.PartID{"d", "e"}},
+		{"one content again and again", func(t *quarantine.Table) {
+			for i := range 5 {
+				crashRun(t, 100*i, api.ServerName(fmt.Sprint(i)), subjects("same", "f", "d"))
+			}
+		}, nil},
+		{"two contents again and again", func(t *quarantine.Table) {
+			for i := range 4 {
+				crashRun(t, 100*i, api.ServerName(fmt.Sprint(i)), subjects(api.ContentHash(fmt.Sprint(i%2)), "f", "d"))
+			}
+		}, []api.PartID{"d"}},
 		{"the first part", func(t *quarantine.Table) {
 			for i := range 3 {
 				crashRuns(t, 100*i, 1, "d", api.PartID(fmt.Sprint(i)))
