--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -240,16 +240,6 @@
 	subjects quarantine.Subjects
 }
 
-// content returns the request's content and the shared parts of its prompt, which are the same for
-// each attempt of its caller.
-func (q *request) content() quarantine.Subjects {
-	if q.subjects.Content == "" {
-		h := quarantine.Hash(q.workspace.Name, q.Method, q.Host, q.Target, q.Body)
-		q.subjects = quarantine.NewSubjects(h, q.Prompt.SharedParts)
-	}
-	return q.subjects
-}
-
 // Handle serves a request and returns when it is finished.
 func (g *Gateway) Handle(ctx context.Context, r *port.Request, s port.Sink) {
 	g.inFlight.Add(1)
@@ -280,28 +270,6 @@
 	g.call(ctx, q)
 }
 
-// contentFields are the log fields of the content and of the shared parts of the prompt.
-func (q *request) contentFields() []zap.Field {
-	return append(q.partFields(), zap.String("content", string(q.content().Content)))
-}
-
-// partFields are the log fields of the shared parts of the prompt.
-func (q *request) partFields() []zap.Field {
-	if len(q.Prompt.SharedParts) == 0 {
-		return nil
-	}
-	return []zap.Field{zap.Any("parts", q.Prompt.SharedParts)}
-}
-
-// refusalFields are the log fields of the content of a refused request. There are none if it was
-// refused before its content was hashed.
-func (q *request) refusalFields() []zap.Field {
-	if q.subjects.Content == "" {
-		return nil
-	}
-	return q.contentFields()
-}
-
 // resolve looks up the route, workspace and service of a request, and refuses one that the
 // gateway can't serve now. A refused request is returned with the fault and with what is known
 // of it, for the log and the metrics.
--- a/internal/gateway/quarantine.go
+++ b/internal/gateway/quarantine.go
@@ -23,6 +23,38 @@
 	maxWriteBackoff = 5 * time.Second
 )
 
+// content returns the request's content and the shared parts of its prompt, which are the same for
+// each attempt of its caller.
+func (q *request) content() quarantine.Subjects {
+	if q.subjects.Content == "" {
+		h := quarantine.Hash(q.workspace.Name, q.Method, q.Host, q.Target, q.Body)
+		q.subjects = quarantine.NewSubjects(h, q.Prompt.SharedParts)
+	}
+	return q.subjects
+}
+
+// contentFields are the log fields of the content and of the shared parts of the prompt.
+func (q *request) contentFields() []zap.Field {
+	return append(q.partFields(), zap.String("content", string(q.content().Content)))
+}
+
+// partFields are the log fields of the shared parts of the prompt.
+func (q *request) partFields() []zap.Field {
+	if len(q.Prompt.SharedParts) == 0 {
+		return nil
+	}
+	return []zap.Field{zap.Any("parts", q.Prompt.SharedParts)}
+}
+
+// refusalFields are the log fields of the content of a refused request. There are none if it was
+// refused before its content was hashed.
+func (q *request) refusalFields() []zap.Field {
+	if q.subjects.Content == "" {
+		return nil
+	}
+	return q.contentFields()
+}
+
 // recordBrokenRun records a failed run against its content and the parts of its prompt, as the
 // possible cause of a crash of the server, with the time since the first event from there. A
 // server that is leaving has not crashed.
