fix(quarantine): blame no request that was sent to a server after it had crashed

Cause: a proxy accepts connections for a server that has crashed and resets them, so that whatever is sent there until the entry lapses is lost, and each lost run counted as a possible cause of the crash. Entry VMs that had just started had seen no answer that clears the part.

All runs at a server are lost together when it crashes. What is lost more than a second after the first loss at a server that has answered nothing since, was sent after the crash and no longer counts. An answer, or events for a while, show that the server is alive.

Evidence: TestRequestsToCrashedServersAreNotBlamed fails on the code before and passes; it also holds that a part still counts at a server that had reset a connection and answered since.

--- a/internal/contents/guard.go
+++ b/internal/contents/guard.go
@@ -93,20 +93,23 @@
 	g.table.RecordCrash(time.Now(), s)
 }
 
-// RecordAnswer records that a server has answered a request completely.
-func (g *Guard) RecordAnswer(n SubjectsFunc) {
+// RecordAnswer records that a server has answered a request completely, or has taken a run further than
+// the one that crashed.
+func (g *Guard) RecordAnswer(n SubjectsFunc, s api.ServerName) {
 	c := n()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	g.table.RecordServed(s)
 	g.table.RecordRunAnswer(time.Now(), c)
 }
 
 // RecordProgress records that a server has written events of a run for
 // quarantine.PartSuspectWindow.
-func (g *Guard) RecordProgress(n SubjectsFunc) {
+func (g *Guard) RecordProgress(n SubjectsFunc, s api.ServerName) {
 	c := n()
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
+	g.table.RecordServed(s)
 	g.table.RecordRunProgress(time.Now(), c)
 }
 
--- a/internal/decide/quarantine/judge.go
+++ b/internal/decide/quarantine/judge.go
@@ -74,6 +74,7 @@
 			delete(t.crashed, s)
 		}
 	}
+	maps.DeleteFunc(t.losses, func(_ api.ServerName, at time.Time) bool { return now.Sub(at) > lossWindow })
 	maps.DeleteFunc(t.platform.released, func(_ api.ContentHash, at time.Time) bool { return now.Sub(at) > quarantineTime })
 	slices.SortFunc(l, func(a, b Verdict) int { return cmp.Compare(a.Content, b.Content) })
 	return l
--- a/internal/decide/quarantine/subjects_test.go
+++ b/internal/decide/quarantine/subjects_test.go
@@ -128,6 +128,37 @@
 	}
 }
 
+// Where a proxy accepts connections for a server that has crashed, whatever is sent there is lost.
+func TestRequestsToCrashedServersAreNotBlamed(t *testing.T) {
+	q := quarantine.New()
+	servers := []api.ServerName{"a", "b", "c", "d"}
+	lose := func(ms int, s api.ServerName, x quarantine.Subjects) {
+		q.RecordRunFailure(at(ms), x, s, quarantine.ConnectionLost, 0)
+	}
+	for i, s := range servers {
+		lose(10*i, s, subjects(api.ContentHash("first-"+s), api.PartID(s)))
+		lose(2000+10*i, s, subjects(api.ContentHash("later-"+s), "f"))
+	}
+	for _, s := range servers {
+		q.RecordCrash(at(4000), s)
+	}
+	q.Step(at(6000))
+	if _, ok := q.Refused(at(6000), subjects("fresh", "f")); ok {
+		t.Error("part of requests to servers that had crashed: got it quarantined, want it admitted")
+	}
+	// A server that has answered since is alive, and what ran at its crash counts.
+	o := quarantine.New()
+	for i, s := range servers {
+		o.RecordRunFailure(at(10*i), subjects(api.ContentHash("reset-"+s)), s, quarantine.ConnectionLost, 0)
+		o.RecordServed(s)
+		crashRun(o, 3000+10*i, s, subjects(api.ContentHash("deadly-"+s), "d"))
+	}
+	o.Step(at(6000))
+	if _, ok := o.Refused(at(6000), subjects("fresh", "d")); !ok {
+		t.Error("part under which servers crashed after they had reset a connection: got it admitted, want it quarantined")
+	}
+}
+
 // Crashes under a quarantined part don't count against the other parts of its requests.
 func TestCrashesUnderQuarantinedPartCountOnce(t *testing.T) {
 	q := quarantine.New()
--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -111,6 +111,8 @@
 	// crashed holds when servers were found to have crashed, that is, to have ended without
 	// notice.
 	crashed map[api.ServerName]time.Time
+	// losses holds when each server lost its first run since its last answer to this entry VM.
+	losses map[api.ServerName]time.Time
 	// stored holds the contents that the platform stores with the end of each quarantine, and
 	// platform how they differ from what is known here.
 	stored   map[api.ContentHash]time.Time
@@ -127,7 +129,7 @@
 
 // New creates an empty table.
 func New() *Table {
-	return &Table{contents: map[api.ContentHash]*content{}, crashed: map[api.ServerName]time.Time{}, stored: map[api.ContentHash]time.Time{}, platform: newPlatformState(), answers: newAnswers()}
+	return &Table{contents: map[api.ContentHash]*content{}, crashed: map[api.ServerName]time.Time{}, losses: map[api.ServerName]time.Time{}, stored: map[api.ContentHash]time.Time{}, platform: newPlatformState(), answers: newAnswers()}
 }
 
 // NewForReusedNames creates an empty table for servers that start again under their names, so that
@@ -203,7 +205,7 @@
 		t.recordAnswer(now, a, x)
 	}
 	k, after, ok := t.nextSite(x, at, s, e)
-	if !ok || x.trustedAt(at) {
+	if !ok || x.trustedAt(at) || e == ConnectionLost && t.lostAfterCrash(at, s) {
 		return
 	}
 	crash, ok := t.crashed[s]
@@ -214,6 +216,31 @@
 	}
 }
 
+const (
+	// crashSpread is how far apart the losses of the runs at a crashed server are seen. Runs that are
+	// lost later were sent after the crash, to a proxy that accepts connections for the server.
+	crashSpread = time.Second
+	// lossWindow is how long after its first loss a server may be taken for crashed, if it answers
+	// nothing. Its entry has lapsed by then.
+	lossWindow = crashMatchWindow
+)
+
+// lostAfterCrash reports whether a run was lost so long after the first one at a server that did not
+// answer since, that it was sent after the crash of the server and did not cause it.
+func (t *Table) lostAfterCrash(at time.Time, s api.ServerName) bool {
+	first, ok := t.losses[s]
+	mayHaveRestarted := t.reusesNames && at.Sub(first) >= minRestartTime
+	if !ok || mayHaveRestarted || at.Before(first) || at.Sub(first) > lossWindow {
+		t.losses[s] = at
+		return false
+	}
+	return at.Sub(first) > crashSpread
+}
+
+// RecordServed records that a server has answered a request or written events for a while, so that
+// it is alive.
+func (t *Table) RecordServed(s api.ServerName) { delete(t.losses, s) }
+
 // nextSite returns the site of a failure at a server, with the time from which a crash of the server is
 // another one than the earlier ones. It reports false if the failure belongs to an earlier crash.
 func (t *Table) nextSite(x *content, at time.Time, s api.ServerName, e FailureKind) (crashSite, time.Time, bool) {
--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -225,7 +225,7 @@
 	}
 	if !t.progressRecorded && t.answeredFor() >= quarantine.PartSuspectWindow {
 		t.progressRecorded = true
-		t.server.Contents.RecordProgress(t.chat.content)
+		t.server.Contents.RecordProgress(t.chat.content, t.engine)
 	}
 	m := t.server.Metrics
 	if e.Index == 0 {
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -202,7 +202,7 @@
 	}
 	s.recordChatOutcome(ctx, c, k, f)
 	if f == nil {
-		s.Contents.RecordAnswer(c.content)
+		s.Contents.RecordAnswer(c.content, c.engine)
 		s.recordDone(c.request)
 		return
 	}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -157,7 +157,7 @@
 		s.releaseServer(n, err)
 		if err == nil {
 			if a.Status/100 == 2 {
-				s.Contents.RecordAnswer(c.content)
+				s.Contents.RecordAnswer(c.content, n)
 			}
 			return a, nil
 		}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -45,14 +45,15 @@
 		return
 	}
 	v.release()
-	g.answerWhole(q, v.answer)
+	g.answerWhole(q, v)
 }
 
 // answerWhole passes on an answer that is not streamed.
-func (g *Gateway) answerWhole(q *request, a port.Answer) {
+func (g *Gateway) answerWhole(q *request, v serverAnswer) {
+	a := v.answer
 	if a.Status/100 == 2 {
 		// An error answer may have come before the server began to run the content.
-		g.Contents.RecordAnswer(q.content)
+		g.Contents.RecordAnswer(q.content, v.server.Name)
 	}
 	g.finish(q, q.lateness())
 	q.sink.WriteAnswer(a)
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -105,9 +105,9 @@
 func (g *Gateway) recordProgress(r *run) {
 	switch due, resumed := r.takeProgress(); {
 	case due && resumed:
-		g.Contents.RecordAnswer(r.request.content)
+		g.Contents.RecordAnswer(r.request.content, r.currentServer().Name)
 	case due:
-		g.Contents.RecordProgress(r.request.content)
+		g.Contents.RecordProgress(r.request.content, r.currentServer().Name)
 	}
 }
 
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -47,7 +47,7 @@
 		g.fail(q, f)
 	case v.answer.Stream == nil:
 		v.release()
-		g.answerWhole(q, v.answer)
+		g.answerWhole(q, v)
 	default:
 		r := &run{request: q}
 		g.attach(r, v.server, v.reservation, v.backup)
@@ -80,7 +80,7 @@
 		switch {
 		case err == nil:
 			q.sink.EndStream()
-			g.Contents.RecordAnswer(q.content)
+			g.Contents.RecordAnswer(q.content, r.currentServer().Name)
 			g.observePace(r)
 			g.finish(q, r.lateness(), r.logFields()...)
 			return
