fix(quarantine): take a silent server for crashed no longer than its entry lasts

Runs lost later than that were not sent to a dead server: the entry lapses after three heartbeats, and nothing is sent there. The shorter window leaves more real crashes of servers that had lost a single run before. Tests of the package and of crashes in fleet pass unchanged.

--- a/internal/decide/quarantine/table.go
+++ b/internal/decide/quarantine/table.go
@@ -221,8 +221,8 @@
 	// lost later were sent after the crash, to a proxy that accepts connections for the server.
 	crashSpread = time.Second
 	// lossWindow is how long after its first loss a server may be taken for crashed, if it answers
-	// nothing. Its entry has lapsed by then.
-	lossWindow = crashMatchWindow
+	// nothing. Later its entry has lapsed and nothing is sent there.
+	lossWindow = 5 * time.Second
 )
 
 // lostAfterCrash reports whether a run was lost so long after the first one at a server that did not
