--- a/internal/standin/hosted/fleet.go
+++ b/internal/standin/hosted/fleet.go
@@ -50,11 +50,12 @@
 	return s, ok
 }
 
-// CrashFunc is called after a server has crashed, with the body or part that is the cause.
+// CrashFunc is called as a server crashes, with the body or part that is the cause. It is called before
+// any caller can see the crash.
 type CrashFunc func(s *Server, cause string)
 
 // CrashOn makes requests with a body, or with a part of their prompts, crash the servers that run
-// them. After each crash, onCrash is called, in place of the function set by earlier calls.
+// them. At each crash, onCrash is called, in place of the function set by earlier calls.
 func (f *Fleet) CrashOn(cause string, onCrash CrashFunc) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/standin/hosted/server.go
+++ b/internal/standin/hosted/server.go
@@ -199,8 +199,8 @@
 		x := s.fleet.Journal.startRun(a.ID, s.Name, 0)
 		defer s.fleet.Journal.endRun(x)
 		s.sleep(ctx, crashDelay)
-		s.Crash()
 		onCrash(s, cause)
+		s.Crash()
 		w.Abort()
 		return
 	}
