fix(entry): read no messages of a resumed completion

A caller that resumed its stream at another entry VM lost it after half a second on the own interface: the handler panicked when it recorded the progress of the run, since a resumed completion has no messages whose parts could be named.

--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -92,7 +92,11 @@
 	return c.subjects
 }
 
+// messageParts returns the parts of the prompt. A resumed completion has no messages.
 func (c *chat) messageParts() []api.PartID {
+	if len(c.params.Messages) == 0 {
+		return nil
+	}
 	shared := c.params.Messages[:len(c.params.Messages)-1]
 	var l []api.PartID
 	for _, m := range shared[:min(len(shared), maxMessageParts)] {
