review: a late second answer to an order mixes up two runs

A server's second answer to an order on a kept connection is taken for the answer to the next order, so that a run continues from the memory of another request, and its caller gets events made from that.

--- a/review/standin/bench.go
+++ b/review/standin/bench.go
@@ -20,7 +20,6 @@
 	dir     string
 	host    string
 	store   *store
-	engines map[string]*engine
 	vms     []*vm
 	trouble bool
 	started time.Time
@@ -29,7 +28,14 @@
 
 	mutex  sync.Mutex
 	record *os.File
-	runs   map[string][]serverRun
+	// engines holds the engines by address.
+	engines map[string]*engine
+	runs    map[string][]serverRun
+	// handles counts the handles of copies, and used holds those that have served.
+	handles int
+	used    map[string]bool
+	// mixed counts the runs that were continued from the memory of another request.
+	mixed int
 }
 
 // serverRun is what a server did with a request.
@@ -54,7 +60,7 @@
 	n := os.Getpid()
 	b := &bench{
 		dir: dir, host: net.IPv4(127, byte(1+n>>16), byte(n>>8), byte(1+n%250)).String(), store: newStore(), engines: map[string]*engine{},
-		trouble: os.Getenv("TROUBLE") != "0", started: time.Now(), record: f, runs: map[string][]serverRun{},
+		trouble: os.Getenv("TROUBLE") != "0", started: time.Now(), record: f, runs: map[string][]serverRun{}, used: map[string]bool{},
 	}
 	c := make(chan os.Signal, 1)
 	signal.Notify(c, syscall.SIGTERM, syscall.SIGINT)
@@ -97,6 +103,51 @@
 	b.note("server %s ran %s from %.3f to %.3f s, events %d to %d of %d, backup %q: %s", r.server, r.request, r.began.Sub(b.started).Seconds(), r.ended.Sub(b.started).Seconds(), r.from, r.made, r.total, r.backup, r.how)
 }
 
+func (b *bench) addEngine(e *engine) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.engines[e.address] = e
+}
+
+// engineAt returns the engine at an address, nil if there is none.
+func (b *bench) engineAt(address string) *engine {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.engines[address]
+}
+
+// handlePrefix begins each handle of a copy that an order made.
+const handlePrefix = "h-"
+
+// newHandle returns a handle that no copy had before.
+func (b *bench) newHandle() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.handles++
+	return fmt.Sprintf("%s%06x", handlePrefix, b.handles)
+}
+
+// useHandle reports whether a handle has not served before, and records that it does now. A backup has no
+// handle of its own, but the id of its request.
+func (b *bench) useHandle(h string) bool {
+	if !strings.HasPrefix(h, handlePrefix) {
+		return true
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.used[h] {
+		return false
+	}
+	b.used[h] = true
+	return true
+}
+
+func (b *bench) addMixed() {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.mixed++
+}
+
 // runsOf returns the runs of a request at servers.
 func (b *bench) runsOf(id string) []serverRun {
 	b.mutex.Lock()
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -13,7 +13,7 @@
 )
 
 // cases are the scripts by name; each returns the number of times that its rule was broken.
-var cases = map[string]func(b *bench) (int, error){"moved": moved, "stopped": stopped, "spoiled": spoiled}
+var cases = map[string]func(b *bench) (int, error){"moved": moved, "stopped": stopped, "spoiled": spoiled, "lost": lost, "mixed": mixed}
 
 func main() {
 	os.Exit(run())
