--- a/fleet/network_test.go
+++ b/fleet/network_test.go
@@ -30,10 +30,12 @@
 	links     map[[2]string]linkState
 	conns     map[*conn]struct{}
 	bytes     atomic.Int64
+	// limits holds the links that carry a bounded rate, by machine.
+	limits map[string]*bandwidth
 }
 
 func newNetwork() *network {
-	return &network{listeners: map[string]*listener{}, links: map[[2]string]linkState{}, conns: map[*conn]struct{}{}}
+	return &network{listeners: map[string]*listener{}, links: map[[2]string]linkState{}, conns: map[*conn]struct{}{}, limits: map[string]*bandwidth{}}
 }
 
 // machine is a host on the network; an address is the name of its machine and a port.
@@ -141,6 +143,12 @@
 		return nil, &net.OpError{Op: "dial", Net: "memory", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 	}
 	local, remote := net.Pipe()
+	if m.net.limited(m.name, host(a)) {
+		if !m.net.handshake(m.name, host(a), ctx.Done()) {
+			return nil, &net.OpError{Op: "dial", Net: "memory", Err: context.DeadlineExceeded}
+		}
+		local, remote = m.net.limitedPipe(m.name, host(a))
+	}
 	x := &conn{Conn: local, net: m.net, link: [2]string{m.name, host(a)}}
 	y := &conn{Conn: remote, net: m.net, link: [2]string{m.name, host(a)}}
 	m.net.mutex.Lock()
