fix(gateway,relay): what an overloaded link delays is no failure of a server

Callers of an entry VM with a full link got no_server and a spent retry budget, while every server was well: its log held 42 to 245 lost servers each two seconds and 871 refused relays.

Cause: each connection and answer that the own link delayed beyond its time-out counted as a loss of the server and as a sign of a partition, was repeated elsewhere, and was asked of peers, all over the same link. Class: an entry VM takes its own overload for failures of others, and its repeats add to it.

While the measured use is at least 0.9 of link_mbps (and callers are bounded), time-outs neither mark servers nor the service as unreached, are not repeated (bandwidth_short, not run where nothing was sent), and start no query, resume or relay. Refused and broken connections still count, so that dead servers are found. Peers' connections are carried only with room.

TestOverloadedLinkBlamesNoServer, TestOverloadedLinkIsNoPartition and TestVMWithoutRoomRelaysNothing fail without it (losses 2, attempts 2, suspicions 2; connection through a peer; 1 relayed by the full one).

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -139,6 +139,9 @@
 		}
 		g.Log.Emit(event.AttemptFailed, append(q.contentFields(), zap.String("request", string(q.ID)), zap.String("server", string(s.Name)), zap.Error(err))...)
 		m, f := c.AttemptFailed(attemptOutcome(err), err, ctx.Err() != nil, retry)
+		if m == call.Retry && g.delayedByLink(err) {
+			m, f = call.Fail, c.Fault(fault.BandwidthShort, err, "the network link of this entry VM is overloaded").WithRetryAfter(g.linkRetryAfter())
+		}
 		if m == call.Fail {
 			if errors.Is(context.Cause(ctx), context.Canceled) {
 				f = fault.Wrap(fault.CallerGone, err, "the caller closed its connection")
--- a/internal/gateway/link.go
+++ b/internal/gateway/link.go
@@ -5,6 +5,7 @@
 
 	"github.com/wardridge/wardridge/internal/decide/directory"
 	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/port"
 )
 
 // Link tells whether the network link of this entry VM has room.
@@ -26,21 +27,31 @@
 
 const (
 	// elsewhereRetryAfter is the Retry-After of a request that another entry VM has room for, and
-	// linkRetryAfter that of one for which none has.
+	// fullRetryAfter that of one for which none has.
 	elsewhereRetryAfter = 50 * time.Millisecond
-	linkRetryAfter      = time.Second
+	fullRetryAfter      = time.Second
 )
 
+// linkRetryAfter returns the time after which a request may be sent again that the link had no room for.
+func (g *Gateway) linkRetryAfter() time.Duration {
+	if g.Link.TurnsAway() {
+		return elsewhereRetryAfter
+	}
+	return fullRetryAfter
+}
+
 // checkLink refuses a stream for which the link has no room.
 func (g *Gateway) checkLink(x *directory.Route) *fault.Error {
 	if x.Kind != directory.Stream || g.Link.AcceptsStream() {
 		return nil
 	}
-	after := linkRetryAfter
-	if g.Link.TurnsAway() {
-		after = elsewhereRetryAfter
-	}
-	return fault.New(fault.BandwidthShort, "the network link of this entry VM has no room for another stream").WithRetryAfter(after)
+	return fault.New(fault.BandwidthShort, "the network link of this entry VM has no room for another stream").WithRetryAfter(g.linkRetryAfter())
+}
+
+// delayedByLink reports whether an attempt ran into a timeout while the link of this entry VM is overloaded,
+// which tells nothing of the server. A refused or broken connection tells of it in any case.
+func (g *Gateway) delayedByLink(err error) bool {
+	return err != nil && port.TimedOut(err) && g.Link.Overloaded()
 }
 
 // ClosesConnections reports whether callers should use other entry VMs, so that their connections are
--- a/internal/gateway/monitor.go
+++ b/internal/gateway/monitor.go
@@ -103,7 +103,7 @@
 	if !waiting {
 		return
 	}
-	if silence.ProcessBehind(late, m.stream.HasUnread()) {
+	if silence.ProcessBehind(late, m.stream.HasUnread()) || m.gateway.Link.Overloaded() {
 		m.scheduleQuery(wait)
 		return
 	}
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -74,14 +74,14 @@
 }
 
 // behindPartition reports whether an attempt failed because this entry VM does not reach the server,
-// rather than because of the server. The failure of a connection tells it itself.
+// or not in time, rather than because of the server. The failure of a connection tells it itself.
 func (g *Gateway) behindPartition(s roster.Server, err error) bool {
-	return port.NoPath(err) || err != nil && !fault.Has(err, fault.NotStarted) && g.Paths.CutOff(s.Service)
+	return port.NoPath(err) || g.delayedByLink(err) || err != nil && !fault.Has(err, fault.NotStarted) && g.Paths.CutOff(s.Service)
 }
 
 // recordFailedAttempt records an attempt without an answer for the server and for the content.
 func (g *Gateway) recordFailedAttempt(q *request, s roster.Server, err error) {
-	if !fault.Has(err, fault.NotStarted) && !fault.Has(err, fault.ServerRefused) {
+	if !fault.Has(err, fault.NotStarted) && !fault.Has(err, fault.ServerRefused) && !g.delayedByLink(err) {
 		g.Paths.Suspect(s.Service)
 	}
 	if fault.Has(err, fault.ServerRefused) || !g.behindPartition(s, err) {
--- a/internal/gateway/paths_test.go
+++ b/internal/gateway/paths_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 
@@ -86,6 +89,62 @@
 	}
 }
 
+// fakeLink is a network link that may be overloaded.
+type fakeLink struct {
+	overloaded bool
+}
+
+func (fakeLink) TurnsAway() bool     { return false }
+func (fakeLink) AcceptsStream() bool { return true }
+func (l fakeLink) Overloaded() bool  { return l.overloaded }
+
+// What an overloaded link delays must count neither against servers nor as a reason to send more.
+func TestOverloadedLinkBlamesNoServer(t *testing.T) {
+	silent := fault.Wrap(fault.OutcomeUnknown, os.ErrDeadlineExceeded, "no answer in time")
+	unmade := fault.Wrap(fault.NotStarted, os.ErrDeadlineExceeded, "connecting")
+	broken := fault.Wrap(fault.OutcomeUnknown, io.ErrUnexpectedEOF, "the connection was closed")
+	refused := fault.Wrap(fault.NotStarted, os.NewSyscallError("connect", syscall.ECONNREFUSED), "connecting")
+	tests := []struct {
+		name       string
+		err        error
+		path       string
+		overloaded bool
+		// losses is 1 if the server counts as lost, and sends the number of attempts.
+		losses, sends, suspicions int
+	}{
+		{"no answer", silent, "/safe/1", false, 1, 2, 2},
+		{"no answer, overloaded", silent, "/safe/1", true, 0, 1, 0},
+		{"no connection", unmade, "/unsafe/1", false, 1, 2, 0},
+		{"no connection, overloaded", unmade, "/unsafe/1", true, 0, 1, 0},
+		{"refused connection, overloaded", refused, "/unsafe/1", true, 1, 2, 0},
+		{"broken connection, overloaded", broken, "/safe/1", true, 1, 2, 2},
+		{"refused by the server, overloaded", fault.New(fault.ServerRefused, "503"), "/unsafe/1", true, 0, 2, 0},
+	}
+	for _, c := range tests {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeServers()
+				f.answers["p1"], f.answers["p2"] = []any{c.err}, []any{c.err}
+				b := newTestGateway(t, f, 9)
+				p := &fakePaths{suspected: map[api.ServiceName]int{}}
+				b.Paths, b.Link = p, fakeLink{c.overloaded}
+				a := &caller{}
+				b.Handle(t.Context(), request(c.path), a)
+				n := b.tallies(t, metric.ByServer)
+				if got := min(1, n["p1"]["lost"]+n["p2"]["lost"]); got != c.losses {
+					t.Errorf("losses: got %v, want %d", n, c.losses)
+				}
+				if got := 2 - len(f.answers["p1"]) - len(f.answers["p2"]); got != c.sends {
+					t.Errorf("attempts: got %d, want %d", got, c.sends)
+				}
+				if got := p.suspicions("plain"); got != c.suspicions {
+					t.Errorf("suspicions: got %d, want %d", got, c.suspicions)
+				}
+			})
+		})
+	}
+}
+
 // A request without an answer may have been sent on a connection that has gone silent.
 func TestUnansweredRequestHasPathsChecked(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/node/hosted_start.go
+++ b/internal/node/hosted_start.go
@@ -55,7 +55,7 @@
 	h.cleanups.add(closer)
 	h.relay = relay.New(relay.Options{
 		Address: h.Settings.Node.Control, After: h.Settings.Gateway.RelayMS.Duration(), Dial: h.Machine.Dial, Seed: uint64(time.Now().UnixNano()),
-		Peers: func() []string { return h.mesh.Relays() }, Servers: gatewayServers{h}, Stopping: func() bool { return h.gateway.Stopping() },
+		Peers: func() []string { return h.mesh.Relays() }, Servers: gatewayServers{h}, Link: h.link, Stopping: func() bool { return h.gateway.Stopping() },
 		PathChanged: h.pathChanged, Alerted: func(found bool) { h.mesh.SendPaths(found) }, Group: h.group, Log: h.Log, Metrics: h.Metrics,
 	})
 	h.pool, closer = upstream.New(h.relay.DialServer)
--- a/internal/port/backend.go
+++ b/internal/port/backend.go
@@ -77,6 +77,12 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// TimedOut reports whether an attempt failed because a connection or an answer did not come in time.
+func TimedOut(err error) bool {
+	var e interface{ Timeout() bool }
+	return errors.As(err, &e) && e.Timeout() && !ConnectionRefused(err)
+}
+
 // errNoPath is a fault with the code of those that NoPath finds.
 var errNoPath = fault.New(fault.NoPath, "")
 
--- a/internal/relay/dial.go
+++ b/internal/relay/dial.go
@@ -43,12 +43,18 @@
 )
 
 // DialServer connects to a backend server directly, or through a peer where the direct path fails or
-// takes long.
+// takes long. While the link of this entry VM is overloaded, connections through peers would only add to
+// its load.
 func (r *Relay) DialServer(ctx context.Context, network, address string) (net.Conn, error) {
 	if r.After <= 0 {
 		return r.Dial(ctx, network, address)
 	}
 	s := r.server(address)
+	if r.Link.Overloaded() && !r.Unreached(s.Service) {
+		n, err := r.Dial(ctx, network, address)
+		r.recordDirect(s, err)
+		return n, err
+	}
 	left := connectTime(ctx)
 	r.mutex.Lock()
 	p := r.tracker.Plan(time.Now(), s, left)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"errors"
 	"math/rand/v2"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,6 +28,20 @@
 	SampleServers(s api.ServiceName, n int, except string) []connect.Server
 }
 
+// Link tells whether the network link of this entry VM has room.
+type Link interface {
+	// HasRoom reports whether connections of peers are carried.
+	HasRoom() bool
+	// Overloaded reports whether the link is so full that what it delays tells nothing of the other ends.
+	Overloaded() bool
+}
+
+// unboundedLink is the Link of an entry VM whose link is never full.
+type unboundedLink struct{}
+
+func (unboundedLink) HasRoom() bool    { return true }
+func (unboundedLink) Overloaded() bool { return false }
+
 // Options are the dependencies of a Relay.
 type Options struct {
 	// Address is the control address of this entry VM.
@@ -38,6 +54,8 @@
 	// Peers lists the control addresses of the peers that may relay, the preferred ones first.
 	Peers   func() []string
 	Servers Servers
+	// Link tells whether the network link has room; nil if it always has.
+	Link Link
 	// Stopping reports whether this entry VM is about to end, so that it relays no more connections.
 	Stopping func() bool
 	// PathChanged is called when this entry VM no longer reaches a service itself, or does again.
@@ -64,6 +82,9 @@
 
 // New creates a relay that takes the servers to be reachable.
 func New(p Options) *Relay {
+	if p.Link == nil {
+		p.Link = unboundedLink{}
+	}
 	return &Relay{Options: p, tracker: connect.New(p.After, rand.NewPCG(p.Seed, 0))}
 }
 
@@ -110,10 +131,10 @@
 	return connect.Server{Address: address}
 }
 
-// recordDirect records the outcome of a direct connection, unless all connections are direct. It logs and
-// reports if the service is unreached since then, or no longer is.
+// recordDirect records the outcome of a direct connection, unless all connections are direct or the link of
+// this entry VM has delayed it. It logs and reports if the service is unreached since then, or no longer is.
 func (r *Relay) recordDirect(s connect.Server, err error) {
-	if r.After <= 0 {
+	if r.After <= 0 || err != nil && r.Link.Overloaded() && !errors.Is(err, syscall.ECONNREFUSED) {
 		return
 	}
 	r.mutex.Lock()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -78,6 +78,8 @@
 	known   bool
 	// stopping is set while the entry VM is about to end.
 	stopping bool
+	// noRoom and overloaded are the state of the network link.
+	noRoom, overloaded atomic.Bool
 	// others are the servers of the service that checks connect to.
 	others []string
 }
@@ -108,6 +110,12 @@
 	return l
 }
 
+// HasRoom reports whether the link has room.
+func (v *vm) HasRoom() bool { return !v.noRoom.Load() }
+
+// Overloaded reports whether the link is overloaded.
+func (v *vm) Overloaded() bool { return v.overloaded.Load() }
+
 // errSilent stands for a connection that is never made.
 var errSilent = errors.New("no answer")
 
@@ -130,7 +138,7 @@
 	s := httptest.NewServer(r)
 	v.address = s.Listener.Addr().String()
 	v.Relay = relay.New(relay.Options{
-		Address: v.address, After: 100 * time.Millisecond, Dial: v.dial, Peers: func() []string { return v.peers }, Servers: v, Alerted: func(bool) {},
+		Address: v.address, After: 100 * time.Millisecond, Dial: v.dial, Peers: func() []string { return v.peers }, Servers: v, Link: v, Alerted: func(bool) {},
 		Stopping: func() bool { return v.stopping }, PathChanged: func(api.ServiceName, bool) {}, Group: g, Log: event.Discard(), Metrics: v.metrics,
 	})
 	v.Routes(r)
@@ -247,6 +255,67 @@
 	}
 }
 
+// What an overloaded link delays must not count as a partition, nor be asked of peers.
+func TestOverloadedLinkIsNoPartition(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		overloaded bool
+		block      error
+		// unreached is whether the service counts as unreached, and relayed whether a peer was asked.
+		unreached, relayed bool
+	}{
+		{"connections hang", false, errSilent, true, true},
+		{"connections hang, overloaded", true, errSilent, false, false},
+		{"connections are refused, overloaded", true, syscall.ECONNREFUSED, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newVM(t)
+			v := newVM(t, p)
+			v.overloaded.Store(c.overloaded)
+			v.setBlock(c.block)
+			for range 3 {
+				v.others = append(v.others, newEcho(t).Addr().String())
+			}
+			for _, a := range v.others {
+				ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+				n, err := v.DialServer(ctx, "tcp", a)
+				cancel()
+				if err == nil {
+					_ = n.Close()
+				}
+				if got, want := err == nil, c.relayed; got != want {
+					t.Errorf("connection through a peer: got %v, %v; want %v", got, err, want)
+				}
+			}
+			for range 100 {
+				v.Suspect("s")
+				v.Check()
+				if v.Unreached("s") {
+					break
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			if got, want := v.Unreached("s"), c.unreached; got != want {
+				t.Errorf("service unreached: got %v, want %v", got, want)
+			}
+		})
+	}
+}
+
+// Carrying connections for peers must not take the room of an entry VM's own callers.
+func TestVMWithoutRoomRelaysNothing(t *testing.T) {
+	e := newEcho(t)
+	full, free := newVM(t), newVM(t)
+	full.noRoom.Store(true)
+	v := newVM(t, full, free)
+	v.setBlock(errSilent)
+	n := v.connect(t, e)
+	defer func() { _ = n.Close() }()
+	if got, want := full.Relayed()+10*free.Relayed(), 10; got != want {
+		t.Errorf("relayed by the VM without room, and ten times those of the other: got %d, want %d", got, want)
+	}
+}
+
 // A peer behind the same partition must not keep a connection from being made through another one.
 func TestPeerThatIsCutOffIsPassedOver(t *testing.T) {
 	e := newEcho(t)
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -54,6 +54,9 @@
 	case r.Stopping():
 		refuse(w, api.RelayRefusal{Reason: "stopping"})
 		return
+	case !r.Link.HasRoom():
+		refuse(w, api.RelayRefusal{Reason: "the network link has no room", Paths: r.listPeers(s.Service)})
+		return
 	case !known:
 		refuse(w, api.RelayRefusal{Reason: "no server of this address is known"})
 		return
