--- a/fleet/full_link_test.go
+++ b/fleet/full_link_test.go
@@ -6,11 +6,13 @@
 	"math/rand/v2"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/decide/roster"
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/gateway"
 	"github.com/wardridge/wardridge/internal/node"
@@ -30,6 +32,10 @@
 	skewShare = 0.9
 	// minSkewShare is how often first tries that were read have to be served, against before.
 	minSkewShare = 0.75
+	// skewDrainTime is how long requests are waited for after the last one was sent.
+	skewDrainTime = 40 * time.Second
+	// mbitBytes is the number of bytes in a Mbit.
+	mbitBytes = 1e6 / 8
 	// skewEvents is the number of events of a stream, and skewSlack what its caller waits beyond their
 	// intervals.
 	skewEvents = 150
@@ -167,10 +173,23 @@
 // sendSkewed sends streams and calls at rates for a time.
 func (x *balancer) sendSkewed(streams, calls float64, d time.Duration) *skewOutcomes {
 	var o skewOutcomes
+	x.sendInto(&o, &o, streams, calls, d)
+	return &o
+}
+
+// sendBoth is sendSkewed with the outcomes of calls apart from those of streams.
+func (x *balancer) sendBoth(streams, calls float64, d time.Duration) (ofCalls, ofStreams *skewOutcomes) {
+	var c, s skewOutcomes
+	x.sendInto(&c, &s, streams, calls, d)
+	return &c, &s
+}
+
+// sendInto sends streams and calls at rates for a time, and waits for their ends.
+func (x *balancer) sendInto(ofCalls, ofStreams *skewOutcomes, streams, calls float64, d time.Duration) {
 	g, end := duty.New(context.Background())
 	defer end()
 	began := time.Now()
-	send := func(path string, perSecond float64) {
+	send := func(o *skewOutcomes, path string, perSecond float64) {
 		if perSecond == 0 {
 			return
 		}
@@ -179,7 +198,7 @@
 				id := fmt.Sprintf("%d-%d", time.Now().UnixNano(), i)
 				counts := time.Since(began) >= skewSettleTime
 				g.Go(func(context.Context) error {
-					x.ask(&o, counts, path, id)
+					x.ask(o, counts, path, id)
 					return nil
 				})
 				time.Sleep(time.Duration(float64(time.Second) / perSecond))
@@ -187,10 +206,9 @@
 			return nil
 		})
 	}
-	send("/stream/", streams)
-	send("/safe/", calls)
-	time.Sleep(d + 40*time.Second)
-	return &o
+	send(ofStreams, "/stream/", streams)
+	send(ofCalls, "/safe/", calls)
+	time.Sleep(d + skewDrainTime)
 }
 
 // ask sends one request, and once more to another entry VM if it was not served.
@@ -218,19 +236,37 @@
 	}
 }
 
+// useOver returns a function that returns the mean use of the links of entry VMs, from now on for a time d.
+func (x *balancer) useOver(d time.Duration, vms ...int) func() float64 {
+	total := func() (n int64) {
+		for _, i := range vms {
+			n += x.testbed.net.sentBy(hostedHost(i))
+		}
+		return n
+	}
+	before := total()
+	var after atomic.Int64
+	x.testbed.group.Go(func(context.Context) error {
+		time.Sleep(d)
+		after.Store(total())
+		return nil
+	})
+	return func() float64 { return float64(after.Load()-before) / float64(len(vms)) / d.Seconds() / mbitBytes }
+}
+
 // Most new connections reach one entry VM whose link can't carry them: it must serve what the link bears,
 // and the callers must reach others.
 func TestFullLinkDoesNotCollapse(t *testing.T) {
 	for _, vms := range []int{6, 24} {
 		t.Run(fmt.Sprint(vms), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				b, x := newSkewTestbed(t, vms, 6, 12, 1, "link_share = 0.75\n")
+				_, x := newSkewTestbed(t, vms, 6, 12, 1, "link_share = 0.75\n")
 				before := x.sendSkewed(12, 30, 10*time.Second)
 				x.prefer(vms - 1)
-				sent := b.net.sentBy(hostedHost(vms - 1))
+				measured := x.useOver(skewTime, vms-1)
 				o := x.sendSkewed(12, 30, skewTime)
-				use := float64(b.net.sentBy(hostedHost(vms-1))-sent) / skewTime.Seconds()
-				t.Logf("before: %d of %d served, first tries %.2f; one VM preferred: %d of %d served, first tries that were read %.2f; %.0f bytes a second sent by it",
+				use := measured()
+				t.Logf("before: %d of %d served, first tries %.2f; one VM preferred: %d of %d served, first tries that were read %.2f; use of its link %.2f",
 					before.served, before.asked, before.readShare(), o.served, o.asked, o.readShare(), use)
 				if got, want := o.readShare(), minSkewShare*before.readShare(); got < want {
 					t.Errorf("first tries served of those read: got %.2f, want at least %.2f", got, want)
@@ -242,3 +278,106 @@
 		})
 	}
 }
+
+// With all other entry VMs gone, the one that is left must serve what its link bears for as long as that
+// lasts, calls before streams.
+func TestLastVMDoesNotCollapse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, x := newSkewTestbed(t, 6, 6, 12, 1, "link_share = 0.75\n")
+		x.sendSkewed(6, 30, 5*time.Second)
+		for i := range 5 {
+			b.stops[i]()
+		}
+		time.Sleep(3 * time.Second)
+		for range 3 {
+			measured := x.useOver(10*time.Second, 5)
+			calls, streams := x.sendBoth(12, 30, 10*time.Second)
+			use := measured()
+			t.Logf("%d of %d calls, %d of %d streams served, use %.2f", calls.served, calls.asked, streams.served, streams.asked, use)
+			if got, want := calls.share(), minSkewShare; got < want {
+				t.Errorf("calls served in time: got %.2f, want at least %.2f", got, want)
+			}
+			if got, want := use, 0.5; got < want {
+				t.Errorf("use of the link: got %.2f, want at least %.2f", got, want)
+			}
+		}
+	})
+}
+
+// More callers than all links can carry must not make all entry VMs unready, and what the links carry must
+// be served.
+func TestBurstClosesNoFleet(t *testing.T) {
+	for _, vms := range []int{6, 12} {
+		t.Run(fmt.Sprint(vms), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				_, x := newSkewTestbed(t, vms, 12, 4*vms, 1, "link_share = 0.75\n")
+				minIn := vms
+				g, end := duty.New(context.Background())
+				g.Every(100*time.Millisecond, func(context.Context) { minIn = min(minIn, x.countIn()) })
+				var all []int
+				for i := range vms {
+					all = append(all, i)
+				}
+				measured := x.useOver(15*time.Second, all...)
+				o := x.sendSkewed(10*float64(vms), 10*float64(vms), 15*time.Second)
+				end()
+				use := measured()
+				t.Logf("%d of %d served, use %.2f, at least %d entry VMs in", o.served, o.asked, use, minIn)
+				if got, want := minIn, (vms+1)/2; got < want {
+					t.Errorf("entry VMs in: got %d at times, want at least %d", got, want)
+				}
+				if got, want := use, 0.6; got < want {
+					t.Errorf("use of the links: got %.2f, want at least %.2f", got, want)
+				}
+			})
+		})
+	}
+}
+
+// Crashed servers must be found while an entry VM's link is full.
+func TestCrashedServersAreFoundBesideFullLink(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, x := newSkewTestbed(t, 24, 6, 12, 1, "link_share = 0.75\n")
+		x.prefer(23)
+		x.sendSkewed(12, 30, 6*time.Second)
+		for i := range 3 {
+			b.servers[i].Crash()
+		}
+		calls, _ := x.sendBoth(12, 30, 12*time.Second)
+		t.Logf("%d of %d calls served", calls.served, calls.asked)
+		if got, want := calls.share(), minSkewShare; got < want {
+			t.Errorf("calls served in time: got %.2f, want at least %.2f", got, want)
+		}
+	})
+}
+
+// A hub whose link most connections fill must still pass on changes.
+func TestFullHubPassesChangesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const vms = 24
+		b, x := newSkewTestbed(t, vms, 6, 12, 1, "link_share = 0.75\n")
+		x.prefer(0)
+		b.group.Go(func(context.Context) error {
+			x.sendSkewed(12, 30, 12*time.Second)
+			return nil
+		})
+		for i := range 4 {
+			time.Sleep(2500 * time.Millisecond)
+			n := api.ServerName(fmt.Sprintf("late-%d", i))
+			b.pool.entries.put(string(n), roster.Server{Name: n, ID: api.ServerID(n), Service: "plain", Address: "10.0.9.9:80", Domain: "hall-0", Draining: true})
+			began := time.Now()
+			for known := 0; known < vms && time.Since(began) < 5*time.Second; time.Sleep(20 * time.Millisecond) {
+				known = 0
+				for k := range vms {
+					if _, ok := b.gateways[k].ServerAddress(n); ok {
+						known++
+					}
+				}
+			}
+			if got, want := time.Since(began), 2*time.Second; got > want {
+				t.Errorf("change %d known to all entry VMs after: got %v, want within %v", i, got, want)
+			}
+		}
+		time.Sleep(time.Minute)
+	})
+}
