fix(upstream,platform,engine): bytes without end that are no answer end the attempt

Cause: a line of an event, the head of an answer, an engine's report and the head of an answer on the own interface were read without a bound of their own or one of 10 MB, and 16 MB of an answer that nobody needs. The failure is bad_answer, which marks and logs the server as any other attempt.

The bounds on streams of the own interface held before.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -106,8 +106,12 @@
 	return &StreamError{Cause: answer.Broken, Err: f}
 }
 
-// maxRefusalBytes bounds how much of a refusal is read.
-const maxRefusalBytes = 64 << 10
+const (
+	// maxRefusalBytes bounds how much of a refusal is read, and maxAnswerBytes how much of any other answer
+	// that is not a stream.
+	maxRefusalBytes = 64 << 10
+	maxAnswerBytes  = 4 << 20
+)
 
 // readRefusal reads a refusal. One that can't be decoded does not prove that the
 // engine did nothing, so its cause is Broken.
@@ -167,7 +171,7 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.NewDecoder(a.Body).Decode(out); err != nil {
+	if err := json.NewDecoder(io.LimitReader(a.Body, maxAnswerBytes)).Decode(out); err != nil {
 		return oops.In("engine").Wrapf(fault.Wrap(fault.BadAnswer, err, "the response is not the expected JSON"), "%s", what)
 	}
 	return nil
--- a/internal/relay/dial.go
+++ b/internal/relay/dial.go
@@ -238,7 +238,7 @@
 	if err := q.Write(n); err != nil {
 		return nil, fault.Wrap(fault.PeerUnreachable, err, "sending the request for a relay")
 	}
-	b := bufio.NewReaderSize(n, relayHeadBytes)
+	b := bufio.NewReaderSize(io.LimitReader(n, maxRefusalBytes), relayHeadBytes)
 	a, err := http.ReadResponse(b, q)
 	if err != nil {
 		return nil, fault.Wrap(fault.PeerUnreachable, err, "reading the answer to the request for a relay")
@@ -250,7 +250,7 @@
 		return &plainConn{Conn: n}, nil
 	}
 	defer func() { _ = a.Body.Close() }()
-	text, err := io.ReadAll(io.LimitReader(a.Body, relayHeadBytes))
+	text, err := io.ReadAll(a.Body)
 	if err != nil {
 		return nil, fault.Wrap(fault.PeerUnreachable, err, "reading the refusal of a relay")
 	}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -31,7 +31,9 @@
 	// relayHeadBytes is the size of the buffer for the head of an answer, and copyBytes that of the
 	// buffer for each direction of a relayed connection.
 	relayHeadBytes = 1 << 10
-	copyBytes      = 8 << 10
+	// maxRefusalBytes bounds the answer of a peer, which lists others if it refuses.
+	maxRefusalBytes = 64 << 10
+	copyBytes       = 8 << 10
 	// maxRelayed bounds the connections that one entry VM relays at a time, and with them the memory
 	// and descriptors that they take.
 	maxRelayed = 256
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -27,6 +27,8 @@
 	// maxStaleAnswers limits the number of answers read for one request, as answers to earlier
 	// requests are skipped.
 	maxStaleAnswers = 4
+	// maxHeadBytes limits the size of the head of an answer, with the interim ones before it.
+	maxHeadBytes = 64 << 10
 	// maxStaleAnswerBytes limits the size of a skipped answer.
 	maxStaleAnswerBytes = 1 << 20
 )
@@ -109,6 +111,8 @@
 
 // readFinal reads one answer, and skips the interim ones before it.
 func (n *conn) readFinal(c Call) (*http.Response, error) {
+	n.head.begin(maxHeadBytes)
+	defer n.head.end()
 	for range maxInterimAnswers {
 		r, err := http.ReadResponse(n.reader, c.Request)
 		if err != nil || r.StatusCode/100 != 1 {
@@ -122,6 +126,8 @@
 func readFault(err error) error {
 	var e interface{ Timeout() bool }
 	switch {
+	case errors.Is(err, errHeadTooLarge):
+		return errHeadTooLarge
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return fault.Wrap(fault.OutcomeUnknown, err, "the connection was closed before the answer was complete")
 	case errors.As(err, &e) && e.Timeout():
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -17,6 +17,7 @@
 type conn struct {
 	net.Conn
 	reader  *bufio.Reader
+	head    *headLimiter
 	address string
 	reused  bool
 	// idleUntil is when the server may close the connection because it is idle.
@@ -77,7 +78,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: n, reader: bufio.NewReaderSize(n, readBuffer), address: c.Address}, nil
+	h := &headLimiter{reader: n}
+	return &conn{Conn: n, reader: bufio.NewReaderSize(h, readBuffer), head: h, address: c.Address}, nil
 }
 
 // takeIdle removes the most recently used idle connection, since the server is least
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -31,8 +31,13 @@
 }
 
 func newTransport(d DialFunc, reuse bool) *http.Transport {
-	const perHost = 64
+	const (
+		perHost      = 64
+		maxHeadBytes = 64 << 10
+	)
 	return &http.Transport{
+		MaxResponseHeaderBytes: maxHeadBytes,
+
 		DialContext:         d,
 		MaxIdleConnsPerHost: perHost,
 		IdleConnTimeout:     time.Minute,
