fix(entry): take callers only up to what the link carries, on the own interface

With entry.link_mbps and entry.link_share set, requests are refused unread with bandwidth_short, streams before calls, the health check fails while at least half of the other entry VMs have room (heartbeats say so), and time-outs under an overloaded link neither mark a server nor are repeated. Off by default.

--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -537,6 +537,13 @@
 	// Longest wait for the header or the body of a request, ms.
 	HeaderWaitMS Milliseconds `json:"header_wait_ms,omitempty,omitzero"`
 
+	// Bandwidth of the VM, Mbit/s; 0 if it is not known.
+	LinkMbps float64 `json:"link_mbps,omitempty,omitzero"`
+
+	// Part of link_mbps up to which callers are taken. Beyond it the health check
+	// fails and requests are refused while other entry VMs have room; 0 for no bound.
+	LinkShare float64 `json:"link_share,omitempty,omitzero"`
+
 	// Maximum number of requests in the queue of one pool of engines.
 	QueueLimit int `json:"queue_limit,omitempty,omitzero"`
 
@@ -886,6 +893,9 @@
 	// recently removed.
 	Limits []ServerLimit `json:"limits,omitempty,omitzero"`
 
+	// Whether the network link of the sender has no room for more callers.
+	NoRoom bool `json:"no_room,omitempty,omitzero"`
+
 	// Version of the protocol between entry VMs.
 	Protocol int `json:"protocol"`
 
--- a/internal/decide/member/member.go
+++ b/internal/decide/member/member.go
@@ -148,6 +148,21 @@
 	return n
 }
 
+// HaveRoom reports whether at least half of the other entry VMs that serve have room for more callers.
+func (m *Members) HaveRoom() bool {
+	serving, room := 0, 0
+	for _, p := range m.peers {
+		if !p.alive || p.heartbeat.State != api.PeerStateServing {
+			continue
+		}
+		serving++
+		if !p.heartbeat.NoRoom {
+			room++
+		}
+	}
+	return serving > 0 && 2*room >= serving
+}
+
 // ClaimsRewritten reports whether every other entry VM has rewritten its claims in an era of the
 // platform. One that has never sent a heartbeat has not.
 func (m *Members) ClaimsRewritten(e api.Era) bool {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -54,6 +54,8 @@
 	Claims    *claims.Claimer
 	Explain   *explain.Recorder
 	Group     *duty.Group
+	// Link tells whether the network link has room; nil if it always has.
+	Link Link
 	// Deadlines cancels requests at their deadlines. If it is nil, New creates one that uses
 	// the boot clock.
 	Deadlines *clock.Deadlines
@@ -82,6 +84,9 @@
 
 // New creates a server for callers.
 func New(p Options) *Server {
+	if p.Link == nil {
+		p.Link = unboundedLink{}
+	}
 	if p.Deadlines == nil {
 		p.Deadlines = clock.NewDeadlines(clock.Boot)
 	}
@@ -101,10 +106,11 @@
 	r.Get(PathHealth, s.health)
 	r.Group(func(r chi.Router) {
 		r.Use(s.middleware)
-		r.Post(PathChat, s.chat)
+		streams, calls := r.With(s.limitTo(s.Link.AcceptsStream)), r.With(s.limitTo(s.Link.AcceptsCall))
+		streams.Post(PathChat, s.chat)
 		r.Get(PathChat+"/{request}", s.resume)
-		r.HandleFunc(PathServices+"/{service}", s.service)
-		r.HandleFunc(PathServices+"/{service}/*", s.service)
+		calls.HandleFunc(PathServices+"/{service}", s.service)
+		calls.HandleFunc(PathServices+"/{service}/*", s.service)
 	})
 	r.NotFound(func(w http.ResponseWriter, _ *http.Request) {
 		wire.Refuse(w, fault.New(fault.UnknownPath, "no such path"), "")
@@ -123,6 +129,10 @@
 		wire.Refuse(w, f, "")
 		return
 	}
+	if s.Link.TurnsAway() {
+		wire.Refuse(w, errNoBandwidth, "")
+		return
+	}
 	w.WriteHeader(http.StatusOK)
 }
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -167,6 +167,9 @@
 		if m, f := d.AttemptFailed(o, err, ctx.Err() != nil, s.allowRetry); m == decide.Fail {
 			return nil, f
 		}
+		if s.delayedByLink(err) {
+			return nil, d.Fault(fault.BandwidthShort, err, "the network link of this entry VM is overloaded").WithRetryAfter(errNoBandwidth.RetryAfter)
+		}
 		if o == decide.Unreached && c.permit != nil {
 			c.permit.MarkUnsent()
 		}
@@ -207,7 +210,7 @@
 func (s *Server) releaseServer(n api.ServerName, err error) {
 	s.serverMutex.Lock()
 	defer s.serverMutex.Unlock()
-	s.servers.Done(time.Now(), n, err != nil)
+	s.servers.Done(time.Now(), n, err != nil && !s.delayedByLink(err))
 }
 
 // sendAttempt sends the call to one server.
--- a/internal/heartbeat/heartbeat.go
+++ b/internal/heartbeat/heartbeat.go
@@ -156,6 +156,13 @@
 	return t.members.ServingCount()
 }
 
+// HaveRoom reports whether at least half of the other entry VMs that serve have room for more callers.
+func (t *Tracker) HaveRoom() bool {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.members.HaveRoom()
+}
+
 // MaxConfigVersion returns the highest configuration version in force at a live peer.
 func (t *Tracker) MaxConfigVersion() api.Version {
 	t.mutex.Lock()
--- a/internal/link/callers.go
+++ b/internal/link/callers.go
@@ -17,7 +17,18 @@
 		if err != nil {
 			return nil, err
 		}
-		return &callerListener{x, l}, nil
+		return &callerListener{x, l, true}, nil
+	}
+}
+
+// CountCallers returns a function that listens for callers like f, and takes all of their connections.
+func (l *Link) CountCallers(f ListenFunc) ListenFunc {
+	return func(ctx context.Context, address string) (net.Listener, error) {
+		x, err := f(ctx, address)
+		if err != nil {
+			return nil, err
+		}
+		return &callerListener{x, l, false}, nil
 	}
 }
 
@@ -25,6 +36,8 @@
 type callerListener struct {
 	net.Listener
 	link *Link
+	// turnsAway is set if connections are closed unread while there is no room.
+	turnsAway bool
 }
 
 func (x *callerListener) Accept() (net.Conn, error) {
@@ -34,7 +47,7 @@
 			return nil, err
 		}
 		y := &callerConn{c, x.link}
-		if x.link.takeCaller(y) {
+		if !x.turnsAway || x.link.takeCaller(y) {
 			return y, nil
 		}
 		x.link.Metrics.Add(metric.ConnectionsTurnedAway, 1)
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -109,6 +109,13 @@
 	return l.admission.HasRoom()
 }
 
+// AcceptsCall reports whether a request is taken that is no stream.
+func (l *Link) AcceptsCall() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.admission.Accepts(time.Now())
+}
+
 // AcceptsStream reports whether a stream is taken whose request has been read.
 func (l *Link) AcceptsStream() bool {
 	l.mutex.Lock()
--- a/internal/node/context.go
+++ b/internal/node/context.go
@@ -21,6 +21,7 @@
 	"github.com/wardridge/wardridge/internal/heartbeat"
 	"github.com/wardridge/wardridge/internal/leader"
 	"github.com/wardridge/wardridge/internal/lifecycle"
+	"github.com/wardridge/wardridge/internal/link"
 	"github.com/wardridge/wardridge/internal/metric"
 	"github.com/wardridge/wardridge/internal/objectapi"
 	"github.com/wardridge/wardridge/internal/orders"
@@ -42,6 +43,7 @@
 	Owner     lease.Owner
 	Explain   *explain.Recorder
 
+	Link            *link.Link
 	Platform        *objectapi.Client
 	Engines         *engine.Client
 	Peers           *peer.Client
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,6 +42,7 @@
 		ConfigKept:    c.Follower.Retained(),
 		ClaimsEra:     c.Claims.RewrittenEra(),
 		InFlight:      c.Lifecycle.InFlight(),
+		NoRoom:        !c.Link.HasRoom(),
 		Contents:      c.Contents.AllReports(),
 		Limits:        c.Entry.Limits(),
 		Leaving:       c.Entry.AnnouncedLeaving(),
@@ -93,6 +94,7 @@
 
 // tick ends the waits of requests that have timed out and updates the metrics.
 func (c *Context) tick(context.Context) {
+	c.Link.Update()
 	c.Broker.Tick()
 	c.Metrics.Set(metric.RequestsWaiting, int64(c.Broker.Waiting()))
 	c.Metrics.Set(metric.RequestsInFlight, int64(c.Lifecycle.InFlight()))
--- a/internal/node/start.go
+++ b/internal/node/start.go
@@ -14,6 +14,7 @@
 	"github.com/wardridge/wardridge/internal/contents"
 	"github.com/wardridge/wardridge/internal/control"
 	"github.com/wardridge/wardridge/internal/decide/admit"
+	"github.com/wardridge/wardridge/internal/decide/bandwidth"
 	"github.com/wardridge/wardridge/internal/decide/config"
 	"github.com/wardridge/wardridge/internal/decide/dispatch"
 	"github.com/wardridge/wardridge/internal/decide/lease"
@@ -29,6 +30,7 @@
 	"github.com/wardridge/wardridge/internal/heartbeat"
 	"github.com/wardridge/wardridge/internal/leader"
 	"github.com/wardridge/wardridge/internal/lifecycle"
+	"github.com/wardridge/wardridge/internal/link"
 	"github.com/wardridge/wardridge/internal/objectapi"
 	"github.com/wardridge/wardridge/internal/orders"
 	"github.com/wardridge/wardridge/internal/peer"
@@ -64,6 +66,11 @@
 const peerTimeout = 1500 * time.Millisecond
 
 func (clients) Run(c *Context) error {
+	c.Link = link.New(link.Options{
+		Capacity: bandwidth.FromMbps(c.Settings.Entry.LinkMbps), Share: c.Settings.Entry.LinkShare,
+		PeersHaveRoom: func() bool { return c.Heartbeats.HaveRoom() }, Log: c.Log, Metrics: c.Metrics,
+	})
+	c.Machine.Dial, c.Machine.Listen = c.Link.Dial(c.Machine.Dial), c.Link.Listen(c.Machine.Listen)
 	var closer func()
 	c.KeepAliveClient, closer = wire.NewClientWithDial(c.Machine.Dial, true)
 	c.cleanup(closer)
@@ -159,7 +166,7 @@
 		Settings: c.Settings, Log: c.Log, Metrics: c.Metrics, Lifecycle: c.Lifecycle,
 		View: func() *config.View { return c.Follower.View() }, Broker: c.Broker,
 		Engines: c.Engines, Claims: c.Claims, Explain: c.Explain, Group: c.Group, Contents: c.Contents, Deadlines: c.Deadlines,
-		KeepAliveClient: c.KeepAliveClient, SingleUseClient: c.SingleUseClient,
+		Link: c.Link, KeepAliveClient: c.KeepAliveClient, SingleUseClient: c.SingleUseClient,
 	})
 	c.Follower = follow.New(c.Platform, c.Lifecycle, c.Log, c.Metrics, c.Settings.Platform.WatchWaitMS.Duration(), c.applyView, c.Poller.SetView, c.Entry.Declare)
 	c.Heartbeats = heartbeat.New(c.localHeartbeat, c.catchUp, c.mergeHeartbeat, c.Peers, c.Log, c.Metrics)
@@ -168,9 +175,12 @@
 	return nil
 }
 
-// handleEngineLost records that an engine can't be reached. A refused connection also
-// confirms that the engine has crashed.
+// handleEngineLost records that an engine can't be reached, unless the link of this entry VM is overloaded
+// and delays its answers. A refused connection also confirms that the engine has crashed.
 func (c *Context) handleEngineLost(n api.ServerName, err error) {
+	if port.TimedOut(err) && c.Link.Overloaded() {
+		return
+	}
 	c.Broker.MarkUnreachable(n)
 	if port.ConnectionRefused(err) {
 		c.Contents.RecordCrash(n)
@@ -240,8 +250,13 @@
 	if c.ControlServer, err = c.listen(c.Settings.Node.Control, c.Control.Handler(), w); err != nil {
 		return err
 	}
-	c.CallerServer, err = c.listen(c.Settings.Node.Listen, c.Entry.Handler(), w)
-	return err
+	c.CallerServer = newServer(c.Entry.Handler(), w, c.Link.TrackCaller)
+	closer, err := serve(c, c.Link.CountCallers(c.Machine.Listen), c.Group, c.Settings.Node.Listen, c.CallerServer)
+	if err != nil {
+		return err
+	}
+	c.cleanup(closer)
+	return nil
 }
 
 func (c *Context) listen(address string, h http.Handler, wait time.Duration) (*http.Server, error) {
