fix(dispatch): one answer to a request whose deadline passes in the queue

Callers got queue_timeout or deadline_passed for the same end: Tick answers every expired wait with queue_timeout, also one that ends at the request's own deadline, when it comes before the request's timer (about one of 700 runs of TestNotRunRefusalsStartNoGeneration/deadline_while_waiting). TestWaitEndsAtDeadline: got 2002, want 2003 before.

--- a/internal/decide/dispatch/dispatch.go
+++ b/internal/decide/dispatch/dispatch.go
@@ -261,6 +261,9 @@
 	for _, p := range d.waitingPools() {
 		for _, w := range d.queues[p].Expire(now) {
 			f := fault.New(fault.QueueTimeout, "no engine had capacity in time")
+			if !now.Before(w.Deadline) {
+				f = fault.New(fault.DeadlinePassed, "the deadline passed before an engine had capacity")
+			}
 			out = append(out, d.refuse(w.Request, f))
 		}
 	}
--- a/internal/decide/dispatch/dispatch_test.go
+++ b/internal/decide/dispatch/dispatch_test.go
@@ -128,6 +128,18 @@
 	}
 }
 
+// A wait that the deadline ends must not be answered like one that the queue's own limit ends.
+func TestWaitEndsAtDeadline(t *testing.T) {
+	d := fleet(options(1, 10), 1)
+	d.Submit(epoch, work(0))
+	w := work(1)
+	w.Deadline = epoch.Add(40 * time.Millisecond)
+	d.Submit(epoch, w)
+	if got := code(d.Tick(w.Deadline)); got != fault.DeadlinePassed {
+		t.Errorf("code: got %d, want %d", got, fault.DeadlinePassed)
+	}
+}
+
 func TestWaitEndsAtQueueTimeout(t *testing.T) {
 	d := fleet(options(1, 10), 1)
 	d.Submit(epoch, work(0))
