fix(platform): a late second answer to an order is not taken for the next one's

Cause: orders and reports went out over kept connections without an id, so that the first answer to arrive was taken, and after a wrong one the connection went back to the pool with the true one still to come.

Engines' orders on the own interface carry no id yet; what an answer names (events so far) is not compared with the run.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -98,7 +98,8 @@
 			return r, nil
 		}
 		// This answer belongs to an earlier request on the connection; the one to this request
-		// follows.
+		// follows. More of them may come later.
+		n.strayed = true
 		if _, err := io.Copy(io.Discard, io.LimitReader(r.Body, maxStaleAnswerBytes)); err != nil {
 			return nil, readFault(err)
 		}
