--- a/fleet/bandwidth_test.go
+++ b/fleet/bandwidth_test.go
@@ -131,18 +131,18 @@
 
 // read returns bytes that have arrived. If there are none, it returns when to try again and a channel that
 // is closed before if the stream changes.
-func (s *stream) read(p []byte) (n int, err error, at time.Time, changed <-chan struct{}) {
+func (s *stream) read(p []byte) (n int, at time.Time, changed <-chan struct{}, err error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	switch {
 	case s.reset:
-		return 0, syscall.ECONNRESET, at, nil
+		return 0, at, nil, syscall.ECONNRESET
 	case len(s.chunks) == 0 && s.closed:
-		return 0, io.EOF, at, nil
+		return 0, at, nil, io.EOF
 	case len(s.chunks) == 0:
-		return 0, nil, time.Time{}, s.changed
+		return 0, time.Time{}, s.changed, nil
 	case time.Now().Before(s.chunks[0].at):
-		return 0, nil, s.chunks[0].at, s.changed
+		return 0, s.chunks[0].at, s.changed, nil
 	}
 	n = copy(p, s.chunks[0].data)
 	s.chunks[0].data = s.chunks[0].data[n:]
@@ -152,20 +152,20 @@
 	s.size -= n
 	close(s.changed)
 	s.changed = make(chan struct{})
-	return n, nil, at, nil
+	return n, at, nil, nil
 }
 
 // write takes as many bytes as the window has room for. If there is none, it returns a channel that is
 // closed when the stream changes.
-func (s *stream) write(p []byte) (int, error, <-chan struct{}) {
+func (s *stream) write(p []byte) (int, <-chan struct{}, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.reset || s.closed {
-		return 0, syscall.EPIPE, nil
+		return 0, nil, syscall.EPIPE
 	}
 	n := min(len(p), windowBytes-s.size)
 	if n == 0 {
-		return 0, nil, s.changed
+		return 0, s.changed, nil
 	}
 	s.chunks = append(s.chunks, chunk{s.carry(n), append([]byte(nil), p[:n]...)})
 	s.size += n
@@ -197,7 +197,7 @@
 			return 0, os.ErrDeadlineExceeded
 		default:
 		}
-		n, err, at, changed := c.in.read(p)
+		n, at, changed, err := c.in.read(p)
 		if n > 0 || err != nil || len(p) == 0 {
 			return n, err
 		}
@@ -218,7 +218,7 @@
 			return sent, os.ErrDeadlineExceeded
 		default:
 		}
-		n, err, changed := c.out.write(p[sent:])
+		n, changed, err := c.out.write(p[sent:])
 		sent += n
 		if err != nil {
 			return sent, err
--- a/internal/decide/bandwidth/admission.go
+++ b/internal/decide/bandwidth/admission.go
@@ -12,8 +12,8 @@
 	// youngMargin is how far requests whose traffic is not measured yet may take the forecast beyond the part
 	// of the capacity that is given to callers: while others end, not all of their traffic adds to it.
 	youngMargin = 0.15
-	// clearMargin is how far below the share the use has to fall before callers are taken again.
-	clearMargin = 0.15
+	// clearShare is the part of the share below which the use has to fall before callers are taken again.
+	clearShare = 0.8
 	// youngTime is the time until a request's traffic is in the measured rates: a stream sends little
 	// before its first event.
 	youngTime = time.Second + meterWindow
@@ -66,14 +66,14 @@
 	return changed
 }
 
-// Begin takes a request or a new connection, which is not asked for with Accepts. End ends it.
+// Begin counts a request, or a new connection ahead of its request, as taken.
 func (a *Admission) Begin(now time.Time) {
 	a.active++
 	a.young = append(a.young, now)
 	a.update(now)
 }
 
-// End ends a request or connection that began at a time.
+// End counts what began at a time as finished.
 func (a *Admission) End(began time.Time) {
 	a.active--
 	if i, ok := slices.BinarySearchFunc(a.young, began, time.Time.Compare); ok {
@@ -145,7 +145,7 @@
 	switch {
 	case !a.below(now, a.share):
 		a.turnsAway = true
-	case a.below(now, a.share-clearMargin):
+	case a.below(now, clearShare*a.share):
 		a.turnsAway = false
 	}
 }
--- a/internal/decide/bandwidth/doc.go
+++ b/internal/decide/bandwidth/doc.go
@@ -1,2 +1,3 @@
-// Package bandwidth decides what an entry VM knows of the use of its network link, and what follows from it.
+// Package bandwidth measures how much of its network link an entry VM uses, and decides which callers it takes
+// so that the link carries them.
 package bandwidth
--- a/internal/link/callers.go
+++ b/internal/link/callers.go
@@ -1,7 +1,6 @@
 package link
 
 import (
-	"context"
 	"net"
 	"net/http"
 	"time"
@@ -12,24 +11,12 @@
 // ListenCallers returns a function that listens for callers like f. Their connections are closed unread
 // while the link has no room for their requests.
 func (l *Link) ListenCallers(f ListenFunc) ListenFunc {
-	return func(ctx context.Context, address string) (net.Listener, error) {
-		x, err := f(ctx, address)
-		if err != nil {
-			return nil, err
-		}
-		return &callerListener{x, l, true}, nil
-	}
+	return wrap(f, func(x net.Listener) net.Listener { return &callerListener{x, l, true} })
 }
 
 // CountCallers returns a function that listens for callers like f, and takes all of their connections.
 func (l *Link) CountCallers(f ListenFunc) ListenFunc {
-	return func(ctx context.Context, address string) (net.Listener, error) {
-		x, err := f(ctx, address)
-		if err != nil {
-			return nil, err
-		}
-		return &callerListener{x, l, false}, nil
-	}
+	return wrap(f, func(x net.Listener) net.Listener { return &callerListener{x, l, false} })
 }
 
 // callerListener accepts the connections of callers.
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -65,12 +65,17 @@
 
 // Listen returns a function that listens like f.
 func (l *Link) Listen(f ListenFunc) ListenFunc {
+	return wrap(f, func(x net.Listener) net.Listener { return &listener{x, l} })
+}
+
+// wrap returns a function that listens like f and wraps the listener.
+func wrap(f ListenFunc, with func(net.Listener) net.Listener) ListenFunc {
 	return func(ctx context.Context, address string) (net.Listener, error) {
 		x, err := f(ctx, address)
 		if err != nil {
 			return nil, err
 		}
-		return &listener{x, l}, nil
+		return with(x), nil
 	}
 }
 
