fix(gateway): a planned stop admits only requests that finish before the process ends

Cause: decide/drain estimated the time of an answer from constants, 1 s and 14 ms a token for a stream, 1.5 s for a call, whatever the engines, the targets of the route and the deadline. Class: a duration that is known is replaced by a constant. Within 2.5 s of the signal it also trusted three times the expected length, which is often far off.

Now a request is admitted if it ends by its own deadline before the process does, or if the targets of its route and twice the slowest recent request of that route leave time for its longest possible answer, whichever is longer. Everything else is refused at once as not run.

Evidence: stop_admitted showed 1.9 to 2.4 s left for answers of 2.7 s.

Tests changed with their rule: the table of decide/drain is replaced by one with deadlines, targets and observations at their exact bounds. Its cases that admit by expected length are gone, since such an answer may outlast the process. A call with a deadline 13 s after the end counted as served in TestReadyOnlyWithConfigurationAndBeforeStop; it is refused now, and one that ends in time is served.

--- a/internal/decide/drain/doc.go
+++ b/internal/decide/drain/doc.go
@@ -1,3 +1,3 @@
 // Package drain decides which requests an entry VM still admits during a planned stop: only
-// those that will finish before the process ends.
+// those that finish before the process ends.
 package drain
--- a/internal/decide/drain/drain.go
+++ b/internal/decide/drain/drain.go
@@ -6,23 +6,8 @@
 	"github.com/wardridge/wardridge/internal/api"
 )
 
-const (
-	// timePerToken is a conservative estimate of the time an engine takes for one token. At
-	// a full batch a step takes about 10 ms, and longer beside long prompts.
-	timePerToken = 14 * time.Millisecond
-	// timeToFirstToken is a conservative estimate of the time until the first token.
-	timeToFirstToken = time.Second
-	// lengthMargin is the factor by which an answer may be longer than expected: estimates
-	// of the length are right at the median and often far off.
-	lengthMargin = 3
-	// estimateTrustTime is how long after the stop signal an estimated length is trusted.
-	// Callers are directed to other entry VMs within two seconds. A stream that still
-	// arrives after this time is admitted only if its longest possible answer finishes in
-	// time, since estimates were off by more than a factor of five.
-	estimateTrustTime = 2500 * time.Millisecond
-	// maxCallTime is the time allowed for a call of a plain service.
-	maxCallTime = 1500 * time.Millisecond
-)
+// margin is the factor by which a request may take longer than the slowest one observed.
+const margin = 2
 
 // Stop is a planned stop in progress.
 type Stop struct {
@@ -32,18 +17,49 @@
 	End time.Time
 }
 
-// AdmitsStream reports whether a stream will finish before the process ends. Its answer is
-// expected to have the given number of tokens, zero if unknown, and never has more than
-// limit.
-func (s Stop) AdmitsStream(now time.Time, expected, limit api.Tokens) bool {
-	maxLength := limit
-	if expected > 0 && lengthMargin*expected < limit && now.Sub(s.Start) < estimateTrustTime {
-		maxLength = lengthMargin * expected
+// Request holds what bounds the time that a request takes once it is sent to a server.
+type Request struct {
+	// Deadline is when the request ends by the deadline of its caller or the timeout of its route.
+	Deadline time.Time
+	// Stream is set if the answer is a stream of events. Events is the largest number of them, zero if
+	// unknown.
+	Stream bool
+	Events int
+	// LatencyTarget and GapTarget are the targets of the route, zero for none.
+	LatencyTarget, GapTarget time.Duration
+	// Observed is what was observed of the requests of the same route.
+	Observed Observed
+}
+
+// Admits reports whether a request that is sent now finishes before the process ends: by its deadline,
+// or by the targets of its route and the times observed, whichever are longer.
+func (s Stop) Admits(now time.Time, r Request) bool {
+	if !r.Deadline.After(s.End) {
+		return true
+	}
+	d, ok := r.longest()
+	return ok && !now.Add(d).After(s.End)
+}
+
+// longest returns the longest time that the request is expected to take. It is unknown without
+// observations, since a target alone does not bound late answers.
+func (r Request) longest() (time.Duration, bool) {
+	o := r.Observed
+	first := max(r.LatencyTarget, margin*o.First)
+	switch {
+	case o.Answers < minSamples:
+		return 0, false
+	case !r.Stream:
+		return first, true
+	case r.Events <= 0 || o.Streams < minSamples:
+		return 0, false
 	}
-	return now.Add(timeToFirstToken + time.Duration(maxLength)*timePerToken).Before(s.End)
+	return first + time.Duration(r.Events-1)*max(r.GapTarget, margin*o.Gap), true
 }
 
-// AdmitsCall reports whether a call of a plain service will finish before the process ends.
-func (s Stop) AdmitsCall(now time.Time) bool {
-	return now.Add(maxCallTime).Before(s.End)
+// EventCount returns the number of events that hold an answer of at most the given number of tokens;
+// zero if that is unknown.
+func EventCount(limit api.Tokens, tokensPerEvent int) int {
+	n := max(1, tokensPerEvent)
+	return (int(limit) + n - 1) / n
 }
--- a/internal/decide/drain/drain_test.go
+++ b/internal/decide/drain/drain_test.go
@@ -8,42 +8,97 @@
 	"github.com/wardridge/wardridge/internal/decide/drain"
 )
 
-// A stream that is admitted too late is cut off when the process ends, as a stream of 230
-// events was that arrived 4 s after the stop signal.
-func TestAdmitsOnlyStreamsThatFinishInTime(t *testing.T) {
-	start := time.Unix(100, 0)
-	s := drain.Stop{Start: start, End: start.Add(7600 * time.Millisecond)}
-	tests := []struct {
-		name            string
-		after           time.Duration
-		expected, limit api.Tokens
-		want            bool
-	}{
-		{"long answer at the signal", 0, 900, 2184, false},
-		{"long answer late", 4 * time.Second, 900, 2184, false},
-		{"short answer at the signal", 0, 14, 48, true},
-		{"short answer late", 4 * time.Second, 14, 48, true},
-		{"short answer at the end", 7 * time.Second, 14, 48, false},
-		{"unknown length counts as the limit", 0, 0, 2184, false},
-		{"estimate that may be far off", 0, 160, 2184, false},
-		{"short estimate at the signal", 0, 60, 2184, true},
-		{"short estimate after callers had time to switch to another VM", 3700 * time.Millisecond, 60, 2184, false},
+var start = time.Unix(100, 0)
+
+func after(ms int) time.Time {
+	return start.Add(time.Duration(ms) * time.Millisecond)
+}
+
+// observe records n answers and streams of a route.
+func observe(n int, first, gap time.Duration) drain.Observed {
+	r := drain.NewRecorder()
+	for range n {
+		r.RecordFirst(start, "r", first)
+		r.RecordGap(start, "r", gap)
+	}
+	return r.Observed(start, "r")
+}
+
+// A request that is admitted too late is cut off when the process ends.
+func TestAdmitsOnlyWhatFinishesInTime(t *testing.T) {
+	const targetFirst, targetGap = 1500 * time.Millisecond, 180 * time.Millisecond
+	s := drain.Stop{Start: start, End: after(7600)}
+	fast, slow, few := observe(20, 300*time.Millisecond, 20*time.Millisecond), observe(20, 2*time.Second, 300*time.Millisecond), observe(3, time.Millisecond, time.Millisecond)
+	stream := func(o drain.Observed) drain.Request {
+		return drain.Request{Stream: true, Events: 12, LatencyTarget: targetFirst, GapTarget: targetGap, Observed: o}
 	}
-	for _, c := range tests {
+	call := func(o drain.Observed) drain.Request {
+		return drain.Request{LatencyTarget: 100 * time.Millisecond, Observed: o}
+	}
+	endless := stream(fast)
+	endless.Events = 0
+	long := stream(fast)
+	long.Events = 546
+	for _, c := range []struct {
+		name     string
+		sent     int
+		deadline int
+		request  drain.Request
+		want     bool
+	}{
+		{"deadline before the end", 7000, 7600, stream(slow), true},
+		{"deadline before the end, nothing known", 1000, 7000, stream(drain.Observed{}), true},
+		{"deadline after the end, nothing known", 0, 7601, stream(drain.Observed{}), false},
+		{"deadline after the end, few observations", 0, 60_000, stream(few), false},
+		{"targets end before the process", 4120, 60_000, stream(fast), true},
+		{"targets end after the process", 4121, 60_000, stream(fast), false},
+		{"slower than the targets", 0, 60_000, stream(slow), false},
+		{"unknown length", 0, 60_000, endless, false},
+		{"long answer", 0, 60_000, long, false},
+		{"fast call", 7000, 60_000, call(fast), true},
+		{"fast call near the end", 7001, 60_000, call(fast), false},
+		{"slow call", 3600, 60_000, call(slow), true},
+		{"slow call near the end", 3601, 60_000, call(slow), false},
+		{"call, nothing known", 0, 60_000, call(drain.Observed{}), false},
+	} {
 		t.Run(c.name, func(t *testing.T) {
-			if got := s.AdmitsStream(start.Add(c.after), c.expected, c.limit); got != c.want {
+			c.request.Deadline = after(c.deadline)
+			if got := s.Admits(after(c.sent), c.request); got != c.want {
 				t.Errorf("got %v, want %v", got, c.want)
 			}
 		})
 	}
 }
 
-func TestAdmitsOnlyCallsThatFinishInTime(t *testing.T) {
-	s := drain.Stop{End: time.Unix(100, 0)}
-	if got := s.AdmitsCall(time.Unix(97, 0)); !got {
-		t.Error("3 s before the end: got false, want true")
+func TestEventCount(t *testing.T) {
+	for _, c := range []struct{ limit, perEvent, want int }{{48, 4, 12}, {49, 4, 13}, {7, 0, 7}, {0, 4, 0}} {
+		if got := drain.EventCount(api.Tokens(c.limit), c.perEvent); got != c.want {
+			t.Errorf("%d tokens, %d an event: got %d, want %d", c.limit, c.perEvent, got, c.want)
+		}
+	}
+}
+
+func TestRecorderKeepsTheLongestRecentTimes(t *testing.T) {
+	r := drain.NewRecorder()
+	r.RecordFirst(start, "r", 2*time.Second)
+	r.RecordFirst(start, "other", 9*time.Second)
+	r.RecordGap(after(29_000), "r", 50*time.Millisecond)
+	r.RecordFirst(after(40_000), "r", time.Second)
+	for _, c := range []struct {
+		at   int
+		want drain.Observed
+	}{
+		{40_000, drain.Observed{Answers: 2, First: 2 * time.Second, Streams: 1, Gap: 50 * time.Millisecond}},
+		{75_000, drain.Observed{Answers: 1, First: time.Second}},
+		{200_000, drain.Observed{}},
+	} {
+		if got := r.Observed(after(c.at), "r"); got != c.want {
+			t.Errorf("after %d ms: got %+v, want %+v", c.at, got, c.want)
+		}
 	}
-	if got := s.AdmitsCall(time.Unix(99, 0)); got {
-		t.Error("1 s before the end: got true, want false")
+	r.RecordFirst(after(200_000), "r", time.Second)
+	r.Retain(func(n string) bool { return n != "r" })
+	if got, want := r.Observed(after(200_000), "r"), (drain.Observed{}); got != want {
+		t.Errorf("after the route was removed: got %+v, want %+v", got, want)
 	}
 }
--- a/internal/gateway/admission.go
+++ b/internal/gateway/admission.go
@@ -55,6 +55,7 @@
 	defer g.mutex.Unlock()
 	g.Retries.Prune(configured)
 	g.picker.Fragile.Forget(configured)
+	g.durations.Retain(func(route string) bool { return routes[route] })
 	for n, a := range g.admissions {
 		a.backlog.RetainRoutes(func(route string) bool { return routes[route] })
 		if !configured(n) && a.backlog.Len() == 0 {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -45,6 +45,7 @@
 		return
 	}
 	v.release()
+	g.recordFirstAnswer(q)
 	g.answerWhole(q, v)
 }
 
@@ -130,6 +131,9 @@
 			return serverAnswer{answer: a, server: s, reservation: p.reservation, backup: b}, nil
 		}
 		p.release()
+		if err != nil && port.TimedOut(err) {
+			g.recordFirstAnswer(q)
+		}
 		if err == nil {
 			g.recordOutcome(s, placement.Failed)
 			failed = &a
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -99,6 +99,8 @@
 	// much the boot clock is ahead of the ordinary clock.
 	timesLeft []time.Duration
 	bootAhead time.Duration
+	// answerTime is how long a plain server takes for an answer, if it is set.
+	answerTime time.Duration
 }
 
 func newFakeServers() *fakeServers {
@@ -116,6 +118,9 @@
 }
 
 func (f *fakeServers) Send(ctx context.Context, a port.Attempt) (port.Answer, error) {
+	if f.answerTime > 0 {
+		return f.answerLate(ctx, a)
+	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	n := string(a.Server.Name)
@@ -137,6 +142,14 @@
 	return f.open(ctx, a)
 }
 
+// answerLate answers a call after answerTime.
+func (f *fakeServers) answerLate(ctx context.Context, a port.Attempt) (port.Answer, error) {
+	if !duty.Sleep(ctx, f.answerTime) {
+		return port.Answer{}, fault.Wrap(fault.OutcomeUnknown, ctx.Err(), "no answer")
+	}
+	return port.Answer{Head: port.Head{Status: http.StatusOK}, Body: []byte(a.Server.Name)}, nil
+}
+
 // sent counts the sends so far.
 func (f *fakeServers) sent() int {
 	f.mutex.Lock()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -111,6 +111,8 @@
 	runs map[api.ServerName]map[*run]bool
 	// admissions holds the waiting requests and the observations of servers, by service.
 	admissions map[api.ServiceName]*admission
+	// durations holds the longest times of recent requests by route.
+	durations *drain.Recorder
 	// domains holds the load reports of the allocators of other failure domains, and contacts
 	// the allocators that failed to answer.
 	domains      *placement.RemotePools
@@ -170,7 +172,7 @@
 	g := &Gateway{
 		domains: placement.NewRemotePools(), reachability: holder.NewReachability(), reports: holder.NewReportSchedule(), observations: holder.NewObservations(), speedSamples: speed.NewRecorder(), speeds: speed.New(), planners: map[api.ServiceName]*role.Planner{}, incarnation: api.Incarnation(p.Seed),
 		Options: p, roster: roster.New(), picker: placement.NewPicker(rand.NewPCG(p.Seed, 0)), lender: fragile.NewLender(),
-		active: map[*request]bool{}, runs: map[api.ServerName]map[*run]bool{}, admissions: map[api.ServiceName]*admission{},
+		active: map[*request]bool{}, durations: drain.NewRecorder(), runs: map[api.ServerName]map[*run]bool{}, admissions: map[api.ServiceName]*admission{},
 		retryReports: retry.NewReports(), roomWaits: map[api.ServiceName]int{}, queryResults: silence.NewResultCache(), leaveQueries: leavequery.New(), watchdog: newWatchdog(),
 		bodies: newBodyMemory(p.Memory, p.Metrics), rollouts: rollout.New(p.Rollouts, rand.NewPCG(p.Seed, 1)), rolloutVersions: map[api.RolloutID]api.Version{},
 	}
@@ -267,6 +269,7 @@
 	defer stop()
 	defer q.answerHold.Release()
 	defer g.begin(q)()
+	g.logStopAdmission(q)
 	q.cutOff = g.Paths.CutOff(q.service.Name)
 	if q.route.Kind == directory.Stream {
 		g.stream(ctx, q)
@@ -319,13 +322,14 @@
 	if f != nil {
 		return q, f
 	}
-	if f := g.checkStop(r, x); f != nil {
+	q.service, q.regions, q.timeout = v, regions, requestTimeout(x.Timeout, r.MaxWait)
+	if f := g.checkStop(q); f != nil {
 		return q, f
 	}
 	if f := g.checkLink(x); f != nil {
 		return q, f
 	}
-	q.service, q.regions, q.answerHold, q.timeout = v, regions, g.holdAnswer(), requestTimeout(x.Timeout, r.MaxWait)
+	q.answerHold = g.holdAnswer()
 	return q, g.Contents.Check(q.content)
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -380,9 +380,16 @@
 		b.fake.answers["p1"] = []any{200}
 		b.fake.answers["p2"] = []any{200}
 		k = caller{}
-		b.Handle(context.Background(), request("/unsafe/1"), &k)
+		r := request("/unsafe/1")
+		r.MaxWait = 6 * time.Second
+		b.Handle(context.Background(), r, &k)
 		if k.status != http.StatusOK {
-			t.Errorf("call at a stopping VM: got %d, want 200", k.status)
+			t.Errorf("call that ends before the stop: got %d, want 200", k.status)
+		}
+		k = caller{}
+		b.Handle(context.Background(), request("/unsafe/1"), &k)
+		if k.fault == nil || k.fault.Code != fault.Stopping {
+			t.Errorf("call that may last longer than the stop: got %v, want a refusal", k.fault)
 		}
 	})
 }
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -240,6 +240,18 @@
 	return r.server, r.timing.lastEvent.Sub(r.timing.firstHere) / time.Duration(n-1)
 }
 
+// meanGap returns the mean time between the events of a run, moves included; false for a run with less
+// than two events.
+func (r *run) meanGap() (time.Duration, bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	n := r.events.Count()
+	if n < 2 {
+		return 0, false
+	}
+	return r.timing.lastEvent.Sub(r.request.Arrived.Add(r.timing.firstEvent)) / time.Duration(n-1), true
+}
+
 // progress returns the id of the last event delivered and the number of events delivered.
 func (r *run) progress() (string, int) {
 	r.mutex.Lock()
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -9,7 +9,6 @@
 	"github.com/wardridge/wardridge/internal/decide/drain"
 	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/fault"
-	"github.com/wardridge/wardridge/internal/port"
 )
 
 // Stop makes the gateway not ready, ahead of the process's end at a given time. Requests that
@@ -27,21 +26,59 @@
 // another one.
 const stopRetryAfter = 50 * time.Millisecond
 
-// checkStop refuses a request that would be cut off at the end of a planned stop.
-func (g *Gateway) checkStop(r *port.Request, x *directory.Route) *fault.Error {
+// checkStop refuses a request that would be cut off at the end of a planned stop if it were sent now.
+func (g *Gateway) checkStop(q *request) *fault.Error {
 	s := g.stop.Load()
 	if s == nil {
 		return nil
 	}
-	accepts := s.AdmitsCall(time.Now())
-	if x.Kind == directory.Stream {
-		accepts = s.AdmitsStream(time.Now(), r.Prompt.ExpectedTokens, r.Prompt.MaxTokens)
-	}
-	if accepts {
-		g.Log.Emit(event.StopAdmitted, zap.String("request", string(r.ID)), zap.String("route", x.Name), zap.Duration("left", time.Until(s.End)), zap.Duration("allowed", requestTimeout(x.Timeout, r.MaxWait)))
+	now := time.Now()
+	if s.Admits(now, g.drainRequest(now, q)) {
 		return nil
 	}
-	return fault.New(fault.Stopping, "this entry VM is stopping and would end before the request").WithRetryAfter(stopRetryAfter)
+	return fault.New(fault.Stopping, "this entry VM is stopping and may end before the request").WithRetryAfter(stopRetryAfter)
+}
+
+// drainRequest returns what bounds the time of a request.
+func (g *Gateway) drainRequest(now time.Time, q *request) drain.Request {
+	x := drain.Request{
+		Deadline: q.Arrived.Add(q.timeout), Stream: q.route.Kind == directory.Stream,
+		LatencyTarget: q.route.LatencyTarget, GapTarget: q.route.GapTarget,
+	}
+	if e := q.service.Engine; e != nil {
+		x.Events = drain.EventCount(q.Prompt.MaxTokens, e.TokensPerEvent)
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	x.Observed = g.durations.Observed(now, q.route.Name)
+	return x
+}
+
+// recordFirstAnswer records the time from sending a request to its answer, or to the first event of its
+// stream.
+func (g *Gateway) recordFirstAnswer(q *request) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := time.Now()
+	g.durations.RecordFirst(now, q.route.Name, now.Sub(q.sentAt))
+}
+
+// recordMeanGap records the mean time between the events of a stream that has ended.
+func (g *Gateway) recordMeanGap(r *run) {
+	d, ok := r.meanGap()
+	if !ok {
+		return
+	}
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.durations.RecordGap(time.Now(), r.request.route.Name, d)
+}
+
+// logStopAdmission logs a request that is admitted during a planned stop.
+func (g *Gateway) logStopAdmission(q *request) {
+	if s := g.stop.Load(); s != nil {
+		g.Log.Emit(event.StopAdmitted, append(q.originFields(), zap.Duration("left", time.Until(s.End)), zap.Duration("allowed", q.timeout))...)
+	}
 }
 
 // LogCutOff logs the requests that the end of a planned stop cuts off.
--- /dev/null
+++ b/internal/gateway/stop_test.go
@@ -0,0 +1,89 @@
+package gateway_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/port"
+)
+
+// stopTime is the time from the stop signal to the end of the process in these tests.
+const stopTime = 7600 * time.Millisecond
+
+// arrivals sends one request each 100 ms from the stop signal on, up to the end of the process, and
+// returns the callers in order once all requests have ended.
+func (b *testGateway) arrivals(path string, maxWait time.Duration) (callers []*caller, ended []time.Time, end time.Time) {
+	end = time.Now().Add(stopTime)
+	b.Stop(end)
+	const interval = 100 * time.Millisecond
+	n := int(stopTime / interval)
+	callers, ended = make([]*caller, n), make([]time.Time, n)
+	for i := range n {
+		callers[i] = &caller{}
+		r := request(path)
+		r.ID, r.MaxWait, r.Prompt = api.RequestID(path+time.Duration(i).String()), maxWait, port.Prompt{Tokens: 300, MaxTokens: 48, ExpectedTokens: 14}
+		b.Group.Go(func(ctx context.Context) error {
+			b.Handle(ctx, r, callers[i])
+			ended[i] = time.Now()
+			return nil
+		})
+		time.Sleep(interval)
+	}
+	time.Sleep(time.Minute)
+	return callers, ended, end
+}
+
+// A request that a stopping VM admits must not be unfinished when the process ends.
+func TestPlannedStopCutsOffNothingThatItAdmits(t *testing.T) {
+	for _, c := range []struct {
+		name, path string
+		// gap is the time between the events of the engines, answer that of a call.
+		gap, answer time.Duration
+		maxWait     time.Duration
+		// known sets how many requests were served before the stop.
+		known int
+		// surely is the time left with which each request is served.
+		surely time.Duration
+	}{
+		{"fast engines", "/stream/", 10 * time.Millisecond, 0, 6 * time.Second, 20, 2500 * time.Millisecond},
+		{"slow engines within their targets", "/stream/", 175 * time.Millisecond, 0, 6 * time.Second, 20, 5 * time.Second},
+		{"slow engines, nothing known", "/stream/", 175 * time.Millisecond, 0, 6 * time.Second, 0, 6 * time.Second},
+		{"engines that miss their targets", "/stream/", 400 * time.Millisecond, 0, 39 * time.Second, 20, time.Minute},
+		{"fast calls", "/unsafe/", 0, 20 * time.Millisecond, 3 * time.Second, 20, 200 * time.Millisecond},
+		{"slow calls", "/unsafe/", 0, 2500 * time.Millisecond, 3 * time.Second, 20, 3 * time.Second},
+		{"slow calls, nothing known", "/unsafe/", 0, 2500 * time.Millisecond, 3 * time.Second, 0, 3 * time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeServers()
+				f.total, f.gap, f.answerTime = 12, c.gap, c.answer
+				b := newTestGateway(t, f, 0)
+				for range c.known {
+					b.send(c.path + "1")
+				}
+				callers, ended, end := b.arrivals(c.path, c.maxWait)
+				for i, k := range callers {
+					left := stopTime - time.Duration(i)*100*time.Millisecond
+					refusal := k.refused()
+					switch {
+					case refusal == nil && ended[i].After(end):
+						t.Errorf("with %v left: got a request unfinished at the end, want it finished or refused", left)
+					case refusal != nil && (refusal.Code != fault.Stopping || refusal.Ran != api.RanNo || refusal.RetryAfter == 0):
+						t.Errorf("with %v left: got refusal %v, want stopping, not run, with a Retry-After", left, refusal)
+					case refusal != nil && ended[i].Sub(end) > -left:
+						t.Errorf("with %v left: got a refusal after %v, want it at once", left, ended[i].Sub(end)+left)
+					case refusal != nil && left >= c.surely:
+						t.Errorf("with %v left: got %v, want the request served", left, refusal)
+					case refusal == nil && k.status != http.StatusOK:
+						t.Errorf("with %v left: got status %d, want 200", left, k.status)
+					}
+				}
+			})
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -82,6 +82,7 @@
 			q.sink.EndStream()
 			g.Contents.RecordAnswer(q.content, r.currentServer().Name)
 			g.observePace(r)
+			g.recordMeanGap(r)
 			g.finish(q, r.lateness(), r.logFields()...)
 			return
 		case ctx.Err() != nil || fault.Has(err, fault.CallerGone):
@@ -150,6 +151,7 @@
 	r.mutex.Unlock()
 	g.observeOutcome(r.request, s, false, time.Since(r.request.sentAt))
 	g.recordPrefill(l, r.request)
+	g.recordFirstAnswer(r.request)
 	l.recordPromptRead()
 	g.Metrics.Add(metric.FirstTokens, 1)
 	g.Metrics.Add(metric.FirstTokenMS, time.Since(r.request.Arrived).Milliseconds())
