fix(gateway): during a planned stop, check again before each send that a request can finish

A request that was admitted in time, then waited for capacity or was refused by its first server, was sent later and cut off with the process. One that waited when the stop began was never checked.

Cause: the time left was compared once, when the request arrived.

Now it is compared before each attempt; what no longer fits is refused as not run, or with an unknown outcome if an earlier attempt may have run.

TestPlannedStopSendsNothingAgainThatItCutsOff fails before (sent again 50 ms before the end, stream and call) and passes now.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -115,7 +115,7 @@
 		if p.fault != nil {
 			return preferAnswer(failed, p.fault)
 		}
-		if f := g.Contents.Check(q.content); f != nil {
+		if f := g.checkSend(q); f != nil {
 			p.release()
 			return preferAnswer(failed, c.Refusal(f))
 		}
@@ -157,6 +157,15 @@
 	}
 }
 
+// checkSend refuses an attempt whose content is quarantined, or that may outlast a planned stop: while the
+// request waited or was tried elsewhere, time has passed and a stop may have begun.
+func (g *Gateway) checkSend(q *request) *fault.Error {
+	if f := g.Contents.Check(q.content); f != nil {
+		return f
+	}
+	return g.checkStop(q)
+}
+
 // observeAttempt records the outcome of an attempt for the rollout of its service. That of a
 // stream is recorded with its first event, and a refusal or the end of the caller says nothing of
 // a version.
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -101,6 +101,9 @@
 	bootAhead time.Duration
 	// answerTime is how long a plain server takes for an answer, if it is set.
 	answerTime time.Duration
+	// refusals is how many more sends are refused, each after refusalTime.
+	refusalTime time.Duration
+	refusals    int
 }
 
 func newFakeServers() *fakeServers {
@@ -121,6 +124,10 @@
 	if f.answerTime > 0 {
 		return f.answerLate(ctx, a)
 	}
+	if f.takeRefusal() {
+		duty.Sleep(ctx, f.refusalTime)
+		return port.Answer{}, fault.New(fault.ServerRefused, "no capacity")
+	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	n := string(a.Server.Name)
@@ -142,6 +149,17 @@
 	return f.open(ctx, a)
 }
 
+// takeRefusal reports whether a send is to be refused after refusalTime.
+func (f *fakeServers) takeRefusal() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.refusals == 0 {
+		return false
+	}
+	f.refusals--
+	return true
+}
+
 // answerLate answers a call after answerTime.
 func (f *fakeServers) answerLate(ctx context.Context, a port.Attempt) (port.Answer, error) {
 	if !duty.Sleep(ctx, f.answerTime) {
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -87,3 +87,37 @@
 		})
 	}
 }
+
+// A request that was admitted in time must not be sent once it no longer finishes before the process ends.
+func TestPlannedStopSendsNothingAgainThatItCutsOff(t *testing.T) {
+	for _, path := range []string{"/stream/1", "/unsafe/1"} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeServers()
+				f.total = 12
+				b := newTestGateway(t, f, 9)
+				for range 20 {
+					b.send(path)
+				}
+				f.refusals, f.refusalTime = 1, stopTime-50*time.Millisecond
+				end := time.Now().Add(stopTime)
+				b.Stop(end)
+				sent := f.sent()
+				var k caller
+				r := request(path)
+				r.Prompt.MaxTokens = 48
+				b.Handle(context.Background(), r, &k)
+				x := k.refused()
+				if x == nil || x.Code != fault.Stopping || x.Ran != api.RanNo || x.RetryAfter == 0 {
+					t.Errorf("request refused by its first server 50 ms before the end: got %v, want stopping, not run, with a Retry-After", x)
+				}
+				if got := f.sent() - sent; got != 0 {
+					t.Errorf("sends after the refusal: got %d, want none", got)
+				}
+				if time.Now().After(end) {
+					t.Errorf("end of the request: got %v after the end of the process, want before", time.Since(end))
+				}
+			})
+		})
+	}
+}
