fix(gateway): answer the requests in flight at the end of a planned stop

What callers saw: a call that was still in flight when the process ended, such as one sent before the stop signal with a long deadline, got a closed connection instead of an answer. An answer or the last chunk of a stream that was being written at that moment could be lost as well, because the process did not wait for the handlers.

Cause: the end of the stop closed all connections while handlers ran.

Now the end cancels the contexts of all requests. Handlers answer 'not run' for what waited and 'unknown outcome' for what was sent, break off streams that have begun, and get 200 ms of the shutdown margin to write it.

--- a/internal/clock/deadline.go
+++ b/internal/clock/deadline.go
@@ -84,6 +84,15 @@
 	}
 }
 
+// Cancel ends all contexts with a cause.
+func (l *Deadlines) Cancel(cause error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for d := range l.active {
+		d.cancel(cause)
+	}
+}
+
 // AdvanceSuspended checks whether the VM was suspended since the last call, moves all
 // deadlines forward by the length of the suspension, and returns it.
 func (l *Deadlines) AdvanceSuspended() time.Duration {
--- a/internal/clock/deadline_test.go
+++ b/internal/clock/deadline_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/wardridge/wardridge/internal/clock"
+	"github.com/wardridge/wardridge/internal/fault"
 )
 
 // During a suspension of three seconds the boot clock moves ahead by as much. A deadline
@@ -63,3 +64,15 @@
 		t.Errorf("got %v, want the caller's cancellation", got)
 	}
 }
+
+func TestCancelEndsAllContextsWithCause(t *testing.T) {
+	l := clock.NewDeadlines(clock.Boot)
+	want := fault.New(fault.Stopping, "the process ends")
+	ctx, _, stop := l.Context(t.Context(), time.Now().Add(time.Hour))
+	defer stop()
+	l.Cancel(want)
+	<-ctx.Done()
+	if got := context.Cause(ctx); got != want {
+		t.Errorf("got %v, want %v", got, want)
+	}
+}
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -81,15 +81,20 @@
 	}
 }
 
-// LogCutOff logs the requests that the end of a planned stop cuts off.
-func (g *Gateway) LogCutOff() {
+// errProcessEnds is the cause with which the contexts of requests end at the end of a planned stop.
+var errProcessEnds = fault.New(fault.Stopping, "this entry VM ended before the answer")
+
+// CutOff ends the requests in flight, which are logged. Those that have no answer yet get one that tells
+// whether they may have run.
+func (g *Gateway) CutOff() {
 	s := g.stop.Load()
 	if s == nil {
 		return
 	}
 	g.mutex.Lock()
-	defer g.mutex.Unlock()
 	for q := range g.active {
-		g.Log.Emit(event.StopCutOff, append(q.originFields(), zap.Duration("since_stop", q.Arrived.Sub(s.Start)), zap.Duration("allowed", q.timeout), zap.Int("attempts", len(q.tried)))...)
+		g.Log.Emit(event.StopCutOff, append(q.originFields(), zap.Duration("since_stop", q.Arrived.Sub(s.Start)), zap.Duration("allowed", q.timeout))...)
 	}
+	g.mutex.Unlock()
+	g.Deadlines.Cancel(errProcessEnds)
 }
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -78,6 +78,11 @@
 		s.Close()
 		q := r.request
 		switch {
+		case fault.Has(context.Cause(ctx), fault.Stopping):
+			q.outcome = "stopping"
+			g.logChoices(q)
+			q.sink.Abort()
+			return
 		case err == nil:
 			q.sink.EndStream()
 			g.Contents.RecordAnswer(q.content, r.currentServer().Name)
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -101,8 +101,11 @@
 
 // waitFault is the fault of a request whose context ended while it waited for a server.
 func waitFault(ctx context.Context) *fault.Error {
-	if errors.Is(context.Cause(ctx), context.Canceled) {
+	switch e := context.Cause(ctx); {
+	case errors.Is(e, context.Canceled):
 		return fault.New(fault.CallerGone, "the caller closed its connection")
+	case fault.Has(e, fault.Stopping):
+		return fault.New(fault.Stopping, "this entry VM ended while the request waited for a server").WithRetryAfter(stopRetryAfter)
 	}
 	return fault.New(fault.DeadlinePassed, "the deadline passed while the request waited for a server")
 }
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -75,6 +75,8 @@
 	relay   *relay.Relay
 	peers   *http.Client
 	gateway *gateway.Gateway
+	// callers is the HTTP server for callers.
+	callers *http.Server
 	config  *mirror.Mirror[directory.Config]
 	servers *mirror.Mirror[roster.Server]
 	// closures is nil if failure domains can't be closed.
--- a/internal/node/hosted_start.go
+++ b/internal/node/hosted_start.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -264,17 +263,17 @@
 		VM: h.Settings.Node.Name, Domain: h.Settings.Node.Domain, Address: h.Settings.Node.Control, Allocator: h.gateway, Peers: peer.NewWithClient(h.peers, engineListTimeout),
 	}).Routes(r)
 	r.Get(peer.PathMetrics, h.Metrics.ServeHTTP)
+	h.callers = newServer(h.adapter.Ingress(h.gateway), headerTimeout, h.link.TrackCaller)
 	for _, x := range []struct {
 		address string
 		listen  link.ListenFunc
-		handler http.Handler
-		track   func(c net.Conn, s http.ConnState)
+		server  *http.Server
 	}{
-		{h.Settings.Node.Control, h.Machine.Listen, r, nil},
-		{h.Settings.Gateway.Ready, h.Machine.Listen, h.adapter.Readiness(h.gateway), nil},
-		{h.Settings.Node.Listen, h.link.ListenCallers(h.Machine.Listen), h.adapter.Ingress(h.gateway), h.link.TrackCaller},
+		{h.Settings.Node.Control, h.Machine.Listen, newServer(r, headerTimeout, nil)},
+		{h.Settings.Gateway.Ready, h.Machine.Listen, newServer(h.adapter.Readiness(h.gateway), headerTimeout, nil)},
+		{h.Settings.Node.Listen, h.link.ListenCallers(h.Machine.Listen), h.callers},
 	} {
-		closer, err := serve(h, x.listen, h.group, x.address, newServer(x.handler, headerTimeout, x.track))
+		closer, err := serve(h, x.listen, h.group, x.address, x.server)
 		if err != nil {
 			return err
 		}
--- a/internal/node/hosted_stop.go
+++ b/internal/node/hosted_stop.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -37,6 +38,8 @@
 	balancerDelay = 2500 * time.Millisecond
 	// shutdownMargin is the part of the grace period reserved for the shutdown itself.
 	shutdownMargin = 400 * time.Millisecond
+	// handlerWait is the part of that in which handlers write the ends of their answers.
+	handlerWait = 200 * time.Millisecond
 	// drainPollInterval is the pause between checks for requests in flight.
 	drainPollInterval = 50 * time.Millisecond
 )
@@ -51,7 +54,11 @@
 			break
 		}
 	}
-	h.gateway.LogCutOff()
 	h.Log.Emit(event.StopDone, zap.Int("in_flight", h.gateway.InFlight()))
+	h.gateway.CutOff()
+	ctx, cancel := context.WithTimeout(h, handlerWait)
+	defer cancel()
+	// Connections that are still in use are closed when the process ends.
+	_ = h.callers.Shutdown(ctx)
 	return nil
 }
--- a/internal/node/hosted_test.go
+++ b/internal/node/hosted_test.go
@@ -43,6 +43,7 @@
 	loaded  chan bool
 	ready   string
 	control string
+	callers string
 	stop    context.CancelFunc
 	done    chan error
 }
@@ -86,6 +87,7 @@
 	b := &testVM{
 		signals: make(chan os.Signal, 1), loaded: make(chan bool, 4), stop: stop, done: make(chan error, 1),
 		ready: "http://" + listeners["10.0.0.1:3"].Addr().String(), control: listeners["10.0.0.1:2"].Addr().String(),
+		callers: "http://" + listeners["10.0.0.1:1"].Addr().String(),
 	}
 	g, end := duty.New(context.Background())
 	t.Cleanup(func() {
