fix(entry): a planned stop on the own interface admits only what finishes before its limit

While node.stop_wait_ms runs, every request was admitted, and whatever was in flight at node.stop_limit_ms was closed without an answer. Connections stayed open, so callers sent their next requests on them.

Now the same decision (decide/drain) refuses at once, as not run, what may outlast the limit by its deadline and by the recent requests of its route; answers from the stop signal on close their connections; at the limit calls get an answer that says whether they may have run. A resumed stream is still admitted, since its generation runs on and its caller can resume it again.

--- a/internal/entry/attempt.go
+++ b/internal/entry/attempt.go
@@ -31,6 +31,7 @@
 	engine api.ServerName
 
 	address string
+	began   time.Time
 	// firstToken is when the first token of the attempt arrived.
 	firstToken       time.Time
 	progressRecorded bool
@@ -41,7 +42,11 @@
 // run generates until the answer is complete, has failed or has to be retried elsewhere,
 // and then releases the engine.
 func (t *attempt) run(ctx context.Context) answer.Decision {
+	t.began = time.Now()
 	n := t.generate(ctx)
+	if n.Action == finished {
+		t.server.recordMeanGap(t)
+	}
 	t.server.Broker.Finish(t.chat.id, api.Tokens(t.answer.NextIndex()), n.Action == finished)
 	if n.Action != finished {
 		t.cancelGeneration(ctx)
@@ -190,6 +195,9 @@
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		f = fault.New(fault.DeadlinePassed, "the deadline passed")
 	}
+	if isCutOff(ctx) {
+		f = errCutOff
+	}
 	return answer.Decision{Action: answer.Fail, Fault: f.WithRan(t.answer.Ran())}
 }
 
@@ -222,6 +230,7 @@
 	now := time.Now()
 	if t.firstToken.IsZero() {
 		t.firstToken = now
+		t.server.recordFirstAnswer(t.chat.request, now.Sub(t.began))
 	}
 	if !t.progressRecorded && t.answeredFor() >= quarantine.PartSuspectWindow {
 		t.progressRecorded = true
--- a/internal/entry/chat.go
+++ b/internal/entry/chat.go
@@ -141,6 +141,7 @@
 	if c.params.MaxTokens > 0 {
 		maxTokens = min(maxTokens, c.params.MaxTokens)
 	}
+	c.stream, c.tokens = true, maxTokens
 	prefix, length := sharedPrefix(c.params)
 	c.work = dispatch.Work{
 		Request: c.id, Workspace: c.workspace.Name, Weight: c.workspace.Weight,
@@ -259,7 +260,7 @@
 		if err != nil {
 			return s.dispatchFault(ctx, a, err)
 		}
-		if f := s.Contents.Check(c.content); f != nil {
+		if f := s.checkSend(c.request, c.content); f != nil {
 			s.Broker.Finish(c.id, 0, false)
 			return f.WithRan(a.Ran())
 		}
@@ -292,5 +293,8 @@
 	if f.Code == fault.CallerGone && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		f = fault.New(fault.DeadlinePassed, "the deadline passed while the request waited").WithRetryAfter(time.Second)
 	}
+	if isCutOff(ctx) {
+		f = errCutOff
+	}
 	return f.WithRan(a.Ran())
 }
--- a/internal/entry/request.go
+++ b/internal/entry/request.go
@@ -40,6 +40,9 @@
 	deadline      time.Time
 	key           string
 	notRepeatable bool
+	// stream is set for a generation, and tokens is the largest number of tokens of its answer.
+	stream bool
+	tokens api.Tokens
 	// resumed is set if the request resumes a generation, which runs regardless of what
 	// happens to this request.
 	resumed bool
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -20,6 +20,7 @@
 	"github.com/wardridge/wardridge/internal/contents"
 	"github.com/wardridge/wardridge/internal/decide/backend"
 	"github.com/wardridge/wardridge/internal/decide/config"
+	"github.com/wardridge/wardridge/internal/decide/drain"
 	"github.com/wardridge/wardridge/internal/decide/limit"
 	"github.com/wardridge/wardridge/internal/decide/quarantine"
 	"github.com/wardridge/wardridge/internal/decide/retry"
@@ -77,6 +78,10 @@
 	limitMutex sync.Mutex
 	limiter    *limit.Limiter
 
+	durationMutex sync.Mutex
+	// durations holds the longest times of recent requests by route.
+	durations *drain.Recorder
+
 	serverMutex sync.Mutex
 	servers     *backend.Servers
 	retryBudget *retry.Budget
@@ -95,7 +100,7 @@
 	}
 	return &Server{
 		Options: p, entrySettings: p.Settings.Entry, engineSettings: p.Settings.Engine,
-		limiter: limit.New(), servers: backend.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0)),
+		limiter: limit.New(), durations: drain.NewRecorder(), servers: backend.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0)),
 		retryBudget: retry.New(p.Settings.Engine.RetryPermille),
 	}
 }
@@ -140,6 +145,9 @@
 // of its handler.
 func (s *Server) middleware(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if s.Lifecycle.Stop() != nil {
+			w.Header().Set("Connection", "close")
+		}
 		leave, f := s.Lifecycle.Admit()
 		if f != nil {
 			s.Metrics.Add(metric.RequestsRefused, 1)
@@ -196,10 +204,14 @@
 		_, ok := v.Workspaces[api.WorkspaceName(n)]
 		return ok
 	})
-	s.Metrics.RetainRoutes(func(n string) bool {
+	configured := func(n string) bool {
 		_, ok := v.Services[api.ServiceName(strings.TrimPrefix(n, PathServices+"/"))]
 		return ok || n == PathChat
-	})
+	}
+	s.Metrics.RetainRoutes(configured)
+	s.durationMutex.Lock()
+	s.durations.Retain(configured)
+	s.durationMutex.Unlock()
 	s.limitMutex.Lock()
 	defer s.limitMutex.Unlock()
 	s.limiter.RetainWorkspaces(func(w api.WorkspaceName) bool {
@@ -246,6 +258,11 @@
 // runAdmitted runs f within the limits of the request's workspace and the deadline of the
 // request. If the limits are reached or f fails, it answers the request with the fault.
 func (s *Server) runAdmitted(w http.ResponseWriter, r *http.Request, q *request, f func(ctx context.Context) error) {
+	if f := s.checkStop(q); f != nil {
+		s.refuse(w, q, f)
+		return
+	}
+	s.logStopAdmission(q)
 	done, err := s.admit(q.workspace)
 	if err != nil {
 		s.refuse(w, q, err)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -20,6 +20,7 @@
 	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/fault"
 	"github.com/wardridge/wardridge/internal/metric"
+	"github.com/wardridge/wardridge/internal/port"
 	"github.com/wardridge/wardridge/internal/trace"
 	"github.com/wardridge/wardridge/internal/wire"
 )
@@ -141,7 +142,7 @@
 func (s *Server) callWithRetries(ctx context.Context, c *call) (*claims.Answer, error) {
 	d := decide.New(c.notRepeatable)
 	for {
-		if f := s.Contents.Check(c.content); f != nil {
+		if f := s.checkSend(c.request, c.content); f != nil {
 			return nil, d.Refusal(f)
 		}
 		x := s.pickServer(c)
@@ -153,8 +154,12 @@
 		case n == "":
 			return nil, d.NoServer()
 		}
+		sent := time.Now()
 		a, err := s.sendAttempt(ctx, c, n)
 		s.releaseServer(n, err)
+		if err == nil || port.TimedOut(err) {
+			s.recordFirstAnswer(c.request, time.Since(sent))
+		}
 		if err == nil {
 			if a.Status/100 == 2 {
 				s.Contents.RecordAnswer(c.content, n)
@@ -165,6 +170,9 @@
 		s.explain(c.request, "failed", string(n)+": "+err.Error())
 		o := outcome(err)
 		if m, f := d.AttemptFailed(o, err, ctx.Err() != nil, s.allowRetry); m == decide.Fail {
+			if isCutOff(ctx) {
+				f = d.Fault(fault.Stopping, err, errCutOff.Error())
+			}
 			return nil, f
 		}
 		if s.delayedByLink(err) {
--- a/internal/lifecycle/lifecycle.go
+++ b/internal/lifecycle/lifecycle.go
@@ -7,6 +7,7 @@
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/clock"
+	"github.com/wardridge/wardridge/internal/decide/drain"
 	"github.com/wardridge/wardridge/internal/decide/freshness"
 	"github.com/wardridge/wardridge/internal/fault"
 )
@@ -20,6 +21,7 @@
 
 	mutex           sync.Mutex
 	state           api.PeerState
+	stop            *drain.Stop
 	admissionClosed bool
 	view            *freshness.View
 	inFlight        int
@@ -41,12 +43,20 @@
 	}
 }
 
-// AnnounceStop sets the state to stopping. Requests are still admitted, for those that
-// the load balancer sends before it notices the state.
-func (t *Tracker) AnnounceStop() {
+// AnnounceStop sets the state to stopping, ahead of the process's end at a given time. Requests
+// are still admitted, for those that the load balancer sends before it notices the state.
+func (t *Tracker) AnnounceStop(end time.Time) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.state = api.PeerStateStopping
+	t.stop = &drain.Stop{Start: time.Now(), End: end}
+}
+
+// Stop returns the planned stop in progress, nil for none.
+func (t *Tracker) Stop() *drain.Stop {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return t.stop
 }
 
 // StopAdmission closes the VM to new requests and sets its state to stopping.
--- a/internal/node/stop.go
+++ b/internal/node/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/event"
@@ -21,8 +22,9 @@
 
 func (failingHealthCheck) Run(c *Context) error {
 	c.Log.Emit(event.StopBegun)
-	c.Lifecycle.AnnounceStop()
-	duty.Sleep(c, c.Settings.Node.StopWaitMS.Duration())
+	s := c.Settings.Node
+	c.Lifecycle.AnnounceStop(time.Now().Add(s.StopWaitMS.Duration() + s.StopLimitMS.Duration()))
+	duty.Sleep(c, s.StopWaitMS.Duration())
 	return nil
 }
 
@@ -37,6 +39,7 @@
 	defer cancel()
 	if err := c.Lifecycle.WaitIdle(x); err != nil {
 		c.logStopped(event.StopLimit)
+		c.Entry.CutOff()
 		return nil
 	}
 	c.logStopped(event.StopDone)
