feat(node): log when an entry VM begins and ends to follow the platform

While the entry VMs that follow the store are cut off from it, the log told only who lost it (platform_lost), not who took over and when, so a late detection could not be told from a late takeover or a late relay.

follow_begun and follow_ended do. No decision changes.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -41,6 +41,8 @@
 	WatchRestarted      ID = 206
 	EraChanged          ID = 207
 	KeptExpired         ID = 208
+	FollowBegun         ID = 209
+	FollowEnded         ID = 210
 	RequestRefused      ID = 301
 	RequestDone         ID = 302
 	RequestFailed       ID = 303
@@ -139,6 +141,8 @@
 	{WatchRestarted, "watch_restarted", zapcore.InfoLevel, "The watch of the platform was restarted from a new list."},
 	{EraChanged, "era_changed", zapcore.WarnLevel, "The platform was restored from a backup of its objects: its version numbers begin again, and changes since the backup may be missing."},
 	{KeptExpired, "kept_expired", zapcore.WarnLevel, "Objects that were retained after the platform was restored from a backup without them have not been written again in time; the platform's state is in force now."},
+	{FollowBegun, "follow_begun", zapcore.InfoLevel, "This entry VM begins to call the platform, since no hub before it in the order of takeover is known to follow it."},
+	{FollowEnded, "follow_ended", zapcore.InfoLevel, "This entry VM no longer calls the platform; a hub relays its changes."},
 	{RequestRefused, "request_refused", zapcore.InfoLevel, "A request was refused before it ran."},
 	{RequestDone, "request_done", zapcore.InfoLevel, "A request was answered."},
 	{RequestFailed, "request_failed", zapcore.WarnLevel, "A request failed after it may have run."},
--- a/internal/node/hosted_start.go
+++ b/internal/node/hosted_start.go
@@ -168,6 +168,20 @@
 	})
 }
 
+// logFollowing logs when this entry VM begins and ends to call the platform itself.
+func (h *HostedContext) logFollowing() {
+	follows := !h.mesh.HasRelay()
+	if follows == h.follows {
+		return
+	}
+	h.follows = follows
+	id := event.FollowEnded
+	if follows {
+		id = event.FollowBegun
+	}
+	h.Log.Emit(id)
+}
+
 // queryLeaving queries servers whether they are leaving while the platform is silent. Only the
 // servers themselves then announce it.
 func (h *HostedContext) queryLeaving() {
@@ -328,6 +342,7 @@
 	h.link.Update()
 	h.gateway.AdmitWaiting()
 	h.relay.Check()
+	h.logFollowing()
 	h.queryLeaving()
 	if h.ticks%ticksPerRound == 0 {
 		h.mesh.Round()
