fix(gossip): hubs take over the platform in turn without waiting for one to fail

Cause: the waits of the order of takeover added up. The third VM in line waited 1.5 s from the first one's last word, although that one had said after 0.96 s that it is not answered; second hubs and members waited on top of that. Class: waiting for another's failure where its missing success is known sooner.

Now all hubs stand in one line. Each begins to call the platform once no hub before it is known to be answered and its turn has come; groups that double begin 150 ms apart, so any number cut off takes few steps. FollowNotice tells hubs at once who is answered and who no longer is, and members when all hubs have had their turn. One failed call that succeeds when repeated tells nobody. The longer wait after failed calls is 4 to 5 s instead of 2.5 to 5 s, because first calls come sooner in an outage.

Evidence: follow_begun showed the third VM 1.23 s after the first one's failure. TestChangesReachAllWhileFollowersAreCutOff fails before (worst 3.02 s with 4 of 6 cut off, 2.56 s with 6 of 24; bound 2 s) and passes now (worst 1.33 s).

TestChangesReachAllWhileTheFollowerStops passed before as well. The fleet of gossip_test.go sends the notices that the product sends now; its assertions are unchanged.

--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -749,6 +749,25 @@
 const FinishReasonLength FinishReason = "length"
 const FinishReasonStop FinishReason = "stop"
 
+// FollowNotice is sent between exchanges by hubs when the platform begins or stops
+// to answer them.
+type FollowNotice struct {
+	// Control address of the sender.
+	Address string `json:"address"`
+
+	// Whether the platform answers the sender itself.
+	Direct bool `json:"direct"`
+
+	// Version of the protocol between entry VMs.
+	Protocol int `json:"protocol"`
+
+	// Whether no hub follows the platform, although all had time to take over.
+	Unfollowed bool `json:"unfollowed,omitempty,omitzero"`
+
+	// Sender.
+	VM VMName `json:"vm"`
+}
+
 // GatewaySettings tunes the gateway of a hosted system.
 type GatewaySettings struct {
 	// Time within which an accepted change must be in force, ms.
--- a/internal/decide/gossip/gossip_test.go
+++ b/internal/decide/gossip/gossip_test.go
@@ -112,6 +112,7 @@
 // run simulates rounds of 250 ms between two times, in ms.
 func (f *fleet) run(from, to int) {
 	for ms := from; ms < to; ms += 250 {
+		f.notify(ms)
 		f.relay(ms)
 		for a, p := range f.peers {
 			if f.dead[a] {
@@ -127,6 +128,25 @@
 				p.Receive(at(ms+2), f.message(at(ms), b, a))
 			}
 		}
+		f.notify(ms + 100)
+	}
+}
+
+// notify sends the notices of VMs that follow the platform, or that it no longer answers.
+func (f *fleet) notify(ms int) {
+	for a, p := range f.peers {
+		if f.dead[a] || p.HasRelay(at(ms)) {
+			continue
+		}
+		targets := p.HubTargets(at(ms))
+		if f.connected[a] {
+			targets = p.FollowTargets(at(ms))
+		}
+		for _, b := range targets {
+			if !f.dead[b] {
+				f.peers[b].RecordFollowing(at(ms), a, f.connected[a], false)
+			}
+		}
 	}
 }
 
--- a/internal/decide/gossip/peers.go
+++ b/internal/decide/gossip/peers.go
@@ -93,9 +93,9 @@
 	seed       bool
 	addedAt    time.Time
 	receivedAt time.Time
-	// directAt and informedAt are when the peer last sent a message with Direct or
-	// Informed set.
-	directAt, informedAt time.Time
+	// directAt is when the peer last sent a message with Direct set, and lostAt when it first sent
+	// one without after that.
+	directAt, lostAt time.Time
 	// listedAt is when the member list was last sent to the peer.
 	listedAt time.Time
 	// mentionedAt is when a message last named the address.
@@ -119,6 +119,9 @@
 	view *view
 	// relayedAt is when a hub of this failure domain last reported that it is informed.
 	relayedAt time.Time
+	// unfollowedAt is when a hub of this failure domain last reported that no hub follows the platform,
+	// and unfollowedSince the time since when that was so at this entry VM's last report.
+	unfollowedAt, unfollowedSince time.Time
 	// hubSince is when this entry VM last became a hub, zero while it is none.
 	hubSince time.Time
 }
@@ -168,17 +171,17 @@
 	if x.Member != w.Member || !p.alive(now, x) {
 		p.view = nil
 	}
+	if x.Direct && !w.Direct {
+		x.lostAt = now
+	}
 	x.Message = w
 	x.Members = nil
 	x.receivedAt = now
 	if w.Direct {
 		x.directAt = now
 	}
-	if w.Informed {
-		x.informedAt = now
-		if w.Hub && w.Domain == p.self.Domain {
-			p.relayedAt = now
-		}
+	if w.Informed && w.Hub && w.Domain == p.self.Domain {
+		p.relayedAt = now
 	}
 	for _, m := range w.Members {
 		p.record(now, m)
--- a/internal/decide/gossip/relay.go
+++ b/internal/decide/gossip/relay.go
@@ -14,7 +14,7 @@
 	// platform for others: two rounds and the repeat of a lost message.
 	hubTimeout = 800 * time.Millisecond
 	// laterHubTimeout is the same for hubs that are not next in line: the next one
-	// takes over first and needs a round and a message to inform them.
+	// takes over first and needs time to inform them.
 	laterHubTimeout = 1500 * time.Millisecond
 	// newHubTime is how long an entry VM that finds itself a hub listens before it follows the
 	// platform, as long as it may rely on the hubs before it. Members that lose all hubs know
@@ -79,53 +79,11 @@
 	return i, l[:max(i, 0)]
 }
 
-// HasRelay reports whether peers relay the changes on the platform, so that this entry
-// VM need not follow it; the platform counts the calls made to it.
-//
-// The first leader follows the platform for all. The next one does while the first is
-// silent or gets no answer from the platform, and the others while neither of the two
-// follows it. The hubs of a failure domain stand in for their leader in the same way,
-// and other members follow the platform only while no hub relays changes. An entry VM
-// that has just started relies on those that were there before it, or on the ones that
-// become hubs.
-func (p *Peers) HasRelay(now time.Time) bool {
-	l := p.Hubs(now)
-	switch i := slices.Index(l, p.self.Address); {
-	case now.Sub(p.startedAt) < settleTime:
-		return true
-	case (i < 0 || p.newHub(now)) && now.Sub(p.relayedAt) < memberHubTimeout+p.Spread():
-		return true
-	case i < 0 && now.Sub(p.startedAt) < settleTime+hubTimeout:
-		// The hubs may have just started as well and are about to relay.
-		return true
-	case i == 0:
-		return p.leaderRelays(now)
-	case i > 0:
-		// A first hub that the platform refuses is informed by the next leader soon.
-		x := p.peers[l[0]]
-		return now.Sub(x.receivedAt) < hubTimeout && now.Sub(x.informedAt) < laterHubTimeout
-	}
-	return false
-}
-
-// leaderRelays reports whether a leader ranked before this entry VM follows the
-// platform.
-func (p *Peers) leaderRelays(now time.Time) bool {
-	i, before := p.rank(now)
-	return slices.ContainsFunc(before, func(m Member) bool {
-		x := p.peers[m.Address]
-		if i == 1 {
-			return x.Direct && now.Sub(x.receivedAt) < hubTimeout
-		}
-		return now.Sub(x.directAt) < laterHubTimeout
-	})
-}
-
 // Informed reports whether this entry VM gets the changes on the platform from a hub
 // that the platform itself answers.
 func (p *Peers) Informed(now time.Time) bool {
 	for _, x := range p.peers {
-		if x.Hub && now.Sub(x.directAt) < hubTimeout {
+		if x.Hub && x.Direct && now.Sub(x.directAt) < hubTimeout {
 			return true
 		}
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -141,6 +141,8 @@
 	CutOff func() bool
 	// HasRoom reports whether the link of this entry VM has room for more callers; nil for always.
 	HasRoom func() bool
+	// FollowingChanged is called after a peer's notice of whether it follows the platform; nil for none.
+	FollowingChanged func()
 }
 
 // Mesh exchanges state with the peers of one entry VM.
@@ -166,6 +168,10 @@
 	// noticing is held from the making of a notice of leaving servers until it is set to be sent,
 	// so that an older notice never replaces a newer one.
 	noticing sync.Mutex
+	// reportedDirect is whether the platform answers this entry VM by what it tells peers, and lostAt when it
+	// last stopped to. A single failed call does not change it.
+	reportedDirect bool
+	lostAt         time.Time
 	// live holds the addresses of the live peers at the last round.
 	live map[string]bool
 }
@@ -342,7 +348,7 @@
 	x := m.Loads.ReportLoads(vm, r)
 	e := api.Exchange{
 		Protocol: gossip.Protocol, VM: m.VM, ConfigAt: m.Config.ChangedAt(), ServersAt: m.Servers.ChangedAt(),
-		Direct: m.direct(), Relation: relationNames[r], Members: x.Members,
+		Relation: relationNames[r], Members: x.Members,
 		Leaving: m.Notices.AnnouncedLeaving(), Contents: m.Notices.ContentReports(), Limits: m.Notices.Limits(), ConfigNumber: m.Applied.AppliedNumber(),
 	}
 	n, age := m.Loads.FleetPeak()
@@ -374,6 +380,7 @@
 	e.Self.Hub = m.peers.IsHub(now)
 	e.PlatformSilent = m.Servers.Overdue()
 	e.QueriesEngines = m.peers.QueriesEngines(now) && m.peers.PlatformSilent(now, m.Servers.Direct(), e.PlatformSilent)
+	e.Direct = m.reportedDirect
 	e.Informed = e.Direct || m.peers.Informed(now)
 	if r == placement.Hub && m.peers.IsFirstHub(now) {
 		e.Pools = pools
--- a/internal/mesh/notice.go
+++ b/internal/mesh/notice.go
@@ -69,12 +69,7 @@
 // handleLeaving applies the notice of a peer.
 func (m *Mesh) handleLeaving(w http.ResponseWriter, q *http.Request) {
 	var n api.LeaveNotice
-	if err := wire.ReadGzip(w, q, maxMessageBytes, &n); err != nil {
-		wire.Refuse(w, fault.From(err), "")
-		return
-	}
-	if f := m.checkProtocol(n.VM, n.Protocol); f != nil {
-		wire.Refuse(w, f, "")
+	if !m.readNotice(w, q, &n, func() (api.VMName, int) { return n.VM, n.Protocol }) {
 		return
 	}
 	if n.PlatformSilent {
@@ -85,3 +80,17 @@
 	m.Notices.MarkLeaving(n.Leaving)
 	w.WriteHeader(http.StatusNoContent)
 }
+
+// readNotice decodes the notice of a peer. It reports false after it has refused one that is invalid or of
+// another version of the protocol; sender returns both from the decoded notice.
+func (m *Mesh) readNotice(w http.ResponseWriter, q *http.Request, n any, sender func() (api.VMName, int)) bool {
+	if err := wire.ReadGzip(w, q, maxMessageBytes, n); err != nil {
+		wire.Refuse(w, fault.From(err), "")
+		return false
+	}
+	if f := m.checkProtocol(sender()); f != nil {
+		wire.Refuse(w, f, "")
+		return false
+	}
+	return true
+}
--- a/internal/mesh/paths.go
+++ b/internal/mesh/paths.go
@@ -6,8 +6,6 @@
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/gossip"
-	"github.com/wardridge/wardridge/internal/fault"
-	"github.com/wardridge/wardridge/internal/wire"
 )
 
 // addPaths adds the reports on paths to servers to a message to the peer at an address.
@@ -53,12 +51,7 @@
 // handlePaths records the notice of a peer.
 func (m *Mesh) handlePaths(w http.ResponseWriter, q *http.Request) {
 	var n api.PathNotice
-	if err := wire.ReadGzip(w, q, maxMessageBytes, &n); err != nil {
-		wire.Refuse(w, fault.From(err), "")
-		return
-	}
-	if f := m.checkProtocol(n.VM, n.Protocol); f != nil {
-		wire.Refuse(w, f, "")
+	if !m.readNotice(w, q, &n, func() (api.VMName, int) { return n.VM, n.Protocol }) {
 		return
 	}
 	if m.Paths != nil {
--- a/internal/mesh/serve.go
+++ b/internal/mesh/serve.go
@@ -34,6 +34,7 @@
 	PathPermit      = "/mesh/v1/permit"
 	PathLeaving     = "/mesh/v1/leaving"
 	PathPaths       = "/mesh/v1/paths"
+	PathFollowing   = "/mesh/v1/following"
 )
 
 // maxMessageBytes bounds one message. The loads of 2,500 servers, at 60 bytes
@@ -48,6 +49,7 @@
 	r.Post(PathPermit, m.handlePermit)
 	r.Post(PathLeaving, m.handleLeaving)
 	r.Post(PathPaths, m.handlePaths)
+	r.Post(PathFollowing, m.handleFollowing)
 	r.Get(PathApplied, m.handleApplied)
 	for _, x := range m.pushers {
 		x.routes(r)
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -31,10 +31,13 @@
 // would cost a call.
 const batchDelay = 40 * time.Millisecond
 
-// longBackoff is the longest wait after a failed call while peers call the platform
+// minLongBackoff and longBackoff bound the wait after a failed call while peers call the platform
 // as well. They report when it answers again, and in a long outage the calls of all
 // entry VMs add up.
-const longBackoff = 5 * time.Second
+const (
+	minLongBackoff = 4 * time.Second
+	longBackoff    = 5 * time.Second
+)
 
 // overdueSlack is how long after the end of its wait the answer to a watch is overdue. It is shorter
 // than Timing.Slack: servers announce their end 1.5 s ahead, and what an overdue answer causes is
@@ -85,6 +88,8 @@
 	ReadsLongLists func() bool
 	// LostChanged is called when the platform is lost and when it answers again.
 	LostChanged func(lost bool)
+	// DirectChanged is called when Direct changes; nil for none.
+	DirectChanged func()
 }
 
 // Mirror replicates one kind of the platform's objects.
@@ -97,6 +102,12 @@
 	// zero while no watch is in progress. failed is set while the last call failed.
 	answerDue atomic.Int64
 	failed    atomic.Bool
+	// failures counts the failed calls in a row.
+	failures atomic.Int64
+	// answeredAt is when the platform last answered, in ns since 1970.
+	answeredAt atomic.Int64
+	// wake ends a pause while a peer relays changes.
+	wake chan struct{}
 	// refresh requests one list from the platform even though a peer relays changes.
 	refresh atomic.Bool
 
@@ -111,7 +122,7 @@
 
 // New creates a mirror without objects, at version zero, that counts as lost.
 func New[T any](p Options[T]) *Mirror[T] {
-	return &Mirror[T]{Options: p, store: replica.New[T](), lost: true}
+	return &Mirror[T]{Options: p, store: replica.New[T](), lost: true, wake: make(chan struct{}, 1)}
 }
 
 // progress is how a mirror continues to follow the platform.
@@ -138,10 +149,10 @@
 		refresh := m.refresh.Swap(false)
 		if m.hasRelay() && !refresh {
 			p.followPeer()
-			m.direct.Store(false)
+			m.setDirect(false)
 			m.failed.Store(false)
 			m.recordSuccess()
-			duty.Sleep(ctx, relayPollInterval)
+			m.pause(ctx)
 			continue
 		}
 		p.list = p.list || refresh
@@ -155,11 +166,13 @@
 				p.tooOld = 0
 			}
 			p.list, p.failures = false, 0
-			m.direct.Store(true)
+			m.answeredAt.Store(time.Now().UnixNano())
+			m.failures.Store(0)
 			m.failed.Store(false)
 			m.recordSuccess()
+			m.setDirect(true)
 		default:
-			m.direct.Store(false)
+			m.setDirect(false)
 			// After any failure the platform may have dropped changes without reporting it.
 			p.list = true
 			m.waitAfter(ctx, &p, err)
@@ -180,6 +193,7 @@
 func (m *Mirror[T]) waitAfter(ctx context.Context, p *progress, err error) {
 	if !fault.Has(err, fault.WatchTooOld) {
 		p.failures++
+		m.failures.Store(int64(p.failures))
 		m.failed.Store(true)
 		m.recordFailure(ctx, err)
 		m.wait(ctx, m.retryDelay(p.failures))
@@ -193,6 +207,39 @@
 	}
 }
 
+// setDirect records whether the platform answers this mirror itself.
+func (m *Mirror[T]) setDirect(is bool) {
+	if m.direct.Swap(is) != is && m.DirectChanged != nil {
+		m.DirectChanged()
+	}
+}
+
+// pause waits until it is time to check again whether a peer relays changes, or until Wake is called.
+func (m *Mirror[T]) pause(ctx context.Context) {
+	t := time.NewTimer(relayPollInterval)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-m.wake:
+	case <-ctx.Done():
+	}
+}
+
+// Wake makes the mirror check at once whether a peer relays changes.
+func (m *Mirror[T]) Wake() {
+	select {
+	case m.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Unanswered reports whether the platform no longer answers: a call has failed, and its repeat as well or no
+// answer has come for as long as the answer to a watch may take.
+func (m *Mirror[T]) Unanswered() bool {
+	age := time.Duration(time.Now().UnixNano() - m.answeredAt.Load())
+	return m.failed.Load() && (m.failures.Load() > 1 || age >= m.Timing.Wait+m.Timing.Slack)
+}
+
 // hasRelay reports whether a peer relays changes. It is false for a mirror without
 // objects, which calls the platform regardless of its peers.
 func (m *Mirror[T]) hasRelay() bool {
@@ -225,7 +272,7 @@
 // retryDelay returns the wait after a number of failed calls in a row.
 func (m *Mirror[T]) retryDelay(failures int) time.Duration {
 	if m.BacksOff(failures) {
-		return longBackoff/2 + rand.N(longBackoff/2)
+		return minLongBackoff + rand.N(longBackoff-minLongBackoff)
 	}
 	return backoff(failures)
 }
--- a/internal/node/hosted.go
+++ b/internal/node/hosted.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -95,8 +96,9 @@
 	leavePending atomic.Bool
 	// wasOverdue is whether an answer of the platform was overdue at the last tick.
 	wasOverdue bool
-	// follows is whether this entry VM called the platform at the last tick.
-	follows bool
+	// follows is whether this entry VM called the platform at the last check.
+	followMutex sync.Mutex
+	follows     bool
 	// gracePeriod is the time from the stop signal to the end of the process, in ns.
 	gracePeriod atomic.Int64
 	// stopDeadline is the time by which a planned stop has to end.
--- a/internal/node/hosted_mirrors.go
+++ b/internal/node/hosted_mirrors.go
@@ -38,24 +38,24 @@
 	d := h.listDelay()
 	h.config = mirror.New(mirror.Options[directory.Config]{
 		Name: "config", Source: h.adapter.Config, Log: h.Log, Metrics: h.Metrics, Timing: timing(configWaitShare), ListDelay: d,
-		OnSnapshot: h.applyConfig, HasRelay: h.hasRelay, BacksOff: h.backsOff, ReadsLongLists: h.readsLongLists, LostChanged: func(bool) {},
+		OnSnapshot: h.applyConfig, HasRelay: h.hasRelay, BacksOff: h.backsOff, ReadsLongLists: h.readsLongLists, LostChanged: func(bool) {}, DirectChanged: h.checkFollowing,
 	})
 	h.servers = mirror.New(mirror.Options[roster.Server]{
 		Name: "servers", Source: h.adapter.Servers, Log: h.Log, Metrics: h.Metrics, Timing: timing(serverWaitShare), ListDelay: d,
-		OnUpdate: h.applyServers, HasRelay: h.hasRelay, BacksOff: h.backsOff, ReadsLongLists: h.readsLongLists, LostChanged: h.setPlatformLost,
+		OnUpdate: h.applyServers, HasRelay: h.hasRelay, BacksOff: h.backsOff, ReadsLongLists: h.readsLongLists, LostChanged: h.setPlatformLost, DirectChanged: h.checkFollowing,
 	})
 	if c := s.CloseMS.Duration(); c > 0 {
 		h.closures = mirror.New(mirror.Options[roster.Closure]{
 			Name: "closures", Source: h.adapter.Closures, Log: h.Log, Metrics: h.Metrics, ListDelay: d,
 			Timing:     mirror.Timing{Wait: time.Duration(configWaitShare * float64(c)), Slack: time.Duration(answerTimeShare * float64(c))},
-			OnSnapshot: h.applyClosures, HasRelay: h.hasRelay, BacksOff: h.backsOff, ReadsLongLists: h.readsLongLists, LostChanged: func(bool) {},
+			OnSnapshot: h.applyClosures, HasRelay: h.hasRelay, BacksOff: h.backsOff, ReadsLongLists: h.readsLongLists, LostChanged: func(bool) {}, DirectChanged: h.checkFollowing,
 		})
 	}
 	if b := s.RollbackMS.Duration(); b > 0 {
 		h.rollouts = mirror.New(mirror.Options[rollout.Order]{
 			Name: "rollouts", Source: h.adapter.Rollouts, Log: h.Log, Metrics: h.Metrics, ListDelay: d,
 			Timing:     mirror.Timing{Wait: time.Duration(configWaitShare * float64(b)), Slack: time.Duration(answerTimeShare * float64(b))},
-			OnSnapshot: h.applyRollouts, HasRelay: h.hasRelay, BacksOff: h.backsOff, ReadsLongLists: h.readsLongLists, LostChanged: func(bool) {},
+			OnSnapshot: h.applyRollouts, HasRelay: h.hasRelay, BacksOff: h.backsOff, ReadsLongLists: h.readsLongLists, LostChanged: func(bool) {}, DirectChanged: h.checkFollowing,
 		})
 	}
 	if h.adapter.QuarantineSource != nil {
@@ -67,6 +67,21 @@
 	}
 }
 
+// wakeMirrors makes the mirrors call the platform at once, unless a hub relays its changes.
+func (h *HostedContext) wakeMirrors() {
+	h.config.Wake()
+	h.servers.Wake()
+	if h.closures != nil {
+		h.closures.Wake()
+	}
+	if h.rollouts != nil {
+		h.rollouts.Wake()
+	}
+	if h.quarantines != nil {
+		h.quarantines.Wake()
+	}
+}
+
 // readsLongLists reports whether this entry VM reads long lists for others.
 func (h *HostedContext) readsLongLists() bool {
 	return h.mesh.ReadsAll()
--- a/internal/node/hosted_start.go
+++ b/internal/node/hosted_start.go
@@ -97,6 +97,7 @@
 		},
 		Client: h.peers, Group: h.group, Log: h.Log, Metrics: h.Metrics,
 		Config: h.config, Servers: h.servers, Closures: h.closures, Rollouts: h.rollouts, Quarantines: h.quarantines, Loads: h.gateway, Allocator: h.gateway, Notices: h.gateway, Applied: h.gateway, CutOff: h.relay.Partitioned, HasRoom: h.link.HasRoom, Paths: h.relay,
+		FollowingChanged: h.checkFollowing,
 	})
 	return nil
 }
@@ -168,18 +169,23 @@
 	})
 }
 
-// logFollowing logs when this entry VM begins and ends to call the platform itself.
-func (h *HostedContext) logFollowing() {
+// checkFollowing reports to peers whether the platform answers this entry VM, and begins or ends to follow
+// the platform itself.
+func (h *HostedContext) checkFollowing() {
+	h.followMutex.Lock()
+	defer h.followMutex.Unlock()
+	h.mesh.ReportFollowing()
 	follows := !h.mesh.HasRelay()
 	if follows == h.follows {
 		return
 	}
 	h.follows = follows
-	id := event.FollowEnded
-	if follows {
-		id = event.FollowBegun
+	if !follows {
+		h.Log.Emit(event.FollowEnded)
+		return
 	}
-	h.Log.Emit(id)
+	h.Log.Emit(event.FollowBegun)
+	h.wakeMirrors()
 }
 
 // queryLeaving queries servers whether they are leaving while the platform is silent. Only the
@@ -342,7 +348,7 @@
 	h.link.Update()
 	h.gateway.AdmitWaiting()
 	h.relay.Check()
-	h.logFollowing()
+	h.checkFollowing()
 	h.queryLeaving()
 	if h.ticks%ticksPerRound == 0 {
 		h.mesh.Round()
