--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -147,10 +147,10 @@
 			m, f = call.Fail, c.Fault(fault.BandwidthShort, err, "the network link of this entry VM is overloaded").WithRetryAfter(g.linkRetryAfter())
 		}
 		if m == call.Fail {
-			switch e := context.Cause(ctx); {
-			case errors.Is(e, context.Canceled):
+			switch {
+			case errors.Is(context.Cause(ctx), context.Canceled):
 				f = fault.Wrap(fault.CallerGone, err, "the caller closed its connection")
-			case fault.Has(e, fault.Stopping):
+			case isCutOff(ctx):
 				f = c.Fault(fault.Stopping, err, "this entry VM ended before the answer")
 			}
 			return preferAnswer(failed, f)
--- a/internal/gateway/stop.go
+++ b/internal/gateway/stop.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/zap"
@@ -84,6 +85,11 @@
 // errProcessEnds is the cause with which the contexts of requests end at the end of a planned stop.
 var errProcessEnds = fault.New(fault.Stopping, "this entry VM ended before the answer")
 
+// isCutOff reports whether the end of a planned stop ended the context of a request.
+func isCutOff(ctx context.Context) bool {
+	return fault.Has(context.Cause(ctx), fault.Stopping)
+}
+
 // CutOff ends the requests in flight, which are logged. Those that have no answer yet get one that tells
 // whether they may have run.
 func (g *Gateway) CutOff() {
--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -121,3 +121,34 @@
 		})
 	}
 }
+
+// Requests that the end of a planned stop cuts off must not count as crashes of the servers that ran them.
+func TestEndOfPlannedStopBlamesNoContent(t *testing.T) {
+	for _, path := range []string{"/stream/1", "/unsafe/1"} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeServers()
+				f.total = 1000
+				b := newTestGateway(t, f, 0)
+				if path == "/unsafe/1" {
+					f.answerTime = time.Minute
+				}
+				k := &caller{}
+				b.Group.Go(func(ctx context.Context) error {
+					b.Handle(ctx, request(path), k)
+					return nil
+				})
+				time.Sleep(time.Second)
+				b.Stop(time.Now())
+				b.CutOff()
+				synctest.Wait()
+				if x := k.refused(); !k.wasAborted() && (x == nil || x.Code != fault.Stopping || x.Ran != api.RanUnknown) {
+					t.Errorf("request in flight: got %v, want an aborted stream, or stopping with an unknown outcome", x)
+				}
+				if got := b.ContentReports(); len(got) > 0 {
+					t.Errorf("reports on contents: got %v, want none", got)
+				}
+			})
+		})
+	}
+}
--- a/internal/gateway/stream.go
+++ b/internal/gateway/stream.go
@@ -78,7 +78,7 @@
 		s.Close()
 		q := r.request
 		switch {
-		case fault.Has(context.Cause(ctx), fault.Stopping):
+		case isCutOff(ctx):
 			q.outcome = "stopping"
 			g.logChoices(q)
 			q.sink.Abort()
--- a/internal/gateway/wait.go
+++ b/internal/gateway/wait.go
@@ -101,10 +101,10 @@
 
 // waitFault is the fault of a request whose context ended while it waited for a server.
 func waitFault(ctx context.Context) *fault.Error {
-	switch e := context.Cause(ctx); {
-	case errors.Is(e, context.Canceled):
+	switch {
+	case errors.Is(context.Cause(ctx), context.Canceled):
 		return fault.New(fault.CallerGone, "the caller closed its connection")
-	case fault.Has(e, fault.Stopping):
+	case isCutOff(ctx):
 		return fault.New(fault.Stopping, "this entry VM ended while the request waited for a server").WithRetryAfter(stopRetryAfter)
 	}
 	return fault.New(fault.DeadlinePassed, "the deadline passed while the request waited for a server")
