feat(soak): links of a bounded rate

From on link faults may also be narrow (24 KB/s for all connections of a proxy), and entry VMs run with link_mbps and link_share.

--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -87,6 +87,10 @@
 // nor chunks.
 const firstUnframedSeed = 11000
 
+// firstNarrowSeed is the first seed in whose plans links may be narrow, and whose entry VMs bound their
+// callers by their links.
+const firstNarrowSeed = 100000
+
 // signalKinds are the signals that servers send in their answers; no request may be lost
 // by them.
 var signalKinds = []Kind{SignalLimit, SignalBackoff, SignalLeaving}
@@ -196,6 +200,10 @@
 	if seed >= firstCrashingPartSeed {
 		all = append(all, CrashingPart, CrashingPart)
 	}
+	modes := linkFaults
+	if seed >= firstNarrowSeed {
+		modes = narrowFaults
+	}
 	kinds := all
 	if r.Float64() < plannedShare {
 		kinds = plannedKinds
@@ -209,7 +217,7 @@
 			f.Target = All
 		}
 		if f.Kind == CallerLink || f.Kind == ServerLink {
-			f.Mode = linkFaults[r.IntN(len(linkFaults))]
+			f.Mode = modes[r.IntN(len(modes))]
 		}
 		p.Faults = append(p.Faults, f)
 		if r.Float64() < seriesChance {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,11 +32,16 @@
 	// HoldOpen permanently holds the bytes of the connections that are open when it is
 	// set, and relays those of new connections.
 	HoldOpen Mode = "stale"
+	// Narrow relays narrowRate bytes a second in each direction, over all connections.
+	Narrow Mode = "narrow"
 )
 
 // linkFaults are the modes that faults of links use.
 var linkFaults = []Mode{Delay, Reset, HoldAll, HoldRequests, HoldAnswers, HoldOpen}
 
+// narrowFaults are those of plans whose links may be narrow. Narrow is listed twice for a higher weight.
+var narrowFaults = append(slices.Clone(linkFaults), Narrow, Narrow)
+
 const (
 	// proxyDelay is longer than a pause between events can be, and shorter than callers
 	// wait.
@@ -45,6 +51,8 @@
 	pollInterval = 20 * time.Millisecond
 	// bufferSize is the maximum number of bytes that are relayed at once.
 	bufferSize = 16 << 10
+	// narrowRate is less than the streams of a few callers take.
+	narrowRate = 24 << 10
 )
 
 // proxy relays TCP connections to one address.
@@ -57,6 +65,8 @@
 	conns map[*net.TCPConn]bool
 	// held connections stay open but never carry bytes again.
 	held map[*net.TCPConn]bool
+	// requestsFree and answersFree are when a narrow link has sent all bytes of a direction.
+	requestsFree, answersFree time.Time
 }
 
 // newProxy accepts connections on a listener; the returned function closes the proxy and
@@ -175,7 +185,7 @@
 	b := make([]byte, bufferSize)
 	for {
 		n, err := from.Read(b)
-		if !p.awaitRelease(ctx, from, holdMode) {
+		if !p.awaitRelease(ctx, from, holdMode) || !p.awaitRate(ctx, from, holdMode, n) {
 			return ctx.Err()
 		}
 		if _, w := to.Write(b[:n]); w != nil {
@@ -194,6 +204,27 @@
 	}
 }
 
+// awaitRate waits until a narrow link has sent a number of bytes after those before them; it returns false if
+// the context ends first.
+func (p *proxy) awaitRate(ctx context.Context, from *net.TCPConn, holdMode Mode, n int) bool {
+	if p.modeOf(from) != Narrow {
+		return true
+	}
+	free := &p.requestsFree
+	if holdMode == HoldAnswers {
+		free = &p.answersFree
+	}
+	p.mutex.Lock()
+	now := time.Now()
+	if free.Before(now) {
+		*free = now
+	}
+	*free = free.Add(time.Duration(n) * time.Second / narrowRate)
+	d := free.Sub(now)
+	p.mutex.Unlock()
+	return duty.Sleep(ctx, d)
+}
+
 // awaitRelease waits while bytes are delayed or held; it returns false if the context ends
 // first.
 func (p *proxy) awaitRelease(ctx context.Context, from *net.TCPConn, holdMode Mode) bool {
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"time"
 
@@ -133,3 +134,27 @@
 		t.Errorf("new connection: got %v, want a reset", err)
 	}
 }
+
+func TestNarrowLinkDividesItsRate(t *testing.T) {
+	x := newEchoConn(t)
+	c, err := net.Dial("tcp", x.address())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	x.setMode(Narrow)
+	began := time.Now()
+	line := strings.Repeat("x", narrowRate/8-1) + "\n"
+	x.send(t, line)
+	if _, err := io.WriteString(c, line); err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range []*bufio.Reader{x.reader, bufio.NewReader(c)} {
+		if got, err := r.ReadString('\n'); got != line {
+			t.Errorf("got %d bytes, %v, want the line of %d", len(got), err, len(line))
+		}
+	}
+	if got, want := time.Since(began), time.Second/4; got < want {
+		t.Errorf("two connections with an eighth of a second's bytes each: got both back after %v, want %v at least", got, want)
+	}
+}
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -59,6 +59,9 @@
 	}
 	text := fmt.Sprintf("[node]\nname = %s\ndomain = %s\nlisten = %s\ncontrol = %s\n[platform]\nwire = hosted\naddress = %s\n[gateway]\nready = %s\nseeds = %s\ngrace_s = %g\nclose_ms = %d\nrelay_ms = 100\nserver_pause_ms = 1500\n",
 		name, domainAt(i), a[0], a[1], v.storeProxy.address(), a[2], strings.Join(seeds, ","), stopGrace.Seconds(), closureDelay.Milliseconds())
+	if b.boundsLinks {
+		text += "link_mbps = 2\nlink_share = 0.75\n"
+	}
 	if err := os.WriteFile(v.settingsPath, []byte(text), fileMode); err != nil {
 		return fault.Wrap(fault.UnreadableFile, err, "writing settings")
 	}
