test(contract): the request that fills the queue waits as long as the test needs

TestNotRunRefusalsStartNoGeneration/queue_full failed 6 of 480 runs with twelve copies at once ('waited too long for the queue to fill'): the request that fills the queue waits 300 ms at most (queue_wait_ms), so under load its wait could be over before the test had seen it or sent the next request.

No other test of contract, e2e or cmd waits for a state that lasts queue_wait_ms.

--- a/contract/refusal_test.go
+++ b/contract/refusal_test.go
@@ -44,7 +44,9 @@
 // TestNotRunRefusalsStartNoGeneration covers the ways in which a caller gets "not run" as its
 // answer, and checks that the engine started no generation.
 func TestNotRunRefusalsStartNoGeneration(t *testing.T) {
-	const one = "admission = slots\nslots = 1\n[entry]\nqueue_limit = 1\nqueue_wait_ms = 300\n"
+	const one = "admission = slots\nslots = 1\n[entry]\nqueue_limit = 1\nqueue_wait_ms = "
+	// In short the queue wait ends during the test, in long it does not.
+	const short, long = one + "300\n", one + "60000\n"
 	tests := []struct {
 		name     string
 		settings string
@@ -52,9 +54,9 @@
 		call     call
 		want     fault.Code
 	}{
-		{"queue timeout", one, func(t *testing.T, _ *cluster, v *vm) { occupyEngine(t, v) }, chatCall(1, false), fault.QueueTimeout},
-		{"deadline while waiting", one, func(t *testing.T, _ *cluster, v *vm) { occupyEngine(t, v) }, chatCall(1, false, wire.HeaderDeadline, "40"), fault.DeadlinePassed},
-		{"queue full", one, func(t *testing.T, b *cluster, v *vm) {
+		{"queue timeout", short, func(t *testing.T, _ *cluster, v *vm) { occupyEngine(t, v) }, chatCall(1, false), fault.QueueTimeout},
+		{"deadline while waiting", short, func(t *testing.T, _ *cluster, v *vm) { occupyEngine(t, v) }, chatCall(1, false, wire.HeaderDeadline, "40"), fault.DeadlinePassed},
+		{"queue full", long, func(t *testing.T, b *cluster, v *vm) {
 			occupyEngine(t, v)
 			b.group.Go(func(context.Context) error { v.send(chatCall(1, false)); return nil })
 			b.waitFor("the queue to fill", func() bool { return b.metric(v, "requests_waiting") == 1 })
