--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -154,12 +154,7 @@
 		case n == "":
 			return nil, d.NoServer()
 		}
-		sent := time.Now()
-		a, err := s.sendAttempt(ctx, c, n)
-		s.releaseServer(n, err)
-		if err == nil || port.TimedOut(err) {
-			s.recordFirstAnswer(c.request, time.Since(sent))
-		}
+		a, err := s.sendAndRecord(ctx, c, n)
 		if err == nil {
 			if a.Status/100 == 2 {
 				s.Contents.RecordAnswer(c.content, n)
@@ -170,10 +165,7 @@
 		s.explain(c.request, "failed", string(n)+": "+err.Error())
 		o := outcome(err)
 		if m, f := d.AttemptFailed(o, err, ctx.Err() != nil, s.allowRetry); m == decide.Fail {
-			if isCutOff(ctx) {
-				f = d.Fault(fault.Stopping, err, errCutOff.Error())
-			}
-			return nil, f
+			return nil, endedFault(ctx, d, err, f)
 		}
 		if s.delayedByLink(err) {
 			return nil, d.Fault(fault.BandwidthShort, err, "the network link of this entry VM is overloaded").WithRetryAfter(errNoBandwidth.RetryAfter)
@@ -185,6 +177,26 @@
 	}
 }
 
+// sendAndRecord sends the call to one server, and records how long it took and how it ended.
+func (s *Server) sendAndRecord(ctx context.Context, c *call, n api.ServerName) (*claims.Answer, error) {
+	sent := time.Now()
+	a, err := s.sendAttempt(ctx, c, n)
+	s.releaseServer(n, err)
+	if err == nil || port.TimedOut(err) {
+		s.recordFirstAnswer(c.request, time.Since(sent))
+	}
+	return a, err
+}
+
+// endedFault returns the fault of a call whose last attempt has failed: the given one, unless the end of a
+// planned stop cut the attempt off.
+func endedFault(ctx context.Context, d *decide.Call, err error, f *fault.Error) *fault.Error {
+	if isCutOff(ctx) {
+		return d.Fault(fault.Stopping, err, errCutOff.Error())
+	}
+	return f
+}
+
 // outcome classifies the error of a failed attempt.
 func outcome(err error) decide.Outcome {
 	switch {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -131,9 +131,6 @@
 			return serverAnswer{answer: a, server: s, reservation: p.reservation, backup: b}, nil
 		}
 		p.release()
-		if err != nil && port.TimedOut(err) {
-			g.recordFirstAnswer(q)
-		}
 		if err == nil {
 			g.recordOutcome(s, placement.Failed)
 			failed = &a
@@ -147,19 +144,25 @@
 			m, f = call.Fail, c.Fault(fault.BandwidthShort, err, "the network link of this entry VM is overloaded").WithRetryAfter(g.linkRetryAfter())
 		}
 		if m == call.Fail {
-			switch {
-			case errors.Is(context.Cause(ctx), context.Canceled):
-				f = fault.Wrap(fault.CallerGone, err, "the caller closed its connection")
-			case isCutOff(ctx):
-				f = c.Fault(fault.Stopping, err, "this entry VM ended before the answer")
-			}
-			return preferAnswer(failed, f)
+			return preferAnswer(failed, endedFault(ctx, c, err, f))
 		}
 		g.Metrics.Add(metric.Retries, 1)
 		q.retried = true
 	}
 }
 
+// endedFault returns the fault of a request whose last attempt has failed: the given one, unless the caller
+// has left or the end of a planned stop cut the attempt off.
+func endedFault(ctx context.Context, c *call.Call, err error, f *fault.Error) *fault.Error {
+	switch {
+	case errors.Is(context.Cause(ctx), context.Canceled):
+		return fault.Wrap(fault.CallerGone, err, "the caller closed its connection")
+	case isCutOff(ctx):
+		return c.Fault(fault.Stopping, err, "this entry VM ended before the answer")
+	}
+	return f
+}
+
 // checkSend refuses an attempt whose content is quarantined, or that may outlast a planned stop: while the
 // request waited or was tried elsewhere, time has passed and a stop may have begun.
 func (g *Gateway) checkSend(q *request) *fault.Error {
--- a/internal/gateway/paths.go
+++ b/internal/gateway/paths.go
@@ -81,6 +81,9 @@
 
 // recordFailedAttempt records an attempt without an answer for the server and for the content.
 func (g *Gateway) recordFailedAttempt(q *request, s roster.Server, err error) {
+	if port.TimedOut(err) {
+		g.recordFirstAnswer(q)
+	}
 	if !fault.Has(err, fault.NotStarted) && !fault.Has(err, fault.ServerRefused) && !g.delayedByLink(err) {
 		g.Paths.Suspect(s.Service)
 	}
