--- a/internal/gateway/stop_test.go
+++ b/internal/gateway/stop_test.go
@@ -35,6 +35,7 @@
 		time.Sleep(interval)
 	}
 	time.Sleep(time.Minute)
+	synctest.Wait()
 	return callers, ended, end
 }
 
