feat(gateway): logs tell whether a run that left a server is over there

- run_stopped and run_unconfirmed tell what became of the order, with its time
- run_listed: a report lists a run a second after it continued elsewhere

No decision depends on them.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -56,7 +56,7 @@
 		// An error answer may have come before the server began to run the content.
 		g.Contents.RecordAnswer(q.content, v.server.Name)
 	}
-	g.finish(q, q.lateness())
+	g.finish(q, q.lateness(), zap.Int("status", a.Status))
 	q.sink.WriteAnswer(a)
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/wardridge/wardridge/internal/decide/backlog"
 	"github.com/wardridge/wardridge/internal/decide/directory"
 	"github.com/wardridge/wardridge/internal/decide/drain"
+	"github.com/wardridge/wardridge/internal/decide/fence"
 	"github.com/wardridge/wardridge/internal/decide/fragile"
 	"github.com/wardridge/wardridge/internal/decide/holder"
 	"github.com/wardridge/wardridge/internal/decide/leavequery"
@@ -109,6 +110,8 @@
 	picker *placement.Picker
 	// runs holds the running streams by the server that runs them.
 	runs map[api.ServerName]map[*run]bool
+	// departures holds the runs that have continued at another server.
+	departures *fence.Departures
 	// admissions holds the waiting requests and the observations of servers, by service.
 	admissions map[api.ServiceName]*admission
 	// durations holds the longest times of recent requests by route.
@@ -172,7 +175,7 @@
 	g := &Gateway{
 		domains: placement.NewRemotePools(), reachability: holder.NewReachability(), reports: holder.NewReportSchedule(), observations: holder.NewObservations(), speedSamples: speed.NewRecorder(), speeds: speed.New(), planners: map[api.ServiceName]*role.Planner{}, incarnation: api.Incarnation(p.Seed),
 		Options: p, roster: roster.New(), picker: placement.NewPicker(rand.NewPCG(p.Seed, 0)), lender: fragile.NewLender(),
-		active: map[*request]bool{}, durations: drain.NewRecorder(), runs: map[api.ServerName]map[*run]bool{}, admissions: map[api.ServiceName]*admission{},
+		active: map[*request]bool{}, durations: drain.NewRecorder(), runs: map[api.ServerName]map[*run]bool{}, departures: fence.NewDepartures(), admissions: map[api.ServiceName]*admission{},
 		retryReports: retry.NewReports(), roomWaits: map[api.ServiceName]int{}, queryResults: silence.NewResultCache(), leaveQueries: leavequery.New(), watchdog: newWatchdog(),
 		bodies: newBodyMemory(p.Memory, p.Metrics), rollouts: rollout.New(p.Rollouts, rand.NewPCG(p.Seed, 1)), rolloutVersions: map[api.RolloutID]api.Version{},
 	}
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -101,19 +101,45 @@
 // server may have lost nothing but the connection, and work on.
 func (g *Gateway) stopAbandoned(id api.RequestID, from, to roster.Server) {
 	g.Group.Go(func(ctx context.Context) error {
+		began := time.Now()
 		c, cancel := context.WithTimeout(ctx, abandonedStopTimeout)
 		defer cancel()
 		x, err := g.Backends.Copy(c, port.CopyRequest{Request: id, Source: from, Target: to, StopSource: true})
 		if x.Handle != "" {
 			g.releaseCopy(&kvCopy{server: from, resume: port.Resume{Source: from.Address, Handle: x.Handle}})
 		}
-		if err != nil && !fault.Has(err, fault.NotFound) {
-			g.Log.Emit(event.AttemptFailed, zap.String("request", string(id)), zap.String("server", string(from.Name)), zap.Error(err))
+		l := []zap.Field{zap.String("request", string(id)), zap.String("server", string(from.Name)), zap.Duration("took", time.Since(began)), zap.Error(err)}
+		if err != nil && !fault.Has(err, fault.NotFound) && !port.ConnectionRefused(err) {
+			g.Metrics.Add(metric.RunsUnconfirmed, 1)
+			g.Log.Emit(event.RunUnconfirmed, l...)
+			return nil
 		}
+		g.Log.Emit(event.RunStopped, l...)
 		return nil
 	})
 }
 
+// recordDeparture records that a run continues at another server.
+func (g *Gateway) recordDeparture(id api.RequestID, from, to api.ServerName) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.departures.Return(to, id)
+	if from != to {
+		g.departures.Record(time.Now(), from, id)
+	}
+}
+
+// checkListed logs the runs in a server's report that continue at other servers.
+func (g *Gateway) checkListed(s api.ServerName, report map[api.RequestID]int) {
+	g.mutex.Lock()
+	l := g.departures.Listed(time.Now(), s, report)
+	g.mutex.Unlock()
+	for _, id := range l {
+		g.Metrics.Add(metric.RunsListed, 1)
+		g.Log.Emit(event.RunListed, zap.String("request", string(id)), zap.String("server", string(s)), zap.Int("made", report[id]))
+	}
+}
+
 // closedTargetGrace is the time after its stop in which a run that can't return to its source
 // may resume at its target although operators have closed the target's failure domain in the
 // meantime. It is far less than the time that operators allow for requests in transit.
@@ -168,6 +194,7 @@
 		b.release()
 		return nil, fault.New(fault.BadAnswer, "a resume was answered without a stream")
 	}
+	g.recordDeparture(q.ID, r.currentServer().Name, c.server.Name)
 	g.detach(r)
 	g.attach(r, c.server, c.reservation, b)
 	c.reservation.recordPromptRead()
--- a/internal/gateway/servers.go
+++ b/internal/gateway/servers.go
@@ -64,6 +64,7 @@
 	g.fleet.Observe(now, g.picker.PlainLoads.EntryVMs(now))
 	g.updateRetryShare(now)
 	g.retryReports.Expire(now, g.Retries.Span())
+	g.departures.Expire(now)
 	g.mutex.Unlock()
 	g.planRoles()
 	g.expireClosures(now)
--- a/internal/gateway/signals.go
+++ b/internal/gateway/signals.go
@@ -46,6 +46,7 @@
 	if !s.Supersedes(x.Birth) {
 		// An earlier incarnation may still answer over a connection from before the restart.
 		o.gateway.recordSignals(began, s, x.Signals)
+		o.gateway.checkListed(s.Name, x.EventCounts)
 	}
 	return x, err
 }
