test: runs that run twice and refusals that may not be true, failing

- a server's own 503 without that proof reaches callers as a promise

The fake servers note how long two of them work on one run. One that has crashed refuses connections, and a silent one leaves orders unanswered.

--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -46,6 +46,9 @@
 	produced int
 	server   string
 	stopped  bool
+	// working holds the servers that work on the run, with the time since when it has continued elsewhere
+	// as well; zero if it has not.
+	working map[string]time.Time
 }
 
 // stopOrder is an order to a server to stop a run.
@@ -102,6 +105,12 @@
 	broken map[string]bool
 	// stopOrders are the orders to stop a run, in order.
 	stopOrders []stopOrder
+	// stopFaults are the failures of the next orders to stop a run, which have no effect. stopDelay is how
+	// long an order takes to have its effect.
+	stopFaults []error
+	stopDelay  time.Duration
+	// overlap is the longest time that a server worked on a run that had continued elsewhere.
+	overlap time.Duration
 	// unframed streams end with their connections, and those of stopped runs look the same.
 	unframed bool
 	// waiting makes a stream report unread bytes.
@@ -223,10 +232,15 @@
 		after, _ = strconv.Atoi(x.LastEventID)
 		r.stopped = false
 	} else {
-		r = &fakeRun{total: f.total}
+		r = &fakeRun{total: f.total, working: map[string]time.Time{}}
 		f.runs[id] = r
 	}
-	r.server = n
+	for w, t := range r.working {
+		if t.IsZero() && !f.silent[w] && !f.dead[w] {
+			r.working[w] = time.Now()
+		}
+	}
+	r.server, r.working[n] = n, time.Time{}
 	if a.BackupAddress != "" {
 		f.handles[id] = a.BackupAddress
 	}
@@ -297,11 +311,60 @@
 	})
 }
 
-func (f *fakeServers) Copy(_ context.Context, o port.CopyRequest) (port.Copy, error) {
+// stopWork ends the work of a server on a run; the caller holds the mutex.
+func (f *fakeServers) stopWork(r *fakeRun, n string) {
+	if t := r.working[n]; !t.IsZero() {
+		f.overlap = max(f.overlap, time.Since(t))
+	}
+	delete(r.working, n)
+}
+
+// longestOverlap returns the longest time that a server worked on a run that had continued elsewhere.
+func (f *fakeServers) longestOverlap() time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	d := f.overlap
+	for _, r := range f.runs {
+		for _, t := range r.working {
+			if !t.IsZero() {
+				d = max(d, time.Since(t))
+			}
+		}
+	}
+	return d
+}
+
+// takeStopFault returns the failure of an order to stop a run that has no effect, if one is set.
+func (f *fakeServers) takeStopFault() error {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if len(f.stopFaults) == 0 {
+		return nil
+	}
+	err := f.stopFaults[0]
+	f.stopFaults = f.stopFaults[1:]
+	return err
+}
+
+// Copy copies a run, which its server may be ordered to stop.
+func (f *fakeServers) Copy(ctx context.Context, o port.CopyRequest) (port.Copy, error) {
 	f.mutex.Lock()
+	dark, delay := f.silent[string(o.Source.Name)], f.stopDelay
 	if o.StopSource {
 		f.stopOrders = append(f.stopOrders, stopOrder{string(o.Source.Name), time.Now()})
 	}
+	f.mutex.Unlock()
+	if dark {
+		<-ctx.Done()
+		return port.Copy{}, fault.Wrap(fault.NotStarted, ctx.Err(), "server silent")
+	}
+	if o.StopSource {
+		if err := f.takeStopFault(); err != nil {
+			return port.Copy{}, err
+		}
+		time.Sleep(delay)
+	}
+	f.mutex.Lock()
 	first := f.copies == 0
 	if f.notBegun > 0 {
 		f.notBegun--
@@ -323,8 +386,14 @@
 	r := f.runs[string(o.Request)]
 	switch {
 	case f.dead[string(o.Source.Name)]:
-		return port.Copy{}, fault.New(fault.OutcomeUnknown, "server crashed")
-	case r == nil || r.server != string(o.Source.Name) || r.stopped || f.unframed && r.produced == r.total:
+		return port.Copy{}, fault.Wrap(fault.NotStarted, syscall.ECONNREFUSED, "server crashed")
+	case r == nil:
+		return port.Copy{}, fault.New(fault.NotFound, "no such run")
+	case o.StopSource && r.server != string(o.Source.Name):
+		// The run works on at a server that has lost its connection.
+		f.stopWork(r, string(o.Source.Name))
+		return port.Copy{}, fault.New(fault.NotFound, "no such run")
+	case r.server != string(o.Source.Name) || r.stopped || f.unframed && r.produced == r.total:
 		return port.Copy{}, fault.New(fault.NotFound, "no such run")
 	case f.full[string(o.Target.Name)]:
 		return port.Copy{}, fault.New(fault.ServerRefused, "no capacity")
@@ -334,6 +403,7 @@
 	f.handles[h] = string(o.Target.Name)
 	if o.StopSource {
 		r.stopped = true
+		f.stopWork(r, string(o.Source.Name))
 		f.stoppedAt[h] = string(o.Source.Name)
 	}
 	switch {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -296,6 +296,30 @@
 	}
 }
 
+// Guards against a caller that repeats a request that ran, because a server answered with a status that promises the contrary.
+func TestStatusIsNotPassedOnAsPromiseWithoutProof(t *testing.T) {
+	for _, c := range []struct {
+		path string
+		want int
+	}{{"/unsafe/1", 0}, {"/safe/1", http.StatusServiceUnavailable}} {
+		t.Run(c.path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeServers()
+				b := newTestGateway(t, f, 0)
+				f.answers["p1"], f.answers["p2"] = []any{503}, []any{503}
+				var k caller
+				b.Handle(context.Background(), request(c.path), &k)
+				if k.status != c.want {
+					t.Errorf("status: got %d, want %d", k.status, c.want)
+				}
+				if c.want == 0 && (k.fault == nil || k.fault.Code != fault.OutcomeUnknown || k.fault.Ran != api.RanUnknown) {
+					t.Errorf("refusal: got %v, want an unknown outcome", k.fault)
+				}
+			})
+		})
+	}
+}
+
 func TestRequestWithoutTimeoutIsServed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestGateway(t, newFakeServers(), 0)
--- /dev/null
+++ b/internal/gateway/resume_test.go
@@ -0,0 +1,94 @@
+package gateway_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/fault"
+)
+
+// maxOverlap is how long a server may work on a run that continues at another one.
+const maxOverlap = 400 * time.Millisecond
+
+// repeatFault returns a failure a number of times.
+func repeatFault(err error, n int) []error {
+	var l []error
+	for range n {
+		l = append(l, err)
+	}
+	return l
+}
+
+// Guards against a run that continues at a second server while the first, which has not obeyed an order to stop it, works on.
+func TestRunContinuesOnceItsServerHasStoppedIt(t *testing.T) {
+	closed := fault.New(fault.OutcomeUnknown, "the connection was closed before the answer was complete")
+	for _, c := range []struct {
+		name    string
+		prepare func(f *fakeServers)
+	}{
+		{"first order is obeyed", func(*fakeServers) {}},
+		{"connection of the first order is closed", func(f *fakeServers) { f.stopFaults = repeatFault(closed, 1) }},
+		{"connections of several orders are closed", func(f *fakeServers) { f.stopFaults = repeatFault(closed, 4) }},
+		{"copy of the run is under way", func(f *fakeServers) {
+			f.stopFaults = repeatFault(fault.New(fault.VersionConflict, "another copy of the run is in progress"), 3)
+		}},
+		{"order is refused", func(f *fakeServers) { f.stopFaults = repeatFault(fault.New(fault.ServerRefused, "load shed"), 2) }},
+		{"order takes effect late", func(f *fakeServers) { f.stopDelay = 1500 * time.Millisecond }},
+		{"answers to orders are lost", func(f *fakeServers) { f.loseStopAnswers = true }},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeServers()
+				f.backups = true
+				s := startStream(t, f, 60, 5)
+				s.update(func(f *fakeServers) {
+					c.prepare(f)
+					f.broken[s.server] = true
+				})
+				s.checkWhole(t, s.server, other(s.server))
+				if got := f.longestOverlap(); got > maxOverlap {
+					t.Errorf("time at both servers: got %v, want at most %v", got, maxOverlap)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a run that is taken for stopped because an order to stop it was sent, though the order had no effect.
+func TestRunOfMoveWithoutAnswerIsStoppedBeforeItContinues(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeServers()
+		s := startStream(t, f, 60, 5)
+		s.update(func(f *fakeServers) {
+			f.stopFaults = repeatFault(fault.New(fault.OutcomeUnknown, "no answer in time"), 1)
+		})
+		s.notice(s.server)
+		time.Sleep(firstCopyTime + 200*time.Millisecond)
+		s.update(func(f *fakeServers) { f.broken[s.server] = true })
+		s.checkWhole(t, s.server, other(s.server))
+		if got := f.longestOverlap(); got > maxOverlap {
+			t.Errorf("time at both servers: got %v, want at most %v", got, maxOverlap)
+		}
+	})
+}
+
+// Guards against a run that continues at a second server although the first answers and never confirms that it has stopped it.
+func TestRunDoesNotContinueBesideServerThatDisobeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeServers()
+		f.backups = true
+		s := startStream(t, f, 60, 5)
+		s.update(func(f *fakeServers) {
+			f.stopFaults = repeatFault(fault.New(fault.VersionConflict, "another copy of the run is in progress"), 1000)
+			f.broken[s.server] = true
+		})
+		<-s.done
+		if !s.wasAborted() {
+			t.Errorf("stream: got it not broken off, want it broken off")
+		}
+		if got := f.longestOverlap(); got > maxOverlap {
+			t.Errorf("time at both servers: got %v, want at most %v", got, maxOverlap)
+		}
+	})
+}
