fix(gateway): a run continues elsewhere once its server has stopped it

Cause: when a stream broke off, the run continued at another server first, and the server before was then ordered to stop it: once, over one connection, for at most a second. The end of a connection, an order and the confirmation of an order were taken for each other; a move whose order got no answer even left the run marked as stopped, so that a later break sent none.

Now internal/decide/fence decides: the order goes out first and is repeated over new connections until the server confirms it (stopped, unknown run, another incarnation). Meanwhile the run waits, unless two connections in a row fail, the server answers no report, or it has restarted. If a server that answers never confirms while the caller waits, the stream ends: it isn't run twice. A move counts as confirmed only by its answer. An order that another server refuses (421) means that the server has ended.

The price is the pause until the answer.

--- /dev/null
+++ b/internal/decide/fence/fence.go
@@ -0,0 +1,130 @@
+package fence
+
+import "time"
+
+const (
+	// minRepeatDelay and maxRepeatDelay bound the time from a failed order to the next one, which doubles.
+	minRepeatDelay = 50 * time.Millisecond
+	maxRepeatDelay = 2 * time.Second
+	// answerWait is the time without an answer after which an order is repeated over another connection.
+	answerWait = 350 * time.Millisecond
+	// maxUnreached is how many connections in a row have to fail for a server to count as unreachable: one
+	// may fail for a lost packet.
+	maxUnreached = 2
+	// maxDuration is how long orders are repeated after the run has continued.
+	maxDuration = 10 * time.Second
+	// minPatience is the silence that callers accept at least.
+	minPatience = 2 * time.Second
+)
+
+// ConnectTimeout is the time that a connection for an order may take.
+const ConnectTimeout = 100 * time.Millisecond
+
+// Outcome is the result of an order to stop a run.
+type Outcome int
+
+// Outcomes of an order to stop a run.
+const (
+	// Stopped means that the server has confirmed that the run is over there.
+	Stopped Outcome = iota
+	// Unreached means that no connection to the server was made.
+	Unreached
+	// Unconfirmed means that the server has refused the order, or that its answer was lost.
+	Unconfirmed
+)
+
+// Verdict says whether a run may continue at another server.
+type Verdict int
+
+// Verdicts on a run.
+const (
+	// Wait means that the server may still be working on the run.
+	Wait Verdict = iota
+	// Continue means that the run is over at the server, or that nothing reaches the server.
+	Continue
+	// Abandon means that the server has not stopped the run while the caller waited.
+	Abandon
+)
+
+// Fence is the state of the orders to one server to stop a run. It is not safe for concurrent use.
+type Fence struct {
+	started  time.Time
+	patience time.Duration
+
+	stopped bool
+	// absent is set once the server has counted as unreachable or unresponsive.
+	absent bool
+	// unreached counts the connections that have failed in a row, and failed all orders without success.
+	unreached, failed int
+	// unanswered counts the orders that have no outcome yet.
+	unanswered int
+}
+
+// New starts to stop a run whose caller waits for at most the given time. A server that is known to have ended
+// or not to answer does not delay the run.
+func New(now time.Time, patience time.Duration, responsive bool) *Fence {
+	return &Fence{started: now, patience: patience, absent: !responsive}
+}
+
+// Patience returns the silence that the caller of a stream accepts, given the targets of its route.
+func Patience(latencyTarget, gapTarget time.Duration) time.Duration {
+	return max(minPatience, 4*latencyTarget, 8*gapTarget)
+}
+
+// RecordSent records that an order is sent, and returns when to repeat it if there is no answer.
+func (f *Fence) RecordSent() time.Duration {
+	f.unanswered++
+	return min(answerWait<<min(f.unanswered-1, 8), maxRepeatDelay)
+}
+
+// Unanswered reports whether an order has no outcome yet.
+func (f *Fence) Unanswered() bool {
+	return f.unanswered > 0
+}
+
+// RecordOutcome records the outcome of an order and returns when to send the next one.
+func (f *Fence) RecordOutcome(o Outcome) time.Duration {
+	f.unanswered--
+	f.failed++
+	switch o {
+	case Stopped:
+		f.stopped = true
+	case Unreached:
+		f.unreached++
+		if f.unreached < maxUnreached {
+			return 0
+		}
+		f.absent = true
+	default:
+		f.unreached = 0
+	}
+	return min(minRepeatDelay<<min(f.failed-1, 8), maxRepeatDelay)
+}
+
+// RecordUnresponsive records that the server does not answer queries.
+func (f *Fence) RecordUnresponsive() {
+	f.absent = true
+}
+
+// Stopped reports whether the server has confirmed that the run is over there.
+func (f *Fence) Stopped() bool {
+	return f.stopped
+}
+
+// Verdict returns whether the run may continue at another server.
+func (f *Fence) Verdict(now time.Time) Verdict {
+	switch {
+	case f.stopped || f.absent:
+		return Continue
+	case now.Sub(f.started) >= f.patience:
+		return Abandon
+	default:
+		return Wait
+	}
+}
+
+// Over reports whether no further order is sent. A server that is unreachable and no longer listed by the
+// platform has ended.
+func (f *Fence) Over(now time.Time, listed bool) bool {
+	return f.stopped || f.absent && !listed || now.Sub(f.started) >= max(f.patience, maxDuration)
+}
--- /dev/null
+++ b/internal/decide/fence/fence_test.go
@@ -0,0 +1,83 @@
+package fence_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/decide/fence"
+)
+
+const patience = 3 * time.Second
+
+func TestVerdict(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		responsive bool
+		outcomes   []fence.Outcome
+		queried    bool
+		unlisted   bool
+		after      time.Duration
+		want       fence.Verdict
+		over       bool
+	}{
+		{"no answer yet", true, nil, false, false, 0, fence.Wait, false},
+		{"confirmed", true, []fence.Outcome{fence.Stopped}, false, false, 0, fence.Continue, true},
+		{"confirmed after failures", true, []fence.Outcome{fence.Unconfirmed, fence.Unconfirmed, fence.Stopped}, false, false, 0, fence.Continue, true},
+		{"one connection failed", true, []fence.Outcome{fence.Unreached}, false, false, 0, fence.Wait, false},
+		{"two connections failed", true, []fence.Outcome{fence.Unreached, fence.Unreached}, false, false, 0, fence.Continue, false},
+		{"connections failed before and after an answer", true, []fence.Outcome{fence.Unreached, fence.Unconfirmed, fence.Unreached}, false, false, 0, fence.Wait, false},
+		{"refused", true, []fence.Outcome{fence.Unconfirmed, fence.Unconfirmed, fence.Unconfirmed}, false, false, patience - 1, fence.Wait, false},
+		{"refused for as long as the caller waits", true, []fence.Outcome{fence.Unconfirmed}, false, false, patience, fence.Abandon, false},
+		{"no answer to a query either", true, nil, true, false, 0, fence.Continue, false},
+		{"known not to answer", false, nil, false, false, 0, fence.Continue, false},
+		{"unreachable and no longer listed", true, []fence.Outcome{fence.Unreached, fence.Unreached}, false, true, 0, fence.Continue, true},
+		{"no longer listed, but not unreachable", true, []fence.Outcome{fence.Unconfirmed}, false, true, 0, fence.Wait, false},
+		{"never confirmed", false, []fence.Outcome{fence.Unreached, fence.Unreached}, false, false, time.Minute, fence.Continue, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := fence.New(begin, patience, c.responsive)
+			for _, o := range c.outcomes {
+				f.RecordSent()
+				f.RecordOutcome(o)
+			}
+			if c.queried {
+				f.RecordUnresponsive()
+			}
+			now := begin.Add(c.after)
+			if got := f.Verdict(now); got != c.want {
+				t.Errorf("verdict: got %v, want %v", got, c.want)
+			}
+			if got := f.Over(now, !c.unlisted); got != c.over {
+				t.Errorf("over: got %v, want %v", got, c.over)
+			}
+		})
+	}
+}
+
+// A server that refuses many orders must not be sent one after the other without a pause.
+func TestOrdersAreRepeatedAtGrowingIntervals(t *testing.T) {
+	for _, o := range []fence.Outcome{fence.Unreached, fence.Unconfirmed} {
+		f := fence.New(begin, patience, true)
+		now, n := begin, 0
+		for !f.Over(now, true) {
+			f.RecordSent()
+			n++
+			now = now.Add(f.RecordOutcome(o))
+		}
+		if n < 6 || n > 15 {
+			t.Errorf("orders with outcome %v: got %d, want 6 to 15", o, n)
+		}
+	}
+}
+
+func TestPatience(t *testing.T) {
+	for _, c := range []struct{ latency, gap, want time.Duration }{
+		{0, 0, 2 * time.Second},
+		{1800 * time.Millisecond, 180 * time.Millisecond, 7200 * time.Millisecond},
+		{100 * time.Millisecond, 500 * time.Millisecond, 4 * time.Second},
+	} {
+		if got := fence.Patience(c.latency, c.gap); got != c.want {
+			t.Errorf("patience with targets %v and %v: got %v, want %v", c.latency, c.gap, got, c.want)
+		}
+	}
+}
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -161,7 +161,7 @@
 	{StreamSilent, "stream_silent", zapcore.InfoLevel, "No event arrived for longer than usual, and the server was queried; the verdict says whether the run is resumed on another server."},
 	{RetryShare, "retry_share", zapcore.InfoLevel, "The slack of the bound on repeated sends is divided by another number of entry VMs; repeats are those of this process within the time window."},
 	{RetriesInherited, "retries_inherited", zapcore.InfoLevel, "A peer has returned the repeated sends of the process before this one, which count against the share of this one until they are out of the time window."},
-	{RunStopped, "run_stopped", zapcore.InfoLevel, "The server that a broken stream was read from has confirmed that it no longer works on the run; took is the time since the first order to stop it."},
+	{RunStopped, "run_stopped", zapcore.InfoLevel, "The server that a broken stream was read from has confirmed that it no longer works on the run, or has ended (confirmed is false); took is the time since the first of the orders to stop it."},
 	{RunUnconfirmed, "run_unconfirmed", zapcore.WarnLevel, "The server that a broken stream was read from has not confirmed that it no longer works on the run."},
 	{RunListed, "run_listed", zapcore.WarnLevel, "A server reports a run that continues at another server, which it should no longer work on."},
 	{CopyKept, "copy_kept", zapcore.InfoLevel, "An unused copy of a generation could not be freed; it will expire."},
--- a/internal/gateway/monitor.go
+++ b/internal/gateway/monitor.go
@@ -117,6 +117,9 @@
 	v := silence.Decide(s, a)
 	m.gateway.Metrics.Add(metric.SilentStreams, 1)
 	m.gateway.Log.Emit(event.StreamSilent, zap.String("request", string(s.Request)), zap.String("server", string(m.server.Name)), zap.Int("events", s.Delivered), zap.Duration("silent", s.SilentFor), zap.Bool("reached", a.Answered), zap.Int("made", a.Produced[s.Request]), zap.String("verdict", v.String()))
+	if v == silence.Abandon {
+		m.run.markUnresponsive()
+	}
 	if v == silence.Abandon || v == silence.Fetch && m.gateway.fetch(ctx, m.run, m.server) {
 		m.stream.Close()
 		return
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -9,6 +9,7 @@
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/evacuate"
+	"github.com/wardridge/wardridge/internal/decide/fence"
 	"github.com/wardridge/wardridge/internal/decide/placement"
 	"github.com/wardridge/wardridge/internal/decide/roster"
 	"github.com/wardridge/wardridge/internal/duty"
@@ -173,8 +174,8 @@
 	if x.Handle != "" {
 		m.recordCopy(x.Handle, r.Outcome)
 	}
-	if a.Kind == evacuate.Stop && r.Outcome == evacuate.Missing {
-		m.markUnknown()
+	if a.Kind == evacuate.Stop && fenceOutcome(x, err) == fence.Stopped {
+		m.markConfirmed(r.Outcome == evacuate.Missing)
 	}
 	if err != nil {
 		m.gateway.Log.Emit(event.AttemptFailed, zap.String("request", string(m.run.request.ID)), zap.String("server", string(m.source.Name)), zap.Error(err))
@@ -194,12 +195,13 @@
 	return true
 }
 
-// markUnknown records that the source no longer knows the run that it was ordered to stop.
-func (m *mover) markUnknown() {
+// markConfirmed records that the run is over at the source, which may no longer know the run that it was
+// ordered to stop.
+func (m *mover) markConfirmed(unknown bool) {
 	m.run.mutex.Lock()
 	defer m.run.mutex.Unlock()
 	if m.run.server.Name == m.source.Name {
-		m.run.unknown = true
+		m.run.confirmed, m.run.unknown = true, unknown
 	}
 }
 
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -6,7 +6,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/call"
 	"github.com/wardridge/wardridge/internal/decide/placement"
 	"github.com/wardridge/wardridge/internal/decide/roster"
@@ -22,8 +21,6 @@
 	// maxResumeAttempts bounds the connection attempts to the only server that can resume a
 	// run: one lost packet must not lose the run.
 	maxResumeAttempts = 3
-	// abandonedStopTimeout bounds the order to stop a run that has been resumed at another server.
-	abandonedStopTimeout = time.Second
 )
 
 // awaitMove waits for the move that stopped a run whose stream ended. It reports false if none did.
@@ -80,6 +77,13 @@
 		g.recordLost(r, from, cause)
 		return nil, false
 	}
+	if !r.isConfirmed() {
+		if err := g.fenceRun(ctx, r, from, c); err != nil {
+			g.releaseCopy(c)
+			g.recordLost(r, from, err)
+			return nil, false
+		}
+	}
 	s, err := g.resumeFrom(ctx, r, c)
 	if stopped && !c.fromBackup && c.server.Name != from.Name && (fault.Has(err, fault.ServerRefused) || fault.Has(err, fault.NotStarted)) {
 		s, c, err = g.returnToSource(ctx, r, from, c, err)
@@ -89,57 +93,11 @@
 		g.recordLost(r, from, err)
 		return nil, false
 	}
-	if !stopped {
-		g.stopAbandoned(r.request.ID, from, c.server)
-	}
 	g.Metrics.Add(metric.Resumes, 1)
 	g.Log.Emit(event.GenerationResumed, append(r.request.contentFields(), zap.String("request", string(r.request.ID)), zap.String("from", string(from.Name)), zap.String("to", string(c.server.Name)), zap.Bool("stopped", stopped), zap.Bool("kept", c.fromBackup), zap.Duration("took", time.Since(began)))...)
 	return s, true
 }
 
-// stopAbandoned orders a server to stop a run that was resumed at another one after its stream had broken off: the
-// server may have lost nothing but the connection, and work on.
-func (g *Gateway) stopAbandoned(id api.RequestID, from, to roster.Server) {
-	g.Group.Go(func(ctx context.Context) error {
-		began := time.Now()
-		c, cancel := context.WithTimeout(ctx, abandonedStopTimeout)
-		defer cancel()
-		x, err := g.Backends.Copy(c, port.CopyRequest{Request: id, Source: from, Target: to, StopSource: true})
-		if x.Handle != "" {
-			g.releaseCopy(&kvCopy{server: from, resume: port.Resume{Source: from.Address, Handle: x.Handle}})
-		}
-		l := []zap.Field{zap.String("request", string(id)), zap.String("server", string(from.Name)), zap.Duration("took", time.Since(began)), zap.Error(err)}
-		if err != nil && !fault.Has(err, fault.NotFound) && !port.ConnectionRefused(err) {
-			g.Metrics.Add(metric.RunsUnconfirmed, 1)
-			g.Log.Emit(event.RunUnconfirmed, l...)
-			return nil
-		}
-		g.Log.Emit(event.RunStopped, l...)
-		return nil
-	})
-}
-
-// recordDeparture records that a run continues at another server.
-func (g *Gateway) recordDeparture(id api.RequestID, from, to api.ServerName) {
-	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	g.departures.Return(to, id)
-	if from != to {
-		g.departures.Record(time.Now(), from, id)
-	}
-}
-
-// checkListed logs the runs in a server's report that continue at other servers.
-func (g *Gateway) checkListed(s api.ServerName, report map[api.RequestID]int) {
-	g.mutex.Lock()
-	l := g.departures.Listed(time.Now(), s, report)
-	g.mutex.Unlock()
-	for _, id := range l {
-		g.Metrics.Add(metric.RunsListed, 1)
-		g.Log.Emit(event.RunListed, zap.String("request", string(id)), zap.String("server", string(s)), zap.Int("made", report[id]))
-	}
-}
-
 // closedTargetGrace is the time after its stop in which a run that can't return to its source
 // may resume at its target although operators have closed the target's failure domain in the
 // meantime. It is far less than the time that operators allow for requests in transit.
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -54,6 +54,9 @@
 	stoppedAt time.Time
 	// unknown is set once the server has answered that order by saying that it does not know the run.
 	unknown bool
+	// confirmed is set once the server has confirmed that the run is over there, and unresponsive once it
+	// answers no queries.
+	confirmed, unresponsive bool
 	// moveCopy is the newest copy that a move made, nil for none. After a stop step that found
 	// no free memory at the target, it is the memory that the source retains.
 	moveCopy *kvCopy
@@ -274,6 +277,7 @@
 		r.timing.resuming = true
 	}
 	r.stopped, r.unknown = false, false
+	r.confirmed, r.unresponsive = false, false
 	r.moveCopy = nil
 	r.timing.firstHere = time.Time{}
 	r.gaps, r.gapsRecorded = nil, false
--- a/internal/port/backend.go
+++ b/internal/port/backend.go
@@ -51,6 +51,9 @@
 	// StopSource ends the run at the source before the copy. Otherwise the run continues there
 	// meanwhile.
 	StopSource bool
+	// ConnectTimeout requires a new connection to the source, since open ones may have gone silent, and
+	// limits the time to make it. Zero allows an open one.
+	ConnectTimeout time.Duration
 }
 
 // Copy is a copy of a run's KV cache.
@@ -105,8 +108,9 @@
 	// Send sends a request and returns its answer.
 	Send(ctx context.Context, a Attempt) (Answer, error)
 	// Copy copies the KV cache of a run. It fails with NotFound if the server has no such run,
-	// with VersionConflict if a copy is already in progress, and with ServerRefused if the
-	// target lacks capacity or can't be reached. With ServerRefused too, the handle may be
+	// with VersionConflict if a copy is already in progress, with Misdirected if another server
+	// answers at the source's address, and with ServerRefused if the target lacks capacity or can't
+	// be reached. With ServerRefused too, the handle may be
 	// known.
 	Copy(ctx context.Context, o CopyRequest) (Copy, error)
 	// Report requests a report from a server. If fresh is set, it uses a new connection, since
