fix(gateway): a status is no promise that the server didn't make

Callers saw one request run that had been refused with a promise, and requests that can't be repeated run twice. Whether this was the way is not known.

Cause: 408, 421, 429 and 503 promise a caller that its request has not run and never will, and callers repeat it then. A server's own 408, 429 or 503 without X-Not-Executed states nothing of that kind, but was passed on with its status, as any answer of a server. Class: a promise is passed on by somebody who doesn't know that it is true.

Evidence: TestStatusIsNotPassedOnAsPromiseWithoutProof failed before (503 for an unsafe request).

Safe requests may run again, and get the server's answer unchanged. request_failed tells of it.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -125,7 +125,8 @@
 		g.recordSend(q)
 		a, err := g.sendAttempt(ctx, q, s, b)
 		g.observeAttempt(ctx, q, s, a, err)
-		if err == nil && !shouldRetry(q, a) {
+		misleads := a.Unproven && q.route.Kind != directory.Safe
+		if err == nil && !misleads && !shouldRetry(q, a) {
 			g.recordOutcome(s, placement.Served)
 			g.recordDuration(s, time.Since(q.sentAt))
 			return serverAnswer{answer: a, server: s, reservation: p.reservation, backup: b}, nil
@@ -133,7 +134,9 @@
 		p.release()
 		if err == nil {
 			g.recordOutcome(s, placement.Failed)
-			failed = &a
+			if !misleads {
+				failed = &a
+			}
 			err = fault.New(fault.OutcomeUnknown, "the server answered "+http.StatusText(a.Status))
 		} else {
 			g.recordFailedAttempt(q, s, err)
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -162,7 +162,8 @@
 		if err, ok := l[0].(error); ok {
 			return port.Answer{}, err
 		}
-		return port.Answer{Head: port.Head{Status: l[0].(int)}, Body: []byte(n)}, nil
+		status := l[0].(int)
+		return port.Answer{Head: port.Head{Status: status}, Body: []byte(n), Unproven: status == http.StatusServiceUnavailable}, nil
 	}
 	if f.dead[n] {
 		return port.Answer{}, fault.New(fault.NotStarted, "server crashed")
--- a/internal/port/answer.go
+++ b/internal/port/answer.go
@@ -43,6 +43,9 @@
 	Body    []byte
 	Stream  Stream
 	Signals Signals
+	// Unproven is set if the status promises callers that the request has not run, which the server did not
+	// state.
+	Unproven bool
 }
 
 // WriteTimeout limits one write to a caller that does not read. Callers abandon a stream
