test(soak): servers lose the connections of streams and work on

The soak could not see a run that works on at the server before: its engines ended a run with its connection, and it excused runs beside each other while any unplanned fault met the VM or a server.

lose-streams closes the connection of each stream of a server after twelve events; the run goes on, and the first two orders to stop it get 409 or lose their connection. Two servers that run one request at once are no longer excused by faults that only lose answers or streams.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -18,20 +18,35 @@
 // property is only logged, since it depends on the speed of the machine.
 func TestShortSoak(t *testing.T) {
 	for _, seed := range soakSeeds {
-		o := soak.Options{Program: filepath.Join(binDir, "wardridge"), Wire: standin.Wire{}, Dir: t.TempDir(), Log: event.Discard()}
-		r, err := soak.Run(t.Context(), o, soak.NewPlan(seed, soak.DefaultSize(), 16*time.Second))
-		if err != nil {
-			t.Fatal(err)
-		}
-		if r.Served == 0 {
-			t.Errorf("seed %d: got no request served, want some", seed)
-		}
-		for _, v := range r.Violations {
-			if v.Property.Timed() {
-				t.Logf("seed %d, timed property: %s %s: %s", seed, v.Property, v.Request, v.What)
-				continue
-			}
-			t.Errorf("seed %d: got property %s violated by request %q, want it to hold: %s", seed, v.Property, v.Request, v.What)
+		playSoak(t, soak.NewPlan(seed, soak.DefaultSize(), 16*time.Second))
+	}
+}
+
+// Guards against a run that continues at a second server while the first, which has only lost its connection, works on.
+func TestRunsOfLostStreamsAreStopped(t *testing.T) {
+	p := soak.Plan{Seed: 130000, Size: soak.Size{VMs: 3, Engines: 5, Plain: 2, Callers: 24}, Length: 14000}
+	for i := range 3 {
+		p.Faults = append(p.Faults, soak.Fault{Kind: soak.LoseStreams, At: 2000, For: 4000, Target: i})
+	}
+	playSoak(t, p)
+}
+
+// playSoak plays a plan with the real programs and checks its properties.
+func playSoak(t *testing.T, p soak.Plan) {
+	t.Helper()
+	o := soak.Options{Program: filepath.Join(binDir, "wardridge"), Wire: standin.Wire{}, Dir: t.TempDir(), Log: event.Discard()}
+	r, err := soak.Run(t.Context(), o, p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Served == 0 {
+		t.Errorf("seed %d: got no request served, want some", p.Seed)
+	}
+	for _, v := range r.Violations {
+		if v.Property.Timed() {
+			t.Logf("seed %d, timed property: %s %s: %s", p.Seed, v.Property, v.Request, v.What)
+			continue
 		}
+		t.Errorf("seed %d: got property %s violated by request %q, want it to hold: %s", p.Seed, v.Property, v.Request, v.What)
 	}
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -144,13 +144,25 @@
 // during a span or within recoveryTime before it. With an empty server name, a fault of
 // any server counts.
 func (c *checker) unplannedFaultDuring(s Span, vm int, server api.ServerName) bool {
+	return c.faultDuring(s, vm, server, func(k Kind) bool { return !k.Planned() })
+}
+
+// faultDuring reports whether a fault of one of the counted kinds affected an entry VM or a server, as
+// unplannedFaultDuring does.
+func (c *checker) faultDuring(s Span, vm int, server api.ServerName, counts func(k Kind) bool) bool {
 	s.From = s.From.Add(-recoveryTime)
 	return slices.ContainsFunc(c.Injections, func(t Injection) bool {
 		affected := t.VM == All || t.VM == vm || t.Server != "" && (server == "" || t.Server == server)
-		return affected && !t.Kind.Planned() && t.overlaps(s)
+		return affected && counts(t.Kind) && t.overlaps(s)
 	})
 }
 
+// excusesConcurrentRun reports whether a fault of a kind may keep an entry VM from having a server stop a run
+// before it continues elsewhere. An entry VM that reaches a server which has lost a stream has to.
+func excusesConcurrentRun(k Kind) bool {
+	return !k.Planned() && k != LoseStreams && k != LoseAnswers
+}
+
 // restartedDuring reports whether an entry VM was stopped or started during a span or
 // within recoveryTime before it.
 func (c *checker) restartedDuring(s Span, vm int) bool {
@@ -237,7 +249,7 @@
 				c.addViolation(SingleRun, s.ID, b.Started, fmt.Sprintf("ran at %s and again at %s", a.Server, b.Server))
 			}
 			both := Span{later(a.Started, b.Started), earlier(c.endOf(a), c.endOf(b))}
-			if both.Until.Sub(both.From) > maxConcurrentRun && !c.unplannedFaultDuring(both, s.VM, "") {
+			if both.Until.Sub(both.From) > maxConcurrentRun && !c.faultDuring(both, s.VM, "", excusesConcurrentRun) {
 				c.addViolation(SingleRun, s.ID, b.Started, fmt.Sprintf("%s and %s ran it at the same time", a.Server, b.Server))
 			}
 		}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -61,6 +61,8 @@
 	// SignalFragile has all servers of a service announce that they fail once they have to refuse too
 	// many requests, and gives them few slots.
 	SignalFragile Kind = "fragile-servers"
+	// LoseStreams has a server lose the connections of streams and work on. Orders to stop a run fail at first.
+	LoseStreams Kind = "lose-streams"
 )
 
 // firstExtendedSeed is the first seed whose plan also draws from the extended kinds, so
@@ -91,6 +93,9 @@
 // callers by their links.
 const firstNarrowSeed = 100000
 
+// firstLoseStreamsSeed is the first seed whose plan also draws servers that lose streams.
+const firstLoseStreamsSeed = 130000
+
 // signalKinds are the signals that servers send in their answers; no request may be lost
 // by them.
 var signalKinds = []Kind{SignalLimit, SignalBackoff, SignalLeaving}
@@ -200,6 +205,9 @@
 	if seed >= firstCrashingPartSeed {
 		all = append(all, CrashingPart, CrashingPart)
 	}
+	if seed >= firstLoseStreamsSeed {
+		all = append(all, LoseStreams, LoseStreams)
+	}
 	modes := linkFaults
 	if seed >= firstNarrowSeed {
 		modes = narrowFaults
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -163,7 +163,7 @@
 		b.injectVMFault(ctx, f, v)
 	case CallerLink:
 		b.injectLinkFault(ctx, v.callerProxy, f)
-	case ServerLink, SilentServer, CrashServer, LeaveServer, RestartServer, LoseAnswers:
+	case ServerLink, SilentServer, CrashServer, LeaveServer, RestartServer, LoseAnswers, LoseStreams:
 		b.injectServerFault(ctx, f, s)
 	case SignalLimit, SignalBackoff, SignalLeaving:
 		b.injectSignal(ctx, f, s)
@@ -211,6 +211,8 @@
 		b.leaveServer(ctx, s, f.For.Duration())
 	case RestartServer:
 		b.restartServer(s)
+	case LoseStreams:
+		b.loseStreams(ctx, s, f.For.Duration())
 	default:
 		b.loseAnswers(ctx, s, f.For.Duration())
 	}
@@ -254,7 +256,7 @@
 func (b *testbed) recordInjection(f Fault, v *vm, s *server) int {
 	t := Injection{Fault: f, VM: noVM}
 	switch f.Kind {
-	case CrashServer, SilentServer, ServerLink, LeaveServer, LoseAnswers, RestartServer:
+	case CrashServer, SilentServer, ServerLink, LeaveServer, LoseAnswers, LoseStreams, RestartServer:
 		x, _ := s.current()
 		t.Server = x.Name
 	case ChangeRoute, RevokeKey, StoreDropHistory, SignalLimit, SignalBackoff, SignalLeaving, SignalFragile, CloseDomain, ForeignEntry, CrashingRequest, CrashingPart:
@@ -334,6 +336,14 @@
 	x.LoseAnswers(false)
 }
 
+// loseStreams makes a server lose, for a time, the connections of streams whose runs go on.
+func (b *testbed) loseStreams(ctx context.Context, s *server, d time.Duration) {
+	x, _ := s.current()
+	x.LoseStreams(true)
+	duty.Sleep(ctx, d)
+	x.LoseStreams(false)
+}
+
 // minNotice is the minimum time between a leave notice and the end of a server, as on the
 // users' platform.
 const minNotice = 1500 * time.Millisecond
--- a/internal/standin/hosted/server.go
+++ b/internal/standin/hosted/server.go
@@ -68,6 +68,8 @@
 
 	// unframed is set if answers have neither a length nor chunks.
 	unframed atomic.Bool
+	// losesStreams is set while the server loses the connections of streams.
+	losesStreams atomic.Bool
 
 	mutex  sync.Mutex
 	active int
@@ -291,6 +293,10 @@
 	s.losesAnswers = losing
 }
 
+// LoseStreams sets whether the server loses the connections of streams, whose runs go on. It does not carry out
+// the first orders to stop such a run.
+func (s *Server) LoseStreams(losing bool) { s.losesStreams.Store(losing) }
+
 // SetSignals sets the signals of the following answers.
 func (s *Server) SetSignals(x Signals) {
 	s.mutex.Lock()
--- a/internal/standin/hosted/stream.go
+++ b/internal/standin/hosted/stream.go
@@ -18,6 +18,13 @@
 // copyRetention is how long an unused copy is stored.
 const copyRetention = 5 * time.Second
 
+// maxDisobeyed is the number of orders to stop a run that are not carried out after the connection of its
+// stream was lost.
+const maxDisobeyed = 2
+
+// detachAfter is the number of events after which a server that loses streams closes the connection of one.
+const detachAfter = 12
+
 // runState is the state of a run that a copy holds; it stands for the KV cache of an engine.
 type runState struct {
 	generation      int
@@ -34,6 +41,35 @@
 	// stopped is set if the run produces no more events here, since it is resumed at another
 	// server.
 	stopped bool
+	// detached is set once the connection of the stream was lost while the run goes on, and disobeyed counts the
+	// orders to stop it that were not carried out since.
+	detached  bool
+	disobeyed int
+}
+
+// detach loses the connection of the stream.
+func (g *streamRun) detach() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.detached = true
+}
+
+func (g *streamRun) isDetached() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.detached
+}
+
+// disobeys reports whether the server does not carry out an order to stop the run: the first ones after it lost
+// the connection.
+func (g *streamRun) disobeys() bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if !g.detached || g.disobeyed == maxDisobeyed {
+		return false
+	}
+	g.disobeyed++
+	return true
 }
 
 // snapshot returns the run's state. If stop is set, the run produces no more events.
@@ -76,12 +112,11 @@
 		return
 	}
 	x := s.fleet.Journal.startRun(a.ID, s.Name, m.generation)
-	defer s.fleet.Journal.endRun(x)
 	g := &streamRun{record: x, total: m.total, produced: m.produced}
 	s.mutex.Lock()
 	s.runs[a.ID] = g
 	s.mutex.Unlock()
-	defer s.removeRun(a.ID, g)
+	defer s.endStream(a.ID, g)
 	w.BeginStream()
 	// Events that the copy includes and the caller has not received are sent without delay.
 	for n := a.LastEvent + 1; n <= m.produced; n++ {
@@ -92,6 +127,23 @@
 	s.produceEvents(ctx, a, g, w)
 }
 
+// endStream ends a run with its stream, unless the run goes on without it.
+func (s *Server) endStream(id api.RequestID, g *streamRun) {
+	if !g.isDetached() {
+		s.fleet.Journal.endRun(g.record)
+		s.removeRun(id, g)
+		return
+	}
+	s.group.Go(func(ctx context.Context) error {
+		for ok := true; ok && s.sleep(ctx, s.pause()); {
+			_, ok = g.nextEvent()
+		}
+		s.fleet.Journal.endRun(g.record)
+		s.removeRun(id, g)
+		return nil
+	})
+}
+
 // produceEvents produces events until the run is complete or stopped, the caller is gone, or
 // the server stops.
 func (s *Server) produceEvents(ctx context.Context, a Request, g *streamRun, w AnswerWriter) {
@@ -106,6 +158,11 @@
 		if err := w.WriteEvent(n, EventData(a.ID, g.record.Generation, n)); err != nil {
 			return
 		}
+		if n == detachAfter && s.losesStreams.Load() {
+			g.detach()
+			w.Abort()
+			return
+		}
 	}
 	if g.snapshot(false).produced == g.total {
 		return
@@ -194,6 +251,10 @@
 	CopyNoRun
 	// CopyUnreachable means that the other server can't be reached.
 	CopyUnreachable
+	// CopyBusy means that another copy of the run is under way, and CopyLost that the order is lost with its
+	// connection.
+	CopyBusy
+	CopyLost
 )
 
 // Copy copies the state of a run to the server at an address and returns the handle of the
@@ -205,6 +266,12 @@
 	if !ok {
 		return "", CopyNoRun
 	}
+	if stop && g.disobeys() {
+		if g.snapshot(false).produced%2 == 0 {
+			return "", CopyBusy
+		}
+		return "", CopyLost
+	}
 	if !s.sleep(ctx, s.fleet.Pace.Copy) {
 		return "", CopyUnreachable
 	}
