fix(gateway): a refusal while waiting for a retry does not say not run

Callers could get 503, the promise that their request has not run, for one that may have: its first attempt got no answer, the deadline passed while it waited for a send slot of another server, and the refusal of that wait knew only of the wait. Only safe requests are sent again after such an attempt, so this is not what callers reported as REFUSED; it is the same class, a promise by somebody who doesn't know that it is true.

Evidence: TestRefusalWhileWaitingForARetryDoesNotSayNotRun failed before (deadline_passed, ran no).

Every refusal of a further attempt now goes through the state of the call, which knows of the attempts before, as those of a planned stop and of quarantined contents did already.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -113,7 +113,7 @@
 	for {
 		p := g.pickNext(ctx, q, n, c)
 		if p.fault != nil {
-			return preferAnswer(failed, p.fault)
+			return preferAnswer(failed, c.Refusal(p.fault))
 		}
 		if f := g.checkSend(q); f != nil {
 			p.release()
--- a/internal/gateway/wait_test.go
+++ b/internal/gateway/wait_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/port"
 )
 
 // fillEngines starts more long streams than both engines can hold, and returns their callers.
@@ -159,3 +160,33 @@
 		}
 	})
 }
+
+// Guards against a request that may have run and is refused as not run because its deadline passes while it waits for another server.
+func TestRefusalWhileWaitingForARetryDoesNotSayNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeServers()
+		b := newTestGateway(t, f, 9)
+		for _, n := range []string{"p1", "p2"} {
+			f.signals[n] = port.Signals{Answered: true, Limited: true, Limit: 25}
+			_, _ = b.Backends.Report(t.Context(), server(n, "x", false), false)
+		}
+		lost := fault.New(fault.OutcomeUnknown, "lost")
+		f.answers["p1"], f.answers["p2"] = []any{200, lost}, []any{200, lost}
+		// Each server has a send slot every 40 ms: the third request has one at the first server at once, and
+		// none at the second before its deadline.
+		var k caller
+		for i, pause := range []time.Duration{20 * time.Millisecond, 25 * time.Millisecond, 0} {
+			r := request("/safe/1")
+			r.MaxWait = 10 * time.Millisecond
+			k = caller{}
+			b.Handle(context.Background(), r, &k)
+			if got, want := f.sent(), i+1; got != want {
+				t.Fatalf("sends after request %d: got %d, want %d", i+1, got, want)
+			}
+			time.Sleep(pause)
+		}
+		if k.fault == nil || k.fault.Code != fault.DeadlinePassed || k.fault.Ran != api.RanUnknown {
+			t.Errorf("refusal: got %+v, want a passed deadline and an unknown outcome", k.fault)
+		}
+	})
+}
