fix(fence): a server that can be reached again stops a run soon

While a server can't be reached its run continues elsewhere, and orders to stop it were repeated at pauses that doubled up to 2 s. A server that came back would have worked on the run for that long beside its continuation.

Orders are now repeated 200 ms after a failed connection and at most 400 ms after a refusal. Three at most wait for an answer, since a server accepts few connections; all but the first, which copies the run's memory, are given up after 700 ms.

More tests of both sides: the server leaves, crashes, falls silent or its address is taken over while it is ordered to stop a run, and the caller leaves in the middle. The fake servers tell a connection that isn't made from an answer that doesn't come, and stop a run before they copy it.

--- a/internal/decide/fence/fence.go
+++ b/internal/decide/fence/fence.go
@@ -5,9 +5,17 @@
 const (
 	// minRepeatDelay and maxRepeatDelay bound the time from a failed order to the next one, which doubles.
 	minRepeatDelay = 50 * time.Millisecond
-	maxRepeatDelay = 2 * time.Second
+	maxRepeatDelay = 400 * time.Millisecond
+	// absentDelay is the time from a failed connection to the next one while a server counts as unreachable. It
+	// bounds how long the server works on the run once it is reachable again.
+	absentDelay = 200 * time.Millisecond
 	// answerWait is the time without an answer after which an order is repeated over another connection.
 	answerWait = 350 * time.Millisecond
+	// firstTimeout is the time that the first order may take to copy the run's memory, and repeatTimeout that
+	// of the others. At most maxUnanswered are sent at a time, since servers accept few connections.
+	firstTimeout  = 3 * time.Second
+	repeatTimeout = 700 * time.Millisecond
+	maxUnanswered = 3
 	// maxUnreached is how many connections in a row have to fail for a server to count as unreachable: one
 	// may fail for a lost packet.
 	maxUnreached = 2
@@ -56,8 +64,8 @@
 	absent bool
 	// unreached counts the connections that have failed in a row, and failed all orders without success.
 	unreached, failed int
-	// unanswered counts the orders that have no outcome yet.
-	unanswered int
+	// sent counts the orders, and unanswered those that have no outcome yet.
+	sent, unanswered int
 }
 
 // New starts to stop a run whose caller waits for at most the given time. A server that is known to have ended
@@ -71,10 +79,20 @@
 	return max(minPatience, 4*latencyTarget, 8*gapTarget)
 }
 
-// RecordSent records that an order is sent, and returns when to repeat it if there is no answer.
-func (f *Fence) RecordSent() time.Duration {
+// MaySend reports whether another order may be sent while others have no outcome yet.
+func (f *Fence) MaySend() bool {
+	return f.unanswered < maxUnanswered
+}
+
+// RecordSent records that an order is sent. It returns the time that the order may take, and when to repeat it if
+// there is no answer.
+func (f *Fence) RecordSent() (timeout, repeat time.Duration) {
 	f.unanswered++
-	return min(answerWait<<min(f.unanswered-1, 8), maxRepeatDelay)
+	f.sent++
+	if f.sent == 1 {
+		return firstTimeout, answerWait
+	}
+	return repeatTimeout, answerWait
 }
 
 // Unanswered reports whether an order has no outcome yet.
@@ -95,6 +113,7 @@
 			return 0
 		}
 		f.absent = true
+		return absentDelay
 	default:
 		f.unreached = 0
 	}
--- a/internal/decide/fence/fence_test.go
+++ b/internal/decide/fence/fence_test.go
@@ -54,18 +54,23 @@
 	}
 }
 
-// A server that refuses many orders must not be sent one after the other without a pause.
-func TestOrdersAreRepeatedAtGrowingIntervals(t *testing.T) {
+// A server that refuses orders, or can't be reached, must not be sent one after the other without a pause, nor work on for
+// long once it obeys.
+func TestOrdersAreRepeatedAfterAPause(t *testing.T) {
 	for _, o := range []fence.Outcome{fence.Unreached, fence.Unconfirmed} {
 		f := fence.New(begin, patience, true)
 		now, n := begin, 0
 		for !f.Over(now, true) {
 			f.RecordSent()
 			n++
-			now = now.Add(f.RecordOutcome(o))
+			d := f.RecordOutcome(o)
+			if d > 400*time.Millisecond {
+				t.Errorf("pause after order %d with outcome %v: got %v, want at most 400ms", n, o, d)
+			}
+			now = now.Add(d)
 		}
-		if n < 6 || n > 15 {
-			t.Errorf("orders with outcome %v: got %d, want 6 to 15", o, n)
+		if n < 10 || n > 60 {
+			t.Errorf("orders with outcome %v: got %d, want 10 to 60", o, n)
 		}
 	}
 }
@@ -81,3 +86,20 @@
 		}
 	}
 }
+
+// A server that accepts connections and answers nothing must not be sent more orders than it has connections for.
+func TestUnansweredOrdersAreBounded(t *testing.T) {
+	f := fence.New(begin, patience, true)
+	n := 0
+	for f.MaySend() && n < 100 {
+		f.RecordSent()
+		n++
+	}
+	if n != 3 {
+		t.Errorf("orders without an answer: got %d, want 3", n)
+	}
+	f.RecordOutcome(fence.Unconfirmed)
+	if !f.MaySend() {
+		t.Error("after one has an outcome: got no further order, want one")
+	}
+}
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -320,6 +320,16 @@
 	delete(r.working, n)
 }
 
+// revive makes a silent server answer again, which then works on with its runs.
+func (f *fakeServers) revive(n string) {
+	f.silent[n] = false
+	for _, r := range f.runs {
+		if t, ok := r.working[n]; ok && t.IsZero() && r.server != n {
+			r.working[n] = time.Now()
+		}
+	}
+}
+
 // longestOverlap returns the longest time that a server worked on a run that had continued elsewhere.
 func (f *fakeServers) longestOverlap() time.Duration {
 	f.mutex.Lock()
@@ -350,14 +360,21 @@
 // Copy copies a run, which its server may be ordered to stop.
 func (f *fakeServers) Copy(ctx context.Context, o port.CopyRequest) (port.Copy, error) {
 	f.mutex.Lock()
-	dark, delay := f.silent[string(o.Source.Name)], f.stopDelay
+	dark, dead, delay := f.silent[string(o.Source.Name)], f.dead[string(o.Source.Name)], f.stopDelay
 	if o.StopSource {
 		f.stopOrders = append(f.stopOrders, stopOrder{string(o.Source.Name), time.Now()})
 	}
 	f.mutex.Unlock()
 	if dark {
-		<-ctx.Done()
-		return port.Copy{}, fault.Wrap(fault.NotStarted, ctx.Err(), "server silent")
+		if o.ConnectTimeout > 0 {
+			duty.Sleep(ctx, o.ConnectTimeout)
+		} else {
+			<-ctx.Done()
+		}
+		return port.Copy{}, fault.Wrap(fault.NotStarted, context.DeadlineExceeded, "server silent")
+	}
+	if dead {
+		return port.Copy{}, fault.Wrap(fault.NotStarted, syscall.ECONNREFUSED, "server crashed")
 	}
 	if o.StopSource {
 		if err := f.takeStopFault(); err != nil {
@@ -366,6 +383,12 @@
 		time.Sleep(delay)
 	}
 	f.mutex.Lock()
+	if r := f.runs[string(o.Request)]; o.StopSource && r != nil && r.server != string(o.Source.Name) {
+		// The run works on at a server that has lost its connection.
+		f.stopWork(r, string(o.Source.Name))
+		f.mutex.Unlock()
+		return port.Copy{}, fault.New(fault.NotFound, "no such run")
+	}
 	first := f.copies == 0
 	if f.notBegun > 0 {
 		f.notBegun--
@@ -390,10 +413,6 @@
 		return port.Copy{}, fault.Wrap(fault.NotStarted, syscall.ECONNREFUSED, "server crashed")
 	case r == nil:
 		return port.Copy{}, fault.New(fault.NotFound, "no such run")
-	case o.StopSource && r.server != string(o.Source.Name):
-		// The run works on at a server that has lost its connection.
-		f.stopWork(r, string(o.Source.Name))
-		return port.Copy{}, fault.New(fault.NotFound, "no such run")
 	case r.server != string(o.Source.Name) || r.stopped || f.unframed && r.produced == r.total:
 		return port.Copy{}, fault.New(fault.NotFound, "no such run")
 	case f.full[string(o.Target.Name)]:
--- a/internal/gateway/fence.go
+++ b/internal/gateway/fence.go
@@ -76,8 +76,7 @@
 			if f.state.Unanswered() {
 				f.query(ctx)
 			}
-			next.Reset(f.state.RecordSent())
-			f.send(ctx)
+			next.Reset(f.send(ctx))
 		case o := <-f.outcomes:
 			next.Reset(f.state.RecordOutcome(o))
 		case <-f.unresponsive:
@@ -99,12 +98,16 @@
 	}
 }
 
-// send sends an order in the background.
-func (f *fencer) send(ctx context.Context) {
+// send sends an order in the background, unless too many have no answer. It returns when to send the next one.
+func (f *fencer) send(ctx context.Context) time.Duration {
+	if !f.state.MaySend() {
+		return fence.ConnectTimeout
+	}
+	timeout, repeat := f.state.RecordSent()
 	f.orders++
 	o := port.CopyRequest{Request: f.request.ID, Source: f.source, Target: f.copy.server, StopSource: true, ConnectTimeout: fence.ConnectTimeout}
 	f.gateway.Group.Go(func(context.Context) error {
-		c, cancel := context.WithTimeout(ctx, copyTimeout)
+		c, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		x, err := f.gateway.Backends.Copy(c, o)
 		if x.Handle != "" && x.Handle != f.copy.resume.Handle {
@@ -116,6 +119,7 @@
 		}
 		return nil
 	})
+	return repeat
 }
 
 // query asks the server for its report in the background.
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -32,6 +32,8 @@
 	// server is the engine that runs the stream at first.
 	server string
 	done   chan struct{}
+	// leave closes the caller's connection.
+	leave context.CancelFunc
 }
 
 // startStream starts a stream with a total number of events, and returns once its caller has
@@ -55,9 +57,12 @@
 	f := b.fake
 	f.total = total
 	s := &streamTest{testGateway: b, caller: &caller{}, done: make(chan struct{})}
-	s.Group.Go(func(ctx context.Context) error {
+	var connection context.Context
+	connection, s.leave = context.WithCancel(context.Background())
+	t.Cleanup(s.leave)
+	s.Group.Go(func(context.Context) error {
 		defer close(s.done)
-		s.Handle(ctx, request("/stream/1"), s.caller)
+		s.Handle(connection, request("/stream/1"), s.caller)
 		return nil
 	})
 	for s.count() < events {
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -92,3 +92,94 @@
 		}
 	})
 }
+
+// A server that can't be reached must not delay a run that another one can resume, nor work on with it for long after it can be
+// reached again.
+func TestRunOfUnreachableServerContinuesAndIsStoppedLater(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeServers()
+		f.backups = true
+		s := startStream(t, f, 120, 5)
+		s.update(func(f *fakeServers) { f.silent[s.server] = true })
+		time.Sleep(gapTarget)
+		if got := f.sent(); got != 2 {
+			t.Errorf("sends after %v of silence: got %d, want 2", gapTarget, got)
+		}
+		time.Sleep(2 * time.Second)
+		s.update(func(f *fakeServers) { f.revive(s.server) })
+		s.checkWhole(t, s.server, other(s.server))
+		if got := f.longestOverlap(); got > maxOverlap {
+			t.Errorf("time at both servers since it can be reached: got %v, want at most %v", got, maxOverlap)
+		}
+	})
+}
+
+// Guards against a stream that is broken off, or runs twice, where its server leaves or restarts while it is ordered to stop the run.
+func TestRunContinuesWhenItsServerEndsMeanwhile(t *testing.T) {
+	busy := fault.New(fault.VersionConflict, "another copy of the run is in progress")
+	for _, c := range []struct {
+		name   string
+		change func(s *streamTest)
+	}{
+		{"leaves", func(s *streamTest) { s.notice(s.server) }},
+		{"crashes", func(s *streamTest) { s.update(func(f *fakeServers) { f.dead[s.server] = true }) }},
+		{"falls silent", func(s *streamTest) { s.update(func(f *fakeServers) { f.silent[s.server] = true }) }},
+		{"address taken over", func(s *streamTest) {
+			s.update(func(f *fakeServers) {
+				f.stopFaults = repeatFault(fault.New(fault.Misdirected, "a different server answers at the address"), 1)
+				f.runs["r"].working = map[string]time.Time{}
+			})
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeServers()
+				f.backups = true
+				s := startStream(t, f, 60, 5)
+				s.update(func(f *fakeServers) {
+					f.stopFaults = repeatFault(busy, 4)
+					f.broken[s.server] = true
+				})
+				time.Sleep(5 * eventGap)
+				if got := f.sent(); got != 1 {
+					t.Errorf("sends before the server obeys: got %d, want 1", got)
+				}
+				began := time.Now()
+				c.change(s)
+				s.checkWhole(t, s.server, other(s.server))
+				if got, want := time.Since(began), 60*eventGap+time.Second; got > want {
+					t.Errorf("time to the end: got %v, want at most %v", got, want)
+				}
+				if got := f.longestOverlap(); got > maxOverlap {
+					t.Errorf("time at both servers: got %v, want at most %v", got, maxOverlap)
+				}
+			})
+		})
+	}
+}
+
+// Guards against orders that are sent on and on to a server, or loads that stay counted, after the caller has left in the middle.
+func TestCallerLeavesWhileRunIsStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeServers()
+		f.backups = true
+		s := startStream(t, f, 60, 5)
+		s.update(func(f *fakeServers) {
+			f.stopFaults = repeatFault(fault.New(fault.OutcomeUnknown, "no answer"), 8)
+			f.broken[s.server] = true
+		})
+		time.Sleep(5 * eventGap)
+		s.leave()
+		<-s.done
+		if got := f.sent(); got != 1 {
+			t.Errorf("sends: got %d, want 1", got)
+		}
+		time.Sleep(15 * time.Second)
+		if got := len(f.runs["r"].working); got != 0 {
+			t.Errorf("servers that work on the run: got %d, want none", got)
+		}
+		if l := s.LocalLoads(); len(l) != 0 {
+			t.Errorf("loads: got %v, want none", l)
+		}
+	})
+}
