test(spec): explore the decisions that let a run continue elsewhere

The exploration of moves took for granted that a server ends a run when its connection closes, which is what real servers need not do.

--- a/spec/move.go
+++ b/spec/move.go
@@ -124,7 +124,7 @@
 	}
 	n := s
 	if mutation != "the connection is left open" {
-		// The server drops a request whose connection is closed.
+		// The run is over at the server before it resumes elsewhere, as runFenceModel shows.
 		n.running[s.stream] = false
 	}
 	n.stream = noServer
--- a/spec/spec_test.go
+++ b/spec/spec_test.go
@@ -77,6 +77,11 @@
 	check(t, moveModel, "the connection is left open", "event ids are not checked")
 }
 
+// A run must not continue at another server while the one before, which only lost the connection, works on it.
+func TestRunIsFenced(t *testing.T) {
+	check(t, runFenceModel, mutateSentIsDone, mutateNoAnswerIsDone, mutateOneConnect, mutateNoRepeat)
+}
+
 func TestServerIncarnations(t *testing.T) {
 	check(t, incarnationModel, mutateNoBirth, mutateStaleEntry, mutateNoReportBirth)
 }
