fix(gateway): lost answers don't take a safe request to more servers than its route allows

Evidence: TestLostAnswersDoNotExceedTheServersOfARoute failed before (4 sends where 2 are allowed). TestServersOfOneCallAreBounded has the decision alone.

The call counts the servers at which it may have run, whatever told so. Attempts that provably did not run don't count. The caller gets 502 with an unknown outcome, on which it may repeat a safe request itself.

--- a/internal/decide/call/call.go
+++ b/internal/decide/call/call.go
@@ -44,6 +44,9 @@
 type Call struct {
 	notRepeatable bool
 	mayHaveRun    bool
+	// maxServers is the number of servers at which the call may run, zero for no bound; incomplete counts
+	// those at which it may have.
+	maxServers, incomplete int
 	// unreached counts the connections that were not made.
 	unreached int
 }
@@ -53,17 +56,26 @@
 	return &Call{notRepeatable: notRepeatable}
 }
 
+// LimitServers bounds the number of servers at which the call may run; zero for no bound.
+func (c *Call) LimitServers(n int) *Call {
+	c.maxServers = n
+	return c
+}
+
 // AttemptFailed decides what to do after an attempt failed with a cause. expired is set if the
 // deadline has passed or the caller has left. allowRetry takes a retry out of the retry budget
 // and reports whether there was one.
 func (c *Call) AttemptFailed(o Outcome, cause error, expired bool, allowRetry func() bool) (Action, *fault.Error) {
-	c.mayHaveRun = c.mayHaveRun || o == Incomplete
+	if o == Incomplete {
+		c.mayHaveRun = true
+		c.incomplete++
+	}
 	switch {
 	case o == ClaimLost:
 		return Fail, c.Fault(fault.ClaimHeld, cause, "another attempt with this key took the claim over")
 	case expired:
 		return Fail, c.Fault(fault.DeadlinePassed, cause, "the deadline passed or the caller left")
-	case o == Incomplete && c.notRepeatable:
+	case o == Incomplete && (c.notRepeatable || c.maxServers > 0 && c.incomplete >= c.maxServers):
 		return Fail, c.Fault(fault.OutcomeUnknown, cause, "the call was sent and no complete answer came back")
 	case o == Unreached && c.unreached < maxUnreached:
 		c.unreached++
--- a/internal/decide/call/call_test.go
+++ b/internal/decide/call/call_test.go
@@ -52,6 +52,23 @@
 	}
 }
 
+// Guards against a call that runs at more servers than it may, where each loses the answer.
+func TestServersOfOneCallAreBounded(t *testing.T) {
+	for _, x := range []struct{ limit, want int }{{0, 10}, {1, 1}, {2, 2}, {3, 3}} {
+		c := call.New(false).LimitServers(x.limit)
+		n := 0
+		for m := call.Retry; m == call.Retry && n < 10; {
+			// Attempts that did not run don't count.
+			c.AttemptFailed(call.Unsent, nil, false, func() bool { return true })
+			m, _ = c.AttemptFailed(call.Incomplete, nil, false, func() bool { return true })
+			n++
+		}
+		if n != x.want {
+			t.Errorf("servers at a limit of %d: got %d, want %d", x.limit, n, x.want)
+		}
+	}
+}
+
 // A call must not try to connect to one server after the other without a bound.
 func TestFailedConnectionsOfOneCallAreBounded(t *testing.T) {
 	c := call.New(true)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -107,7 +107,7 @@
 // sendWithRetries sends a request to one server after another, as long as it is safe to repeat
 // or provably did not run, and returns the answer to pass on.
 func (g *Gateway) sendWithRetries(ctx context.Context, q *request, n placement.Requirements) (serverAnswer, *fault.Error) {
-	c := call.New(q.route.Kind != directory.Safe)
+	c := call.New(q.route.Kind != directory.Safe).LimitServers(q.route.MaxServers)
 	retry := func() bool { return g.allowRetry(q.service.Name) }
 	var failed *port.Answer
 	for {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -13,6 +13,7 @@
 	"github.com/wardridge/wardridge/internal/decide/gossip"
 	"github.com/wardridge/wardridge/internal/decide/leavequery"
 	"github.com/wardridge/wardridge/internal/decide/placement"
+	"github.com/wardridge/wardridge/internal/decide/roster"
 	"github.com/wardridge/wardridge/internal/fault"
 	"github.com/wardridge/wardridge/internal/gateway"
 )
@@ -301,6 +302,29 @@
 	}
 }
 
+// Guards against a safe request that runs at more servers than its route allows, since each of them loses the answer.
+func TestLostAnswersDoNotExceedTheServersOfARoute(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeServers()
+		b := newTestGateway(t, f, 9)
+		lost := fault.New(fault.OutcomeUnknown, "lost")
+		var l []roster.Server
+		for _, n := range []string{"p1", "p2", "p3", "p4"} {
+			f.answers[n] = []any{lost}
+			l = append(l, server(n, "x", false))
+		}
+		b.serve(l)
+		var k caller
+		b.Handle(context.Background(), request("/safe/1"), &k)
+		if got, want := f.sent(), 2; got != want {
+			t.Errorf("sends: got %d, want %d, the limit of the route", got, want)
+		}
+		if k.fault == nil || k.fault.Ran != api.RanUnknown {
+			t.Errorf("refusal: got %v, want an unknown outcome", k.fault)
+		}
+	})
+}
+
 // Guards against a caller that repeats a request that ran, because a server answered with a status that promises the contrary.
 func TestStatusIsNotPassedOnAsPromiseWithoutProof(t *testing.T) {
 	for _, c := range []struct {
