fix(fence): few orders to servers that have ended

An order was repeated every 0.2 s for 10 s to servers that refuse connections, as those that a scale-in or a release has taken away do: up to 51 orders a run, each with attempts through peers.

A server that can't be reached and is about to end has ended, and gets no further order; one that refuses connections is tried each second.

--- a/internal/decide/fence/fence.go
+++ b/internal/decide/fence/fence.go
@@ -9,6 +9,8 @@
 	// absentDelay is the time from a failed connection to the next one while a server counts as unreachable. It
 	// bounds how long the server works on the run once it is reachable again.
 	absentDelay = 200 * time.Millisecond
+	// refusedDelay is that time for a server that refuses connections, whose process has most likely ended.
+	refusedDelay = time.Second
 	// answerWait is the time without an answer after which an order is repeated over another connection.
 	answerWait = 350 * time.Millisecond
 	// firstTimeout is the time that the first order may take to copy the run's memory, and repeatTimeout that
@@ -35,8 +37,9 @@
 const (
 	// Stopped means that the server has confirmed that the run is over there.
 	Stopped Outcome = iota
-	// Unreached means that no connection to the server was made.
+	// Unreached means that no connection to the server was made in time, and Refused that it was refused.
 	Unreached
+	Refused
 	// Unconfirmed means that the server has refused the order, or that its answer was lost.
 	Unconfirmed
 )
@@ -107,12 +110,15 @@
 	switch o {
 	case Stopped:
 		f.stopped = true
-	case Unreached:
+	case Unreached, Refused:
 		f.unreached++
 		if f.unreached < maxUnreached {
 			return 0
 		}
 		f.absent = true
+		if o == Refused {
+			return refusedDelay
+		}
 		return absentDelay
 	default:
 		f.unreached = 0
@@ -142,8 +148,8 @@
 	}
 }
 
-// Over reports whether no further order is sent. A server that is unreachable and no longer listed by the
-// platform has ended.
-func (f *Fence) Over(now time.Time, listed bool) bool {
-	return f.stopped || f.absent && !listed || now.Sub(f.started) >= max(f.patience, maxDuration)
+// Over reports whether no further order is sent. A server that is unreachable and is about to end, or no longer
+// listed by the platform, has ended.
+func (f *Fence) Over(now time.Time, ending bool) bool {
+	return f.stopped || f.absent && ending || now.Sub(f.started) >= max(f.patience, maxDuration)
 }
--- a/internal/decide/fence/fence_test.go
+++ b/internal/decide/fence/fence_test.go
@@ -15,7 +15,7 @@
 		responsive bool
 		outcomes   []fence.Outcome
 		queried    bool
-		unlisted   bool
+		ending     bool
 		after      time.Duration
 		want       fence.Verdict
 		over       bool
@@ -23,6 +23,8 @@
 		{"no answer yet", true, nil, false, false, 0, fence.Wait, false},
 		{"confirmed", true, []fence.Outcome{fence.Stopped}, false, false, 0, fence.Continue, true},
 		{"confirmed after failures", true, []fence.Outcome{fence.Unconfirmed, fence.Unconfirmed, fence.Stopped}, false, false, 0, fence.Continue, true},
+		{"one connection refused", true, []fence.Outcome{fence.Refused}, false, false, 0, fence.Wait, false},
+		{"two connections refused", true, []fence.Outcome{fence.Refused, fence.Refused}, false, false, 0, fence.Continue, false},
 		{"one connection failed", true, []fence.Outcome{fence.Unreached}, false, false, 0, fence.Wait, false},
 		{"two connections failed", true, []fence.Outcome{fence.Unreached, fence.Unreached}, false, false, 0, fence.Continue, false},
 		{"connections failed before and after an answer", true, []fence.Outcome{fence.Unreached, fence.Unconfirmed, fence.Unreached}, false, false, 0, fence.Wait, false},
@@ -30,8 +32,8 @@
 		{"refused for as long as the caller waits", true, []fence.Outcome{fence.Unconfirmed}, false, false, patience, fence.Abandon, false},
 		{"no answer to a query either", true, nil, true, false, 0, fence.Continue, false},
 		{"known not to answer", false, nil, false, false, 0, fence.Continue, false},
-		{"unreachable and no longer listed", true, []fence.Outcome{fence.Unreached, fence.Unreached}, false, true, 0, fence.Continue, true},
-		{"no longer listed, but not unreachable", true, []fence.Outcome{fence.Unconfirmed}, false, true, 0, fence.Wait, false},
+		{"unreachable and about to end", true, []fence.Outcome{fence.Unreached, fence.Unreached}, false, true, 0, fence.Continue, true},
+		{"about to end, but not unreachable", true, []fence.Outcome{fence.Unconfirmed}, false, true, 0, fence.Wait, false},
 		{"never confirmed", false, []fence.Outcome{fence.Unreached, fence.Unreached}, false, false, time.Minute, fence.Continue, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -47,7 +49,7 @@
 			if got := f.Verdict(now); got != c.want {
 				t.Errorf("verdict: got %v, want %v", got, c.want)
 			}
-			if got := f.Over(now, !c.unlisted); got != c.over {
+			if got := f.Over(now, c.ending); got != c.over {
 				t.Errorf("over: got %v, want %v", got, c.over)
 			}
 		})
@@ -57,20 +59,28 @@
 // A server that refuses orders, or can't be reached, must not be sent one after the other without a pause, nor work on for
 // long once it obeys.
 func TestOrdersAreRepeatedAfterAPause(t *testing.T) {
-	for _, o := range []fence.Outcome{fence.Unreached, fence.Unconfirmed} {
-		f := fence.New(begin, patience, true)
+	for _, c := range []struct {
+		outcome    fence.Outcome
+		maxDelay   time.Duration
+		least, max int
+	}{
+		{fence.Unreached, 400 * time.Millisecond, 20, 60},
+		{fence.Unconfirmed, 400 * time.Millisecond, 20, 60},
+		{fence.Refused, time.Second, 8, 15},
+	} {
+		f, o := fence.New(begin, patience, true), c.outcome
 		now, n := begin, 0
-		for !f.Over(now, true) {
+		for !f.Over(now, false) {
 			f.RecordSent()
 			n++
 			d := f.RecordOutcome(o)
-			if d > 400*time.Millisecond {
-				t.Errorf("pause after order %d with outcome %v: got %v, want at most 400ms", n, o, d)
+			if d > c.maxDelay {
+				t.Errorf("pause after order %d with outcome %v: got %v, want at most %v", n, o, d, c.maxDelay)
 			}
 			now = now.Add(d)
 		}
-		if n < 10 || n > 60 {
-			t.Errorf("orders with outcome %v: got %d, want 10 to 60", o, n)
+		if n < c.least || n > c.max {
+			t.Errorf("orders with outcome %v: got %d, want %d to %d", o, n, c.least, c.max)
 		}
 	}
 }
--- a/internal/gateway/fence.go
+++ b/internal/gateway/fence.go
@@ -90,9 +90,9 @@
 			reported = true
 			verdict <- v
 		}
-		_, listed := f.gateway.findMember(f.source.Name)
-		if f.state.Over(now, listed) {
-			f.logEnd(now, listed)
+		ending := f.gateway.isEnding(f.source.Name)
+		if f.state.Over(now, ending) {
+			f.logEnd(now, ending)
 			return
 		}
 	}
@@ -136,6 +136,12 @@
 	})
 }
 
+// isEnding reports whether a server is about to end or no longer known.
+func (g *Gateway) isEnding(n api.ServerName) bool {
+	m, ok := g.findMember(n)
+	return !ok || m.State.Departing()
+}
+
 // hasRestarted reports whether the incarnation of a server is known to be over.
 func (g *Gateway) hasRestarted(n api.ServerName) bool {
 	m, ok := g.findMember(n)
@@ -143,9 +149,9 @@
 }
 
 // logEnd logs whether the run is over at the server.
-func (f *fencer) logEnd(now time.Time, listed bool) {
+func (f *fencer) logEnd(now time.Time, ending bool) {
 	l := []zap.Field{zap.String("request", string(f.request.ID)), zap.String("server", string(f.source.Name)), zap.Int("orders", f.orders), zap.Duration("took", now.Sub(f.started)), zap.Bool("confirmed", f.state.Stopped())}
-	if f.state.Stopped() || !listed {
+	if f.state.Stopped() || ending {
 		f.gateway.Log.Emit(event.RunStopped, l...)
 		return
 	}
@@ -159,6 +165,8 @@
 	switch {
 	case err == nil, fault.Has(err, fault.NotFound), fault.Has(err, fault.Misdirected), fault.Has(err, fault.ServerRefused) && x.Handle != "":
 		return fence.Stopped
+	case port.ConnectionRefused(err):
+		return fence.Refused
 	case fault.Has(err, fault.NotStarted), port.NoPath(err):
 		return fence.Unreached
 	default:
--- a/spec/run_fence.go
+++ b/spec/run_fence.go
@@ -163,6 +163,6 @@
 	case fence.Abandon:
 		s.abandoned = !s.continued
 	}
-	s.over = s.fence.Over(s.now(), true) || mutation == mutateNoRepeat && s.continued
+	s.over = s.fence.Over(s.now(), false) || mutation == mutateNoRepeat && s.continued
 	return s
 }
