--- a/internal/decide/call/call_test.go
+++ b/internal/decide/call/call_test.go
@@ -59,7 +59,9 @@
 		n := 0
 		for m := call.Retry; m == call.Retry && n < 10; {
 			// Attempts that did not run don't count.
-			c.AttemptFailed(call.Unsent, nil, false, func() bool { return true })
+			if got, _ := c.AttemptFailed(call.Unsent, nil, false, func() bool { return true }); got != call.Retry {
+				t.Fatalf("action after an attempt that did not run: got %v, want a retry", got)
+			}
 			m, _ = c.AttemptFailed(call.Incomplete, nil, false, func() bool { return true })
 			n++
 		}
