--- a/fleet/pool_test.go
+++ b/fleet/pool_test.go
@@ -288,8 +288,7 @@
 func (p *pool) Send(ctx context.Context, a port.Attempt) (port.Answer, error) {
 	end, ok := p.beginRequest(a)
 	if !ok {
-		err := &net.OpError{Op: "dial", Net: "memory", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
-		return port.Answer{}, fault.Wrap(fault.NotStarted, err, "connecting to "+a.Server.Address)
+		return port.Answer{}, refusedConnection(a.Server.Address)
 	}
 	deadly := p.isDeadly(a.Request)
 	if deadly {
@@ -327,11 +326,22 @@
 	}
 }
 
-// Copy refuses every backup copy for lack of memory.
-func (*pool) Copy(context.Context, port.CopyRequest) (port.Copy, error) {
+// Copy refuses every copy for lack of memory. A server that has ended refuses the connection.
+func (p *pool) Copy(_ context.Context, o port.CopyRequest) (port.Copy, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if _, ok := p.live[o.Source.Name]; !ok {
+		return port.Copy{}, refusedConnection(o.Source.Address)
+	}
 	return port.Copy{}, fault.New(fault.ServerRefused, "no free memory")
 }
 
+// refusedConnection is the fault of an attempt at a server that has ended.
+func refusedConnection(address string) error {
+	err := &net.OpError{Op: "dial", Net: "memory", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	return fault.Wrap(fault.NotStarted, err, "connecting to "+address)
+}
+
 // Report returns an empty report of a live server, and an error for one that has ended.
 func (p *pool) Report(_ context.Context, s roster.Server, _ bool) (port.Report, error) {
 	p.mutex.Lock()
