--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -175,9 +175,11 @@
 			t.Errorf("sends: got %d, want 1", got)
 		}
 		time.Sleep(15 * time.Second)
-		if got := len(f.runs["r"].working); got != 0 {
-			t.Errorf("servers that work on the run: got %d, want none", got)
-		}
+		s.update(func(f *fakeServers) {
+			if got := len(f.runs["r"].working); got != 0 {
+				t.Errorf("servers that work on the run: got %d, want none", got)
+			}
+		})
 		if l := s.LocalLoads(); len(l) != 0 {
 			t.Errorf("loads: got %v, want none", l)
 		}
