fix(fence): a server that may be silent for a time is not taken for gone sooner

Callers could have a run at two servers. Found in reading the change once more, not by callers.

Cause: the fence took a server that accepted the order and answered no report for gone after 0.4 s, also where operators allow servers to be silent for a time (server_pause_ms) and work on. The watch of silent streams has kept to that time since it exists; the fence did not ask for it. Class: silence taken for an end.

Evidence: TestRunDoesNotContinueWhileItsServerMayBePaused failed before (2 sends in a pause of 1.2 s where 1 is allowed, 1.08 s at both servers).

Queries without an answer count from the end of that time on, counted from the first order. Failed connections count as before: a paused server accepts them.

--- a/internal/decide/fence/fence.go
+++ b/internal/decide/fence/fence.go
@@ -59,8 +59,9 @@
 
 // Fence is the state of the orders to one server to stop a run. It is not safe for concurrent use.
 type Fence struct {
-	started  time.Time
-	patience time.Duration
+	started time.Time
+	// patience is how long the caller waits, and pause how long the server may be silent and work on.
+	patience, pause time.Duration
 
 	stopped bool
 	// absent is set once the server has counted as unreachable or unresponsive.
@@ -71,10 +72,10 @@
 	sent, unanswered int
 }
 
-// New starts to stop a run whose caller waits for at most the given time. A server that is known to have ended
-// or not to answer does not delay the run.
-func New(now time.Time, patience time.Duration, responsive bool) *Fence {
-	return &Fence{started: now, patience: patience, absent: !responsive}
+// New starts to stop a run whose caller waits for at most its patience, at a server that may be silent for a
+// pause and work on. A server that is known to have ended or not to answer does not delay the run.
+func New(now time.Time, patience, pause time.Duration, responsive bool) *Fence {
+	return &Fence{started: now, patience: patience, pause: pause, absent: !responsive}
 }
 
 // Patience returns the silence that the caller of a stream accepts, given the targets of its route.
@@ -126,9 +127,9 @@
 	return min(minRepeatDelay<<min(f.failed-1, 8), maxRepeatDelay)
 }
 
-// RecordUnresponsive records that the server does not answer queries.
-func (f *Fence) RecordUnresponsive() {
-	f.absent = true
+// RecordUnresponsive records that the server does not answer queries, which tells nothing while it may be paused.
+func (f *Fence) RecordUnresponsive(now time.Time) {
+	f.absent = f.absent || now.Sub(f.started) >= f.pause
 }
 
 // Stopped reports whether the server has confirmed that the run is over there.
--- a/internal/gateway/fence.go
+++ b/internal/gateway/fence.go
@@ -44,7 +44,7 @@
 	p := fence.Patience(q.route.LatencyTarget, q.route.GapTarget)
 	f := &fencer{
 		gateway: g, request: q, source: source, copy: c, started: now, patience: p, outcomes: make(chan fence.Outcome), unresponsive: make(chan struct{}),
-		state: fence.New(now, p, !r.isUnresponsive() && !g.hasRestarted(source.Name)),
+		state: fence.New(now, p, g.ServerPause, !r.isUnresponsive() && !g.hasRestarted(source.Name)),
 	}
 	verdict := make(chan fence.Verdict, 1)
 	g.Group.Go(func(ctx context.Context) error {
@@ -80,7 +80,7 @@
 		case o := <-f.outcomes:
 			next.Reset(f.state.RecordOutcome(o))
 		case <-f.unresponsive:
-			f.state.RecordUnresponsive()
+			f.state.RecordUnresponsive(time.Now())
 		case <-limit.C:
 		case <-ctx.Done():
 			return
--- a/internal/gateway/resume_test.go
+++ b/internal/gateway/resume_test.go
@@ -185,3 +185,22 @@
 		}
 	})
 }
+
+// Guards against a run that continues beside a server that works on and has only been silent for no longer than it may be.
+func TestRunDoesNotContinueWhileItsServerMayBePaused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeServers()
+		f.backups = true
+		s := startPausedStream(t, f, 1500*time.Millisecond)
+		s.update(func(f *fakeServers) { f.broken[s.server], f.mute[s.server] = true, true })
+		time.Sleep(1200 * time.Millisecond)
+		if got := f.sent(); got != 1 {
+			t.Errorf("sends in a pause of 1.2 s: got %d, want 1", got)
+		}
+		s.update(func(f *fakeServers) { f.mute[s.server] = false })
+		s.checkWhole(t, s.server, other(s.server))
+		if got := f.longestOverlap(); got > maxOverlap {
+			t.Errorf("time at both servers: got %v, want at most %v", got, maxOverlap)
+		}
+	})
+}
