--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -121,9 +121,19 @@
 		return
 	}
 	s.recordDone(c.request)
+	s.recordError(c, a)
 	s.writeAnswer(w, c.request, a)
 }
 
+// recordError counts and logs an error answer to a call that may run at most once.
+func (s *Server) recordError(c *call, a *claims.Answer) {
+	if a.Status < http.StatusBadRequest || !c.notRepeatable {
+		return
+	}
+	s.Metrics.Add(metric.ErrorsPassedOn, 1)
+	s.Log.Emit(event.ErrorPassedOn, append(c.originFields(), zap.Int("status", a.Status), zap.String("server", string(c.tried[len(c.tried)-1])), zap.Int("attempts", len(c.tried)))...)
+}
+
 // recordCallOutcome records the outcome of a claimed call. The claim of a call that may
 // have run without an answer stays as it is.
 func (s *Server) recordCallOutcome(ctx context.Context, c *call, a *claims.Answer, err error) {
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -62,6 +62,7 @@
 	RunStopped          ID = 317
 	RunUnconfirmed      ID = 318
 	RunListed           ID = 319
+	ErrorPassedOn       ID = 320
 	ServerReady         ID = 401
 	ServerUnreachable   ID = 402
 	ServerLeaving       ID = 403
@@ -164,6 +165,7 @@
 	{RunStopped, "run_stopped", zapcore.InfoLevel, "The server that a broken stream was read from has confirmed that it no longer works on the run, or has ended (confirmed is false); took is the time since the first of the orders to stop it."},
 	{RunUnconfirmed, "run_unconfirmed", zapcore.WarnLevel, "The server that a broken stream was read from has not confirmed that it no longer works on the run."},
 	{RunListed, "run_listed", zapcore.WarnLevel, "A server reports a run that continues at another server, which it should no longer work on."},
+	{ErrorPassedOn, "error_passed_on", zapcore.InfoLevel, "A backend server answered a request that may run at most once with an error status, which the caller received; attempts counts the servers that it was sent to."},
 	{CopyKept, "copy_kept", zapcore.InfoLevel, "An unused copy of a generation could not be freed; it will expire."},
 	{ServerReady, "server_ready", zapcore.InfoLevel, "A backend server accepts work."},
 	{ServerUnreachable, "server_unreachable", zapcore.WarnLevel, "A backend server stopped reporting."},
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -57,6 +57,10 @@
 		g.Contents.RecordAnswer(q.content, v.server.Name)
 	}
 	g.finish(q, q.lateness(), zap.Int("status", a.Status))
+	if a.Status >= http.StatusBadRequest && q.route.Kind != directory.Safe {
+		g.Metrics.Add(metric.ErrorsPassedOn, 1)
+		g.Log.Emit(event.ErrorPassedOn, append(q.originFields(), zap.Int("status", a.Status), zap.String("server", string(v.server.Name)), zap.Int("attempts", len(q.tried)))...)
+	}
 	q.sink.WriteAnswer(a)
 }
 
@@ -134,10 +138,13 @@
 		p.release()
 		if err == nil {
 			g.recordOutcome(s, placement.Failed)
-			if !misleads {
+			err = fault.New(fault.OutcomeUnknown, "the server answered "+http.StatusText(a.Status))
+			if misleads {
+				g.Metrics.Add(metric.AnswersUnproven, 1)
+				err = fault.New(fault.OutcomeUnknown, "the server answered "+http.StatusText(a.Status)+" without proof that the request has not run")
+			} else {
 				failed = &a
 			}
-			err = fault.New(fault.OutcomeUnknown, "the server answered "+http.StatusText(a.Status))
 		} else {
 			g.recordFailedAttempt(q, s, err)
 		}
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -38,6 +38,8 @@
 	HandoffsCompleted       Name = "handoffs_done_total"
 	HandoffsWithoutTarget   Name = "handoffs_without_target_total"
 	Retries                 Name = "retries_total"
+	ErrorsPassedOn          Name = "errors_passed_on_total"
+	AnswersUnproven         Name = "answers_unproven_total"
 	CallersGone             Name = "callers_gone_total"
 	ClaimsMade              Name = "claims_made_total"
 	ClaimsRefused           Name = "claims_refused_total"
@@ -106,6 +108,8 @@
 	{HandoffsCompleted, "handoffs", "Handoffs of running generations that were completed; they count as moves too."},
 	{HandoffsWithoutTarget, "questions", "Questions for the target of a handoff that were answered with none; the generation stays where it is."},
 	{Retries, "attempts", "Attempts retried elsewhere."},
+	{ErrorsPassedOn, "answers", "Error answers of backend servers that callers received for requests that may run at most once."},
+	{AnswersUnproven, "answers", "Answers of backend servers with a status that promises that the request has not run, without proof of it, to requests that may run at most once."},
 	{CallersGone, "requests", "Requests whose callers closed their connections."},
 	{ClaimsMade, "claims", "Claims recorded before a send."},
 	{ClaimsRefused, "claims", "Requests refused because of a claim."},
