test(soak): servers that are replaced under load answer with statuses of their own, and callers repeat

The soak could not see what the users report: its servers refused with proof, its callers never repeated, a promise that a server had signed was excused, and runs were counted by the request instead of the caller's try.

replace-servers (from on) replaces the plain servers in turn while they are overloaded; what they have no room for gets 503, 429 or 408 without X-Not-Executed, which counts as a run. Callers repeat as the users' rules say.

--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -31,6 +31,11 @@
 	playSoak(t, p)
 }
 
+// Guards against a server's own 503, 429 or 408 that reaches a caller as a promise: the caller repeats the call, and it runs twice.
+func TestCallsOfReplacedServersRunOnce(t *testing.T) {
+	playSoak(t, soak.Plan{Seed: 140000, Size: soak.Size{VMs: 4, Engines: 2, Plain: 3, Callers: 60}, Length: 14000, Faults: []soak.Fault{{Kind: soak.ReplaceServers, At: 1000, For: 8000}}})
+}
+
 // playSoak plays a plan with the real programs and checks its properties.
 func playSoak(t *testing.T, p soak.Plan) {
 	t.Helper()
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -123,6 +123,7 @@
 		c.checkReply(&r.Requests[i])
 		c.checkSoundServed(&r.Requests[i])
 	}
+	c.checkTries()
 	c.checkVersions()
 	c.checkCrashesContained()
 	c.checkSignals()
@@ -160,7 +161,7 @@
 // excusesConcurrentRun reports whether a fault of a kind may keep an entry VM from having a server stop a run
 // before it continues elsewhere. An entry VM that reaches a server which has lost a stream has to.
 func excusesConcurrentRun(k Kind) bool {
-	return !k.Planned() && k != LoseStreams && k != LoseAnswers
+	return !k.Planned() && k != LoseStreams && k != LoseAnswers && k != ReplaceServers
 }
 
 // restartedDuring reports whether an entry VM was stopped or started during a span or
@@ -221,7 +222,7 @@
 	if s.Kind != directory.Safe {
 		c.checkSingleRun(s, r)
 	}
-	if len(r) > 0 && s.Kind != directory.Safe && !s.Signed && meansNotRun(s.Status) {
+	if len(r) > 0 && s.Kind != directory.Safe && meansNotRun(s.Status) {
 		c.addViolation(RefusedNotRun, s.ID, s.Done, "refused with status "+strconv.Itoa(s.Status)+" although a server ran it")
 	}
 	if s.Status == http.StatusOK {
@@ -256,6 +257,23 @@
 	}
 }
 
+// checkTries checks that of the requests by which a caller tries the same work again, only one ran. A caller
+// repeats what may run once only if it was told that it has not run.
+func (c *checker) checkTries() {
+	ran := map[api.RequestID]*SentRequest{}
+	for i := range c.Requests {
+		s := &c.Requests[i]
+		if s.Kind == directory.Safe || len(c.runsByID[s.ID]) == 0 {
+			continue
+		}
+		if x := ran[s.firstOfTry()]; x != nil {
+			c.addViolation(SingleRun, s.ID, s.Done, fmt.Sprintf("ran, and so did %s of the same try, answered with status %d", x.ID, x.Status))
+			continue
+		}
+		ran[s.firstOfTry()] = s
+	}
+}
+
 func (c *checker) endOf(r hosted.Run) time.Time {
 	if r.Ended.IsZero() {
 		return c.End
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -77,6 +77,13 @@
 			r.Runs = append(r.Runs, hosted.Run{RequestID: "o", Server: "p1", Generation: 9, Started: at(10045), Ended: at(10050)})
 		}, soak.SingleRun},
 		{"two servers run it at the same time", func(r *soak.Record) { r.Runs[1].Ended = at(11100); r.Runs[2].Ended = at(11200) }, soak.SingleRun},
+		{"signed promise although it ran", func(r *soak.Record) { r.Requests[0].Status = 429 }, soak.RefusedNotRun},
+		{"repeated after it ran", func(r *soak.Record) {
+			x := r.Requests[0]
+			x.ID, x.Try, x.Reply.Body = "o-r1", "o", hosted.PlainBody("o-r1", "p1")
+			r.Requests = append(r.Requests, x)
+			r.Runs = append(r.Runs, hosted.Run{RequestID: "o-r1", Server: "p1", Generation: 9, Started: at(10060), Ended: at(10070)})
+		}, soak.SingleRun},
 		{"refused as not run although it ran", func(r *soak.Record) { r.Requests[0].Status, r.Requests[0].Signed = 503, false }, soak.RefusedNotRun},
 		{"refused and did not run", func(r *soak.Record) {
 			r.Requests[0].Status, r.Requests[0].Signed, r.Runs, r.Arrivals = 503, false, r.Runs[1:], r.Arrivals[1:]
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -63,6 +63,9 @@
 	SignalFragile Kind = "fragile-servers"
 	// LoseStreams has a server lose the connections of streams and work on. Orders to stop a run fail at first.
 	LoseStreams Kind = "lose-streams"
+	// ReplaceServers replaces the plain servers one after the other while they are overloaded: what they have no
+	// room for gets a status that does not say that it did not run.
+	ReplaceServers Kind = "replace-servers"
 )
 
 // firstExtendedSeed is the first seed whose plan also draws from the extended kinds, so
@@ -96,6 +99,9 @@
 // firstLoseStreamsSeed is the first seed whose plan also draws servers that lose streams.
 const firstLoseStreamsSeed = 130000
 
+// firstReplaceSeed is the first seed whose plan also draws replaced servers, and whose callers repeat requests.
+const firstReplaceSeed = 140000
+
 // signalKinds are the signals that servers send in their answers; no request may be lost
 // by them.
 var signalKinds = []Kind{SignalLimit, SignalBackoff, SignalLeaving}
@@ -208,6 +214,9 @@
 	if seed >= firstLoseStreamsSeed {
 		all = append(all, LoseStreams, LoseStreams)
 	}
+	if seed >= firstReplaceSeed {
+		all = append(all, ReplaceServers, ReplaceServers)
+	}
 	modes := linkFaults
 	if seed >= firstNarrowSeed {
 		modes = narrowFaults
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -1,11 +1,13 @@
 package soak
 
 import (
+	"net/http"
 	"sync"
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/directory"
+	"github.com/wardridge/wardridge/internal/fault"
 	"github.com/wardridge/wardridge/internal/standin/hosted"
 )
 
@@ -15,12 +17,35 @@
 	hosted.Reply
 	Kind      directory.Kind
 	Workspace api.WorkspaceName
+	// Try is the first request of those by which the caller tries the same work again; empty for the first.
+	Try api.RequestID
 	// VM is the index of the entry VM that got the request.
 	VM   int
 	At   time.Time
 	Done time.Time
 }
 
+// firstOfTry returns the first request of the caller's try.
+func (s *SentRequest) firstOfTry() api.RequestID {
+	if s.Try == "" {
+		return s.ID
+	}
+	return s.Try
+}
+
+// mayRepeat reports whether the caller may send the request again: if it is safe, after each failure, and
+// otherwise only if it has not run and never will.
+func (s *SentRequest) mayRepeat() bool {
+	switch {
+	case s.Left || s.Complete && s.Status == http.StatusOK:
+		return false
+	case s.Kind == directory.Safe:
+		return s.Status == 0 || s.Status >= http.StatusInternalServerError || meansNotRun(s.Status)
+	default:
+		return s.Complete && meansNotRun(s.Status) || fault.Has(s.Err, fault.NotStarted)
+	}
+}
+
 // Probe is one observation of the configuration that an entry VM uses, by a request for a
 // path or key that only some versions have.
 type Probe struct {
--- /dev/null
+++ b/internal/soak/replace.go
@@ -0,0 +1,52 @@
+package soak
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/wardridge/wardridge/internal/standin/hosted"
+)
+
+const (
+	// overloadedSlots are the slots of an overloaded server, and overloadedTime is what it takes for an answer:
+	// less than callers ask for.
+	overloadedSlots = 1
+	overloadedTime  = 120 * time.Millisecond
+)
+
+// overloadStatuses are the statuses of overloaded servers, in turn. Each promises a caller that its request has
+// not run.
+var overloadStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
+
+// replaceServers replaces the plain servers one after the other, again and again for a time, while all of them
+// are overloaded.
+func (b *testbed) replaceServers(ctx context.Context, d time.Duration) {
+	var l []*server
+	for _, s := range b.servers {
+		if s.service == plain {
+			l = append(l, s)
+		}
+	}
+	for i, s := range l {
+		b.overload(s, i)
+	}
+	end := time.Now().Add(d)
+	for i := 0; len(l) > 0 && time.Now().Before(end) && ctx.Err() == nil; i++ {
+		s := l[i%len(l)]
+		b.leaveServer(ctx, s, 0)
+		b.overload(s, i)
+	}
+	for _, s := range l {
+		x, _ := s.current()
+		x.SetOverload(nil)
+		b.recordError(x.SetSlots(slots))
+	}
+}
+
+// overload makes a server overloaded, with the status at an index.
+func (b *testbed) overload(s *server, status int) {
+	x, _ := s.current()
+	x.SetOverload(&hosted.Overload{AnswerTime: overloadedTime, Status: overloadStatuses[status%len(overloadStatuses)]})
+	b.recordError(x.SetSlots(overloadedSlots))
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -167,6 +167,8 @@
 		b.injectServerFault(ctx, f, s)
 	case SignalLimit, SignalBackoff, SignalLeaving:
 		b.injectSignal(ctx, f, s)
+	case ReplaceServers:
+		b.replaceServers(ctx, f.For.Duration())
 	case SignalFragile:
 		b.makeFragile(ctx, s.service, f.For.Duration())
 	case CloseDomain:
@@ -260,6 +262,9 @@
 		x, _ := s.current()
 		t.Server = x.Name
 	case ChangeRoute, RevokeKey, StoreDropHistory, SignalLimit, SignalBackoff, SignalLeaving, SignalFragile, CloseDomain, ForeignEntry, CrashingRequest, CrashingPart:
+	case ReplaceServers:
+		// It affects the answers of all plain servers, whichever entry VM receives them.
+		t.VM = All
 	default:
 		t.VM = v.index
 		if f.Target == All {
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -63,6 +63,8 @@
 	cleanups []func()
 	// boundsLinks is set if entry VMs bound their callers by their links.
 	boundsLinks bool
+	// callersRepeat is set if callers send requests again where they may.
+	callersRepeat bool
 	// closureMutex allows only one closed failure domain at a time: the other
 	// domains have to serve.
 	closureMutex sync.Mutex
@@ -85,7 +87,7 @@
 	c, closer := wire.NewClient(time.Second, false)
 	store := hosted.NewStore(o.Wire)
 	b := &testbed{
-		Options: o, group: g, http: c, store: store, recorder: newRecorder(), boundsLinks: p.Seed >= firstNarrowSeed, fragile: map[api.ServiceName]bool{},
+		Options: o, group: g, http: c, store: store, recorder: newRecorder(), boundsLinks: p.Seed >= firstNarrowSeed, callersRepeat: p.Seed >= firstReplaceSeed, fragile: map[api.ServiceName]bool{},
 		fleet: hosted.NewFleet(store, hosted.Pace{PlainAnswer: plainAnswerTime, EventInterval: fastEventInterval, Copy: copyTime}),
 	}
 	b.cleanups = []func(){end, closer}
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -29,6 +29,9 @@
 	maxStreamEvents = 220
 	// callerLeaveChance is the probability that a caller leaves a stream before its end.
 	callerLeaveChance = 0.1
+	// maxRepeats is how often a caller sends a request again, and repeatPause the pause before.
+	maxRepeats  = 2
+	repeatPause = 50 * time.Millisecond
 	// probeInterval is the pause between probes of an entry VM's configuration.
 	probeInterval = 150 * time.Millisecond
 	// readinessInterval is the pause between readiness checks of the entry VMs, as a load
@@ -83,20 +86,30 @@
 		if s.Kind == directory.Stream {
 			s.Parts = []string{firstPart(index + n), fmt.Sprintf("b%x%04x", index, n)}
 		}
-		s.VM = v.index
-		s.At = time.Now()
-		s.Reply = c.Do(context.WithoutCancel(ctx), v.callerProxy.address(), s.Call)
-		s.Done = time.Now()
-		b.recorder.update(func(x *Record) { x.Requests = append(x.Requests, s) })
+		s = b.send(ctx, c, v, s)
 		if s.Err != nil {
-			// A request that failed is not retried; the next one may go to another entry
-			// VM.
 			v = b.chooseVM(r)
 		}
+		for i := 0; b.callersRepeat && i < maxRepeats && s.mayRepeat() && duty.Sleep(ctx, repeatPause); i++ {
+			v = b.chooseVM(r)
+			s.Try = s.firstOfTry()
+			s.ID = api.RequestID(fmt.Sprintf("%s-r%d", s.Try, i+1))
+			s = b.send(ctx, c, v, s)
+		}
 		duty.Sleep(ctx, time.Duration(r.ExpFloat64()*float64(meanCallerPause)))
 	}
 }
 
+// send sends a request to an entry VM, and records and returns it with what its caller received.
+func (b *testbed) send(ctx context.Context, c *hosted.Caller, v *vm, s SentRequest) SentRequest {
+	s.VM = v.index
+	s.At = time.Now()
+	s.Reply = c.Do(context.WithoutCancel(ctx), v.callerProxy.address(), s.Call)
+	s.Done = time.Now()
+	b.recorder.update(func(x *Record) { x.Requests = append(x.Requests, s) })
+	return s
+}
+
 // nextRequest draws a caller's next request.
 func (b *testbed) nextRequest(r *rand.Rand, id string) SentRequest {
 	s := SentRequest{Workspace: mainWorkspace, Call: hosted.Call{
--- a/internal/standin/hosted/server.go
+++ b/internal/standin/hosted/server.go
@@ -25,6 +25,8 @@
 	RefuseMisdirected()
 	// RefuseNotRun answers that the server did not run the request.
 	RefuseNotRun()
+	// AnswerError answers with an error status, which does not say whether the server ran the request.
+	AnswerError(status int)
 	// WriteAnswer writes a complete answer.
 	WriteAnswer(body string)
 	// BeginStream writes the head of an event stream.
@@ -54,6 +56,13 @@
 	MaxRejections *int
 }
 
+// Overload is what a server does while it is overloaded: it takes AnswerTime for a plain answer, and answers
+// a request for which it has no room with a status that does not say that the request did not run.
+type Overload struct {
+	AnswerTime time.Duration
+	Status     int
+}
+
 // Server is one incarnation of a backend server.
 type Server struct {
 	roster.Server
@@ -85,6 +94,8 @@
 	eventInterval time.Duration
 	// signals are sent with each answer.
 	signals Signals
+	// overload is nil unless the server is overloaded.
+	overload *Overload
 	// rejections holds when the server refused requests for lack of room within the last second.
 	rejections []time.Time
 	// failedUntil is when the server recovers from too many rejections, and failures counts how
@@ -186,7 +197,7 @@
 	case misdirected:
 		w.RefuseMisdirected()
 	case !taken:
-		w.RefuseNotRun()
+		s.refuse(a, x, w)
 	default:
 		defer s.releaseSlot()
 		if s.unframed.Load() {
@@ -196,6 +207,18 @@
 	}
 }
 
+// refuse answers a request that the server does not take. One whose answer does not say that it did not run
+// is recorded as a run, since nobody but the server can tell.
+func (s *Server) refuse(a Request, x Signals, w AnswerWriter) {
+	o := s.currentOverload()
+	if o == nil || x.Backoff > 0 {
+		w.RefuseNotRun()
+		return
+	}
+	s.fleet.Journal.endRun(s.fleet.Journal.startRun(a.ID, s.Name, 0))
+	w.AnswerError(o.Status)
+}
+
 // crashDelay is how long a server runs a request before the request crashes it.
 const crashDelay = 50 * time.Millisecond
 
@@ -273,7 +296,11 @@
 func (s *Server) servePlain(ctx context.Context, id api.RequestID, w AnswerWriter) {
 	x := s.fleet.Journal.startRun(id, s.Name, 0)
 	defer s.fleet.Journal.endRun(x)
-	if !s.sleep(ctx, s.fleet.Pace.PlainAnswer) {
+	d := s.fleet.Pace.PlainAnswer
+	if o := s.currentOverload(); o != nil {
+		d = o.AnswerTime
+	}
+	if !s.sleep(ctx, d) {
 		return
 	}
 	if s.losesNextAnswer() {
@@ -304,6 +331,19 @@
 	s.signals = x
 }
 
+// SetOverload sets whether the server is overloaded; nil ends it.
+func (s *Server) SetOverload(o *Overload) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.overload = o
+}
+
+func (s *Server) currentOverload() *Overload {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.overload
+}
+
 func (s *Server) currentSignals() Signals {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
