test(platform): odd entries beside good ones, failing

One entry of another writer that can't be decoded (nested more deeply than encoding/json reads, or no JSON) makes the whole list and each watch fail, on both wires; figures that no server can have are accepted.

--- a/internal/objectapi/client_test.go
+++ b/internal/objectapi/client_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -66,3 +69,62 @@
 		t.Errorf("got version %d and %v, want the write confirmed at version 8", n.Version, err)
 	}
 }
+
+// deepSpec is nested more deeply than encoding/json decodes.
+var deepSpec = `{"weights":"a","x":` + strings.Repeat("[", 12000) + strings.Repeat("]", 12000) + `}`
+
+// Guards against one object that can't be decoded and hides all others of a list or a watch, here or at peers.
+func TestUndecodableObjectHidesNoOther(t *testing.T) {
+	object := func(n, spec string) string {
+		return `{"kind":"model","name":"` + n + `","version":5,"spec":` + spec + `}`
+	}
+	a, b := object("a", `{"weights":"a"}`), object("b", `{"weights":"b"}`)
+	for _, c := range []struct{ name, odd string }{
+		{"nested deeply in its spec", object("o", deepSpec)},
+		{"nested deeply beside its spec", `{"kind":"model","name":"o","version":5,"x":` + deepSpec + `,"spec":7}`},
+		{"nested deeply in place of it", deepSpec},
+		{"a version that is too large", `{"kind":"model","name":"o","version":1e400,"spec":{}}`},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if strings.HasSuffix(r.URL.Path, "/watch") {
+					_, _ = io.WriteString(w, `{"changes":[{"object":`+a+`,"version":5},{"object":`+c.odd+`,"version":6},{"object":`+b+`,"version":7}],"version":9}`)
+					return
+				}
+				_, _ = io.WriteString(w, `{"items":[`+a+`,`+c.odd+`,`+b+`],"version":9}`)
+			}))
+			defer h.Close()
+			p := objectapi.NewWithClient(h.Client(), h.Listener.Addr().String(), time.Second)
+			kinds := []api.ResourceKind{api.ResourceKindModel}
+			l, err := p.List(t.Context(), kinds)
+			if err != nil || l.Version != 9 {
+				t.Fatalf("list: got version %d and %.200v, want version 9", l.Version, err)
+			}
+			checkNames(t, "list", l.Items)
+			if _, err := json.Marshal(l); err != nil {
+				t.Errorf("relaying the list: got %.200v, want it encoded", err)
+			}
+			w, err := p.Watch(t.Context(), 1, time.Second, kinds)
+			if err != nil || w.Version != 9 {
+				t.Fatalf("watch: got version %d and %.200v, want version 9", w.Version, err)
+			}
+			var changed []api.Object
+			for _, x := range w.Changes {
+				changed = append(changed, x.Object)
+			}
+			checkNames(t, "watch", changed)
+		})
+	}
+}
+
+// checkNames checks that the objects a and b are among those read.
+func checkNames(t *testing.T, what string, l []api.Object) {
+	t.Helper()
+	var names []string
+	for _, o := range l {
+		names = append(names, o.Name)
+	}
+	if !slices.Contains(names, "a") || !slices.Contains(names, "b") {
+		t.Errorf("%s: got %v, want a and b among them", what, names)
+	}
+}
