fix(objectapi): an object that can't be decoded hides no other

The same fault as on the hosted wire, on the platform's own object API: one object nested too deeply, or with a version out of range, made each list and watch fail, so that no resource changed any more, no claim was removed and no lease could be read. One nested just less deeply was read and then kept the list from being encoded for peers.

Each object is decoded by itself. Of one that can't be, kind, name and version are read where they can be, and its spec is replaced by one that is valid for no kind: config_refused names it, its last valid version stays in force, and a claim is not taken for an expired one.

--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -57,10 +57,10 @@
 
 // List reads all objects of the kinds and the version at which they were read.
 func (c *Client) List(ctx context.Context, kinds []api.ResourceKind) (api.ObjectList, error) {
-	var l api.ObjectList
+	var l objectList
 	u := c.base + "/objects?kinds=" + joinKinds(kinds)
 	err := c.call(ctx, "listing objects", http.MethodGet, u, nil, &l)
-	return l, err
+	return l.ObjectList, err
 }
 
 // Put writes an object if its current version is the one given in it; 0 means that
@@ -93,11 +93,11 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+c.timeout)
 	defer cancel()
 	u := fmt.Sprintf("%s/watch?from=%d&wait_ms=%d&kinds=%s", c.base, from, wait.Milliseconds(), joinKinds(kinds))
-	var l api.ChangeList
+	var l changeList
 	if err := wire.Call(ctx, c.http, http.MethodGet, u, nil, &l); err != nil {
-		return l, oops.In("platform").Wrapf(err, "watching")
+		return l.ChangeList, oops.In("platform").Wrapf(err, "watching")
 	}
-	return l, nil
+	return l.ChangeList, nil
 }
 
 // VMs reads the list of VMs, which may be stale.
--- a/internal/objectapi/client_test.go
+++ b/internal/objectapi/client_test.go
@@ -81,6 +81,7 @@
 	a, b := object("a", `{"weights":"a"}`), object("b", `{"weights":"b"}`)
 	for _, c := range []struct{ name, odd string }{
 		{"nested deeply in its spec", object("o", deepSpec)},
+		{"nested in its spec as deeply as can just be decoded", object("o", strings.Repeat("[", 9990)+strings.Repeat("]", 9990))},
 		{"nested deeply beside its spec", `{"kind":"model","name":"o","version":5,"x":` + deepSpec + `,"spec":7}`},
 		{"nested deeply in place of it", deepSpec},
 		{"a version that is too large", `{"kind":"model","name":"o","version":1e400,"spec":{}}`},
@@ -101,8 +102,13 @@
 				t.Fatalf("list: got version %d and %.200v, want version 9", l.Version, err)
 			}
 			checkNames(t, "list", l.Items)
-			if _, err := json.Marshal(l); err != nil {
-				t.Errorf("relaying the list: got %.200v, want it encoded", err)
+			var relayed api.ObjectList
+			b, err := json.Marshal(map[string]any{"a": map[string]any{"b": []any{l}}})
+			if err != nil || json.Unmarshal(b, new(any)) != nil {
+				t.Errorf("relaying the list: got %.200v, want it encoded and decoded", err)
+			}
+			if b, err = json.Marshal(l); err != nil || json.Unmarshal(b, &relayed) != nil || len(relayed.Items) != 3 {
+				t.Errorf("relaying the list: got %d objects and %.200v, want three", len(relayed.Items), err)
 			}
 			w, err := p.Watch(t.Context(), 1, time.Second, kinds)
 			if err != nil || w.Version != 9 {
--- a/internal/rawjson/rawjson.go
+++ b/internal/rawjson/rawjson.go
@@ -40,6 +40,26 @@
 	return l, err
 }
 
+// Depth returns how many objects and arrays of a text stand within each other at most.
+func Depth(text []byte) int {
+	depth, deepest := 0, 0
+	s := scanner{text: text}
+	for s.next < len(text) {
+		switch text[s.next] {
+		case '"':
+			s.skipString()
+			continue
+		case '{', '[':
+			depth++
+			deepest = max(deepest, depth)
+		case '}', ']':
+			depth--
+		}
+		s.next++
+	}
+	return deepest
+}
+
 // errSyntax is the failure of a text whose strings, brackets and separators don't match.
 var errSyntax = fault.New(fault.BadAnswer, "the text is not the expected JSON")
 
--- a/internal/rawjson/rawjson_test.go
+++ b/internal/rawjson/rawjson_test.go
@@ -53,6 +53,14 @@
 	}
 }
 
+func TestDepth(t *testing.T) {
+	for text, want := range map[string]int{"": 0, "7": 0, `"[{"`: 0, `{"a":[],"b":[{}]}`: 3, "[[": 2, `["\"[",{}]`: 2, `"\`: 0} {
+		if got := rawjson.Depth([]byte(text)); got != want {
+			t.Errorf("%s: got %d, want %d", text, got, want)
+		}
+	}
+}
+
 // A text that encoding/json accepts is split into the values that it decodes.
 func FuzzSplit(f *testing.F) {
 	for _, s := range []string{`{"items":[{"a":1},7,null,"x\"]"],"more":true}`, `[[],{},"\\",-1e9]`, `{"a":1,"a":2}`, ` 7 `} {
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -163,12 +163,25 @@
 	if out == nil {
 		return nil
 	}
-	if err := json.Unmarshal(b, out); err != nil {
+	if err := parse(b, out); err != nil {
 		return fault.Wrap(fault.BadAnswer, err, "the answer is not the expected JSON")
 	}
 	return nil
 }
 
+// Parser is a message that parses its own text.
+type Parser interface {
+	Parse(text []byte) error
+}
+
+// parse decodes a message into out.
+func parse(text []byte, out any) error {
+	if p, ok := out.(Parser); ok {
+		return p.Parse(text)
+	}
+	return json.Unmarshal(text, out)
+}
+
 // RoundTripFault returns the fault of a failed round trip. It is NotStarted if no
 // connection was made, so that nothing was sent.
 func RoundTripFault(err error) *fault.Error {
