fix(event): a line of the log has no text of any length

An entry of another writer may have a name, or a figure that its decoding names in the error, of nearly a megabyte; object_unreadable then wrote that, up to 200 times a second. The same holds for what servers send in place of an answer (64 KB of it). A text or an error in a line ends after 2 KB now. TestLongFieldsAreCut failed before: a line of 3 MB.

--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"os"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -229,6 +230,8 @@
 	// many are written as a person can read.
 	maxRoutineLines = 10
 	maxOtherLines   = 200
+	// maxFieldBytes limits the length of a text or an error in a line.
+	maxFieldBytes = 2 << 10
 )
 
 // routineEvents holds the events that are limited to maxRoutineLines: requests that succeed, and
@@ -299,8 +302,25 @@
 		z = l.routine
 	}
 	if c := z.Check(k.Level, k.Name); c != nil {
-		c.Write(append([]zap.Field{zap.Int("event", int(id))}, f...)...)
+		l := make([]zap.Field, 0, 1+len(f))
+		l = append(l, zap.Int("event", int(id)))
+		for _, x := range f {
+			l = append(l, cut(x))
+		}
+		c.Write(l...)
+	}
+}
+
+// cut returns a field whose text has at most maxFieldBytes: names and errors may hold what others have written.
+func cut(f zap.Field) zap.Field {
+	text := f.String
+	if err, ok := f.Interface.(error); ok && f.Type == zapcore.ErrorType {
+		text = err.Error()
+	}
+	if len(text) <= maxFieldBytes {
+		return f
 	}
+	return zap.String(f.Key, strings.ToValidUTF8(text[:maxFieldBytes], "")+"...")
 }
 
 // DroppedLines returns how many lines have been dropped so far: those over the limits
--- a/internal/event/event_test.go
+++ b/internal/event/event_test.go
@@ -2,13 +2,16 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"strings"
 	"sync"
 	"testing"
+	"unicode/utf8"
 
 	"go.uber.org/zap"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/fault"
 )
 
 // output collects what is written to it. Its writes block while blocked is locked.
@@ -96,3 +99,22 @@
 		t.Errorf("lines of the last event: got %d, want 1", got)
 	}
 }
+
+// Guards against lines as long as a name or a figure that another writer chose, many times a second.
+func TestLongFieldsAreCut(t *testing.T) {
+	var o output
+	l, closer := newTestLog(t, &o)
+	const long = 1 << 20
+	l.With(zap.String("kept", "k")).Emit(ObjectUnreadable,
+		zap.String("name", strings.Repeat("n", long)), zap.Error(fault.New(fault.InvalidResource, strings.Repeat("\u00e9", long))), zap.String("short", "s"))
+	closer()
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if got := o.text.Len(); got > 3*maxFieldBytes {
+		t.Errorf("line: got %d bytes, want at most %d", got, 3*maxFieldBytes)
+	}
+	var line struct{ Name, Error, Short, Kept string }
+	if err := json.Unmarshal(o.text.Bytes(), &line); err != nil || line.Short != "s" || line.Kept != "k" || !strings.HasPrefix(line.Name, "nnn") || !strings.Contains(line.Error, "invalid_resource (5001): \u00e9") || !utf8.ValidString(line.Error) {
+		t.Errorf("got %.100q, %.100q, %q, %q and %v, want the beginning of long fields", line.Name, line.Error, line.Short, line.Kept, err)
+	}
+}
