--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/soak"
 	"github.com/wardridge/wardridge/platform/standin"
@@ -36,8 +37,22 @@
 	playSoak(t, soak.Plan{Seed: 140000, Size: soak.Size{VMs: 4, Engines: 2, Plain: 3, Callers: 60}, Length: 14000, Faults: []soak.Fault{{Kind: soak.ReplaceServers, At: 1000, For: 8000}}})
 }
 
+// Guards against one entry of another writer that keeps entry VMs from learning which servers there are.
+func TestOddEntriesHideNoServers(t *testing.T) {
+	p := soak.Plan{Seed: 140001, Size: soak.Size{VMs: 3, Engines: 2, Plain: 3, Callers: 12}, Length: 14000}
+	for i := range 9 {
+		p.Faults = append(p.Faults, soak.Fault{Kind: soak.ForeignEntry, At: api.Milliseconds(500 + 100*i), Target: i})
+	}
+	for i := range 3 {
+		p.Faults = append(p.Faults, soak.Fault{Kind: soak.LeaveServer, At: api.Milliseconds(2000 * (i + 1)), Target: p.Size.Engines + i})
+	}
+	if r := playSoak(t, p); r.Served < r.Requests*9/10 {
+		t.Errorf("served: got %d of %d, want nine in ten", r.Served, r.Requests)
+	}
+}
+
 // playSoak plays a plan with the real programs and checks its properties.
-func playSoak(t *testing.T, p soak.Plan) {
+func playSoak(t *testing.T, p soak.Plan) soak.Result {
 	t.Helper()
 	o := soak.Options{Program: filepath.Join(binDir, "wardridge"), Wire: standin.Wire{}, Dir: t.TempDir(), Log: event.Discard()}
 	r, err := soak.Run(t.Context(), o, p)
@@ -54,4 +69,5 @@
 		}
 		t.Errorf("seed %d: got property %s violated by request %q, want it to hold: %s", p.Seed, v.Property, v.Request, v.What)
 	}
+	return r
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -378,7 +378,7 @@
 			continue
 		}
 		n++
-		if s.Complete || s.Left {
+		if s.served() || s.Left {
 			served++
 		}
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -57,13 +57,16 @@
 }
 
 func TestCheckReportsViolations(t *testing.T) {
-	cutOff := func(r *soak.Record) {
-		r.Requests[1].Complete, r.Requests[1].Events = false, r.Requests[1].Events[:1]
+	// addServed adds enough other requests that are served that recovery is not violated as well.
+	addServed := func(r *soak.Record) {
 		for range 20 {
-			// Enough other requests are served that recovery is not violated as well.
 			r.Requests = append(r.Requests, soak.SentRequest{Call: hosted.Call{ID: "l"}, Reply: hosted.Reply{Left: true}, Kind: directory.Safe, At: at(12000), Done: at(12001)})
 		}
 	}
+	cutOff := func(r *soak.Record) {
+		r.Requests[1].Complete, r.Requests[1].Events = false, r.Requests[1].Events[:1]
+		addServed(r)
+	}
 	injection := func(k soak.Kind, vm int) soak.Injection {
 		return soak.Injection{Fault: soak.Fault{Kind: k}, VM: vm, Span: soak.Span{From: at(9500), Until: at(9900)}}
 	}
@@ -77,17 +80,27 @@
 			r.Runs = append(r.Runs, hosted.Run{RequestID: "o", Server: "p1", Generation: 9, Started: at(10045), Ended: at(10050)})
 		}, soak.SingleRun},
 		{"two servers run it at the same time", func(r *soak.Record) { r.Runs[1].Ended = at(11100); r.Runs[2].Ended = at(11200) }, soak.SingleRun},
-		{"signed promise although it ran", func(r *soak.Record) { r.Requests[0].Status = 429 }, soak.RefusedNotRun},
+		{"signed promise although it ran", func(r *soak.Record) {
+			r.Requests[0].Status = 429
+			addServed(r)
+		}, soak.RefusedNotRun},
 		{"repeated after it ran", func(r *soak.Record) {
 			x := r.Requests[0]
 			x.ID, x.Try, x.Reply.Body = "o-r1", "o", hosted.PlainBody("o-r1", "p1")
 			r.Requests = append(r.Requests, x)
 			r.Runs = append(r.Runs, hosted.Run{RequestID: "o-r1", Server: "p1", Generation: 9, Started: at(10060), Ended: at(10070)})
 		}, soak.SingleRun},
-		{"refused as not run although it ran", func(r *soak.Record) { r.Requests[0].Status, r.Requests[0].Signed = 503, false }, soak.RefusedNotRun},
+		{"refused as not run although it ran", func(r *soak.Record) {
+			r.Requests[0].Status, r.Requests[0].Signed = 503, false
+			addServed(r)
+		}, soak.RefusedNotRun},
 		{"refused and did not run", func(r *soak.Record) {
 			r.Requests[0].Status, r.Requests[0].Signed, r.Runs, r.Arrivals = 503, false, r.Runs[1:], r.Arrivals[1:]
+			addServed(r)
 		}, ""},
+		{"all refused after the last fault", func(r *soak.Record) {
+			r.Requests[0].Status, r.Requests[0].Signed, r.Runs, r.Arrivals = 503, false, r.Runs[1:], r.Arrivals[1:]
+		}, soak.Recovery},
 		{"answer of another request", func(r *soak.Record) { r.Requests[0].Reply.Body = hosted.PlainBody("x", "p1") }, soak.IntactAnswer},
 		{"truncated answer", func(r *soak.Record) { r.Requests[0].Reply.Body = "o by" }, soak.IntactAnswer},
 		{"successful answer that no server sent", func(r *soak.Record) { r.Requests[0].Signed = false }, soak.IntactAnswer},
--- a/internal/soak/closure.go
+++ b/internal/soak/closure.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/duty"
-	"github.com/wardridge/wardridge/internal/standin/hosted"
 )
 
 // closeDomain closes the failure domain of a server to new work for a time, and opens it
@@ -46,17 +44,3 @@
 	x.Crash()
 	b.recordError(b.startServer(s, x, sameName))
 }
-
-// writeForeignEntry writes an invalid server entry, as another writer might, beside the
-// valid ones; it names the address of an existing server.
-func (b *testbed) writeForeignEntry(s *server) {
-	x, _ := s.current()
-	e, err := b.Wire.EncodeServer(x.Server)
-	if err != nil {
-		b.recordError(err)
-		return
-	}
-	e.Name = fmt.Sprintf("x-%d", time.Now().UnixNano())
-	e.Spec = []byte(fmt.Sprintf(`{"service":%q,"address":%q,"slots":"many","state":"resting"}`, x.Service, x.Address))
-	b.store.Write(hosted.Entry{Kind: e.Kind, Name: e.Name, Spec: e.Spec})
-}
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -33,11 +33,16 @@
 	return s.Try
 }
 
+// served reports whether the caller received a whole answer that is no failure.
+func (s *SentRequest) served() bool {
+	return s.Complete && s.Status == http.StatusOK
+}
+
 // mayRepeat reports whether the caller may send the request again: if it is safe, after each failure, and
 // otherwise only if it has not run and never will.
 func (s *SentRequest) mayRepeat() bool {
 	switch {
-	case s.Left || s.Complete && s.Status == http.StatusOK:
+	case s.Left || s.served():
 		return false
 	case s.Kind == directory.Safe:
 		return s.Status == 0 || s.Status >= http.StatusInternalServerError || meansNotRun(s.Status)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -139,7 +139,7 @@
 func newResult(p Plan, r Record) Result {
 	x := Result{Plan: p, Requests: len(r.Requests), Runs: len(r.Runs), Probes: len(r.Probes), Violations: Check(r)}
 	for _, s := range r.Requests {
-		if s.Complete {
+		if s.served() {
 			x.Served++
 		}
 	}
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -77,6 +77,8 @@
 	spareKeys   []versionedName
 	// closedDomain is the failure domain that operators have closed; empty means none.
 	closedDomain api.DomainName
+	// foreignEntries counts the entries of other writers.
+	foreignEntries int
 	// fragile holds the services whose servers are fragile.
 	fragile map[api.ServiceName]bool
 }
