test(contract): a service's own error is no promise on the own interface

The own interface marks each answer of a service with X-Wardridge-Ran: yes, whatever its status, body and headers say, so its 503 promises nothing; the page for callers did not tell of the header. The test passes on the code as it was; it plays 503, 429, 408 and 421 with a body and headers that imitate a refusal, and asks again with the same key.

--- a/contract/service_test.go
+++ b/contract/service_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/wardridge/wardridge/internal/api"
@@ -196,3 +197,31 @@
 		}
 	}
 }
+
+// Guards against a service's own error that a caller takes for the system's promise that the call has not run.
+func TestErrorOfServiceIsNoPromise(t *testing.T) {
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest} {
+		t.Run(http.StatusText(status), func(t *testing.T) {
+			t.Parallel()
+			b := newCluster(t)
+			var runs atomic.Int64
+			b.declareServer("orders-1", serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				runs.Add(1)
+				w.Header().Set(wire.HeaderRetryAfter, "1")
+				w.Header().Set(wire.HeaderRan, string(api.RanNo))
+				wire.Write(w, status, fault.New(fault.QueueFull, "").Body(""))
+			})), api.BackendServerSpec{Type: api.ServerTypeService})
+			b.setServers("orders-1")
+			v := b.startEntry("entry-1", "")
+			for range 2 {
+				r := v.send(orderCall("k"))
+				if got := r.header.Get(wire.HeaderRan); r.err != nil || got != string(api.RanYes) || r.header.Get(wire.HeaderRetryAfter) != "" {
+					t.Errorf("answer: got %d, ran %q, Retry-After %q, %v; want ran %q", r.status, got, r.header.Get(wire.HeaderRetryAfter), r.err, api.RanYes)
+				}
+			}
+			if got := runs.Load(); got != 1 {
+				t.Errorf("runs: got %d, want 1", got)
+			}
+		})
+	}
+}
