--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -386,6 +386,14 @@
 	q.sink.Refuse(f)
 }
 
+// RecordUnread counts and logs a request that is refused because its body could not be read.
+func (g *Gateway) RecordUnread(id api.RequestID, f *fault.Error) {
+	g.Metrics.Add(metric.RequestsTotal, 1)
+	e, m := failure.Classify(f)
+	g.Metrics.Add(m, 1)
+	g.Log.Emit(e, zap.String("request", string(id)), zap.String("type", f.Code.Kind().Type), zap.String("ran", string(f.Ran)), zap.Error(f))
+}
+
 // originFields are the log fields of a request's id, and of its workspace and route as far as
 // they are known.
 func (q *request) originFields() []zap.Field {
