--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -369,6 +369,11 @@
 	}
 }
 
+// unknownStatus reports whether a status is the right answer to a probe of a key or a path that is not configured.
+func unknownStatus(status int) bool {
+	return status == http.StatusUnauthorized || status == http.StatusNotFound
+}
+
 // checkRecovery checks that requests are served once recoveryTime has passed since the
 // last fault.
 func (c *checker) checkRecovery() {
@@ -378,7 +383,7 @@
 			continue
 		}
 		n++
-		if s.served() || s.Left {
+		if s.served() || s.Left || s.Complete && unknownStatus(s.Status) {
 			served++
 		}
 	}
