--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -138,13 +138,10 @@
 		p.release()
 		if err == nil {
 			g.recordOutcome(s, placement.Failed)
-			err = fault.New(fault.OutcomeUnknown, "the server answered "+http.StatusText(a.Status))
-			if misleads {
-				g.Metrics.Add(metric.AnswersUnproven, 1)
-				err = fault.New(fault.OutcomeUnknown, "the server answered "+http.StatusText(a.Status)+" without proof that the request has not run")
-			} else {
+			if !misleads {
 				failed = &a
 			}
+			err = g.recordErrorAnswer(a, misleads)
 		} else {
 			g.recordFailedAttempt(q, s, err)
 		}
@@ -161,6 +158,17 @@
 	}
 }
 
+// recordErrorAnswer returns the fault of an attempt that was answered with an error. It counts an answer whose
+// status would mislead the caller.
+func (g *Gateway) recordErrorAnswer(a port.Answer, misleads bool) error {
+	what := "the server answered " + http.StatusText(a.Status)
+	if misleads {
+		g.Metrics.Add(metric.AnswersUnproven, 1)
+		what += " without proof that the request has not run"
+	}
+	return fault.New(fault.OutcomeUnknown, what)
+}
+
 // endedFault returns the fault of a request whose last attempt has failed: the given one, unless the caller
 // has left or the end of a planned stop cut the attempt off.
 func endedFault(ctx context.Context, c *call.Call, err error, f *fault.Error) *fault.Error {
