--- a/internal/decide/call/call.go
+++ b/internal/decide/call/call.go
@@ -87,6 +87,13 @@
 	}
 }
 
+// MayPassOn reports whether an error answer of a server may be passed on to the caller. If it is unproven, its
+// status promises that the call has not run while the server has not said so: a caller would repeat a call that
+// may run only once.
+func (c *Call) MayPassOn(unproven bool) bool {
+	return !unproven || !c.notRepeatable
+}
+
 // NoServer returns the fault of a call that no server of the service accepts.
 func (c *Call) NoServer() *fault.Error {
 	return c.Fault(fault.NoServer, nil, "no server of the service accepts requests").WithRetryAfter(retryAfter)
--- a/internal/decide/call/call_test.go
+++ b/internal/decide/call/call_test.go
@@ -42,6 +42,15 @@
 	}
 }
 
+// Guards against a caller that repeats a call which has run, as a server's status seems to promise the contrary.
+func TestUnprovenPromiseIsNotPassedOn(t *testing.T) {
+	for _, c := range []struct{ notRepeatable, unproven, want bool }{{true, true, false}, {true, false, true}, {false, true, true}, {false, false, true}} {
+		if got := call.New(c.notRepeatable).MayPassOn(c.unproven); got != c.want {
+			t.Errorf("not repeatable %v, unproven %v: got %v, want %v", c.notRepeatable, c.unproven, got, c.want)
+		}
+	}
+}
+
 func TestNoServerReportsEarlierUnknownOutcome(t *testing.T) {
 	c := call.New(false)
 	if m, _ := c.AttemptFailed(call.Incomplete, nil, false, func() bool { return true }); m != call.Retry {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -129,7 +129,7 @@
 		g.recordSend(q)
 		a, err := g.sendAttempt(ctx, q, s, b)
 		g.observeAttempt(ctx, q, s, a, err)
-		misleads := a.Unproven && q.route.Kind != directory.Safe
+		misleads := !c.MayPassOn(a.Unproven)
 		if err == nil && !misleads && !shouldRetry(q, a) {
 			g.recordOutcome(s, placement.Served)
 			g.recordDuration(s, time.Since(q.sentAt))
--- a/internal/gateway/log_test.go
+++ b/internal/gateway/log_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -165,3 +166,23 @@
 		})
 	}
 }
+
+// Guards against error answers to requests that may run once of which the log tells only a few a second.
+func TestErrorAnswersOfUnsafeRequestsAreLogged(t *testing.T) {
+	const requests = 50
+	f := newFakeServers()
+	b, lines := loggedGateway(t, f)
+	for i := range requests {
+		status := []any{http.StatusInternalServerError, http.StatusServiceUnavailable}[i%2]
+		f.answers["p1"], f.answers["p2"] = []any{status}, []any{status}
+		r := request("/unsafe/1")
+		r.Key = "k"
+		b.Handle(context.Background(), r, &caller{})
+	}
+	if got, want := len(lines("error_passed_on")), requests/2; got != want || b.Metrics.Get(metric.ErrorsPassedOn) != int64(want) {
+		t.Errorf("errors passed on: got %d lines and %d counted, want %d", got, b.Metrics.Get(metric.ErrorsPassedOn), want)
+	}
+	if got, want := len(lines("attempt_failed")), requests/2; got != want || b.Metrics.Get(metric.AnswersUnproven) != int64(want) {
+		t.Errorf("unproven answers: got %d lines and %d counted, want %d", got, b.Metrics.Get(metric.AnswersUnproven), want)
+	}
+}
