test(soak): signals in an answer that was broken off are lost

Trace: the engine s-3-5 was made fragile at 23.8 s, failed and broke off each answer for three seconds, and was told to ask for rest at 24.8 s; the soak recorded the request for rest with each arrival, though no entry VM received one (120 attempt_failed 'the connection was closed' and no server_rest at one of them). An arrival whose answer is broken off now counts as lost: it announces nothing, but still counts against what was announced before.

--- a/internal/soak/signals.go
+++ b/internal/soak/signals.go
@@ -98,8 +98,10 @@
 		}
 	}
 	t, ok := firstAnnounced[k]
-	if !ok {
+	if !ok && !a.Lost {
 		firstAnnounced[k] = a.At
+	}
+	if !ok {
 		return
 	}
 	if a.At.Sub(t) < backoffSettleTime || a.At.Sub(limitedSince[a.Server]) < recoveryTime || c.excusedSince(t, a, k) {
@@ -117,7 +119,7 @@
 // requests.
 func (c *checker) checkLeavingServer(a hosted.Arrival, k vmServer, firstAnnounced map[vmServer]time.Time) {
 	t, ok := firstAnnounced[k]
-	if a.Signals.Leaving && !ok {
+	if a.Signals.Leaving && !ok && !a.Lost {
 		firstAnnounced[k] = a.At
 		return
 	}
@@ -135,7 +137,10 @@
 	}
 	l := backoffs[k]
 	if len(l) == 0 || a.At.Sub(l[0]) >= a.Signals.Backoff {
-		backoffs[k] = []time.Time{a.At}
+		delete(backoffs, k)
+		if !a.Lost {
+			backoffs[k] = []time.Time{a.At}
+		}
 		return
 	}
 	if a.At.Sub(l[0]) < backoffSettleTime || c.excusedSince(l[0], a, k) {
--- a/internal/soak/signals_test.go
+++ b/internal/soak/signals_test.go
@@ -45,6 +45,19 @@
 		}, soak.ServerLimit},
 		{"backoff that is honored", func(r *soak.Record) { addArrivals(r, 0, 11000, 2100, 3, backoff) }, ""},
 		{"backoff that is not honored", func(r *soak.Record) { addArrivals(r, 0, 11000, 300, 6, backoff) }, soak.ServerBackoff},
+		{"backoff and leave signals that were lost", func(r *soak.Record) {
+			addArrivals(r, 0, 11000, 300, 6, hosted.Signals{Backoff: 2 * time.Second, Leaving: true})
+			addArrivals(r, 0, 15500, 300, 2, hosted.Signals{Backoff: 2 * time.Second, Leaving: true})
+			for i := range r.Arrivals {
+				r.Arrivals[i].Lost = true
+			}
+		}, ""},
+		{"backoff that is not honored after it was received once", func(r *soak.Record) {
+			addArrivals(r, 0, 11000, 300, 6, backoff)
+			for i := range r.Arrivals {
+				r.Arrivals[i].Lost = r.Arrivals[i].At.After(at(11000))
+			}
+		}, soak.ServerBackoff},
 		{"backoff that was requested from other VMs", func(r *soak.Record) {
 			for vm := range 6 {
 				addArrivals(r, vm, 11000+200*vm, 2100, 2, backoff)
--- a/internal/standin/hosted/journal.go
+++ b/internal/standin/hosted/journal.go
@@ -42,8 +42,9 @@
 	Server api.ServerName
 	// Refused is set if the server answered that it did not run the request.
 	Refused bool
-	// Signals are the signals in the server's answer.
+	// Signals are the signals in the server's answer, which the entry VM has not received if Lost is set.
 	Signals Signals
+	Lost    bool
 }
 
 // Run is the execution of a request at one server.
--- a/internal/standin/hosted/server.go
+++ b/internal/standin/hosted/server.go
@@ -188,11 +188,12 @@
 func (s *Server) Serve(ctx context.Context, a Request, w AnswerWriter) {
 	misdirected := a.ExpectedServer != "" && a.ExpectedServer != s.ID
 	x := s.currentSignals()
-	taken := !misdirected && x.Backoff == 0 && !s.failed() && s.acquireSlot()
-	s.fleet.Journal.recordArrival(Arrival{Request: a, Server: s.Name, Refused: !taken, Signals: x})
+	failed := s.failed()
+	taken := !misdirected && x.Backoff == 0 && !failed && s.acquireSlot()
+	s.fleet.Journal.recordArrival(Arrival{Request: a, Server: s.Name, Refused: !taken, Signals: x, Lost: failed})
 	w.SetSignals(x)
 	switch {
-	case s.failed():
+	case failed:
 		w.Abort()
 	case misdirected:
 		w.RefuseMisdirected()
