test(soak): the wire's stand-in spoils entries, not the soak

A fragile server that refuses one request too many no longer keeps the slot of a request that it took in that moment.

--- a/internal/soak/replace.go
+++ b/internal/soak/replace.go
@@ -9,8 +9,8 @@
 )
 
 const (
-	// overloadedSlots are the slots of an overloaded server, and overloadedTime is what it takes for an answer:
-	// less than callers ask for.
+	// overloadedSlots are the slots of an overloaded server, and overloadedTime is how long it takes for an
+	// answer. Together they are too few for the requests of the callers.
 	overloadedSlots = 1
 	overloadedTime  = 120 * time.Millisecond
 )
--- a/internal/standin/hosted/server.go
+++ b/internal/standin/hosted/server.go
@@ -188,8 +188,13 @@
 func (s *Server) Serve(ctx context.Context, a Request, w AnswerWriter) {
 	misdirected := a.ExpectedServer != "" && a.ExpectedServer != s.ID
 	x := s.currentSignals()
+	taken := !misdirected && x.Backoff == 0 && !s.failed() && s.acquireSlot()
+	// A request that is refused may be the one too many.
 	failed := s.failed()
-	taken := !misdirected && x.Backoff == 0 && !failed && s.acquireSlot()
+	if failed && taken {
+		s.releaseSlot()
+		taken = false
+	}
 	s.fleet.Journal.recordArrival(Arrival{Request: a, Server: s.Name, Refused: !taken, Signals: x, Lost: failed})
 	w.SetSignals(x)
 	switch {
--- a/internal/standin/hosted/wire.go
+++ b/internal/standin/hosted/wire.go
@@ -20,6 +20,9 @@
 	// backend server and a closed failure domain.
 	EncodeConfig(c directory.Config) (Entry, error)
 	EncodeServer(s roster.Server) (Entry, error)
+	// EncodeForeignServer encodes the entry of a server as another writer may have spoiled it, in a way that turn
+	// selects.
+	EncodeForeignServer(s roster.Server, turn int) (Entry, error)
 	EncodeClosure(c roster.Closure) (Entry, error)
 	// StoreHandler and ServerHandler return the HTTP handlers of the store and of a backend
 	// server.
