test(soak): a stall of the soak's own process is an unplanned fault

Trace: the faults of the plan at 2.7 and 3.4 s came at 5.5 s, and no request was answered for two seconds: the process that holds servers, proxies and callers did not run. A stretch of over 0.6 s counts as a fault for all entry VMs now, and each play says how many it had.

--- a/cmd/soak.go
+++ b/cmd/soak.go
@@ -96,7 +96,7 @@
 	if e.wantsJSON() {
 		return e.writeJSON(r)
 	}
-	if err := e.printf("seed %d: %d faults, %d requests, %d served, %d resumed, %d probes, %d violations\n", r.Plan.Seed, len(r.Plan.Faults), r.Requests, r.Served, r.Resumed, r.Probes, len(r.Violations)); err != nil {
+	if err := e.printf("seed %d: %d faults, %d requests, %d served, %d resumed, %d probes, %d stalls, %d violations\n", r.Plan.Seed, len(r.Plan.Faults), r.Requests, r.Served, r.Resumed, r.Probes, r.Stalls, len(r.Violations)); err != nil {
 		return err
 	}
 	for _, v := range r.Violations {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -66,6 +66,8 @@
 	// ReplaceServers replaces the plain servers one after the other while they are overloaded: what they have no
 	// room for gets a status that does not say that it did not run.
 	ReplaceServers Kind = "replace-servers"
+	// SoakStalled is in no plan: the process of the soak did not run for a while.
+	SoakStalled Kind = "soak-stalled"
 )
 
 // firstExtendedSeed is the first seed whose plan also draws from the extended kinds, so
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -28,12 +28,14 @@
 
 // Result is the outcome of one plan.
 type Result struct {
-	Plan       Plan        `json:"plan"`
-	Requests   int         `json:"requests"`
-	Served     int         `json:"served"`
-	Runs       int         `json:"runs"`
-	Resumed    int         `json:"resumed"`
-	Probes     int         `json:"probes"`
+	Plan     Plan `json:"plan"`
+	Requests int  `json:"requests"`
+	Served   int  `json:"served"`
+	Runs     int  `json:"runs"`
+	Resumed  int  `json:"resumed"`
+	Probes   int  `json:"probes"`
+	// Stalls counts how often the process of the soak did not run for a while.
+	Stalls     int         `json:"stalls"`
 	Violations []Violation `json:"violations"`
 }
 
@@ -63,6 +65,7 @@
 	polls, stopPolls := duty.New(ctx)
 	defer stopPolls()
 	polls.Go(b.pollReadiness)
+	polls.Go(b.watchStalls)
 	b.awaitReady(ctx)
 	began := time.Now()
 	calls, stopCalls := duty.New(ctx)
@@ -143,6 +146,11 @@
 			x.Served++
 		}
 	}
+	for _, i := range r.Injections {
+		if i.Kind == SoakStalled {
+			x.Stalls++
+		}
+	}
 	for _, a := range r.Arrivals {
 		if a.ResumeFrom != "" {
 			x.Resumed++
