--- a/e2e/soak_test.go
+++ b/e2e/soak_test.go
@@ -37,6 +37,11 @@
 	playSoak(t, soak.Plan{Seed: 140000, Size: soak.Size{VMs: 4, Engines: 2, Plain: 3, Callers: 60}, Length: 14000, Faults: []soak.Fault{{Kind: soak.ReplaceServers, At: 1000, For: 8000}}})
 }
 
+// Guards against second copies of refusals that answer the callers' repeats with the same ID: the calls run twice.
+func TestCallsRepeatedWithTheirIDsRunOnce(t *testing.T) {
+	playSoak(t, soak.Plan{Seed: 150000, Size: soak.Size{VMs: 4, Engines: 2, Plain: 3, Callers: 60}, Length: 14000, Faults: []soak.Fault{{Kind: soak.DuplicateAnswers, At: 1000, For: 8000}}})
+}
+
 // Guards against one entry of another writer that keeps entry VMs from learning which servers there are.
 func TestOddEntriesHideNoServers(t *testing.T) {
 	p := soak.Plan{Seed: 140001, Size: soak.Size{VMs: 3, Engines: 2, Plain: 3, Callers: 12}, Length: 14000}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -102,16 +102,21 @@
 // checker holds a record with its indexes by request ID, and collects violations.
 type checker struct {
 	Record
-	requestsByID map[api.RequestID]*SentRequest
+	// requestsByID holds the requests with an ID in the order in which they were sent.
+	requestsByID map[api.RequestID][]*SentRequest
 	runsByID     map[api.RequestID][]hosted.Run
 	violations   []Violation
 }
 
 // Check returns the violations that a record shows.
 func Check(r Record) []Violation {
-	c := &checker{Record: r, requestsByID: map[api.RequestID]*SentRequest{}, runsByID: map[api.RequestID][]hosted.Run{}}
+	c := &checker{Record: r, requestsByID: map[api.RequestID][]*SentRequest{}, runsByID: map[api.RequestID][]hosted.Run{}}
 	for i := range r.Requests {
-		c.requestsByID[r.Requests[i].ID] = &r.Requests[i]
+		s := &r.Requests[i]
+		c.requestsByID[s.ID] = append(c.requestsByID[s.ID], s)
+	}
+	for _, l := range c.requestsByID {
+		slices.SortStableFunc(l, func(a, b *SentRequest) int { return a.At.Compare(b.At) })
 	}
 	for _, x := range r.Runs {
 		c.runsByID[x.RequestID] = append(c.runsByID[x.RequestID], x)
@@ -137,6 +142,33 @@
 	return c.violations
 }
 
+// requestAt returns the request with an ID that was sent last before a time; it reports false if there is none
+// with the ID.
+func (c *checker) requestAt(id api.RequestID, at time.Time) (*SentRequest, bool) {
+	l := c.requestsByID[id]
+	if len(l) == 0 {
+		return nil, false
+	}
+	s := l[0]
+	for _, x := range l[1:] {
+		if !x.At.After(at) {
+			s = x
+		}
+	}
+	return s, true
+}
+
+// runsOf returns the runs of a request. One that was repeated with its ID has those until the repeat was sent.
+func (c *checker) runsOf(s *SentRequest) []hosted.Run {
+	var l []hosted.Run
+	for _, r := range c.runsByID[s.ID] {
+		if x, _ := c.requestAt(s.ID, r.Started); x == s {
+			l = append(l, r)
+		}
+	}
+	return l
+}
+
 func (c *checker) addViolation(p Property, id api.RequestID, at time.Time, what string) {
 	c.violations = append(c.violations, Violation{Property: p, Request: id, At: at, What: what})
 }
@@ -161,7 +193,7 @@
 // excusesConcurrentRun reports whether a fault of a kind may keep an entry VM from having a server stop a run
 // before it continues elsewhere. An entry VM that reaches a server which has lost a stream has to.
 func excusesConcurrentRun(k Kind) bool {
-	return !k.Planned() && k != LoseStreams && k != LoseAnswers && k != ReplaceServers
+	return !k.Planned() && k != LoseStreams && k != LoseAnswers && k != ReplaceServers && k != DuplicateAnswers
 }
 
 // restartedDuring reports whether an entry VM was stopped or started during a span or
@@ -175,7 +207,7 @@
 
 // checkArrival checks a request that arrived at a server.
 func (c *checker) checkArrival(a hosted.Arrival) {
-	s, ok := c.requestsByID[a.ID]
+	s, ok := c.requestAt(a.ID, a.At)
 	if !ok {
 		c.addViolation(IntactRequest, a.ID, a.At, "a server got a request that no caller sent")
 		return
@@ -218,7 +250,7 @@
 
 // checkReply checks what a caller received.
 func (c *checker) checkReply(s *SentRequest) {
-	r := c.runsByID[s.ID]
+	r := c.runsOf(s)
 	if s.Kind != directory.Safe {
 		c.checkSingleRun(s, r)
 	}
@@ -263,7 +295,7 @@
 	ran := map[api.RequestID]*SentRequest{}
 	for i := range c.Requests {
 		s := &c.Requests[i]
-		if s.Kind == directory.Safe || len(c.runsByID[s.ID]) == 0 {
+		if s.Kind == directory.Safe || len(c.runsOf(s)) == 0 {
 			continue
 		}
 		if x := ran[s.firstOfTry()]; x != nil {
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -90,6 +90,27 @@
 			r.Requests = append(r.Requests, x)
 			r.Runs = append(r.Runs, hosted.Run{RequestID: "o-r1", Server: "p1", Generation: 9, Started: at(10060), Ended: at(10070)})
 		}, soak.SingleRun},
+		{"repeated with its ID after it was refused", func(r *soak.Record) {
+			x := r.Requests[0]
+			x.Try, x.At, x.Done = x.ID, at(9000), at(9010)
+			x.Reply = hosted.Reply{Head: hosted.Head{Status: 503}, Complete: true}
+			r.Requests = append(r.Requests, x)
+			addServed(r)
+		}, ""},
+		{"repeated with its ID and ran twice", func(r *soak.Record) {
+			x := r.Requests[0]
+			x.Try, x.At, x.Done = x.ID, at(9000), at(9010)
+			r.Requests = append(r.Requests, x)
+			r.Runs = append(r.Runs, hosted.Run{RequestID: x.ID, Server: "p1", Generation: 9, Started: at(9002), Ended: at(9005)})
+		}, soak.SingleRun},
+		{"ran and refused, and then repeated with its ID", func(r *soak.Record) {
+			x := r.Requests[0]
+			x.Try, x.At, x.Done = x.ID, at(10060), at(10070)
+			r.Requests[0].Reply = hosted.Reply{Head: hosted.Head{Status: 503}, Complete: true}
+			x.Reply = hosted.Reply{Head: hosted.Head{Status: 503}, Complete: true}
+			r.Requests = append(r.Requests, x)
+			addServed(r)
+		}, soak.RefusedNotRun},
 		{"refused as not run although it ran", func(r *soak.Record) {
 			r.Requests[0].Status, r.Requests[0].Signed = 503, false
 			addServed(r)
--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -128,7 +128,7 @@
 // countLateCrash counts an arrival with a cause of crashes that came too late after crash n.
 func (c *checker) countLateCrash(late map[string]int, a hosted.Arrival, cause string, n int) {
 	l := c.CrashTimes[cause]
-	s, ok := c.requestsByID[a.ID]
+	s, ok := c.requestAt(a.ID, a.At)
 	if !ok || a.Refused || len(l) < n || a.At.Sub(l[n-1]) <= recoveryTime || c.vmFaultDuring(Span{l[n-1], a.At}, s.VM) {
 		return
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -66,6 +66,9 @@
 	// ReplaceServers replaces the plain servers one after the other while they are overloaded: what they have no
 	// room for gets a status that does not say that it did not run.
 	ReplaceServers Kind = "replace-servers"
+	// DuplicateAnswers replaces the plain servers as ReplaceServers does, but they prove that they did not run what they
+	// have no room for, and send some of their answers a second time.
+	DuplicateAnswers Kind = "duplicate-answers"
 	// SoakStalled is in no plan: the process of the soak did not run for a while.
 	SoakStalled Kind = "soak-stalled"
 )
@@ -104,6 +107,10 @@
 // firstReplaceSeed is the first seed whose plan also draws replaced servers, and whose callers repeat requests.
 const firstReplaceSeed = 140000
 
+// firstDuplicateSeed is the first seed whose plan also draws duplicate answers, and whose callers keep the IDs of
+// some of the requests that they repeat.
+const firstDuplicateSeed = 150000
+
 // signalKinds are the signals that servers send in their answers; no request may be lost
 // by them.
 var signalKinds = []Kind{SignalLimit, SignalBackoff, SignalLeaving}
@@ -219,6 +226,9 @@
 	if seed >= firstReplaceSeed {
 		all = append(all, ReplaceServers, ReplaceServers)
 	}
+	if seed >= firstDuplicateSeed {
+		all = append(all, DuplicateAnswers, DuplicateAnswers)
+	}
 	modes := linkFaults
 	if seed >= firstNarrowSeed {
 		modes = narrowFaults
--- a/internal/soak/replace.go
+++ b/internal/soak/replace.go
@@ -20,8 +20,8 @@
 var overloadStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
 
 // replaceServers replaces the plain servers one after the other, again and again for a time, while all of them
-// are overloaded.
-func (b *testbed) replaceServers(ctx context.Context, d time.Duration) {
+// are overloaded in a way that depends on an index.
+func (b *testbed) replaceServers(ctx context.Context, d time.Duration, overload func(s *server, index int)) {
 	var l []*server
 	for _, s := range b.servers {
 		if s.service == plain {
@@ -29,17 +29,18 @@
 		}
 	}
 	for i, s := range l {
-		b.overload(s, i)
+		overload(s, i)
 	}
 	end := time.Now().Add(d)
 	for i := 0; len(l) > 0 && time.Now().Before(end) && ctx.Err() == nil; i++ {
 		s := l[i%len(l)]
 		b.leaveServer(ctx, s, 0)
-		b.overload(s, i)
+		overload(s, i)
 	}
 	for _, s := range l {
 		x, _ := s.current()
 		x.SetOverload(nil)
+		x.DuplicateAnswers(false)
 		b.recordError(x.SetSlots(slots))
 	}
 }
@@ -50,3 +51,12 @@
 	x.SetOverload(&hosted.Overload{AnswerTime: overloadedTime, Status: overloadStatuses[status%len(overloadStatuses)]})
 	b.recordError(x.SetSlots(overloadedSlots))
 }
+
+// duplicateAnswers makes a server overloaded that proves that it did not run what it refuses, and that sends some of
+// its answers a second time.
+func (b *testbed) duplicateAnswers(s *server, _ int) {
+	x, _ := s.current()
+	x.SetOverload(&hosted.Overload{AnswerTime: overloadedTime})
+	x.DuplicateAnswers(true)
+	b.recordError(x.SetSlots(overloadedSlots))
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -176,7 +176,9 @@
 	case SignalLimit, SignalBackoff, SignalLeaving:
 		b.injectSignal(ctx, f, s)
 	case ReplaceServers:
-		b.replaceServers(ctx, f.For.Duration())
+		b.replaceServers(ctx, f.For.Duration(), b.overload)
+	case DuplicateAnswers:
+		b.replaceServers(ctx, f.For.Duration(), b.duplicateAnswers)
 	case SignalFragile:
 		b.makeFragile(ctx, s.service, f.For.Duration())
 	case CloseDomain:
--- a/internal/soak/signals.go
+++ b/internal/soak/signals.go
@@ -64,7 +64,7 @@
 	limitedSince := map[api.ServerName]time.Time{}
 	recent := map[api.ServerName][]time.Time{}
 	for _, a := range arrivals {
-		s, ok := c.requestsByID[a.ID]
+		s, ok := c.requestAt(a.ID, a.At)
 		if !ok {
 			continue
 		}
--- a/internal/soak/testbed.go
+++ b/internal/soak/testbed.go
@@ -65,6 +65,8 @@
 	boundsLinks bool
 	// callersRepeat is set if callers send requests again where they may.
 	callersRepeat bool
+	// callersKeepIDs is set if some of these requests keep their IDs.
+	callersKeepIDs bool
 	// closureMutex allows only one closed failure domain at a time: the other
 	// domains have to serve.
 	closureMutex sync.Mutex
@@ -89,7 +91,7 @@
 	c, closer := wire.NewClient(time.Second, false)
 	store := hosted.NewStore(o.Wire)
 	b := &testbed{
-		Options: o, group: g, http: c, store: store, recorder: newRecorder(), boundsLinks: p.Seed >= firstNarrowSeed, callersRepeat: p.Seed >= firstReplaceSeed, fragile: map[api.ServiceName]bool{},
+		Options: o, group: g, http: c, store: store, recorder: newRecorder(), boundsLinks: p.Seed >= firstNarrowSeed, callersRepeat: p.Seed >= firstReplaceSeed, callersKeepIDs: p.Seed >= firstDuplicateSeed, fragile: map[api.ServiceName]bool{},
 		fleet: hosted.NewFleet(store, hosted.Pace{PlainAnswer: plainAnswerTime, EventInterval: fastEventInterval, Copy: copyTime}),
 	}
 	b.cleanups = []func(){end, closer}
--- a/internal/soak/traffic.go
+++ b/internal/soak/traffic.go
@@ -32,6 +32,10 @@
 	// maxRepeats is how often a caller sends a request again, and repeatPause the pause before.
 	maxRepeats  = 2
 	repeatPause = 50 * time.Millisecond
+	// moveChance and newIDChance are the probabilities that callers which keep IDs send a request again to
+	// another entry VM, or with a new ID.
+	moveChance  = 0.3
+	newIDChance = 0.3
 	// probeInterval is the pause between probes of an entry VM's configuration.
 	probeInterval = 150 * time.Millisecond
 	// readinessInterval is the pause between readiness checks of the entry VMs, as a load
@@ -91,9 +95,13 @@
 			v = b.chooseVM(r)
 		}
 		for i := 0; b.callersRepeat && i < maxRepeats && s.mayRepeat() && duty.Sleep(ctx, repeatPause); i++ {
-			v = b.chooseVM(r)
+			if !b.callersKeepIDs || r.Float64() < moveChance {
+				v = b.chooseVM(r)
+			}
 			s.Try = s.firstOfTry()
-			s.ID = api.RequestID(fmt.Sprintf("%s-r%d", s.Try, i+1))
+			if !b.callersKeepIDs || r.Float64() < newIDChance {
+				s.ID = api.RequestID(fmt.Sprintf("%s-r%d", s.Try, i+1))
+			}
 			s = b.send(ctx, c, v, s)
 		}
 		duty.Sleep(ctx, time.Duration(r.ExpFloat64()*float64(meanCallerPause)))
--- a/internal/standin/hosted/fleet.go
+++ b/internal/standin/hosted/fleet.go
@@ -92,7 +92,7 @@
 	x.http = &http.Server{Handler: f.Store.wire.ServerHandler(x), ReadHeaderTimeout: readHeaderTimeout, ConnState: x.trackConn}
 	g.Go(func(context.Context) error {
 		// Serve always returns an error when the server is closed.
-		_ = x.http.Serve(l)
+		_ = x.http.Serve(duplicatingListener{l, x})
 		return nil
 	})
 	f.mutex.Lock()
--- a/internal/standin/hosted/server.go
+++ b/internal/standin/hosted/server.go
@@ -57,7 +57,8 @@
 }
 
 // Overload is what a server does while it is overloaded: it takes AnswerTime for a plain answer, and answers
-// a request for which it has no room with a status that does not say that the request did not run.
+// a request for which it has no room with a status that does not say that the request did not run; if Status is
+// zero, it says so.
 type Overload struct {
 	AnswerTime time.Duration
 	Status     int
@@ -79,6 +80,8 @@
 	unframed atomic.Bool
 	// losesStreams is set while the server loses the connections of streams.
 	losesStreams atomic.Bool
+	// duplicates is set while the server sends answers a second time.
+	duplicates atomic.Bool
 
 	mutex  sync.Mutex
 	active int
@@ -164,7 +167,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	for c := range s.conns {
-		if t, ok := c.(*net.TCPConn); ok {
+		if t, ok := c.(interface{ SetLinger(s int) error }); ok {
 			// It fails only if the connection is closed already.
 			_ = t.SetLinger(0)
 		}
@@ -217,7 +220,7 @@
 // is recorded as a run, since nobody but the server can tell.
 func (s *Server) refuse(a Request, x Signals, w AnswerWriter) {
 	o := s.currentOverload()
-	if o == nil || x.Backoff > 0 {
+	if o == nil || o.Status == 0 || x.Backoff > 0 {
 		w.RefuseNotRun()
 		return
 	}
