fix(upstream): requests with the same ID never share a connection

Callers saw calls that may run once run twice, or run although they were refused: a caller repeats a call with its ID after a refusal that is true, at the same entry VM, which sends it over the connection of the refused attempt; a second copy of the refusal, with that ID and with proof, is read first and believed. The request is sent to another server, or refused, and runs here too. Cause: an answer is recognized by the ID that the caller chose, which is no identity of an attempt.

What may share a connection is decided in decide/connect. A repeat costs a new connection only where the kept ones have all carried its ID.

--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -42,6 +42,10 @@
 	// ConnectTimeout limits the time to make a new connection. Zero leaves the limit to the
 	// context and the dial function.
 	ConnectTimeout time.Duration
+	// Identity is what the answer is recognized by. Requests of the same identity never share a connection, on
+	// which a second copy of the answer to one would be taken for that to another. It is empty for a request
+	// whose identity no other has.
+	Identity string
 	// IsAnswer reports whether the headers belong to the answer to this request, not to a late
 	// answer to an earlier one. Nil accepts the first answer.
 	IsAnswer func(h http.Header) bool
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -3,10 +3,13 @@
 import (
 	"bufio"
 	"context"
+	"hash/maphash"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/wardridge/wardridge/internal/decide/connect"
 	"github.com/wardridge/wardridge/internal/wire"
 )
 
@@ -20,6 +23,8 @@
 	head    *headLimiter
 	address string
 	reused  bool
+	// carried holds the requests that the connection has carried.
+	carried connect.Carried
 	// strays counts the answers to earlier requests that have come in the place of a later one.
 	strays int
 	// idleUntil is when the server may close the connection because it is idle.
@@ -29,6 +34,7 @@
 // Pool holds idle connections by address.
 type Pool struct {
 	dial wire.DialFunc
+	seed maphash.Seed
 
 	mutex  sync.Mutex
 	idle   map[string][]*conn
@@ -37,7 +43,7 @@
 
 // New creates a pool of connections made by d. The returned function closes the idle ones.
 func New(d wire.DialFunc) (*Pool, func()) {
-	p := &Pool{dial: d, idle: map[string][]*conn{}}
+	p := &Pool{dial: d, seed: maphash.MakeSeed(), idle: map[string][]*conn{}}
 	return p, p.close
 }
 
@@ -58,10 +64,24 @@
 	clear(p.idle)
 }
 
-// connect returns an idle connection that is still usable, or a new one.
+// connect returns an idle connection that is still usable for a call, or a new one.
 func (p *Pool) connect(ctx context.Context, c Call) (*conn, error) {
+	n, err := p.obtain(ctx, c)
+	if err == nil && c.Identity != "" {
+		n.carried.Record(p.hash(c))
+	}
+	return n, err
+}
+
+// hash returns the hash of a call's identity.
+func (p *Pool) hash(c Call) connect.RequestHash {
+	return connect.RequestHash(maphash.String(p.seed, c.Identity))
+}
+
+// obtain returns an idle connection that is still usable for a call, or a new one.
+func (p *Pool) obtain(ctx context.Context, c Call) (*conn, error) {
 	for !c.NewConnection {
-		n := p.takeIdle(c.Address)
+		n := p.takeIdle(c)
 		if n == nil {
 			break
 		}
@@ -84,18 +104,20 @@
 	return &conn{Conn: n, reader: bufio.NewReaderSize(h, readBuffer), head: h, address: c.Address}, nil
 }
 
-// takeIdle removes the most recently used idle connection, since the server is least
+// takeIdle removes the most recently used idle connection that may carry a call, since the server is least
 // likely to have closed that one.
-func (p *Pool) takeIdle(address string) *conn {
+func (p *Pool) takeIdle(c Call) *conn {
+	h := p.hash(c)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	l := p.idle[address]
-	if len(l) == 0 {
-		return nil
+	l := p.idle[c.Address]
+	for i := len(l) - 1; i >= 0; i-- {
+		if n := l[i]; c.Identity == "" || n.carried.MayCarry(h) {
+			p.idle[c.Address] = slices.Delete(l, i, i+1)
+			return n
+		}
 	}
-	c := l[len(l)-1]
-	p.idle[address] = l[:len(l)-1]
-	return c
+	return nil
 }
 
 // closeIdle closes the idle connections to an address.
@@ -135,7 +157,7 @@
 	c.idleUntil = time.Now().Add(idleTimeout)
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.closed || idleTimeout <= 0 || c.relayed() || c.strays > 0 || c.reader.Buffered() > 0 {
+	if p.closed || idleTimeout <= 0 || c.relayed() || c.strays > 0 || c.carried.Exhausted() || c.reader.Buffered() > 0 {
 		_ = c.Close()
 		return
 	}
