fix(gateway): streams with the same ID share neither an engine nor its copies

Engines know runs and backup copies by the ID that the caller chose, and orders to stop, copy or move a run name it. With an ID used again, an order for one run reaches another: a stream that its caller sends again, after the one before broke off, is cut off by the orders that still go to the engine of the first; two streams at one engine can stop or move each other; a run may be resumed from the copy of an earlier one.

The engines at which a request runs, or is being stopped, are held until it ends, and another request with its ID is placed elsewhere, or refused as not run; an engine with a backup copy of a run that did not end well holds no other of that ID for 10 s. Requests with IDs of their own are placed as before.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -141,7 +141,9 @@
 			p.release()
 			return preferAnswer(failed, c.Refusal(f))
 		}
-		s, b := p.choice.Server, p.backup
+		s, b := p.choice.Server, g.holdBackup(q, p.backup)
+		p.backup = b
+		g.holdPlace(q, s.Name)
 		q.choices = append(q.choices, choiceFields(q, p.choice))
 		q.tried = append(q.tried, s.Name)
 		g.recordSend(q)
--- a/internal/gateway/fence.go
+++ b/internal/gateway/fence.go
@@ -47,7 +47,11 @@
 		state: fence.New(now, p, g.ServerPause, !r.isUnresponsive() && !g.hasRestarted(source.Name)),
 	}
 	verdict := make(chan fence.Verdict, 1)
+	g.mutex.Lock()
+	g.places.Hold(q.ID, source.Name, q)
+	g.mutex.Unlock()
 	g.Group.Go(func(ctx context.Context) error {
+		defer f.releasePlace()
 		f.run(ctx, verdict)
 		return nil
 	})
@@ -122,6 +126,13 @@
 	return repeat
 }
 
+// releasePlace records that no more orders for the run are sent to the server.
+func (f *fencer) releasePlace() {
+	f.gateway.mutex.Lock()
+	defer f.gateway.mutex.Unlock()
+	f.gateway.places.Release(f.request.ID, f.source.Name, f.request)
+}
+
 // query asks the server for its report in the background.
 func (f *fencer) query(ctx context.Context) {
 	f.gateway.Group.Go(func(context.Context) error {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -154,7 +154,10 @@
 	// object.
 	rollouts *rollout.Tracker
 	// earlier holds the IDs of recent requests that may run at most once.
-	earlier         *repeat.Tracker
+	earlier *repeat.Tracker
+	// places holds the engines at which streams run, or may still run, and copies those that have backup copies
+	// of them, or may still have.
+	places, copies  *repeat.Places[*request]
 	rolloutVersions map[api.RolloutID]api.Version
 }
 
@@ -180,7 +183,7 @@
 		Options: p, roster: roster.New(), picker: placement.NewPicker(rand.NewPCG(p.Seed, 0)), lender: fragile.NewLender(),
 		active: map[*request]bool{}, durations: drain.NewRecorder(), runs: map[api.ServerName]map[*run]bool{}, departures: fence.NewDepartures(), admissions: map[api.ServiceName]*admission{},
 		retryReports: retry.NewReports(), roomWaits: map[api.ServiceName]int{}, queryResults: silence.NewResultCache(), leaveQueries: leavequery.New(), watchdog: newWatchdog(),
-		bodies: newBodyMemory(p.Memory, p.Metrics), rollouts: rollout.New(p.Rollouts, rand.NewPCG(p.Seed, 1)), earlier: repeat.New(maxEarlierRequests), rolloutVersions: map[api.RolloutID]api.Version{},
+		bodies: newBodyMemory(p.Memory, p.Metrics), rollouts: rollout.New(p.Rollouts, rand.NewPCG(p.Seed, 1)), earlier: repeat.New(maxEarlierRequests), places: repeat.NewPlaces[*request](), copies: repeat.NewPlaces[*request](), rolloutVersions: map[api.RolloutID]api.Version{},
 	}
 	g.Backends = signalRecorder{p.Backends, g}
 	// Until peers report the size of the fleet, this entry VM knows of those in its settings.
@@ -231,6 +234,8 @@
 	cutOff bool
 	sink   port.Sink
 	tried  []api.ServerName
+	// places are the engines at which the request may run, and copies those that may have backup copies of its run.
+	places, copies []api.ServerName
 	// lostAt are the servers at which a run of the request was lost. They may have crashed, and hold no
 	// backup copy.
 	lostAt []api.ServerName
@@ -277,6 +282,7 @@
 	defer stop()
 	defer q.answerHold.Release()
 	defer g.begin(q)()
+	defer g.releasePlaces(q)
 	g.logStopAdmission(q)
 	q.cutOff = g.Paths.CutOff(q.service.Name)
 	if q.route.Kind == directory.Stream {
--- a/internal/gateway/move.go
+++ b/internal/gateway/move.go
@@ -217,7 +217,7 @@
 		need: placement.Requirements{
 			Tokens: streamNeed(q).Tokens + api.Tokens(n*x.TokensPerEvent/2), Unread: moveUnreadTokens, Protected: m.run.isProtected(), GapTarget: q.route.GapTarget, Handoff: m.isHandoff(),
 		},
-		source: m.source.Name, tried: append(slices.Clone(m.tried), m.source.Name), regions: q.regions,
+		source: m.source.Name, tried: m.gateway.excluded(q, append(slices.Clone(m.tried), m.source.Name)), regions: q.regions,
 	})
 	if p.fault != nil {
 		m.tried = nil
--- a/internal/gateway/obtain.go
+++ b/internal/gateway/obtain.go
@@ -47,7 +47,7 @@
 // newDemand makes the demand of a new run.
 func (g *Gateway) newDemand(q *request, n placement.Requirements, waits bool) demand {
 	d := demand{
-		service: q.service, purpose: api.PlaceAskPurposeRun, domain: g.Domain, need: n, deadline: q.deadline.At(), mayWait: waits, tried: q.tried, regions: q.regions,
+		service: q.service, purpose: api.PlaceAskPurposeRun, domain: g.Domain, need: n, deadline: q.deadline.At(), mayWait: waits, tried: g.excluded(q, q.tried), regions: q.regions,
 		request: backlog.Request{
 			Workspace: q.workspace.Name, Rank: backlog.Rank(q.workspace.Priority, q.route.Priority),
 			Cost: float64(n.Tokens), LatencyTarget: q.latencyTarget(),
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -139,7 +139,8 @@
 	q := r.request
 	x := c.resume
 	x.LastEventID, _ = r.progress()
-	b := g.placeBackup(ctx, q, c.server)
+	b := g.holdBackup(q, g.placeBackup(ctx, q, c.server))
+	g.holdPlace(q, c.server.Name)
 	t := g.newAttempt(q, c.server, b)
 	t.ConnectTimeout, t.Resume = call.ConnectTimeout(q.route.GapTarget), &x
 	g.countSent(c)
