refactor(soak): the kinds of faults of a seed in a function of their own

The same kinds in the same order as before: TestSameSeedGivesSamePlan and the other tests of plans pass.

--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -199,9 +199,40 @@
 func NewPlan(seed uint64, s Size, length time.Duration) Plan {
 	r := rand.New(rand.NewPCG(seed, 1))
 	p := Plan{Seed: seed, Size: s, Length: toMilliseconds(length)}
-	plannedKinds, all := basePlannedKinds, slices.Concat(basePlannedKinds, baseUnplannedKinds)
+	plannedKinds, all := kindsOf(seed)
+	modes := linkFaults
+	if seed >= firstNarrowSeed {
+		modes = narrowFaults
+	}
+	kinds := all
+	if r.Float64() < plannedShare {
+		kinds = plannedKinds
+	}
+	last := length - finalCalm
+	for at := initialCalm; at < last; at += time.Duration(r.ExpFloat64() * float64(meanFaultInterval)) {
+		f := Fault{Kind: kinds[r.IntN(len(kinds))], At: toMilliseconds(at), Target: r.IntN(1 << 16)}
+		d := minFaultLength + time.Duration(r.Float64()*float64(maxFaultLength-minFaultLength))
+		f.For = toMilliseconds(min(d, last-at))
+		if r.Float64() < 0.5 && sharedStoreKinds[f.Kind] || f.Kind == StoreRestore {
+			f.Target = All
+		}
+		if f.Kind == CallerLink || f.Kind == ServerLink {
+			f.Mode = modes[r.IntN(len(modes))]
+		}
+		p.Faults = append(p.Faults, f)
+		if r.Float64() < seriesChance {
+			p.Faults = append(p.Faults, repeatFault(f, last)...)
+		}
+	}
+	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return p
+}
+
+// kindsOf returns the kinds of planned work, and all kinds of faults, that the plan of a seed draws from.
+func kindsOf(seed uint64) (planned, all []Kind) {
+	planned, all = basePlannedKinds, slices.Concat(basePlannedKinds, baseUnplannedKinds)
 	if seed >= firstExtendedSeed {
-		plannedKinds, all = slices.Concat(basePlannedKinds, extendedPlannedKinds), slices.Concat(all, extendedPlannedKinds, extendedUnplannedKinds)
+		planned, all = slices.Concat(basePlannedKinds, extendedPlannedKinds), slices.Concat(all, extendedPlannedKinds, extendedUnplannedKinds)
 	}
 	if seed >= firstCrashingSeed {
 		all = append(all, CrashingRequest)
@@ -212,7 +243,7 @@
 		all = append(all, StoreRestore, StoreRestore)
 	}
 	if seed >= firstSignalSeed {
-		plannedKinds, all = slices.Concat(plannedKinds, signalKinds), slices.Concat(all, signalKinds, signalKinds)
+		planned, all = slices.Concat(planned, signalKinds), slices.Concat(all, signalKinds, signalKinds)
 	}
 	if seed >= firstFragileSeed {
 		all = append(all, SignalFragile, SignalFragile)
@@ -229,32 +260,7 @@
 	if seed >= firstDuplicateSeed {
 		all = append(all, DuplicateAnswers, DuplicateAnswers)
 	}
-	modes := linkFaults
-	if seed >= firstNarrowSeed {
-		modes = narrowFaults
-	}
-	kinds := all
-	if r.Float64() < plannedShare {
-		kinds = plannedKinds
-	}
-	last := length - finalCalm
-	for at := initialCalm; at < last; at += time.Duration(r.ExpFloat64() * float64(meanFaultInterval)) {
-		f := Fault{Kind: kinds[r.IntN(len(kinds))], At: toMilliseconds(at), Target: r.IntN(1 << 16)}
-		d := minFaultLength + time.Duration(r.Float64()*float64(maxFaultLength-minFaultLength))
-		f.For = toMilliseconds(min(d, last-at))
-		if r.Float64() < 0.5 && sharedStoreKinds[f.Kind] || f.Kind == StoreRestore {
-			f.Target = All
-		}
-		if f.Kind == CallerLink || f.Kind == ServerLink {
-			f.Mode = modes[r.IntN(len(modes))]
-		}
-		p.Faults = append(p.Faults, f)
-		if r.Float64() < seriesChance {
-			p.Faults = append(p.Faults, repeatFault(f, last)...)
-		}
-	}
-	slices.SortStableFunc(p.Faults, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
-	return p
+	return planned, all
 }
 
 // eventIntervals returns the event interval of each engine. Half of the engines are slow; the seed
--- a/internal/soak/replace.go
+++ b/internal/soak/replace.go
@@ -19,9 +19,12 @@
 // not run.
 var overloadStatuses = []int{http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout}
 
+// overloadFunc makes a server overloaded in a way that depends on an index.
+type overloadFunc func(s *server, index int)
+
 // replaceServers replaces the plain servers one after the other, again and again for a time, while all of them
-// are overloaded in a way that depends on an index.
-func (b *testbed) replaceServers(ctx context.Context, d time.Duration, overload func(s *server, index int)) {
+// are overloaded.
+func (b *testbed) replaceServers(ctx context.Context, d time.Duration, overload overloadFunc) {
 	var l []*server
 	for _, s := range b.servers {
 		if s.service == plain {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -175,10 +175,8 @@
 		b.injectServerFault(ctx, f, s)
 	case SignalLimit, SignalBackoff, SignalLeaving:
 		b.injectSignal(ctx, f, s)
-	case ReplaceServers:
-		b.replaceServers(ctx, f.For.Duration(), b.overload)
-	case DuplicateAnswers:
-		b.replaceServers(ctx, f.For.Duration(), b.duplicateAnswers)
+	case ReplaceServers, DuplicateAnswers:
+		b.replaceServers(ctx, f.For.Duration(), map[Kind]overloadFunc{ReplaceServers: b.overload, DuplicateAnswers: b.duplicateAnswers}[f.Kind])
 	case SignalFragile:
 		b.makeFragile(ctx, s.service, f.For.Duration())
 	case CloseDomain:
