fix(gateway): a stopped run that both its servers refuse resumes after their backoff

Callers saw a stream cut off by nothing but planned work: its engine left, had stopped the run for the last step of its move, and both the target and that engine had asked for a backoff meanwhile and refused it. Cause: a refusal by both ended the run at once, though the memory of the run was still there and the caller waits for at least 2 s. It is now sent to the first of them that ends its backoff within the caller's patience, three times at most.

Failed before: TestRunRefusedBySourceAndTargetResumesAfterTheirBackoff, 16 of 60 events. After: the whole stream.

--- a/internal/decide/placement/backoff.go
+++ b/internal/decide/placement/backoff.go
@@ -49,6 +49,19 @@
 	return ok
 }
 
+// FirstToEnd returns which of the servers ends its backoff first, and when. It reports false if none of them does by
+// a limit, or none is in a backoff.
+func (b *Backoffs) FirstToEnd(now, limit time.Time, l ...api.ServerName) (api.ServerName, time.Time, bool) {
+	var first api.ServerName
+	var end time.Time
+	for _, n := range l {
+		if u := b.backoffs[n].until; b.Active(now, n) && !u.After(limit) && (first == "" || u.Before(end)) {
+			first, end = n, u
+		}
+	}
+	return first, end, first != ""
+}
+
 // TakeAllowance reports whether a request that only this server can serve may be sent to it.
 // During a backoff it uses up one request of the allowance.
 func (b *Backoffs) TakeAllowance(now time.Time, n api.ServerName) bool {
--- a/internal/decide/placement/backoff_test.go
+++ b/internal/decide/placement/backoff_test.go
@@ -65,3 +65,26 @@
 		t.Error("during another backoff: got no request allowed, want 2 again")
 	}
 }
+
+func TestFirstBackoffToEnd(t *testing.T) {
+	begin := time.UnixMilli(1_000_000)
+	r := placement.NewBackoffs()
+	r.Add(begin, "a", 3*time.Second)
+	r.Add(begin, "b", time.Second)
+	for _, c := range []struct {
+		name       string
+		now, limit time.Duration
+		servers    []api.ServerName
+		want       api.ServerName
+	}{
+		{"first of two", 0, 5 * time.Second, []api.ServerName{"a", "b"}, "b"},
+		{"one that is not asked about ends sooner", 0, 5 * time.Second, []api.ServerName{"a"}, "a"},
+		{"none by the limit", 0, 500 * time.Millisecond, []api.ServerName{"a", "b"}, ""},
+		{"none is in a backoff", 0, 5 * time.Second, []api.ServerName{"c"}, ""},
+		{"one has ended", 2 * time.Second, 5 * time.Second, []api.ServerName{"b", "a"}, "a"},
+	} {
+		if got, _, ok := r.FirstToEnd(begin.Add(c.now), begin.Add(c.limit), c.servers...); got != c.want || ok != (c.want != "") {
+			t.Errorf("%s: got %q and %t, want %q", c.name, got, ok, c.want)
+		}
+	}
+}
--- a/internal/gateway/fake_test.go
+++ b/internal/gateway/fake_test.go
@@ -83,6 +83,8 @@
 	stoppedAt map[string]string
 	// refuses names the servers that refuse each request and request a backoff.
 	refuses map[string]bool
+	// backoff is the backoff that these request.
+	backoff time.Duration
 	// closedPorts names the servers that refuse the connection of a query.
 	closedPorts map[string]bool
 	// signals are sent by servers in their reports.
@@ -135,7 +137,7 @@
 func newFakeServers() *fakeServers {
 	return &fakeServers{
 		answers: map[string][]any{}, runs: map[string]*fakeRun{}, dead: map[string]bool{},
-		full: map[string]bool{}, handles: map[string]string{}, leaves: map[string]bool{}, signals: map[string]port.Signals{}, stoppedAt: map[string]string{}, refuses: map[string]bool{}, closedPorts: map[string]bool{}, broken: map[string]bool{}, born: map[string]api.Birth{}, silent: map[string]bool{}, mute: map[string]bool{}, silentStreams: map[string]bool{}, gap: eventGap, total: 20, log: event.Discard(),
+		full: map[string]bool{}, handles: map[string]string{}, leaves: map[string]bool{}, signals: map[string]port.Signals{}, stoppedAt: map[string]string{}, refuses: map[string]bool{}, closedPorts: map[string]bool{}, broken: map[string]bool{}, born: map[string]api.Birth{}, silent: map[string]bool{}, mute: map[string]bool{}, silentStreams: map[string]bool{}, gap: eventGap, total: 20, backoff: time.Minute, log: event.Discard(),
 	}
 }
 
@@ -171,7 +173,7 @@
 		return port.Answer{}, fault.New(fault.NotStarted, "server crashed")
 	}
 	if f.refuses[n] {
-		return port.Answer{Signals: port.Signals{Answered: true, BackoffRequested: true, Backoff: time.Minute}}, fault.New(fault.ServerRefused, "load shed")
+		return port.Answer{Signals: port.Signals{Answered: true, BackoffRequested: true, Backoff: f.backoff}}, fault.New(fault.ServerRefused, "load shed")
 	}
 	return f.open(ctx, a)
 }
--- a/internal/gateway/resume.go
+++ b/internal/gateway/resume.go
@@ -7,8 +7,10 @@
 	"go.uber.org/zap"
 
 	"github.com/wardridge/wardridge/internal/decide/call"
+	"github.com/wardridge/wardridge/internal/decide/fence"
 	"github.com/wardridge/wardridge/internal/decide/placement"
 	"github.com/wardridge/wardridge/internal/decide/roster"
+	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/fault"
 	"github.com/wardridge/wardridge/internal/metric"
@@ -117,10 +119,38 @@
 		s, err = g.sendResume(ctx, r, c)
 		return s, c, err
 	default:
-		return nil, c, refused
+		return g.resumeAfterBackoff(ctx, r, back, c, refused)
 	}
 }
 
+// resumeAfterBackoff resumes a run that its source and its target have refused, at the first of them that ends a
+// backoff while the caller waits for the next event.
+func (g *Gateway) resumeAfterBackoff(ctx context.Context, r *run, source, target *kvCopy, refused error) (port.Stream, *kvCopy, error) {
+	x := r.request.route
+	limit := r.lastEvent().Add(fence.Patience(x.LatencyTarget, x.GapTarget))
+	for n := 0; n < maxResumeAttempts && fault.Has(refused, fault.ServerRefused); n++ {
+		g.mutex.Lock()
+		first, at, ok := g.picker.Backoffs.FirstToEnd(time.Now(), limit, target.server.Name, source.server.Name)
+		g.mutex.Unlock()
+		if !ok || !duty.Sleep(ctx, time.Until(at)) {
+			break
+		}
+		c := target
+		if first == source.server.Name {
+			c = source
+		}
+		s, err := g.resumeFrom(ctx, r, c)
+		if err == nil {
+			if c == source {
+				g.releaseCopy(target)
+			}
+			return s, c, nil
+		}
+		refused = err
+	}
+	return nil, target, refused
+}
+
 // resumeFrom resumes a run at the server that holds a copy, unless operators have closed the
 // server's failure domain.
 func (g *Gateway) resumeFrom(ctx context.Context, r *run, c *kvCopy) (port.Stream, error) {
--- a/internal/gateway/run.go
+++ b/internal/gateway/run.go
@@ -93,6 +93,16 @@
 	return r.stopped && time.Since(r.stoppedAt) < d
 }
 
+// lastEvent returns the time of the last event that was delivered, or of the request's arrival before the first one.
+func (r *run) lastEvent() time.Time {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.timing.lastEvent.IsZero() {
+		return r.request.Arrived
+	}
+	return r.timing.lastEvent
+}
+
 // answeredFor returns the time since the first event of the run from its current server, zero
 // before it.
 func (r *run) answeredFor(now time.Time) time.Duration {
--- a/internal/gateway/signals_test.go
+++ b/internal/gateway/signals_test.go
@@ -137,6 +137,24 @@
 	})
 }
 
+// Guards against a stopped run that is lost because its source and its target have both requested a short backoff.
+func TestRunRefusedBySourceAndTargetResumesAfterTheirBackoff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeServers()
+		f.backoff = 500 * time.Millisecond
+		s := startStream(t, f, 60, 5)
+		s.notice(s.server)
+		s.awaitStop()
+		s.update(func(f *fakeServers) { f.refuses["e1"], f.refuses["e2"] = true, true })
+		time.Sleep(f.backoff - eventGap)
+		s.update(func(f *fakeServers) { clear(f.refuses) })
+		<-s.done
+		if !s.complete(f.total) {
+			t.Errorf("events: got %d of %d, want the whole stream; sends %v", s.count(), f.total, f.sends)
+		}
+	})
+}
+
 // A backoff that any server requests must not start a second move of a run that is stopped and
 // about to resume.
 func TestStoppedRunIsNotMovedAgain(t *testing.T) {
