--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -294,16 +294,19 @@
 
 // begin registers an admitted request; the returned function unregisters it.
 func (g *Gateway) begin(q *request) func() {
+	tracked := q.route.Kind != directory.Safe && q.ID != ""
+	var e repeat.Earlier
+	var repeated bool
 	g.mutex.Lock()
-	defer g.mutex.Unlock()
 	g.Retries.CountFresh(time.Now(), q.service.Name)
 	g.active[q] = true
-	tracked := q.route.Kind != directory.Safe && q.ID != ""
 	if tracked {
-		if e, ok := g.earlier.Begin(time.Now(), q.ID); ok {
-			g.Metrics.Add(metric.RequestsRepeated, 1)
-			g.emit(q, event.RequestRepeated, "", append(q.originFields(), zap.Duration("age", e.Age), zap.Int("under_way", e.UnderWay))...)
-		}
+		e, repeated = g.earlier.Begin(time.Now(), q.ID)
+	}
+	g.mutex.Unlock()
+	if repeated {
+		g.Metrics.Add(metric.RequestsRepeated, 1)
+		g.emit(q, event.RequestRepeated, "", append(q.originFields(), zap.Duration("age", e.Age), zap.Int("under_way", e.UnderWay))...)
 	}
 	return func() {
 		g.mutex.Lock()
