fix(duty): a duty may start in the moment in which its group ends

A process could end by a panic at its stop ("WaitGroup is reused before previous Wait has returned"): requests start duties in the group of their entry VM, also in the moment in which the last duty returns and the group's end stops waiting. The group counts its duties itself now; which failure ends it, and with which cause, is as before.

--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -9,26 +10,68 @@
 
 // Group runs duties until the first failure or the end of its context.
 type Group struct {
-	group *errgroup.Group
-	ctx   context.Context
+	group  *errgroup.Group
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+
+	mutex sync.Mutex
+	// idle is signaled when no duty runs. A sync.WaitGroup would panic where a duty starts in the moment in
+	// which another goroutine stops waiting.
+	idle    *sync.Cond
+	running int
+	// failure is the first failure of a duty.
+	failure error
 }
 
 // New creates a group; the returned function cancels every duty and waits for them
 // to return.
 func New(ctx context.Context) (*Group, func()) {
-	c, cancel := context.WithCancel(ctx)
+	c, cancel := context.WithCancelCause(ctx)
 	e, d := errgroup.WithContext(c)
-	g := &Group{group: e, ctx: d}
+	g := &Group{group: e, ctx: d, cancel: cancel}
+	g.idle = sync.NewCond(&g.mutex)
 	return g, func() {
-		cancel()
+		cancel(nil)
 		// Cancelled duties return the context's error, which adds no information.
-		_ = e.Wait()
+		_ = g.Wait()
 	}
 }
 
-// Go starts a duty; if it fails, the context of the group ends.
+// Go starts a duty; if it fails, the context of the group ends. Once the group has ended, the duty runs with a
+// context that has ended.
 func (g *Group) Go(f func(ctx context.Context) error) {
-	g.group.Go(func() error { return f(g.ctx) })
+	g.mutex.Lock()
+	g.running++
+	g.mutex.Unlock()
+	g.group.Go(func() error {
+		defer g.end()
+		err := f(g.ctx)
+		g.fail(err)
+		return err
+	})
+}
+
+// fail records the failure of a duty and ends the context of the group; nil is none.
+func (g *Group) fail(err error) {
+	if err == nil {
+		return
+	}
+	g.mutex.Lock()
+	if g.failure == nil {
+		g.failure = err
+	}
+	g.mutex.Unlock()
+	g.cancel(err)
+}
+
+// end records that a duty has returned.
+func (g *Group) end() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.running--
+	if g.running == 0 {
+		g.idle.Broadcast()
+	}
 }
 
 // Every starts a duty that runs f at once and then again d after each run, until the
@@ -62,9 +105,15 @@
 	}
 }
 
-// Wait waits for every duty and returns the first failure.
+// Wait waits for every duty, ends the context of the group and returns the first failure.
 func (g *Group) Wait() error {
-	return g.group.Wait()
+	defer g.cancel(nil)
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	for g.running > 0 {
+		g.idle.Wait()
+	}
+	return g.failure
 }
 
 // Done returns a channel that is closed when the group ends.
