--- a/review/standin-2/vm.go
+++ b/review/standin-2/vm.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -54,10 +56,22 @@
 	started = nil
 }
 
+// The ports of entry VMs are below those that the kernel gives to connections.
+const (
+	firstPort = 12000
+	ports     = 18000
+)
+
+// freeAddress returns an address at which nothing listens.
 func freeAddress() string {
-	l := listen()
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	for {
+		a := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(ports))
+		l, err := net.Listen("tcp", a)
+		if err == nil {
+			_ = l.Close()
+			return a
+		}
+	}
 }
 
 // startVMs starts one entry VM in each of the zones, with the settings that deploy/settings.ini gives and a link
