--- a/review/standin-2/pages.go
+++ b/review/standin-2/pages.go
@@ -17,6 +17,10 @@
 	contactTime = 4 * time.Second
 	// servesOn is how long the leaving server serves on after its notice.
 	servesOn = 15 * time.Second
+	// addedAfter is the time from the notice to the start of another server, and healedAfter that from which on it
+	// counts which entry VMs send requests to the leaving server still.
+	addedAfter  = 5 * time.Second
+	healedAfter = 8 * time.Second
 	// noticeDelay is the time from the first page of the list to the notice of the server, and lossTime that of
 	// the burst of loss on the link between the entry VM and the store.
 	noticeDelay = 100 * time.Millisecond
@@ -69,12 +73,16 @@
 func playPages(c *run) bool {
 	f := newPagesFleet(c)
 	k := newCallers(c.record)
+	// senders has the entry VM of each request, which one goroutine writes until done is closed.
+	senders := map[string]string{}
 	var stop atomic.Bool
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
 		for i := 0; !stop.Load(); i++ {
-			k.send(f.vms[i%len(f.vms)], http.MethodPost, pagesHost, "/ack/2f", pagesKey, 3*time.Second, "alert")
+			v := f.vms[i%len(f.vms)]
+			id := k.send(v, http.MethodPost, pagesHost, "/ack/2f", pagesKey, 3*time.Second, "alert")
+			senders[id] = v.name
 			time.Sleep(pagesPause)
 		}
 	}()
@@ -117,6 +125,9 @@
 	}
 	// The loss has ended before the notice; entry VMs are in touch contactMs after it.
 	bound := notice.Add(max(drainTime, contactTime))
+	time.Sleep(time.Until(notice.Add(addedAfter)))
+	added := newPlain(c.record, "i-1fff", "narrator-pool", "oita", 20*time.Millisecond)
+	c.record.add("store: %s has started, at %d", added.id, f.store.put("servers", added.id, added.entry("ready")))
 	time.Sleep(time.Until(notice.Add(servesOn)))
 	late := leaver.since(bound)
 	ended := time.Now()
@@ -133,6 +144,11 @@
 	for _, a := range late {
 		c.record.add("request %s has reached %s %.3f s after its notice", a.id, leaver.id, a.at.Sub(notice).Seconds())
 	}
+	bySender := map[string]int{}
+	for _, a := range leaver.since(notice.Add(healedAfter)) {
+		bySender[senders[a.id]]++
+	}
+	c.record.add("requests that reached %s %v after its notice and later, by the entry VM that got them: %v", leaver.id, healedAfter, bySender)
 	lost := 0
 	for _, o := range k.outcomes {
 		if o.status == http.StatusOK && o.failure == nil {
