--- a/review/standin-2/behind.go
+++ b/review/standin-2/behind.go
@@ -151,7 +151,7 @@
 // sendStream sends a request for a stream in the background.
 func (c *callers) sendStream(v *vm, host, target, key string, tokens int) {
 	c.running.Add(1)
-	go func() {
+	background.Go(func() {
 		defer c.running.Done()
 		id := newID()
 		o := outcome{id: id, sent: time.Now()}
@@ -160,7 +160,7 @@
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
 		c.outcomes = append(c.outcomes, o)
-	}()
+	})
 }
 
 // readStream returns the status of a stream and what came of its events.
--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -52,7 +52,7 @@
 func (c *callers) start(v *vm, method, host string, u *url.URL, key string, deadline time.Duration, body string) string {
 	id := newID()
 	c.running.Add(1)
-	go func() {
+	background.Go(func() {
 		defer c.running.Done()
 		q := &http.Request{
 			Method: method, Host: host, URL: u,
@@ -74,7 +74,7 @@
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
 		c.outcomes = append(c.outcomes, o)
-	}()
+	})
 	return id
 }
 
--- a/review/standin-2/cut.go
+++ b/review/standin-2/cut.go
@@ -37,16 +37,16 @@
 func (p *cutLink) accept() {
 	done := make(chan struct{})
 	p.accepts = done
-	go func() {
+	background.Go(func() {
 		defer close(done)
 		for {
 			c, err := p.listener.Accept()
 			if err != nil {
 				return
 			}
-			go p.carry(c)
+			background.Go(func() { p.carry(c) })
 		}
-	}()
+	})
 }
 
 // setBacklog sets how many connections the kernel accepts before the process does.
@@ -105,13 +105,13 @@
 		return
 	}
 	done := make(chan struct{})
-	go func() {
+	background.Go(func() {
 		defer close(done)
 		copyChunks(c, s, p.pass)
 		p.pass()
 		_ = c.Close()
 		_ = s.Close()
-	}()
+	})
 	copyChunks(s, c, p.pass)
 	// The end of the connection passes no sooner than bytes do.
 	p.pass()
--- a/review/standin-2/engine.go
+++ b/review/standin-2/engine.go
@@ -70,7 +70,7 @@
 func newEngine(r *record, all *engines, id, zone string, drops bool) (*engine, *cutLink) {
 	e := &engine{record: r, id: id, zone: zone, drops: drops, all: all, runs: map[string]*work{}, copies: map[string]int{}}
 	l := listen()
-	go func() { _ = (&http.Server{Handler: e}).Serve(l) }()
+	background.Go(func() { _ = (&http.Server{Handler: e}).Serve(l) })
 	p := newCutLink(l.Addr().String())
 	e.address = p.address
 	all.mutex.Lock()
--- a/review/standin-2/pages.go
+++ b/review/standin-2/pages.go
@@ -77,7 +77,7 @@
 	senders := map[string]string{}
 	var stop atomic.Bool
 	done := make(chan struct{})
-	go func() {
+	background.Go(func() {
 		defer close(done)
 		for i := 0; !stop.Load(); i++ {
 			v := f.vms[i%len(f.vms)]
@@ -85,7 +85,7 @@
 			senders[id] = v.name
 			time.Sleep(pagesPause)
 		}
-	}()
+	})
 	// Longer than contactMs without any disruption.
 	time.Sleep(8 * time.Second)
 
@@ -102,13 +102,13 @@
 					l.lose(lossTime)
 				}
 			}
-			go func() {
+			background.Go(func() {
 				time.Sleep(noticeDelay)
 				leaver.setLeaving()
 				n := f.store.put("servers", leaver.id, leaver.entry("draining"))
 				c.record.add("store: %s is draining, at %d", leaver.id, n)
 				noticed <- time.Now()
-			}()
+			})
 		})
 	})
 	var notice time.Time
--- a/review/standin-2/plain.go
+++ b/review/standin-2/plain.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -37,7 +36,7 @@
 	l := listen()
 	s.address = l.Addr().String()
 	s.server = &http.Server{Handler: s}
-	go func(l net.Listener) { _ = s.server.Serve(l) }(l)
+	background.Go(func() { _ = s.server.Serve(l) })
 	return s
 }
 
--- a/review/standin-2/proxy.go
+++ b/review/standin-2/proxy.go
@@ -24,15 +24,15 @@
 	p := &lossyLink{to: to}
 	l := listen()
 	p.address = l.Addr().String()
-	go func() {
+	background.Go(func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go p.carry(c)
+			background.Go(func() { p.carry(c) })
 		}
-	}()
+	})
 	return p
 }
 
@@ -68,12 +68,12 @@
 	}
 	defer func() { _ = s.Close() }()
 	done := make(chan struct{})
-	go func() {
+	background.Go(func() {
 		defer close(done)
 		copyChunks(c, s, nil)
 		_ = c.Close()
 		_ = s.Close()
-	}()
+	})
 	copyChunks(s, c, func() {
 		if p.isLost() {
 			time.Sleep(retransmission)
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -56,7 +56,7 @@
 	s := &store{record: r, revision: 1, objects: map[string]map[string]object{}, changed: make(chan struct{}), cut: make(chan struct{})}
 	l := listen()
 	s.address = l.Addr().String()
-	go func() { _ = (&http.Server{Handler: s}).Serve(l) }()
+	background.Go(func() { _ = (&http.Server{Handler: s}).Serve(l) })
 	return s
 }
 
--- a/review/standin-2/vm.go
+++ b/review/standin-2/vm.go
@@ -138,11 +138,11 @@
 	c.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	check(c.Start())
 	v.command, v.ended = c, make(chan struct{})
-	go func() {
+	background.Go(func() {
 		_ = c.Wait()
 		_ = f.Close()
 		close(v.ended)
-	}()
+	})
 	startedMutex.Lock()
 	defer startedMutex.Unlock()
 	started = append(started, v)
