fix(mirror): a list of several pages is brought to one version before it is used

Cause: the objects of all pages were taken for those of the first page's version. One that a later page showed newer was recorded at a version that was known already, so that nothing was published, the watch that followed brought nothing new, and deltas for peers began behind it. A removal between pages did the same.

A list that took several calls now has the version of its last one. If the platform has changed meanwhile, the changes since the first are read and applied before the objects are used. They are those of one version then, whatever the version is used for.

TestChangeBetweenPagesOfListIsInForce failed before in five of eight cases (a server of a later page draining, removed, added, removed and back, several; reader or peer).

--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -20,6 +20,9 @@
 type Snapshot[T any] struct {
 	At    api.Version
 	Items []Object[T]
+	// Through is the version at which the last of the objects were read, if that took several calls. Until it has
+	// caught up to there, the snapshot is not that of one version: objects may be newer than At, or missing since.
+	Through api.Version
 	// Settled is set on the snapshot of a peer for which the platform has answered for so long
 	// that no object is missing because of an outage.
 	Settled bool
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -45,6 +45,7 @@
 	KeptExpired         ID = 208
 	FollowBegun         ID = 209
 	FollowEnded         ID = 210
+	ListCaughtUp        ID = 211
 	RequestRefused      ID = 301
 	RequestDone         ID = 302
 	RequestFailed       ID = 303
@@ -152,6 +153,7 @@
 	{KeptExpired, "kept_expired", zapcore.WarnLevel, "Objects that were retained after the platform was restored from a backup without them have not been written again in time; the platform's state is in force now."},
 	{FollowBegun, "follow_begun", zapcore.InfoLevel, "This entry VM begins to call the platform, since no hub before it in the order of takeover is known to follow it."},
 	{FollowEnded, "follow_ended", zapcore.InfoLevel, "This entry VM no longer calls the platform; a hub relays its changes."},
+	{ListCaughtUp, "list_caught_up", zapcore.InfoLevel, "The platform has changed between the calls of a list, and the changes were read as well: from the version of its first page on, through that of its last one."},
 	{RequestRefused, "request_refused", zapcore.InfoLevel, "A request was refused before it ran."},
 	{RequestDone, "request_done", zapcore.InfoLevel, "A request was answered."},
 	{RequestFailed, "request_failed", zapcore.WarnLevel, "A request failed after it may have run."},
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -292,6 +292,9 @@
 	if err != nil {
 		return err
 	}
+	if s, err = m.catchUp(ctx, s); err != nil {
+		return err
+	}
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if s.At < m.store.At() {
@@ -308,6 +311,35 @@
 	return nil
 }
 
+const (
+	// catchUpWait is the wait of a watch for changes that have been made.
+	catchUpWait = time.Millisecond
+	// maxCatchUps bounds the watches after a list, where one returns only a part of the changes.
+	maxCatchUps = 8
+)
+
+// errTorn is returned by a list that was overtaken by changes.
+var errTorn = fault.New(fault.BadAnswer, "platform does not return the changes made while a list was read")
+
+// catchUp makes the snapshot of a list that took several calls one of a single version.
+func (m *Mirror[T]) catchUp(ctx context.Context, s replica.Snapshot[T]) (replica.Snapshot[T], error) {
+	c, cancel := context.WithTimeout(ctx, m.Timing.Wait)
+	defer cancel()
+	for n := 0; s.Torn(); n++ {
+		if n == maxCatchUps {
+			return s, errTorn
+		}
+		m.Metrics.Add(metric.PlatformWatches, 1)
+		x, err := m.Source.Watch(c, s.At, catchUpWait)
+		if err != nil {
+			return s, err
+		}
+		m.Log.Emit(event.ListCaughtUp, zap.String("kind", m.Name), zap.Stringer("version", s.At), zap.Stringer("through", s.Through), zap.Int("changes", len(x.Items)))
+		s = s.CatchUp(x)
+	}
+	return s, nil
+}
+
 // errSuperseded is returned by a list that was not needed any more, since peers have sent the
 // objects in the meantime.
 var errSuperseded = fault.New(fault.NotInForce, "peers sent the objects before the list was read")
