fix(replica): deltas name the versions whose changes the replica has skipped

A drawn test of three replicas found it: an object that is created and removed between two lists of a replica stays at the peers that knew it, since the deltas of that replica have no removal. For servers, one that has gone is taken for ready until the peer reads a list.

A delta from one of them on can't hold all changes, but claimed to; and a removal of an object that the replica does not know was not remembered.

A replica remembers the ranges that it has skipped. Peers in such a range get all objects, and drop a delta that spans their version; peers that follow the replica alone get the changes, as before.

--- a/internal/decide/replica/replica.go
+++ b/internal/decide/replica/replica.go
@@ -49,6 +49,20 @@
 	At      api.Version `json:"at"`
 	Items   []Change[T] `json:"items"`
 	Settled bool        `json:"settled"`
+	// Gaps are the ranges of versions after From of which the sender does not know all changes.
+	Gaps []Gap `json:"gaps,omitempty"`
+}
+
+// Gap is a range of versions, without its ends, whose changes a store has skipped by taking a snapshot. It does not
+// know the objects that were created and removed in between.
+type Gap struct {
+	After  api.Version `json:"after"`
+	Before api.Version `json:"before"`
+}
+
+// contains reports whether a version is in the gap.
+func (g Gap) contains(v api.Version) bool {
+	return g.After < v && v < g.Before
 }
 
 // Update holds what has changed in a store since the last one.
@@ -77,6 +91,9 @@
 	at api.Version
 }
 
+// maxGaps is the number of gaps that are remembered. A delta from before them holds all objects.
+const maxGaps = 64
+
 // removal is the record of a removed object.
 type removal struct {
 	name string
@@ -99,6 +116,8 @@
 	removals   []removal
 	// removalsSince is the version after which all removals are remembered.
 	removalsSince api.Version
+	// gaps lists the gaps since removalsSince, in order.
+	gaps []Gap
 	// written lists the writes of objects in order, the newest maxWrites of them; writesSince is
 	// the version after which all are listed.
 	written     []write
@@ -130,10 +149,11 @@
 	}
 	if s.at == 0 || n.At.Era() != s.at.Era() {
 		s.removalsSince = n.At
-		s.removals = nil
+		s.removals, s.gaps = nil, nil
 		// The first snapshot, or the first one of an era, is a change even without objects.
 		s.changedAt = n.At
 	}
+	s.recordSkipped(n.At)
 	s.at = n.At
 	stays := make(map[string]bool, len(n.Items)+len(n.Retained))
 	for _, k := range n.Retained {
@@ -151,6 +171,27 @@
 	return true
 }
 
+// recordSkipped remembers that the store skips the versions up to that of a snapshot.
+func (s *Store[T]) recordSkipped(at api.Version) {
+	if at.Era() == s.at.Era() && at > s.at+1 {
+		s.recordGaps(Gap{After: s.at, Before: at})
+	}
+}
+
+// recordGaps remembers gaps that begin at the version of the store at the earliest.
+func (s *Store[T]) recordGaps(l ...Gap) {
+	s.gaps = append(s.gaps, l...)
+	if n := len(s.gaps) - maxGaps; n > 0 {
+		s.removalsSince = max(s.removalsSince, s.gaps[n-1].Before)
+		s.gaps = slices.Delete(s.gaps, 0, n)
+	}
+}
+
+// inGap reports whether a version is in one of the gaps.
+func inGap(l []Gap, v api.Version) bool {
+	return slices.ContainsFunc(l, func(g Gap) bool { return g.contains(v) })
+}
+
 // Apply applies changes and returns how many were new. It drops a write that is not newer than
 // the known object, and a removal that is older; a removal has the version of the object that
 // it removes.
@@ -175,10 +216,15 @@
 		return s.put(c.Object)
 	}
 	o, ok := s.objects[c.Name]
-	if !ok || o.Version > c.Version {
+	switch {
+	case !ok:
+		// Peers may know the object.
+		s.recordRemoval(c.Name)
+	case o.Version > c.Version:
 		return false
+	default:
+		s.remove(c.Name)
 	}
-	s.remove(c.Name)
 	return true
 }
 
@@ -246,6 +292,11 @@
 	}
 	delete(s.objects, name)
 	delete(s.recordedAt, name)
+	s.recordRemoval(name)
+}
+
+// recordRemoval remembers a removal.
+func (s *Store[T]) recordRemoval(name string) {
 	s.changedAt = s.at
 	s.removals = append(s.removals, removal{name: name, at: s.at})
 	if len(s.removals) > max(minRemovals, len(s.objects)) {
@@ -255,9 +306,10 @@
 }
 
 // Merge applies a peer's delta and reports whether that changed anything. It drops a delta that
-// starts at a version not yet known here, or in another era than the one it ends in.
+// starts at a version not yet known here, in another era than the one it ends in, or that does not hold all changes
+// since the version known here.
 func (s *Store[T]) Merge(d Delta[T]) bool {
-	if d.At <= s.at || d.From > s.at || d.From > 0 && d.From.Era() != d.At.Era() {
+	if d.At <= s.at || d.From > s.at || d.From > 0 && d.From.Era() != d.At.Era() || inGap(d.Gaps, s.at) {
 		return false
 	}
 	before := s.changedAt
@@ -268,7 +320,9 @@
 		}
 		s.Replace(n)
 	} else {
+		known := s.at
 		s.Apply(Changes[T]{At: d.At, Items: d.Items})
+		s.recordGaps(slices.DeleteFunc(slices.Clone(d.Gaps), func(g Gap) bool { return g.After < known })...)
 	}
 	return s.changedAt != before
 }
@@ -276,11 +330,15 @@
 // Since returns the delta for a peer that knows all changes up to a version.
 func (s *Store[T]) Since(from api.Version) Delta[T] {
 	d := Delta[T]{From: from, At: s.at}
-	if from < s.removalsSince || from > s.at || from.Era() != s.at.Era() {
-		// The peer gets all objects: removals before removalsSince are not remembered, and
-		// objects that it has of another era may not exist in this one.
+	if from < s.removalsSince || inGap(s.gaps, from) || from > s.at || from.Era() != s.at.Era() {
+		// The peer gets all objects: removals before removalsSince are not remembered, it may know
+		// objects that were created and removed in a gap, and those that it has of another era may
+		// not exist in this one.
 		d.From, from = 0, 0
 	}
+	if from > 0 {
+		d.Gaps = slices.DeleteFunc(slices.Clone(s.gaps), func(g Gap) bool { return g.After < from })
+	}
 	for _, name := range s.writtenSince(from) {
 		d.Items = append(d.Items, Change[T]{Object: s.objects[name]})
 	}
