fix(httpstatus): an answer without a valid status is no answer, on both wires

Callers of the hosted wire had their connection closed without a byte when a server answered with the status 000, 099 or +20 (http.ResponseWriter panicked), repeated calls that may run once, and these ran twice. Callers of the own wire got 200 with the body of the failure, also from the record of the claim. Orders, cancellations, reports and calls of peers counted as carried out by any status under 400, and a refusal was believed with any.

Cause: nothing checked that a status is one; readers asked what it was not.

upstream and the transport of all HTTP clients refuse an answer whose status is not that of a final one. Only a 2xx means that a call was carried out, only an error status refuses, and a recorded answer needs a valid status.

--- a/contract/service_test.go
+++ b/contract/service_test.go
@@ -225,3 +225,37 @@
 		})
 	}
 }
+
+// Guards against an answer without a valid status that callers get, then or from the record of a claim, as a success.
+func TestAnswerOfServiceWithoutValidStatusIsNoSuccess(t *testing.T) {
+	for _, status := range []string{"000", "099", "+20", "600"} {
+		t.Run(status, func(t *testing.T) {
+			t.Parallel()
+			b := newCluster(t)
+			var runs atomic.Int64
+			b.declareServer("orders-1", serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				runs.Add(1)
+				c, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer func() { _ = c.Close() }()
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 %s Odd\r\nContent-Length: 6\r\n\r\nfailed", status)
+			})), api.BackendServerSpec{Type: api.ServerTypeService})
+			b.setServers("orders-1")
+			v := b.startEntry("entry-1", "")
+			for n, want := range []int{http.StatusBadGateway, http.StatusConflict} {
+				if r := v.send(orderCall("k")); r.status != want || r.header.Get(wire.HeaderRan) == string(api.RanNo) {
+					t.Errorf("call %d: got %d %q, ran %q, want %d and ran not %q", n+1, r.status, r.body, r.header.Get(wire.HeaderRan), want, api.RanNo)
+				}
+			}
+			if r := v.send(call{method: http.MethodGet, path: "/services/orders/look", key: sample.KeyField}); r.status/100 != 5 {
+				t.Errorf("repeatable call: got %d %q, want a failure", r.status, r.body)
+			}
+			if got := runs.Load(); got < 2 {
+				t.Errorf("runs: got %d, want one of each call at least", got)
+			}
+		})
+	}
+}
--- a/internal/claims/claimer.go
+++ b/internal/claims/claimer.go
@@ -18,6 +18,7 @@
 	"github.com/wardridge/wardridge/internal/decide/member"
 	"github.com/wardridge/wardridge/internal/event"
 	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/httpstatus"
 	"github.com/wardridge/wardridge/internal/metric"
 )
 
@@ -232,10 +233,11 @@
 	return k.attempts.Release(q.Request, q.Incarnation)
 }
 
-// storedAnswer decodes the answer in a claim. It fails if the answer was too large to be stored.
+// storedAnswer decodes the answer in a claim. It fails if the answer was too large to be stored, or has no valid
+// status.
 func storedAnswer(s api.ClaimSpec) (*Answer, error) {
 	b, err := base64.StdEncoding.DecodeString(s.Answer)
-	if err != nil || s.Status == 0 {
+	if err != nil || !httpstatus.IsFinal(s.Status) {
 		f := fault.New(fault.ClaimHeld, "an earlier attempt with this key was answered; its answer is not stored")
 		return nil, f.WithRan(api.RanYes)
 	}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -14,6 +14,7 @@
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/decide/answer"
 	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/httpstatus"
 	"github.com/wardridge/wardridge/internal/wire"
 )
 
@@ -113,8 +114,8 @@
 	maxAnswerBytes  = 4 << 20
 )
 
-// readRefusal reads a refusal. One that can't be decoded does not prove that the
-// engine did nothing, so its cause is Broken.
+// readRefusal reads a refusal. One that can't be decoded, or that has no error status, does not
+// prove that the engine did nothing, so its cause is Broken.
 func readRefusal(a *http.Response) *StreamError {
 	var r RefusalError
 	b, err := io.ReadAll(io.LimitReader(a.Body, maxRefusalBytes))
@@ -122,7 +123,7 @@
 		err = json.Unmarshal(b, &r.EngineRefusal)
 	}
 	switch {
-	case err != nil || r.Reason == "":
+	case err != nil || r.Reason == "" || a.StatusCode < http.StatusBadRequest:
 		return &StreamError{Cause: answer.Broken, Err: fault.New(fault.BadAnswer, "the engine answered "+a.Status)}
 	case r.Reason == api.EngineRefusalReasonUnknownGeneration:
 		return &StreamError{Cause: answer.GenerationUnknown, Err: &r}
@@ -165,7 +166,7 @@
 		return oops.In("engine").Wrapf(wire.RoundTripFault(err), "%s", what)
 	}
 	defer func() { _ = a.Body.Close() }()
-	if a.StatusCode >= http.StatusBadRequest {
+	if !httpstatus.IsSuccess(a.StatusCode) {
 		return oops.In("engine").Wrapf(callError(a), "%s", what)
 	}
 	if out == nil {
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -40,11 +40,7 @@
 	if a.ContentType != "" {
 		h.Set(wire.HeaderContentType, a.ContentType)
 	}
-	status := a.Status
-	if status < http.StatusOK {
-		status = http.StatusOK
-	}
-	w.WriteHeader(status)
+	w.WriteHeader(a.Status)
 	// The write fails only if the caller has left, which needs no handling.
 	_, _ = w.Write(a.Body)
 }
--- /dev/null
+++ b/internal/httpstatus/doc.go
@@ -0,0 +1,2 @@
+// Package httpstatus tells answers with a valid status from those that are no answers.
+package httpstatus
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/httpstatus"
 )
 
 const (
@@ -120,8 +121,11 @@
 	defer n.head.end()
 	for range maxInterimAnswers {
 		r, err := http.ReadResponse(n.reader, c.Request)
-		if err != nil || r.StatusCode/100 != 1 {
-			return r, err
+		if err != nil {
+			return nil, err
+		}
+		if r.StatusCode/100 != 1 {
+			return r, httpstatus.Check(r.StatusCode)
 		}
 	}
 	return nil, fault.New(fault.BadAnswer, "only interim answers arrived")
@@ -133,6 +137,8 @@
 	switch {
 	case errors.Is(err, errHeadTooLarge):
 		return errHeadTooLarge
+	case fault.Has(err, fault.BadAnswer):
+		return err
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
 		return fault.Wrap(fault.OutcomeUnknown, err, "the connection was closed before the answer was complete")
 	case errors.As(err, &e) && e.Timeout():
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -8,12 +8,14 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"go.opentelemetry.io/contrib/instrumentation/net/http/otelhttp"
 
 	"github.com/wardridge/wardridge/internal/api"
 	"github.com/wardridge/wardridge/internal/fault"
+	"github.com/wardridge/wardridge/internal/httpstatus"
 )
 
 // maxAnswerBytes limits the size of an answer, which Do reads completely.
@@ -93,9 +95,27 @@
 	return newTracedClient(t, t.CloseIdleConnections)
 }
 
+// finalTransport is a transport whose answers all have the status of a final answer.
+type finalTransport struct {
+	http.RoundTripper
+}
+
+// RoundTrip sends a request, and fails if its answer has no valid status.
+func (t finalTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	a, err := t.RoundTripper.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if err := httpstatus.Check(a.StatusCode); err != nil {
+		_ = a.Body.Close()
+		return nil, err
+	}
+	return a, nil
+}
+
 func newTracedClient(t http.RoundTripper, closer func()) (*http.Client, func()) {
 	c := &http.Client{
-		Transport: otelhttp.NewTransport(t),
+		Transport: otelhttp.NewTransport(finalTransport{t}),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
@@ -157,7 +177,7 @@
 	if err != nil {
 		return fault.Wrap(fault.OutcomeUnknown, err, "the answer ended early")
 	}
-	if a.StatusCode >= http.StatusBadRequest {
+	if !httpstatus.IsSuccess(a.StatusCode) {
 		return answerFault(a.StatusCode, b)
 	}
 	if out == nil {
@@ -195,8 +215,8 @@
 // answerFault returns the fault that an answer with an error status holds.
 func answerFault(status int, b []byte) error {
 	var e api.ErrorBody
-	if err := json.Unmarshal(b, &e); err != nil || e.Error.Code == 0 {
-		return fault.New(fault.BadAnswer, "answer "+http.StatusText(status)+" without a typed error")
+	if err := json.Unmarshal(b, &e); err != nil || e.Error.Code == 0 || status < http.StatusBadRequest {
+		return fault.New(fault.BadAnswer, "answer "+strconv.Itoa(status)+" without a typed error")
 	}
 	return fault.FromBody(e)
 }
