--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -423,6 +424,12 @@
 	g.Log.Emit(e, zap.String("request", string(id)), zap.String("type", f.Code.Kind().Type), zap.String("ran", string(f.Ran)), zap.Error(f))
 }
 
+// RecordPanic logs that the handler of a request panicked.
+func (g *Gateway) RecordPanic(id api.RequestID, v any) {
+	g.Metrics.Add(metric.RequestsFailed, 1)
+	g.Log.Emit(event.HandlerPanicked, zap.String("request", string(id)), zap.Any("panic", v), zap.ByteString("stack", debug.Stack()))
+}
+
 // originFields are the log fields of a request's id, and of its workspace and route as far as
 // they are known.
 func (q *request) originFields() []zap.Field {
