fix(gateway): a call that fails over gets the memory of its failed answer back

Callers of a call that may be repeated got 502 where its first server sent bytes without end, although the second one answered: what was read of the first answer stayed counted against the memory of one body, and the second exceeded it.

Cause: the memory of an answer was released at the end of the request alone, not as the answer was dropped.

TestCallIsServedAfterEndlessAnswerOfItsFirstServer failed before (502 after 2 requests, 64 MB of memory, an answer of 1 MB).

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -166,6 +166,10 @@
 		} else {
 			g.recordFailedAttempt(q, s, err)
 		}
+		if failed == nil {
+			// What was read of the answer is dropped. A failed answer may still be passed on.
+			q.answerHold.Release()
+		}
 		g.emit(q, event.AttemptFailed, s.Name, append(q.contentFields(), zap.String("request", string(q.ID)), zap.String("server", string(s.Name)), zap.String("connection", string(a.Connection)), zap.Error(err))...)
 		m, f := c.AttemptFailed(attemptOutcome(err), err, ctx.Err() != nil, retry)
 		if m == call.Retry && g.delayedByLink(err) {
