fix(entry): answers of plain services share a bounded memory on the own wire

Operators reported that bytes without end from a server took all memory of the machine that had called it, whose other callers lost their requests. On the own wire each answer of a plain service was bounded (16 MB), their sum was not: 24 calls to a server that sends 15 MB and does not end had read 226 MB.

Cause: only the gateway of the hosted wire counted the memory of bodies.

The memory of bodies is a package of its own (moved, not changed), and the own wire uses it: answers take a quarter of [entry] memory_mb (256 MB by default) together and wait for it.

TestEndlessAnswersOfServiceAreBoundedTogether failed before: 225,968,128 bytes under way, at most 192,937,984 allowed, which is the share and the buffers of the sockets.

--- a/contract/service_test.go
+++ b/contract/service_test.go
@@ -1,6 +1,7 @@
 package contract
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strings"
@@ -8,6 +9,7 @@
 	"testing"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/duty"
 	"github.com/wardridge/wardridge/internal/fault"
 	"github.com/wardridge/wardridge/internal/sample"
 	"github.com/wardridge/wardridge/internal/standin/platform"
@@ -259,3 +261,43 @@
 		})
 	}
 }
+
+// Guards against answers without end whose sum takes the memory of the entry VM, with which the requests of all callers end.
+func TestEndlessAnswersOfServiceAreBoundedTogether(t *testing.T) {
+	b := newCluster(t)
+	const calls, endless = 24, 15 << 20
+	var sent atomic.Int64
+	b.declareServer("orders-1", serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		for n := 0; n < endless; {
+			x, err := w.Write(make([]byte, 64<<10))
+			if err != nil {
+				return
+			}
+			n += x
+			sent.Add(int64(x))
+		}
+		<-r.Context().Done()
+	})), api.BackendServerSpec{Type: api.ServerTypeService})
+	b.setServers("orders-1")
+	v := b.startEntry("entry-1", "")
+	g, end := duty.New(t.Context())
+	defer end()
+	var failed atomic.Int64
+	for i := range calls {
+		g.Go(func(context.Context) error {
+			r := v.send(call{method: http.MethodGet, path: "/services/orders/" + fmt.Sprint(i), key: sample.KeyField, headers: []string{wire.HeaderDeadline, "4000"}})
+			if r.err == nil && r.status >= http.StatusInternalServerError {
+				failed.Add(1)
+			}
+			return nil
+		})
+	}
+	// A quarter of the default memory, what both sockets of each call hold, and some slack.
+	const most = 64<<20 + calls*(5<<20)
+	b.waitFor("the calls to end", func() bool {
+		if n := sent.Load(); n > most && failed.Load() == 0 {
+			t.Fatalf("bytes of answers that are under way: got %d, want at most %d", n, most)
+		}
+		return failed.Load() == calls
+	})
+}
--- a/internal/api/api_gen.go
+++ b/internal/api/api_gen.go
@@ -544,6 +544,10 @@
 	// fails and requests are refused while other entry VMs have room; 0 for no bound.
 	LinkShare float64 `json:"link_share,omitempty,omitzero"`
 
+	// Memory of the VM that this process may use, MB. The bodies of answers of plain
+	// services take a quarter of it at most, and wait for it; 0 for no bound.
+	MemoryMB int `json:"memory_mb,omitempty,omitzero"`
+
 	// Maximum number of requests in the queue of one pool of engines.
 	QueueLimit int `json:"queue_limit,omitempty,omitzero"`
 
--- a/internal/gateway/memory.go
+++ b/internal/bodies/memory.go
@@ -1,4 +1,4 @@
-package gateway
+package bodies
 
 import (
 	"context"
@@ -15,8 +15,8 @@
 // time in which a caller reads an answer.
 const memoryRetryAfter = time.Second
 
-// bodyMemory bounds the memory of the bodies that this entry VM holds.
-type bodyMemory struct {
+// Memory bounds the memory of the bodies that this entry VM holds.
+type Memory struct {
 	metrics *metric.Set
 
 	mutex  sync.Mutex
@@ -25,13 +25,14 @@
 	freed chan struct{}
 }
 
-func newBodyMemory(vmBytes int64, m *metric.Set) *bodyMemory {
-	return &bodyMemory{metrics: m, budget: memory.New(vmBytes), freed: make(chan struct{})}
+// New returns the body memory of a VM with a memory in bytes; zero for no bound.
+func New(vmBytes int64, m *metric.Set) *Memory {
+	return &Memory{metrics: m, budget: memory.New(vmBytes), freed: make(chan struct{})}
 }
 
 // reserve reserves memory; if it is exhausted, it also returns a channel that is closed when some
 // is released.
-func (b *bodyMemory) reserve(k memory.Kind, held, n int64) (memory.Verdict, <-chan struct{}) {
+func (b *Memory) reserve(k memory.Kind, held, n int64) (memory.Verdict, <-chan struct{}) {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
 	v := b.budget.Reserve(k, held, n)
@@ -39,7 +40,7 @@
 	return v, b.freed
 }
 
-func (b *bodyMemory) release(k memory.Kind, n int64) {
+func (b *Memory) release(k memory.Kind, n int64) {
 	if n == 0 {
 		return
 	}
@@ -53,21 +54,22 @@
 
 // hold implements port.Hold. One goroutine at a time uses it.
 type hold struct {
-	memory *bodyMemory
+	memory *Memory
 	kind   memory.Kind
 	bytes  int64
 }
 
 // HoldRequest returns the memory of the body of a request.
-func (g *Gateway) HoldRequest() port.Hold {
-	return &hold{memory: g.bodies, kind: memory.Request}
+func (b *Memory) HoldRequest() port.Hold {
+	return &hold{memory: b, kind: memory.Request}
 }
 
-// holdAnswer returns the memory of the body of an answer.
-func (g *Gateway) holdAnswer() port.Hold {
-	return &hold{memory: g.bodies, kind: memory.Answer}
+// HoldAnswer returns the memory of the body of an answer.
+func (b *Memory) HoldAnswer() port.Hold {
+	return &hold{memory: b, kind: memory.Answer}
 }
 
+// Grow implements port.Hold.
 func (h *hold) Grow(ctx context.Context, n int64) error {
 	for {
 		v, freed := h.memory.reserve(h.kind, h.bytes, n)
@@ -89,6 +91,7 @@
 	}
 }
 
+// Release implements port.Hold.
 func (h *hold) Release() {
 	h.memory.release(h.kind, h.bytes)
 	h.bytes = 0
--- a/internal/gateway/memory_test.go
+++ b/internal/bodies/memory_test.go
@@ -1,4 +1,4 @@
-package gateway
+package bodies
 
 import (
 	"context"
@@ -16,7 +16,7 @@
 func TestBodiesShareTheMemory(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const vm = 64 << 20
-		b := newBodyMemory(vm, metric.New())
+		b := New(vm, metric.New())
 		answer := func() *hold { return &hold{memory: b, kind: memory.Answer} }
 		var slow []*hold
 		for range 4 {
--- a/platform/held.go
+++ b/internal/bodies/reader.go
@@ -1,4 +1,4 @@
-package platform
+package bodies
 
 import (
 	"context"
@@ -7,14 +7,19 @@
 	"github.com/wardridge/wardridge/internal/port"
 )
 
-// heldReader reserves memory for what it reads. It reads on only once there is memory, so that a
-// server whose answers are not read in time is held back.
+// NewReader returns a reader that reserves memory for what it reads; a nil hold reserves none. It reads on only once
+// there is memory, so that a server whose answers are not read in time is held back.
+func NewReader(ctx context.Context, r io.Reader, h port.Hold) io.Reader {
+	return heldReader{ctx, r, h}
+}
+
 type heldReader struct {
 	ctx    context.Context
 	reader io.Reader
 	hold   port.Hold
 }
 
+// Read implements io.Reader.
 func (r heldReader) Read(p []byte) (int, error) {
 	n, err := r.reader.Read(p)
 	if n == 0 || r.hold == nil {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/bodies"
 	"github.com/wardridge/wardridge/internal/broker"
 	"github.com/wardridge/wardridge/internal/claims"
 	"github.com/wardridge/wardridge/internal/clock"
@@ -78,6 +79,8 @@
 	limitMutex sync.Mutex
 	limiter    *limit.Limiter
 
+	bodies *bodies.Memory
+
 	durationMutex sync.Mutex
 	// durations holds the longest times of recent requests by route.
 	durations *drain.Recorder
@@ -100,7 +103,7 @@
 	}
 	return &Server{
 		Options: p, entrySettings: p.Settings.Entry, engineSettings: p.Settings.Engine,
-		limiter: limit.New(), durations: drain.NewRecorder(), servers: backend.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0)),
+		bodies: bodies.New(int64(p.Settings.Entry.MemoryMB)<<20, p.Metrics), limiter: limit.New(), durations: drain.NewRecorder(), servers: backend.New(rand.NewPCG(uint64(time.Now().UnixNano()), 0)),
 		retryBudget: retry.New(p.Settings.Engine.RetryPermille),
 	}
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/bodies"
 	"github.com/wardridge/wardridge/internal/claims"
 	"github.com/wardridge/wardridge/internal/decide/backend"
 	decide "github.com/wardridge/wardridge/internal/decide/call"
@@ -43,6 +44,8 @@
 	body    []byte
 	permit  *claims.Permit
 	tried   []api.ServerName
+	// answerHold is the memory of the answers to the attempts of the call.
+	answerHold port.Hold
 }
 
 // service handles a call to a plain service.
@@ -112,6 +115,8 @@
 // runCall runs the call, records the outcome if the call is claimed, and answers the
 // caller.
 func (s *Server) runCall(ctx context.Context, w http.ResponseWriter, c *call) {
+	c.answerHold = s.bodies.HoldAnswer()
+	defer c.answerHold.Release()
 	a, err := s.callWithRetries(ctx, c)
 	if c.permit != nil {
 		s.recordCallOutcome(ctx, c, a, err)
@@ -171,6 +176,7 @@
 			}
 			return a, nil
 		}
+		c.answerHold.Release()
 		s.Contents.RecordFailure(c.content, n, err, 0)
 		s.explain(c.request, "failed", string(n)+": "+err.Error())
 		o := outcome(err)
@@ -292,7 +298,10 @@
 	}
 	defer func() { _ = a.Body.Close() }()
 	s.recordSignals(began, n, signalHeaders.Parse(a.StatusCode, a.Header))
-	b, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
+	b, err := io.ReadAll(io.LimitReader(bodies.NewReader(r.Context(), a.Body, c.answerHold), maxAnswerBytes+1))
+	if fault.Has(err, fault.BadAnswer) || fault.Has(err, fault.OutcomeUnknown) {
+		return nil, err
+	}
 	if err != nil {
 		return nil, fault.Wrap(fault.BadAnswer, err, "the answer ended early")
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"github.com/wardridge/wardridge/internal/api"
+	"github.com/wardridge/wardridge/internal/bodies"
 	"github.com/wardridge/wardridge/internal/clock"
 	"github.com/wardridge/wardridge/internal/contents"
 	"github.com/wardridge/wardridge/internal/decide/backlog"
@@ -150,7 +151,7 @@
 	queries      singleflight.Group
 	leaveQueries *leavequery.Schedule
 	watchdog     *watchdog
-	bodies       *bodyMemory
+	bodies       *bodies.Memory
 	// rollouts follows the rollouts, and rolloutVersions holds the version of each order's
 	// object.
 	rollouts *rollout.Tracker
@@ -186,7 +187,7 @@
 		Options: p, roster: roster.New(), picker: placement.NewPicker(rand.NewPCG(p.Seed, 0)), lender: fragile.NewLender(),
 		active: map[*request]bool{}, durations: drain.NewRecorder(), runs: map[api.ServerName]map[*run]bool{}, departures: fence.NewDepartures(), admissions: map[api.ServiceName]*admission{},
 		retryReports: retry.NewReports(), roomWaits: map[api.ServiceName]int{}, queryResults: silence.NewResultCache(), leaveQueries: leavequery.New(), watchdog: newWatchdog(),
-		bodies: newBodyMemory(p.Memory, p.Metrics), rollouts: rollout.New(p.Rollouts, rand.NewPCG(p.Seed, 1)), earlier: repeat.New(maxEarlierRequests), places: repeat.NewPlaces[*owner](), copies: repeat.NewPlaces[*owner](), orders: fence.NewOrders[*fencer](), rolloutVersions: map[api.RolloutID]api.Version{},
+		bodies: bodies.New(p.Memory, p.Metrics), rollouts: rollout.New(p.Rollouts, rand.NewPCG(p.Seed, 1)), earlier: repeat.New(maxEarlierRequests), places: repeat.NewPlaces[*owner](), copies: repeat.NewPlaces[*owner](), orders: fence.NewOrders[*fencer](), rolloutVersions: map[api.RolloutID]api.Version{},
 	}
 	g.Backends = signalRecorder{p.Backends, g}
 	// Until peers report the size of the fleet, this entry VM knows of those in its settings.
@@ -210,6 +211,11 @@
 	return defaultBodyLimit
 }
 
+// HoldRequest returns the memory of the body of a request.
+func (g *Gateway) HoldRequest() port.Hold {
+	return g.bodies.HoldRequest()
+}
+
 // InFlight counts the requests that are not finished.
 func (g *Gateway) InFlight() int {
 	return int(g.inFlight.Load())
@@ -365,7 +371,7 @@
 	if f := g.checkLink(x); f != nil {
 		return q, f
 	}
-	q.answerHold = g.holdAnswer()
+	q.answerHold = g.bodies.HoldAnswer()
 	return q, g.Contents.Check(q.content)
 }
 
