--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -126,6 +126,13 @@
 	return onTime
 }
 
+// dropAnswer releases the memory of the answer of a failed attempt, unless a failed answer may still be passed on.
+func (q *request) dropAnswer(kept *port.Answer) {
+	if kept == nil {
+		q.answerHold.Release()
+	}
+}
+
 // sendWithRetries sends a request to one server after another, as long as it is safe to repeat
 // or provably did not run, and returns the answer to pass on.
 func (g *Gateway) sendWithRetries(ctx context.Context, q *request, n placement.Requirements) (serverAnswer, *fault.Error) {
@@ -166,10 +173,7 @@
 		} else {
 			g.recordFailedAttempt(q, s, err)
 		}
-		if failed == nil {
-			// What was read of the answer is dropped. A failed answer may still be passed on.
-			q.answerHold.Release()
-		}
+		q.dropAnswer(failed)
 		g.emit(q, event.AttemptFailed, s.Name, append(q.contentFields(), zap.String("request", string(q.ID)), zap.String("server", string(s.Name)), zap.String("connection", string(a.Connection)), zap.Error(err))...)
 		m, f := c.AttemptFailed(attemptOutcome(err), err, ctx.Err() != nil, retry)
 		if m == call.Retry && g.delayedByLink(err) {
