test(node): requests that arrive up to the end of a planned stop are answered

Operators of other systems reported requests that were taken late in a planned stop, passed on and cut off without an answer (LOST). The test stays as a guard; nothing in the code changed.

--- a/internal/node/hosted_stop_test.go
+++ b/internal/node/hosted_stop_test.go
@@ -249,3 +249,71 @@
 		t.Errorf("stop: got %v, want at most %v", got, want)
 	}
 }
+
+// Guards against requests that are taken late in a planned stop, passed on, and cut off without an answer at its end.
+func TestPlannedStopAnswersWhatItReadsUpToItsEnd(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		time time.Duration
+		// halves is set if each request arrives in two parts.
+		halves bool
+	}{
+		{"fast server", 40 * time.Millisecond, false},
+		{"slow server", 700 * time.Millisecond, false},
+		{"requests in two parts", 40 * time.Millisecond, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			const callers = 12
+			b := slowBackends{time: c.time, begun: make(chan bool, 1<<16), handled: &atomic.Int64{}}
+			v := newTestVMWithSettings(t, strings.Replace(settingsText, "grace_s = 1", "grace_s = 4", 1), slowAdapter(b))
+			v.awaitReady(t, true)
+			var answers, whole atomic.Int64
+			g, end := duty.New(context.Background())
+			t.Cleanup(end)
+			for i := range callers {
+				g.Go(func(context.Context) error {
+					for failures := 0; failures < 3; {
+						x, err := net.Dial("tcp", strings.TrimPrefix(v.callers, "http://"))
+						if err != nil {
+							failures++
+							continue
+						}
+						k := callerConn{x, bufio.NewReader(x)}
+						for err == nil {
+							if c.halves {
+								_, _ = io.WriteString(x, callerRequest[:20])
+								time.Sleep(time.Duration(10+i*7) * time.Millisecond)
+							}
+							var got string
+							rest := callerRequest
+							if c.halves {
+								rest = callerRequest[20:]
+							}
+							if got, err = k.finish(rest); err != nil {
+								break
+							}
+							answers.Add(1)
+							if got == "whole" {
+								whole.Add(1)
+							}
+						}
+						_ = x.Close()
+					}
+					return nil
+				})
+			}
+			time.Sleep(time.Second)
+			v.stop()
+			if err := <-v.done; err != nil {
+				t.Errorf("stop: got %v, want no failure", err)
+			}
+			if err := g.Wait(); err != nil {
+				t.Fatal(err)
+			}
+			if got, sent := b.handled.Load(), len(b.begun); got != answers.Load() || whole.Load() == 0 {
+				t.Errorf("requests read: got %d, of which %d were passed on, %d answered, %d of them whole; want all answered", got, sent, answers.Load(), whole.Load())
+			}
+		})
+	}
+}
