fix(upstream): the target of a request reaches its server as the caller sent it

On the own wire an escaped question mark, slash or hash sign in a path came unescaped at the service.

Cause: the HTTP library puts a scheme before an opaque target with two slashes, and the own wire put the address together from the decoded path.

Both send the target on as it came.

--- a/contract/service_test.go
+++ b/contract/service_test.go
@@ -301,3 +301,23 @@
 		return failed.Load() == calls
 	})
 }
+
+// Guards against a path that reaches the service as another path, or a part of it as a query.
+func TestTargetReachesServiceUnchanged(t *testing.T) {
+	b := newCluster(t)
+	got := make(chan string, 1)
+	b.declareServer("orders-1", serve(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { got <- r.RequestURI })), api.BackendServerSpec{Type: api.ServerTypeService})
+	b.setServers("orders-1")
+	v := b.startEntry("entry-1", "")
+	for _, target := range []string{"/look", "/a%3Fb", "/a%2Fb?c=%2Fd?e", "/a%20b", "//look", "/a//b", "/a%25b", "/a%23b?c#"} {
+		r := v.send(call{method: http.MethodGet, path: "/services/orders" + target, key: sample.KeyField})
+		want := strings.TrimSuffix(target, "#")
+		if r.status != http.StatusOK {
+			t.Errorf("%s: got %d %s, want 200", target, r.status, r.body)
+			continue
+		}
+		if x := <-got; x != want {
+			t.Errorf("target at the service: got %s, want %s", x, want)
+		}
+	}
+}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -38,12 +38,13 @@
 	*request
 	service config.Service
 	method  string
-	path    string
-	query   string
-	header  http.Header
-	body    []byte
-	permit  *claims.Permit
-	tried   []api.ServerName
+	// path is decoded, and escapedPath as the caller sent it.
+	path, escapedPath string
+	query             string
+	header            http.Header
+	body              []byte
+	permit            *claims.Permit
+	tried             []api.ServerName
 	// answerHold is the memory of the answers to the attempts of the call.
 	answerHold port.Hold
 }
@@ -90,12 +91,17 @@
 	}
 	c := &call{
 		request: q, service: x, method: r.Method, query: r.URL.RawQuery, body: b, header: r.Header,
-		path: "/" + strings.TrimPrefix(strings.TrimPrefix(r.URL.Path, PathServices+"/"+string(n)), "/"),
+		path: servicePath(r.URL.Path, n), escapedPath: servicePath(r.URL.EscapedPath(), n),
 	}
 	c.notRepeatable = c.notRepeatable || x.AtMostOnce(c.method, c.path)
 	return c, nil
 }
 
+// servicePath returns the path at a service.
+func servicePath(path string, n api.ServiceName) string {
+	return "/" + strings.TrimPrefix(strings.TrimPrefix(path, PathServices+"/"+string(n)), "/")
+}
+
 // content returns the content of the call. All attempts of its caller have the same.
 func (c *call) content() quarantine.Subjects {
 	return quarantine.NewSubjects(quarantine.Hash(c.workspace.Name, c.method, string(c.service.Name), c.path+"?"+c.query, c.body), nil)
@@ -260,7 +266,7 @@
 	defer cancel()
 	ctx, span := trace.Start(ctx, "service")
 	defer span.End()
-	u := "http://" + v.Address + c.path
+	u := "http://" + v.Address + c.escapedPath
 	if c.query != "" {
 		u += "?" + c.query
 	}
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -38,6 +39,9 @@
 type Call struct {
 	Address string
 	Request *http.Request
+	// Target is sent as the target of the request, exactly as it is; empty for that of the request's URL, of which
+	// the HTTP library takes some for another form.
+	Target string
 	// NewConnection requires a new connection.
 	NewConnection bool
 	// ConnectTimeout limits the time to make a new connection. Zero leaves the limit to the
@@ -56,8 +60,8 @@
 // means that no byte was sent, BadAnswer that what arrived is not a valid answer, and
 // OutcomeUnknown that the server may have received the request.
 func (p *Pool) Do(ctx context.Context, c Call) (*http.Response, error) {
-	var b bytes.Buffer
-	if err := c.Request.Write(&b); err != nil {
+	b, err := c.encode()
+	if err != nil {
 		return nil, fault.Wrap(fault.NotStarted, err, "encoding the request")
 	}
 	n, err := p.connect(ctx, c)
@@ -65,7 +69,7 @@
 		return nil, fault.Wrap(fault.NotStarted, err, "connecting to "+c.Address)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = n.SetDeadline(time.Unix(1, 0)) })
-	if w, err := n.Write(b.Bytes()); err != nil {
+	if w, err := n.Write(b); err != nil {
 		stop()
 		_ = n.Close()
 		return nil, writeFault(w, err)
@@ -84,6 +88,23 @@
 	return r, nil
 }
 
+// errInvalidTarget is the failure of a call whose target would end the request line.
+var errInvalidTarget = fault.New(fault.Internal, "the target of the request has a space or a control character")
+
+// encode returns the bytes of the request.
+func (c Call) encode() ([]byte, error) {
+	var b bytes.Buffer
+	if err := c.Request.Write(&b); err != nil || c.Target == "" {
+		return b.Bytes(), err
+	}
+	if strings.ContainsFunc(c.Target, func(r rune) bool { return r <= ' ' || r == 0x7f }) {
+		return nil, errInvalidTarget
+	}
+	line, rest, _ := bytes.Cut(b.Bytes(), []byte("\r\n"))
+	method, _, _ := bytes.Cut(line, []byte(" "))
+	return slices.Concat(method, []byte(" "+c.Target+" HTTP/1.1\r\n"), rest), nil
+}
+
 // writeFault returns the fault of a request that could not be sent completely.
 func writeFault(written int, err error) error {
 	if written == 0 {
