fix(fence): a server that answers nothing is probed once for all of its runs

Found in reading the suspension of orders once more, before it landed: a server that accepts connections and answers nothing counted as alive at each probe, so that the orders for all its runs went on up to their deadlines, each by itself.

Cause: an order without an answer in time had the outcome of one that was refused.

It has one of its own (Unanswered), which is no sign of life: the orders stay suspended, and one at a time probes the server.

--- a/internal/decide/fence/fence.go
+++ b/internal/decide/fence/fence.go
@@ -39,10 +39,17 @@
 	// Unreached means that no connection to the server was made in time, and Refused that it was refused.
 	Unreached
 	Refused
-	// Unconfirmed means that the server has refused the order, or that its answer was lost.
+	// Unconfirmed means that the server has refused the order, or that its answer was lost, and Unanswered that the
+	// server has not answered in time.
 	Unconfirmed
+	Unanswered
 )
 
+// ShowsLife reports whether a server has done something about an order.
+func (o Outcome) ShowsLife() bool {
+	return o == Stopped || o == Unconfirmed
+}
+
 // Verdict says whether a run may continue at another server.
 type Verdict int
 
--- a/internal/gateway/fence.go
+++ b/internal/gateway/fence.go
@@ -217,7 +217,7 @@
 	g := f.gateway
 	f.orders++
 	o := f.sendOnce(ctx, fence.ProbeTimeout)
-	if o == fence.Unreached || o == fence.Refused {
+	if !o.ShowsLife() {
 		g.mutex.Lock()
 		defer g.mutex.Unlock()
 		g.orders.Suspend(f.source.Name, f.request, f)
@@ -287,6 +287,8 @@
 		return fence.Refused
 	case fault.Has(err, fault.NotStarted), port.NoPath(err):
 		return fence.Unreached
+	case port.TimedOut(err):
+		return fence.Unanswered
 	default:
 		return fence.Unconfirmed
 	}
